--- /dev/null
+++ b/packages/cli/src/lib/commands/cancel.ts
@@ -0,0 +1,26 @@
+import { Args } from '@oclif/core';
+import { EntryCommand } from '../entry-command.js';
+import type { JobState } from '../entry-client.js';
+
+const CANCEL_WAIT_MS = 5000;
+
+/** Gives a job up. */
+export default class Cancel extends EntryCommand {
+  static override description =
+    'Give a job up. Tasks that have started may still run; the answer says what is known of each.';
+  static override examples = ['<%= config.bin %> cancel job-17'];
+  static override args = {
+    id: Args.string({ required: true, description: 'Id of the job.' }),
+  };
+
+  override async run(): Promise<JobState> {
+    const { args, flags } = await this.parse(Cancel);
+    const id = encodeURIComponent(args.id);
+    const job = await this.ask<JobState>(flags.entry, {
+      method: 'POST',
+      path: `/v1/jobs/${id}/cancel?wait=${String(CANCEL_WAIT_MS)}`,
+      repeatable: true,
+    });
+    return this.showJob(job);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/drain/dc.ts
@@ -0,0 +1,18 @@
+import { Args } from '@oclif/core';
+import { TicketCommand } from '../../ticket-command.js';
+import type { TicketReceipt } from '../../tickets.js';
+
+/** Takes a data centre out of service. */
+export default class DrainDataCentre extends TicketCommand {
+  static override description =
+    'Take a data centre out of service: no task starts there any more, running ones end.';
+  static override examples = ['<%= config.bin %> drain dc north'];
+  static override args = {
+    name: Args.string({ required: true, description: 'Its name.' }),
+  };
+
+  override async run(): Promise<TicketReceipt> {
+    const { args, flags } = await this.parse(DrainDataCentre);
+    return this.setInService(flags.entry, `data-centre/${args.name}`, false);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/members.ts
@@ -0,0 +1,53 @@
+import { EntryCommand } from '../entry-command.js';
+
+interface Members {
+  readonly answeredBy: string;
+  readonly entries: readonly {
+    readonly id: string;
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly silentMs: number;
+    readonly replacedBy: string | null;
+  }[];
+  readonly runners: readonly {
+    readonly id: string;
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly endpoint: string;
+    readonly connected: boolean;
+    readonly accepting: boolean;
+    readonly configVersion: number;
+    readonly inFlight: number;
+  }[];
+}
+
+/** Lists entries and runners. */
+export default class ListMembers extends EntryCommand {
+  static override description =
+    'List the entries and runners that an entry knows.';
+  static override examples = ['<%= config.bin %> members'];
+
+  override async run(): Promise<Members> {
+    const { flags } = await this.parse(ListMembers);
+    const members = await this.ask<Members>(flags.entry, {
+      method: 'GET',
+      path: '/v1/members',
+      repeatable: true,
+    });
+    this.log(`answered by ${members.answeredBy}`);
+    for (const entry of members.entries) {
+      const state = entry.replacedBy === null ? 'member' : 'replaced';
+      this.log(
+        `entry  ${entry.id} ${entry.address} ${entry.dataCentre} ${state}, unchanged for ${String(entry.silentMs)} ms`,
+      );
+    }
+    for (const runner of members.runners) {
+      const state = runner.connected ? 'connected' : 'not connected';
+      const work = runner.accepting ? 'accepting' : 'not accepting';
+      this.log(
+        `runner ${runner.id} ${runner.address} ${runner.dataCentre} ${runner.endpoint} ${state}, ${work}, version ${String(runner.configVersion)}, ${String(runner.inFlight)} in flight`,
+      );
+    }
+    return members;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/request.ts
@@ -0,0 +1,28 @@
+import { Args } from '@oclif/core';
+import { EntryCommand } from '../entry-command.js';
+
+/** Runs a single request. */
+export default class Request extends EntryCommand {
+  static override description =
+    'Run a single request from a TOML or JSON file and print the whole answer of its endpoint. It is sent once; only a proof that it did not run leads to another entry.';
+  static override examples = ['<%= config.bin %> request quote.toml'];
+  static override args = {
+    file: Args.string({
+      required: true,
+      description: 'File with the request.',
+    }),
+  };
+
+  override async run(): Promise<unknown> {
+    const { args, flags } = await this.parse(Request);
+    const body = await this.readData(args.file);
+    const answer = await this.ask(flags.entry, {
+      method: 'POST',
+      path: '/v1/requests',
+      body,
+      repeatable: body.idempotent === true,
+    });
+    this.log(JSON.stringify(answer));
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/submit.ts
@@ -0,0 +1,33 @@
+import { Args, Flags } from '@oclif/core';
+import { EntryCommand } from '../entry-command.js';
+import type { JobState } from '../entry-client.js';
+
+/** Submits a job. */
+export default class Submit extends EntryCommand {
+  static override description =
+    'Submit a job from a TOML or JSON file. Submitting the same file again attaches to the same job.\n\nExit codes: 0 accepted or complete, 1 failed, 2 wrong input, 3 refused and not run, 4 may have run.';
+  static override examples = [
+    '<%= config.bin %> submit job.toml',
+    '<%= config.bin %> submit job.json --wait --json',
+  ];
+  static override args = {
+    file: Args.string({ required: true, description: 'File with the job.' }),
+  };
+  static override flags = {
+    wait: Flags.boolean({ description: 'Wait for the whole answer.' }),
+  };
+
+  override async run(): Promise<JobState> {
+    const { args, flags } = await this.parse(Submit);
+    const body = await this.readData(args.file);
+    const job = await this.ask<JobState>(flags.entry, {
+      method: 'POST',
+      path: '/v1/jobs',
+      body,
+      repeatable: true,
+    });
+    return this.showJob(
+      flags.wait ? await this.waitForJob(flags.entry, job.id) : job,
+    );
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/entry-client.ts
@@ -0,0 +1,160 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Agent, request } from 'undici';
+import { ExitCode } from './exit-codes.js';
+
+/** A call that did not succeed. */
+export interface CallFailure {
+  readonly exitCode: ExitCode;
+  readonly message: string;
+  /** Problem details, when an entry gave them. */
+  readonly problem?: Problem;
+}
+
+/** Problem details as an entry sends them. */
+export interface Problem {
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly runState: string;
+  readonly retryAfterMs?: number;
+}
+
+/** State of a job as an entry sends it. */
+export interface JobState {
+  readonly id: string;
+  readonly state: 'open' | 'complete' | 'failed';
+  readonly taskCount: number;
+  readonly doneCount: number;
+  readonly reason?: string;
+  readonly detail?: string;
+  readonly answers?: readonly unknown[];
+  readonly runStates?: readonly string[];
+}
+
+/** A call to an entry. */
+export interface EntryCall {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: unknown;
+  /** Whether another entry may be asked after a failure on the way. */
+  readonly repeatable: boolean;
+}
+
+const CONNECT_TIMEOUT_MS = 2000;
+const FIRST_ERROR_STATUS = 400;
+const HTTP_UNAVAILABLE = 503;
+
+/** Codes of errors that occur before a request has been sent. */
+const NOT_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Calls entries over HTTP; asks the next one when that is safe. */
+export class EntryClient {
+  private readonly _urls: readonly string[];
+  private readonly _agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  /** @param urls - Addresses of entries, in the order in which to try them. */
+  constructor(urls: readonly string[]) {
+    this._urls = urls;
+  }
+
+  /**
+   * @param call - What to ask.
+   * @returns The decoded answer, or why there is none.
+   */
+  async call<T>(call: EntryCall): Promise<Result<T, CallFailure>> {
+    let failure: CallFailure = {
+      exitCode: ExitCode.Invalid,
+      message: 'No entry is given; use --entry or SAPPHIREMUX_ENTRIES.',
+    };
+    for (const url of this._urls) {
+      const answer = await this._try<T>(url, call);
+      if (answer.isOk() || !canAskNext(call, answer.error)) {
+        return answer;
+      }
+      failure = answer.error;
+    }
+    return Err(failure);
+  }
+
+  private async _try<T>(
+    url: string,
+    call: EntryCall,
+  ): Promise<Result<T, CallFailure>> {
+    try {
+      const res = await request(new URL(call.path, url), {
+        method: call.method,
+        headers: { 'content-type': 'application/json' },
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+        dispatcher: this._agent,
+      });
+      const text = await res.body.text();
+      const type = String(res.headers['content-type'] ?? '');
+      if (res.statusCode < FIRST_ERROR_STATUS) {
+        return Ok(JSON.parse(text) as T);
+      }
+      return Err(toFailure(res.statusCode, type, text));
+    } catch (err) {
+      return Err(toConnectFailure(url, err as Error & { code?: string }));
+    }
+  }
+}
+
+const canAskNext = (call: EntryCall, failure: CallFailure): boolean => {
+  const status = failure.problem?.status;
+  const isOnTheWay = status === undefined || status === HTTP_UNAVAILABLE;
+  return (
+    isOnTheWay && (call.repeatable || failure.exitCode === ExitCode.NotRun)
+  );
+};
+
+const toFailure = (status: number, type: string, text: string): CallFailure => {
+  if (!type.startsWith('application/problem+json')) {
+    return {
+      exitCode: ExitCode.Failed,
+      message: `The endpoint answered with status ${String(status)}: ${text}`,
+    };
+  }
+  const problem = JSON.parse(text) as Problem;
+  const again =
+    problem.retryAfterMs === undefined
+      ? ''
+      : ` Come back after ${String(problem.retryAfterMs)} ms.`;
+  return {
+    exitCode: exitCodeOf(problem),
+    message: `${problem.title}: ${problem.detail} Run state: ${problem.runState}.${again}`,
+    problem,
+  };
+};
+
+const exitCodeOf = (problem: Problem): ExitCode => {
+  switch (problem.status) {
+    case 409:
+    case 404:
+    case 422:
+      return ExitCode.Invalid;
+    default:
+      return problem.runState === 'not-run'
+        ? ExitCode.NotRun
+        : ExitCode.MayHaveRun;
+  }
+};
+
+const toConnectFailure = (
+  url: string,
+  err: Error & { code?: string },
+): CallFailure => ({
+  exitCode: NOT_SENT.has(err.code ?? '')
+    ? ExitCode.NotRun
+    : ExitCode.MayHaveRun,
+  message: `${url}: ${err.message}`,
+});
--- /dev/null
+++ b/packages/cli/src/lib/ticket-command.ts
@@ -0,0 +1,77 @@
+import { userInfo } from 'node:os';
+import { EntryCommand } from './entry-command.js';
+import { ExitCode } from './exit-codes.js';
+import type {
+  Change,
+  ConfigurationState,
+  Setting,
+  TicketReceipt,
+} from './tickets.js';
+
+/** A command that makes a ticket. */
+export abstract class TicketCommand extends EntryCommand {
+  /** @returns What is in force at the first entry that answers. */
+  protected async readConfiguration(
+    entries: string,
+  ): Promise<ConfigurationState> {
+    return this.ask<ConfigurationState>(entries, {
+      method: 'GET',
+      path: '/v1/configuration',
+      repeatable: true,
+    });
+  }
+
+  /**
+   * Proposes a ticket and prints how far it has spread.
+   *
+   * @param entries - Addresses of entries, separated by commas.
+   * @param body - The proposal.
+   * @returns The receipt.
+   */
+  protected async propose(
+    entries: string,
+    body: object,
+  ): Promise<TicketReceipt> {
+    const receipt = await this.ask<TicketReceipt>(entries, {
+      method: 'POST',
+      path: '/v1/tickets',
+      body,
+      repeatable: false,
+    });
+    this.log(`ticket ${String(receipt.number)} accepted`);
+    this.log(`in force at ${receipt.inForce.join(', ')}`);
+    if (receipt.notYet.length > 0) {
+      this.log(`not yet at ${receipt.notYet.join(', ')}`);
+    }
+    return receipt;
+  }
+
+  /**
+   * Makes a ticket that takes one subject out of service or brings it back.
+   *
+   * @param entries - Addresses of entries, separated by commas.
+   * @param subject - For example `data-centre/north`.
+   * @param inService - The new state.
+   * @returns The receipt.
+   */
+  protected async setInService(
+    entries: string,
+    subject: string,
+    inService: boolean,
+  ): Promise<TicketReceipt> {
+    const config = await this.readConfiguration(entries);
+    const found = config.subjects.find((s) => s.subject === subject);
+    if (!found) {
+      this.error(`"${subject}" is not declared.`, { exit: ExitCode.Invalid });
+    }
+    const setting: Setting = { ...found.setting, inService };
+    const changes: Change[] = [{ subject, setting }];
+    return this.propose(entries, {
+      // The number ties the ticket to the state that was read.
+      number: config.version + 1,
+      author: userInfo().username,
+      reason: `${inService ? 'return' : 'drain'} ${subject}`,
+      changes,
+    });
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/tickets.ts
@@ -0,0 +1,81 @@
+/** State of one subject of the configuration. */
+export type Setting = Readonly<Record<string, unknown>> & {
+  readonly kind: string;
+};
+
+/** One change of a ticket. */
+export interface Change {
+  readonly subject: string;
+  readonly setting: Setting | null;
+}
+
+/** An accepted ticket. */
+export interface Ticket {
+  readonly number: number;
+  readonly author: string;
+  readonly reason: string;
+  readonly atMs: number;
+  readonly changes: readonly Change[];
+}
+
+/** The configuration in force at one entry. */
+export interface ConfigurationState {
+  readonly version: number;
+  readonly subjects: readonly {
+    readonly subject: string;
+    readonly setting: Setting;
+  }[];
+}
+
+/** How far an accepted ticket has spread. */
+export interface TicketReceipt {
+  readonly number: number;
+  readonly inForce: readonly string[];
+  readonly notYet: readonly string[];
+}
+
+/**
+ * Describes what changes would do to a configuration.
+ *
+ * @param config - What is in force.
+ * @param changes - What is proposed.
+ * @returns One line for each value that is added, removed or changed.
+ */
+export const diffLines = (
+  config: ConfigurationState,
+  changes: readonly Change[],
+): string[] => {
+  const lines: string[] = [];
+  for (const { subject, setting } of changes) {
+    const before = config.subjects.find((s) => s.subject === subject)?.setting;
+    lines.push(...diffSetting(subject, before ?? null, setting));
+  }
+  return lines;
+};
+
+const diffSetting = (
+  subject: string,
+  before: Setting | null,
+  after: Setting | null,
+): string[] => {
+  const keys = new Set([
+    ...Object.keys(before ?? {}),
+    ...Object.keys(after ?? {}),
+  ]);
+  keys.delete('kind');
+  const lines: string[] = [];
+  for (const key of keys) {
+    const was = JSON.stringify(before?.[key]);
+    const is = JSON.stringify(after?.[key]);
+    if (was === is) {
+      continue;
+    }
+    if (before !== null) {
+      lines.push(`- ${subject} ${key} = ${was}`);
+    }
+    if (after !== null) {
+      lines.push(`+ ${subject} ${key} = ${is}`);
+    }
+  }
+  return lines;
+};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,23 @@
+/**
+ * Decisions of sapphiremux as pure state machines: events and the time in,
+ * actions out.
+ */
+export { RunnerPeer, runnerKey } from './lib/connection/runner-peer.js';
+export type { RunnerRef } from './lib/connection/runner-peer.js';
+export * from './lib/messages.js';
+export { ENTRY_DEFAULTS } from './lib/process/entry-context.js';
+export type { EntryOptions } from './lib/process/entry-context.js';
+export * from './lib/process/entry-events.js';
+export { EntryCore } from './lib/process/entry.js';
+export type { MemberView } from './lib/process/membership.js';
+export type { HeadRow, JobRow, MemberRow } from './lib/process/rows.js';
+export * from './lib/process/runner-events.js';
+export { RunnerCore } from './lib/process/runner.js';
+export type { RunnerOptions } from './lib/process/runner.js';
+export { PriorityClass } from './lib/request/job-spec.js';
+export type { JobSpec, TaskSpec } from './lib/request/job-spec.js';
+export { FailureReason } from './lib/request/outcome.js';
+export type { Outcome, TaskAnswer } from './lib/request/outcome.js';
+export * from './lib/store.js';
+export { Configuration } from './lib/version/configuration.js';
+export type { Change, Setting, Ticket } from './lib/version/ticket.js';
--- /dev/null
+++ b/packages/core/src/lib/messages.ts
@@ -0,0 +1,70 @@
+import type * as wire from '@sapphiremux/wire';
+
+export { RefusalReason, RunState, TaskKind } from '@sapphiremux/wire';
+
+/** A batch from an entry to a runner. */
+export type EntryMessage = wire.Plain<wire.EntryMessage>;
+/** A batch from a runner to an entry. */
+export type RunnerMessage = wire.Plain<wire.RunnerMessage>;
+/** The start of one task. */
+export type StartMessage = wire.Plain<wire.Start>;
+/** What an endpoint answered for one task. */
+export type ResultMessage = wire.Plain<wire.Result>;
+/** A start that provably did not run. */
+export type RefusalMessage = wire.Plain<wire.Refusal>;
+/** Names one task. */
+export type TaskRef = wire.Plain<wire.TaskRef>;
+/** Amounts of the two capacity pools of an endpoint. */
+export type Units = wire.Plain<wire.Units>;
+/** Amounts of a worker's resources. */
+export type Resources = wire.Plain<wire.Resources>;
+/** First message of a runner on a link. */
+export type Hello = wire.Plain<wire.Hello>;
+/** First message of an entry on a link. */
+export type Open = wire.Plain<wire.Open>;
+/** The part of the configuration that a runner acts on. */
+export type RunnerConfig = wire.Plain<wire.RunnerConfig>;
+/** Asks a runner to refuse all further starts of an owner. */
+export type FenceRequest = wire.Plain<wire.FenceRequest>;
+/** All that a runner holds of a fenced owner. */
+export type FenceReply = wire.Plain<wire.FenceReply>;
+/** What a runner holds of one task. */
+export type TaskRecord = wire.Plain<wire.TaskRecord>;
+/** Makes a runner known to an entry. */
+export type AnnounceRequest = wire.Plain<wire.AnnounceRequest>;
+/** Exchange of configuration versions between entries. */
+export type PollRequest = wire.Plain<wire.PollRequest>;
+/** Answer to {@link PollRequest}. */
+export type PollReply = wire.Plain<wire.PollReply>;
+/** A ticket as it travels between entries. */
+export type TicketRow = wire.Plain<wire.TicketRow>;
+
+/**
+ * Key of a task within one owner.
+ *
+ * @param job - Job or request id.
+ * @param index - Position of the task in its job.
+ * @returns A key that no other task of the owner has.
+ */
+export const taskKey = (job: string, index: number): string =>
+  `${job}#${String(index)}`;
+
+/** @returns An entry batch that carries nothing. */
+export const emptyEntryMessage = (): EntryMessage => ({
+  starts: [],
+  cancels: [],
+  released: [],
+  confirmedAtMs: 0,
+  configVersion: 0,
+});
+
+/** @returns A runner batch that carries nothing. */
+export const emptyRunnerMessage = (): RunnerMessage => ({
+  results: [],
+  refusals: [],
+  sentAtMs: 0,
+  configVersion: 0,
+  endpointPresent: false,
+  stopping: false,
+  fenced: false,
+});
--- /dev/null
+++ b/packages/core/src/lib/process/dispatcher.ts
@@ -0,0 +1,512 @@
+import type { RunnerPeer, RunnerRef } from '../connection/runner-peer.js';
+import { RefusalReason, taskKey } from '../messages.js';
+import type {
+  RefusalMessage,
+  ResultMessage,
+  RunnerMessage,
+  StartMessage,
+  Units,
+} from '../messages.js';
+import type { Job } from '../request/job.js';
+import type { ConfigFollower } from '../version/config-follower.js';
+import type { EntryContext } from './entry-context.js';
+import { JobStep } from './entry-events.js';
+import { RunnerDirectory } from './runner-directory.js';
+import type { QueuedTask } from './task-queue.js';
+import { WorkQueues } from './work-queues.js';
+import type { WorkQueue } from './work-queues.js';
+
+/** What the dispatcher needs of the other parts of the entry. */
+export interface DispatcherOptions {
+  readonly ctx: EntryContext;
+  readonly config: ConfigFollower;
+  /** Tells whether a successor would find the runner; see `Membership`. */
+  readonly ensureRunner: (ref: RunnerRef) => boolean;
+  /** Receives a runner that is gone and holds nothing any more. */
+  readonly forgetRunner: (ref: RunnerRef) => void;
+  /** Receives a job of which a task has changed. */
+  readonly onChanged: (job: Job, now: number) => void;
+}
+
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 5000;
+const LINK_RETRY_MS = 500;
+const MAX_DEMAND = 64;
+const ENCODER = new TextEncoder();
+
+/**
+ * Places waiting tasks on runners and keeps the links to them.
+ *
+ * Tasks wait here, not at the runners, and bind to a runner only when it has
+ * given a credit. A task in flight is in exactly one runner's hands until the
+ * runner refuses it, answers it, or is known to be gone.
+ */
+export class Dispatcher {
+  private readonly _options: DispatcherOptions;
+  private readonly _ctx: EntryContext;
+  private readonly _queues: WorkQueues;
+  private readonly _runners = new RunnerDirectory();
+  private readonly _jobs = new Map<string, Job>();
+  /** Runners that are gone but were sent tasks of jobs not yet recorded. */
+  private readonly _gone = new Map<string, RunnerRef>();
+  private _nextLinkNumber = 1;
+
+  /** @param options - Context and what to tell the other parts. */
+  constructor(options: DispatcherOptions) {
+    this._options = options;
+    this._ctx = options.ctx;
+    this._queues = new WorkQueues(options.ctx.options.routineShare);
+  }
+
+  /** Number of tasks that wait to be placed. */
+  get waiting(): number {
+    return this._queues.size;
+  }
+
+  /** @returns The runner incarnations known here. */
+  runners(): IterableIterator<RunnerPeer> {
+    return this._runners.all();
+  }
+
+  /**
+   * Takes a job in: waiting tasks are queued, and tasks that a runner holds
+   * already are asked for.
+   *
+   * @param job - A job without an outcome.
+   */
+  add(job: Job): void {
+    this._jobs.set(job.spec.id, job);
+    for (const index of job.waitingTasks()) {
+      this._queues.push(job, index);
+    }
+    for (const index of job.sentTasks()) {
+      const state = job.state(index);
+      const peer =
+        state.kind === 'sent' ? this._runners.get(state.runner) : undefined;
+      if (peer) {
+        const start = toStart(job, index);
+        peer.inFlight.set(taskKey(start.job, index), start);
+        if (peer.link) {
+          peer.outbox.starts.push({ ...start, resend: true });
+        }
+      }
+    }
+  }
+
+  /**
+   * Puts a task back in the queue after a pause that the caller has kept.
+   *
+   * @param job - The job.
+   * @param index - Position of a waiting task.
+   */
+  requeue(job: Job, index: number): void {
+    if (!job.outcome && job.state(index).kind === 'waiting') {
+      this._queues.push(job, index);
+    }
+  }
+
+  /**
+   * Drops a job's waiting tasks and cancels those in flight.
+   *
+   * @param job - A job whose outcome is decided.
+   */
+  drop(job: Job): void {
+    this._queues.remove(job);
+    for (const peer of this._runners.all()) {
+      for (const [key, start] of peer.inFlight) {
+        if (start.job === job.spec.id) {
+          peer.inFlight.delete(key);
+          peer.outbox.cancels.push({ job: start.job, index: start.index });
+        }
+      }
+    }
+  }
+
+  /**
+   * Lets runners drop what they keep of a job.
+   *
+   * @param job - A job whose outcome is recorded or answered.
+   */
+  release(job: Job): void {
+    this._jobs.delete(job.spec.id);
+    for (const key of job.runners) {
+      this._runners.get(key)?.outbox.released.push(job.spec.id);
+    }
+  }
+
+  /**
+   * @param ref - A runner incarnation, from an announcement or a member row.
+   * @param now - Current time in milliseconds.
+   */
+  onRunnerKnown(ref: RunnerRef, now: number): void {
+    for (const old of this._runners.otherIncarnations(ref)) {
+      this._loseRunner(old, 'its runner was restarted', now);
+    }
+    const peer = this._runners.ensure(ref, now);
+    peer.heardAtMs = now;
+    this._options.ensureRunner(ref);
+  }
+
+  /**
+   * @param linkId - The link that a batch came on; a replaced link is ignored.
+   * @param msg - The batch.
+   * @param now - Current time in milliseconds.
+   */
+  onMessage(linkId: string, msg: RunnerMessage, now: number): void {
+    const peer = this._runners.ofLink(linkId);
+    const link = peer?.link;
+    if (!peer || !link) {
+      return;
+    }
+    if (msg.fenced) {
+      this._ctx.standDown(
+        'A runner has been told that this entry is replaced.',
+      );
+      return;
+    }
+    if (msg.hello && msg.hello.incarnation !== peer.ref.incarnation) {
+      this._loseRunner(peer, 'its runner was restarted', now);
+      return;
+    }
+    link.ready ||= msg.hello !== undefined;
+    link.heardAtMs = now;
+    peer.heardAtMs = now;
+    link.runnerClockMs = msg.sentAtMs;
+    link.clockHeardAtMs = now;
+    link.runnerVersion = msg.configVersion;
+    peer.free = msg.free ?? peer.free;
+    peer.accepting = msg.endpointPresent && !msg.stopping;
+    this._onCredits(peer, msg);
+    for (const result of msg.results) {
+      this._onResult(peer, result, now);
+    }
+    for (const refusal of msg.refusals) {
+      this._onRefusal(peer, refusal, now);
+    }
+  }
+
+  /**
+   * @param linkId - A connection that has ended.
+   * @param now - Current time in milliseconds.
+   */
+  onLinkClosed(linkId: string, now: number): void {
+    const peer = this._runners.ofLink(linkId);
+    if (peer) {
+      this._runners.dropLink(peer);
+      peer.retryLinkAtMs = now + LINK_RETRY_MS * this._ctx.options.random();
+    }
+  }
+
+  /** @param now - Current time in milliseconds. */
+  tick(now: number): void {
+    const { runnerLostMs, linkSilenceMs } = this._ctx.options;
+    for (const peer of [...this._runners.all()]) {
+      if (peer.link && now - peer.link.heardAtMs > linkSilenceMs) {
+        const { linkId } = peer.link;
+        this._ctx.emit({ kind: 'close-link', linkId });
+        this.onLinkClosed(linkId, now);
+      }
+      if (now - peer.heardAtMs > runnerLostMs) {
+        this._loseRunner(peer, 'its runner can not be reached', now);
+      } else if (!peer.link && now >= peer.retryLinkAtMs) {
+        this._openLink(peer, now);
+      }
+    }
+    this._forgetGone();
+  }
+
+  /**
+   * Places what can be placed and sends one batch a runner.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  flush(now: number): void {
+    if (this._options.config.isFresh(now)) {
+      for (const queue of this._queues.all()) {
+        this._place(queue, now);
+      }
+    }
+    for (const peer of this._runners.all()) {
+      this._reportDemand(peer);
+      this._send(peer, now);
+    }
+  }
+
+  private _openLink(peer: RunnerPeer, now: number): void {
+    const { incarnation, id } = this._ctx.options;
+    const linkNumber = this._nextLinkNumber++;
+    const linkId = `${incarnation}/${String(linkNumber)}`;
+    peer.openLink({ linkId, incarnation, entry: id, linkNumber }, now);
+    this._runners.indexLink(peer);
+    const { address } = peer.ref;
+    this._ctx.emit({ kind: 'open-link', linkId, address });
+  }
+
+  private _onCredits(peer: RunnerPeer, msg: RunnerMessage): void {
+    const credits = peer.link?.credits;
+    if (!credits) {
+      return;
+    }
+    if (msg.grants) {
+      credits.slots += msg.grants.slots;
+      credits.connections += msg.grants.connections;
+    }
+    if (msg.recalls) {
+      const slots = Math.min(credits.slots, msg.recalls.slots);
+      const connections = Math.min(
+        credits.connections,
+        msg.recalls.connections,
+      );
+      credits.slots -= slots;
+      credits.connections -= connections;
+      peer.outbox.returned = { slots, connections };
+    }
+  }
+
+  private _onResult(
+    peer: RunnerPeer,
+    result: ResultMessage,
+    now: number,
+  ): void {
+    const job = this._takeInFlight(peer, result.job, result.index);
+    if (job) {
+      peer.failuresInRow = 0;
+      job.markResult(result);
+      this._options.onChanged(job, now);
+    }
+  }
+
+  private _onRefusal(
+    peer: RunnerPeer,
+    refusal: RefusalMessage,
+    now: number,
+  ): void {
+    const job = this._takeInFlight(peer, refusal.job, refusal.index);
+    this._pauseAfter(peer, refusal.reason, now);
+    if (job) {
+      job.markNotRun(refusal.index);
+      this.requeue(job, refusal.index);
+      this._ctx.logStep(
+        JobStep.Refused,
+        refusal.job,
+        `task ${String(refusal.index)}: ${RefusalReason[refusal.reason]}`,
+      );
+    }
+  }
+
+  /** Keeps a runner that refuses from being sent the same task in a loop. */
+  private _pauseAfter(
+    peer: RunnerPeer,
+    reason: RefusalReason,
+    now: number,
+  ): void {
+    if (reason === RefusalReason.FENCED) {
+      this._ctx.standDown(
+        'A runner has been told that this entry is replaced.',
+      );
+      return;
+    }
+    if (reason === RefusalReason.NO_CAPACITY) {
+      return;
+    }
+    const pauseMs = Math.min(
+      MAX_PAUSE_MS,
+      FIRST_PAUSE_MS * 2 ** peer.failuresInRow,
+    );
+    peer.failuresInRow += 1;
+    peer.pausedUntilMs = now + pauseMs * (1 + this._ctx.options.random());
+  }
+
+  private _takeInFlight(
+    peer: RunnerPeer,
+    jobId: string,
+    index: number,
+  ): Job | undefined {
+    return peer.inFlight.delete(taskKey(jobId, index))
+      ? this._jobs.get(jobId)
+      : undefined;
+  }
+
+  private _loseRunner(peer: RunnerPeer, detail: string, now: number): void {
+    if (peer.link) {
+      this._ctx.emit({ kind: 'close-link', linkId: peer.link.linkId });
+    }
+    this._runners.remove(peer);
+    this._gone.set(peer.key, peer.ref);
+    for (const start of peer.inFlight.values()) {
+      const job = this._jobs.get(start.job);
+      if (job) {
+        job.markLost(start.index, detail);
+        this._options.onChanged(job, now);
+      }
+    }
+  }
+
+  /**
+   * A successor must find every runner that may hold a task of an open job,
+   * so a runner that is gone stays in the row until those jobs are recorded.
+   */
+  private _forgetGone(): void {
+    for (const [key, ref] of this._gone) {
+      const jobs = [...this._jobs.values()];
+      if (!jobs.some((job) => job.runners.has(key))) {
+        this._gone.delete(key);
+        this._options.forgetRunner(ref);
+      }
+    }
+  }
+
+  private _place(queue: WorkQueue, now: number): void {
+    let peer: RunnerPeer | undefined;
+    const canPlace = (task: QueuedTask): boolean => {
+      peer = this._choose(queue, task, now);
+      return peer !== undefined;
+    };
+    for (;;) {
+      const task = queue.tasks.take(canPlace);
+      if (!task || !peer) {
+        return;
+      }
+      this._start(peer, queue.pool, task);
+    }
+  }
+
+  private _choose(
+    queue: WorkQueue,
+    task: QueuedTask,
+    now: number,
+  ): RunnerPeer | undefined {
+    const needs = task.job.spec.tasks[task.index]?.needs;
+    let best: RunnerPeer | undefined;
+    let most = 0;
+    for (const peer of this._runners.ofEndpoint(queue.endpoint)) {
+      const credits = peer.link?.credits[queue.pool] ?? 0;
+      if (
+        credits > most &&
+        peer.canStart(queue.pool, needs, now) &&
+        this._isAllowed(peer, task.job) &&
+        this._isFindable(peer, queue.pool)
+      ) {
+        best = peer;
+        most = credits;
+      }
+    }
+    return best;
+  }
+
+  private _isAllowed(peer: RunnerPeer, job: Job): boolean {
+    const { dataCentre, endpoint } = peer.ref;
+    const { dataCentres } = job.spec;
+    const config = this._options.config.current;
+    return (
+      (dataCentres.length === 0 || dataCentres.includes(dataCentre)) &&
+      config.isDataCentreInService(dataCentre) &&
+      config.isEndpointInService(endpoint, dataCentre)
+    );
+  }
+
+  /** Requests are not taken over, so their runners need not be found. */
+  private _isFindable(peer: RunnerPeer, pool: keyof Units): boolean {
+    return pool === 'connections' || this._options.ensureRunner(peer.ref);
+  }
+
+  private _start(
+    peer: RunnerPeer,
+    pool: keyof Units,
+    { job, index }: QueuedTask,
+  ): void {
+    const start = toStart(job, index);
+    job.markSent(index, peer.key);
+    peer.inFlight.set(taskKey(start.job, index), start);
+    peer.outbox.starts.push(start);
+    if (peer.link) {
+      peer.link.credits[pool] -= 1;
+    }
+    if (start.needs) {
+      peer.free = subtract(peer.free, start.needs);
+    }
+  }
+
+  private _reportDemand(peer: RunnerPeer): void {
+    const link = peer.link;
+    if (!link?.ready) {
+      return;
+    }
+    const demand: Units = {
+      slots: this._demandOf(peer, 'slots'),
+      connections: this._demandOf(peer, 'connections'),
+    };
+    const { reported } = link;
+    const isNews =
+      (demand.slots === 0) !== (reported.slots === 0) ||
+      (demand.connections === 0) !== (reported.connections === 0);
+    if (isNews || (peer.hasOutbox && !isSame(demand, reported))) {
+      peer.outbox.demand = demand;
+      Object.assign(reported, demand);
+    }
+  }
+
+  private _demandOf(peer: RunnerPeer, pool: keyof Units): number {
+    const queue = this._queues.find(peer.ref.endpoint, pool);
+    if (!queue || queue.tasks.size === 0 || !peer.accepting) {
+      return 0;
+    }
+    let demand = 0;
+    for (const [job, count] of queue.tasks.waiting()) {
+      demand += this._isAllowed(peer, job) ? count : 0;
+      if (demand >= MAX_DEMAND) {
+        return MAX_DEMAND;
+      }
+    }
+    return demand;
+  }
+
+  private _send(peer: RunnerPeer, now: number): void {
+    const link = peer.link;
+    if (!link) {
+      return;
+    }
+    const { heartbeatMs } = this._ctx.options;
+    if (!peer.hasOutbox && now - link.sentAtMs < heartbeatMs) {
+      return;
+    }
+    const { current, confirmedAtMs } = this._options.config;
+    const msg = peer.outbox;
+    peer.takeOutbox();
+    if (link.runnerVersion < current.version) {
+      const { dataCentre, endpoint } = peer.ref;
+      msg.config = current.forRunner(dataCentre, endpoint);
+    }
+    msg.configVersion = current.version;
+    msg.confirmedAtMs = peer.toRunnerClock(confirmedAtMs);
+    link.sentAtMs = now;
+    this._ctx.emit({ kind: 'send', linkId: link.linkId, msg });
+  }
+}
+
+const toStart = (job: Job, index: number): StartMessage => {
+  const task = job.spec.tasks[index];
+  return {
+    job: job.spec.id,
+    index,
+    kind: job.kind,
+    endpoint: task?.endpoint ?? '',
+    payload: ENCODER.encode(task?.payload ?? ''),
+    contentType: job.contentType,
+    deadlineMs: job.spec.deadlineMs,
+    needs: task?.needs,
+    resend: false,
+  };
+};
+
+const isSame = (a: Units, b: Units): boolean =>
+  a.slots === b.slots && a.connections === b.connections;
+
+const subtract = (
+  free: RunnerPeer['free'],
+  needs: NonNullable<StartMessage['needs']>,
+): RunnerPeer['free'] => ({
+  cores: free.cores - needs.cores,
+  memoryMb: free.memoryMb - needs.memoryMb,
+  accelerators: free.accelerators - needs.accelerators,
+});
--- /dev/null
+++ b/packages/core/src/lib/process/entry.ts
@@ -0,0 +1,460 @@
+import type { RunnerPeer } from '../connection/runner-peer.js';
+import { RunState, TaskKind } from '../messages.js';
+import type { AnnounceRequest } from '../messages.js';
+import type { Job } from '../request/job.js';
+import type { JobSpec } from '../request/job-spec.js';
+import { storeKeys } from '../store.js';
+import type { Row } from '../store.js';
+import { ConfigFollower } from '../version/config-follower.js';
+import type { Configuration } from '../version/configuration.js';
+import { TicketDesk } from '../version/ticket-desk.js';
+import { Admission } from './admission.js';
+import type { Refusal } from './admission.js';
+import { Dispatcher } from './dispatcher.js';
+import { ENTRY_DEFAULTS } from './entry-context.js';
+import type { EntryContext, EntryOptions } from './entry-context.js';
+import { ErrorCode } from './entry-events.js';
+import type {
+  EndpointRequest,
+  EntryAction,
+  EntryEvent,
+  Reply,
+} from './entry-events.js';
+import { JobTable, errorReply, refuseSubmission } from './job-table.js';
+import { Membership } from './membership.js';
+import type { MemberView } from './membership.js';
+import { RequestTable } from './request-table.js';
+import type { JobRow } from './rows.js';
+import { StoreClient } from './store-client.js';
+import { StoreWriter } from './store-writer.js';
+import { Takeovers } from './takeovers.js';
+
+type AskEvent = Extract<EntryEvent, { kind: 'ask' }>;
+
+const RETRY_AFTER_MS = 1000;
+/** How long a planned stop waits for its jobs before it hands them over. */
+const STOP_WAIT_MS = 20_000;
+
+const NOT_READY: Refusal = {
+  code: ErrorCode.Unavailable,
+  detail: 'This entry does not take new work now; another one may.',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
+/**
+ * The decisions of an entry, as one state machine.
+ *
+ * It does no I/O and reads no clock: events and the time come in, actions go
+ * out, so a recorded or generated sequence of events replays exactly.
+ */
+export class EntryCore {
+  private readonly _ctx: EntryContext;
+  private readonly _store: StoreClient;
+  private readonly _writer: StoreWriter;
+  private readonly _membership: Membership;
+  private readonly _config: ConfigFollower;
+  private readonly _tickets: TicketDesk;
+  private readonly _admission: Admission;
+  private readonly _dispatcher: Dispatcher;
+  private readonly _jobs: JobTable;
+  private readonly _requests: RequestTable;
+  private readonly _takeovers: Takeovers;
+  private _actions: EntryAction[] = [];
+  private _isReplaced = false;
+  private _stopDeadlineMs: number | undefined;
+  private _isLeaving = false;
+
+  /**
+   * @param options - Identity and limits.
+   * @param now - Current time in milliseconds.
+   */
+  constructor(options: EntryOptions, now: number) {
+    const resolved = { ...ENTRY_DEFAULTS, ...options };
+    const emit = (action: EntryAction): void => {
+      this._actions.push(action);
+    };
+    this._store = new StoreClient((opId, req) => {
+      emit({ kind: 'store', opId, req });
+    });
+    this._writer = new StoreWriter({ ...resolved, store: this._store }, now);
+    this._ctx = {
+      options: resolved,
+      store: this._store,
+      writer: this._writer,
+      emit,
+      logStep: (step, job, detail = '') => {
+        emit({ kind: 'job-step', step, job, detail });
+      },
+      standDown: (reason) => {
+        this._standDown(reason);
+      },
+    };
+    const ctx = this._ctx;
+    this._membership = new Membership(ctx);
+    this._config = new ConfigFollower({
+      ctx,
+      peers: () =>
+        this._membership.isReady ? this._membership.live : undefined,
+    });
+    this._tickets = new TicketDesk({
+      ctx,
+      config: this._config,
+      peers: () => this._membership.live.map((v) => v.row.incarnation),
+    });
+    this._dispatcher = new Dispatcher({
+      ctx,
+      config: this._config,
+      ensureRunner: (ref) => this._membership.ensureRunner(ref),
+      forgetRunner: (ref) => {
+        this._membership.forgetRunner(ref);
+      },
+      onChanged: (job, at) => {
+        this._onChanged(job, at);
+      },
+    });
+    this._admission = new Admission({
+      config: () => this._config.current,
+      entryCount: () => this._membership.live.length + 1,
+      waiting: () => this._dispatcher.waiting,
+    });
+    this._jobs = this._createJobTable();
+    this._requests = this._createRequestTable();
+    this._takeovers = new Takeovers({
+      ctx,
+      membership: this._membership,
+      jobs: this._jobs,
+      onRunnerKnown: (ref, at) => {
+        this._dispatcher.onRunnerKnown(ref, at);
+      },
+    });
+  }
+
+  /** Whether new work is taken in. */
+  get isReady(): boolean {
+    return (
+      !this._isReplaced &&
+      this._stopDeadlineMs === undefined &&
+      this._membership.isReady &&
+      this._config.confirmedAtMs > -Infinity
+    );
+  }
+
+  /** The configuration in force here. */
+  get config(): Configuration {
+    return this._config.current;
+  }
+
+  /** The accepted tickets that are kept in memory, oldest first. */
+  get tickets(): ReturnType<ConfigFollower['tickets']> {
+    return this._config.tickets();
+  }
+
+  /** The other entries as last read. */
+  get members(): readonly MemberView[] {
+    return this._membership.others;
+  }
+
+  /** Number of tasks that wait to be placed. */
+  get waiting(): number {
+    return this._dispatcher.waiting;
+  }
+
+  /** Number of jobs without a recorded outcome. */
+  get openJobs(): number {
+    return this._jobs.openCount;
+  }
+
+  /** Number of requests without an answer. */
+  get openRequests(): number {
+    return this._requests.openCount;
+  }
+
+  /** @returns The runners known here. */
+  runners(): IterableIterator<RunnerPeer> {
+    return this._dispatcher.runners();
+  }
+
+  /**
+   * @param event - What happened.
+   * @param now - Current time in milliseconds.
+   * @returns What is to be done, in this order.
+   */
+  handle(event: EntryEvent, now: number): readonly EntryAction[] {
+    this._actions = [];
+    if (this._isReplaced) {
+      this._refuseReplaced(event);
+    } else {
+      this._apply(event, now);
+      this._writer.pump(now);
+    }
+    return this._actions;
+  }
+
+  private _apply(event: EntryEvent, now: number): void {
+    switch (event.kind) {
+      case 'submit':
+        this._onSubmit(event.spec, event.replyId, now);
+        return;
+      case 'request':
+        this._onRequest(event.request, event.replyId, now);
+        return;
+      case 'ask':
+        this._onAsk(event, now);
+        return;
+      case 'apply-ticket':
+        this._onTicket(event, now);
+        return;
+      case 'store-reply':
+        this._store.onReply(event.opId, event.reply, now);
+        return;
+      case 'announce':
+        this._dispatcher.onRunnerKnown(toRef(event.req), now);
+        return;
+      case 'link-message':
+        this._dispatcher.onMessage(event.linkId, event.msg, now);
+        return;
+      case 'link-closed':
+        this._dispatcher.onLinkClosed(event.linkId, now);
+        return;
+      case 'fence-reply':
+        this._takeovers.onFenceReply(event.callId, event.reply, now);
+        return;
+      case 'poll':
+        this._ctx.emit({
+          kind: 'poll-answer',
+          replyId: event.replyId,
+          reply: this._config.onPoll(event.req),
+        });
+        return;
+      case 'poll-reply':
+        this._config.onPollReply(event.callId, event.reply);
+        this._tickets.tick(now);
+        return;
+      case 'caller-gone':
+        this._jobs.forgetCaller(event.replyId);
+        this._requests.forgetCaller(event.replyId);
+        return;
+      case 'flush':
+        this._dispatcher.flush(now);
+        return;
+      case 'tick':
+        this._tick(now);
+        return;
+      case 'stop':
+        this._stopDeadlineMs ??= now + STOP_WAIT_MS;
+    }
+  }
+
+  private _createJobTable(): JobTable {
+    return new JobTable({
+      ctx: this._ctx,
+      ownerCondition: () => this._membership.ownerCondition,
+      onOpen: (job) => {
+        this._dispatcher.add(job);
+      },
+      onDecided: (job) => {
+        this._dispatcher.drop(job);
+      },
+      onRecorded: (job) => {
+        this._dispatcher.release(job);
+      },
+    });
+  }
+
+  private _createRequestTable(): RequestTable {
+    return new RequestTable({
+      ctx: this._ctx,
+      onOpen: (job) => {
+        this._dispatcher.add(job);
+      },
+      onRetry: (job) => {
+        this._dispatcher.requeue(job, 0);
+      },
+      onAnswered: (job) => {
+        this._dispatcher.drop(job);
+        this._dispatcher.release(job);
+      },
+    });
+  }
+
+  private _onSubmit(spec: JobSpec, replyId: number, now: number): void {
+    if (this._jobs.has(spec.id)) {
+      this._jobs.attach(spec, replyId);
+      return;
+    }
+    const refusal = this.isReady ? this._admission.check(spec, now) : NOT_READY;
+    if (refusal) {
+      this._reply(replyId, refuseSubmission(spec, refusal));
+      return;
+    }
+    this._jobs.claim(spec, replyId, now);
+  }
+
+  private _onRequest(
+    request: EndpointRequest,
+    replyId: number,
+    now: number,
+  ): void {
+    const { endpoint, payload } = request;
+    const refusal = this.isReady
+      ? this._admission.check(
+          { ...request, tasks: [{ endpoint, payload }] },
+          now,
+        )
+      : NOT_READY;
+    if (refusal) {
+      this._reply(replyId, notRun(refusal));
+      return;
+    }
+    this._requests.add(request, replyId);
+  }
+
+  private _onAsk(event: AskEvent, now: number): void {
+    if (!this._jobs.has(event.job)) {
+      this._askStore(event);
+      return;
+    }
+    if (event.cancel) {
+      this._jobs.cancel(event.job);
+    }
+    this._jobs.ask(event.job, event.replyId, now + event.waitMs);
+  }
+
+  private _askStore(event: AskEvent): void {
+    const keys = [storeKeys.job(event.job)];
+    this._store.call({ kind: 'read', keys }, (reply) => {
+      if (reply.kind !== 'rows') {
+        this._reply(event.replyId, STORE_SILENT);
+        return;
+      }
+      const row = reply.rows[0];
+      this._reply(
+        event.replyId,
+        row ? this._answerFromRow(row, event) : unknownJob(event.job),
+      );
+    });
+  }
+
+  private _answerFromRow(row: Row, event: AskEvent): Reply {
+    const { owner, address, outcome } = JSON.parse(row.value) as JobRow;
+    const isElsewhere = owner !== this._ctx.options.incarnation;
+    if (!outcome && isElsewhere && event.forward) {
+      const { job, waitMs, cancel } = event;
+      return { kind: 'forward', address, job, waitMs, cancel };
+    }
+    return this._jobs.replyFromRow(row, undefined) ?? STORE_SILENT;
+  }
+
+  private _onTicket(
+    event: Extract<EntryEvent, { kind: 'apply-ticket' }>,
+    now: number,
+  ): void {
+    if (!this.isReady) {
+      this._reply(event.replyId, notRun(NOT_READY));
+      return;
+    }
+    this._tickets.propose(event.proposal, event.replyId, now);
+  }
+
+  private _onChanged(job: Job, now: number): void {
+    if (job.kind === TaskKind.JOB) {
+      this._jobs.settle(job);
+    } else {
+      this._requests.onChanged(job, now);
+    }
+  }
+
+  private _tick(now: number): void {
+    this._membership.tick(now);
+    this._config.tick(now);
+    this._tickets.tick(now);
+    this._takeovers.tick(now);
+    this._dispatcher.tick(now);
+    this._jobs.tick(now);
+    this._requests.tick(now);
+    this._finishStop(now);
+  }
+
+  private _finishStop(now: number): void {
+    if (this._stopDeadlineMs === undefined || this._isLeaving) {
+      return;
+    }
+    const open =
+      this._jobs.openCount +
+      this._requests.openCount +
+      this._takeovers.activeCount;
+    if (open === 0) {
+      this._isLeaving = true;
+      this._membership.leave(() => {
+        this._ctx.emit({ kind: 'stopped' });
+      });
+    } else if (now >= this._stopDeadlineMs) {
+      this._membership.handOver();
+    }
+  }
+
+  private _standDown(reason: string): void {
+    if (this._isReplaced) {
+      return;
+    }
+    this._isReplaced = true;
+    this._jobs.abandon(
+      'This entry has been replaced; ask again to reach the new owner.',
+    );
+    this._requests.abandon();
+    for (const peer of this._dispatcher.runners()) {
+      if (peer.link) {
+        this._ctx.emit({ kind: 'close-link', linkId: peer.link.linkId });
+      }
+    }
+    const stopping = this._stopDeadlineMs !== undefined;
+    this._ctx.emit(
+      stopping ? { kind: 'stopped' } : { kind: 'stand-down', reason },
+    );
+  }
+
+  /** Answers late callers of an incarnation that has been replaced. */
+  private _refuseReplaced(event: EntryEvent): void {
+    if (event.kind === 'submit') {
+      this._reply(event.replyId, refuseSubmission(event.spec, NOT_READY));
+    } else if (event.kind === 'request' || event.kind === 'apply-ticket') {
+      this._reply(event.replyId, notRun(NOT_READY));
+    } else if (event.kind === 'ask') {
+      this._reply(event.replyId, STORE_SILENT);
+    } else if (event.kind === 'poll') {
+      const reply = { incarnation: '', version: 0, tickets: [] };
+      const { replyId } = event;
+      this._ctx.emit({ kind: 'poll-answer', replyId, reply });
+    }
+  }
+
+  private _reply(replyId: number, reply: Reply): void {
+    this._ctx.emit({ kind: 'reply', replyId, reply });
+  }
+}
+
+const notRun = (refusal: Refusal): Reply =>
+  errorReply({ ...refusal, runState: RunState.NOT_RUN });
+
+const toRef = (req: AnnounceRequest) => ({
+  id: req.runner,
+  incarnation: req.incarnation,
+  address: req.address,
+  dataCentre: req.dataCentre,
+  endpoint: req.endpoint,
+});
+
+const unknownJob = (id: string): Reply =>
+  errorReply({
+    code: ErrorCode.NotFound,
+    detail: `No job "${id}" is known.`,
+    // An earlier submission may still be on its way.
+    runState: RunState.MAY_HAVE_RUN,
+  });
+
+const STORE_SILENT = errorReply({
+  code: ErrorCode.Unavailable,
+  detail: 'The state of the job can not be read now.',
+  runState: RunState.MAY_HAVE_RUN,
+  retryAfterMs: RETRY_AFTER_MS,
+});
--- /dev/null
+++ b/packages/core/src/lib/process/membership.ts
@@ -0,0 +1,263 @@
+import type { RunnerRef } from '../connection/runner-peer.js';
+import { runnerKey } from '../connection/runner-peer.js';
+import { storeKeys } from '../store.js';
+import type { Condition, Row, StoreReply } from '../store.js';
+import type { EntryContext } from './entry-context.js';
+import type { MemberRow, OwnerRow } from './rows.js';
+import type { WriteOutcome } from './store-writer.js';
+
+/** What is known of another entry. */
+export interface MemberView {
+  readonly row: MemberRow;
+  readonly version: number;
+  /** How long the row has been seen unchanged, without gaps in the reading. */
+  readonly staleMs: number;
+}
+
+const SCAN_LIMIT = 1000;
+const RENEWALS_PER_LEASE = 4;
+/** A gap between scans of more than this many periods restarts every lease. */
+const MAX_SCAN_GAP_PERIODS = 2;
+
+/**
+ * This entry's row and lease, and the rows of the others.
+ *
+ * Leases only decide when a takeover is worth trying; no promise rests on
+ * them or on clocks. What makes a takeover safe is the fence at the runners
+ * and the condition on the owner row in every write of an owner.
+ */
+export class Membership {
+  private readonly _ctx: EntryContext;
+  private readonly _wanted = new Map<string, RunnerRef>();
+  private readonly _persisted = new Set<string>();
+  private _views = new Map<string, MemberView>();
+  private _version = 0;
+  private _ownerVersion = 0;
+  private _beat = 0;
+  private _leaving = false;
+  private _writing = false;
+  private _dirty = true;
+  private _renewAtMs = 0;
+  private _scanAtMs = 0;
+  private _scanning = false;
+  private _lastScanAtMs: number | undefined;
+
+  /** @param ctx - What the parts of the entry share. */
+  constructor(ctx: EntryContext) {
+    this._ctx = ctx;
+  }
+
+  /** Whether the entry's rows exist and all entries have been read. */
+  get isReady(): boolean {
+    return this._ownerVersion > 0 && this._lastScanAtMs !== undefined;
+  }
+
+  /** The other entries as last read. */
+  get others(): readonly MemberView[] {
+    return [...this._views.values()];
+  }
+
+  /** The other entries that have not been replaced and whose lease holds. */
+  get live(): readonly MemberView[] {
+    return this.others.filter((v) => !v.row.fencedBy && !this.isExpired(v));
+  }
+
+  /** Holds as long as this incarnation has not been replaced. */
+  get ownerCondition(): Condition {
+    return {
+      key: storeKeys.owner(this._ctx.options.incarnation),
+      version: this._ownerVersion,
+    };
+  }
+
+  /**
+   * @param view - Another entry.
+   * @returns Whether it hands its jobs over, or its lease has run out.
+   */
+  isExpired(view: MemberView): boolean {
+    const { memberLeaseMs } = this._ctx.options;
+    return view.row.leaving === true || view.staleMs >= memberLeaseMs;
+  }
+
+  /**
+   * @param sinceMs - A time in the past.
+   * @returns Whether all rows have been read after it.
+   */
+  hasScannedSince(sinceMs: number): boolean {
+    return (this._lastScanAtMs ?? -Infinity) > sinceMs;
+  }
+
+  /**
+   * Makes sure that a successor would find the runner. No task of a job may be
+   * sent to a runner before this has returned `true` for it.
+   *
+   * @param ref - A runner that is to receive tasks.
+   * @returns Whether the runner is in this entry's row.
+   */
+  ensureRunner(ref: RunnerRef): boolean {
+    const key = runnerKey(ref);
+    if (!this._wanted.has(key)) {
+      this._wanted.set(key, ref);
+      this._dirty = true;
+    }
+    return this._persisted.has(key);
+  }
+
+  /** @param ref - A runner that holds no task of this entry any more. */
+  forgetRunner(ref: RunnerRef): void {
+    if (this._wanted.delete(runnerKey(ref))) {
+      this._persisted.delete(runnerKey(ref));
+      this._dirty = true;
+    }
+  }
+
+  /** @param now - Current time in milliseconds. */
+  tick(now: number): void {
+    this._writeIfDue(now);
+    if (!this._scanning && now >= this._scanAtMs) {
+      this._scan(now);
+    }
+  }
+
+  /** Asks the other entries to take this entry's jobs over. */
+  handOver(): void {
+    this._leaving = true;
+    this._dirty = true;
+  }
+
+  /** Deletes this entry's rows, when it owns no jobs any more. */
+  leave(onDone: () => void): void {
+    const { incarnation } = this._ctx.options;
+    this._writing = true;
+    this._ctx.writer.submit({
+      conditions: [this._ownCondition(), this.ownerCondition],
+      writes: [
+        { key: storeKeys.member(incarnation), value: null },
+        { key: storeKeys.owner(incarnation), value: null },
+      ],
+      proofKey: storeKeys.member(incarnation),
+      onDone,
+    });
+  }
+
+  private _ownCondition(): Condition {
+    return {
+      key: storeKeys.member(this._ctx.options.incarnation),
+      version: this._version,
+    };
+  }
+
+  private _writeIfDue(now: number): void {
+    const due = now >= this._renewAtMs;
+    if (this._writing || !(due || this._dirty)) {
+      return;
+    }
+    const { options, writer } = this._ctx;
+    this._writing = true;
+    this._dirty = false;
+    this._beat += 1;
+    this._renewAtMs = now + options.memberLeaseMs / RENEWALS_PER_LEASE;
+    const runners = [...this._wanted.values()];
+    const row = this._row(runners);
+    writer.submit({
+      conditions: [this._ownCondition(), this.ownerCondition],
+      writes: [
+        { key: storeKeys.member(row.incarnation), value: JSON.stringify(row) },
+        ...this._firstOwnerWrite(row.nonce),
+      ],
+      proofKey: storeKeys.member(row.incarnation),
+      onDone: (outcome) => {
+        this._onWritten(outcome, runners);
+      },
+    });
+  }
+
+  private _row(runners: readonly RunnerRef[]): MemberRow {
+    const { options } = this._ctx;
+    return {
+      nonce: `${options.incarnation}:m${String(this._beat)}`,
+      id: options.id,
+      incarnation: options.incarnation,
+      address: options.address,
+      dataCentre: options.dataCentre,
+      beat: this._beat,
+      runners,
+      ...(this._leaving ? { leaving: true } : {}),
+    };
+  }
+
+  private _firstOwnerWrite(nonce: string): { key: string; value: string }[] {
+    if (this._ownerVersion > 0) {
+      return [];
+    }
+    const row: OwnerRow = { nonce };
+    const key = storeKeys.owner(this._ctx.options.incarnation);
+    return [{ key, value: JSON.stringify(row) }];
+  }
+
+  private _onWritten(
+    outcome: WriteOutcome,
+    runners: readonly RunnerRef[],
+  ): void {
+    this._writing = false;
+    if (outcome.kind !== 'committed') {
+      this._ctx.standDown('The row of this entry was changed by another.');
+      return;
+    }
+    this._version = outcome.version;
+    if (this._ownerVersion === 0) {
+      this._ownerVersion = outcome.version;
+    }
+    for (const ref of runners) {
+      if (this._wanted.has(runnerKey(ref))) {
+        this._persisted.add(runnerKey(ref));
+      }
+    }
+  }
+
+  private _scan(now: number): void {
+    this._scanning = true;
+    this._scanAtMs = now + this._ctx.options.memberScanMs;
+    this._ctx.store.call(
+      {
+        kind: 'scan',
+        prefix: storeKeys.memberPrefix,
+        after: '',
+        limit: SCAN_LIMIT,
+      },
+      (reply) => {
+        this._scanning = false;
+        this._onScanned(reply, now);
+      },
+    );
+  }
+
+  private _onScanned(reply: StoreReply, sentAtMs: number): void {
+    if (reply.kind !== 'rows') {
+      return;
+    }
+    const gapMs = sentAtMs - (this._lastScanAtMs ?? -Infinity);
+    const maxGapMs = MAX_SCAN_GAP_PERIODS * this._ctx.options.memberScanMs;
+    // Nobody can renew while the store is down, so time that was not watched
+    // does not count against a lease.
+    const countedMs = gapMs <= maxGapMs ? gapMs : undefined;
+    const views = new Map<string, MemberView>();
+    for (const row of reply.rows) {
+      const view = this._view(row, countedMs);
+      if (view.row.incarnation !== this._ctx.options.incarnation) {
+        views.set(view.row.incarnation, view);
+      }
+    }
+    this._views = views;
+    this._lastScanAtMs = sentAtMs;
+  }
+
+  private _view(row: Row, countedMs: number | undefined): MemberView {
+    const member = JSON.parse(row.value) as MemberRow;
+    const before = this._views.get(member.incarnation);
+    const unchanged = before?.version === row.version;
+    const staleMs =
+      unchanged && countedMs !== undefined ? before.staleMs + countedMs : 0;
+    return { row: member, version: row.version, staleMs };
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/request-table.ts
@@ -0,0 +1,184 @@
+import { RunState, TaskKind } from '../messages.js';
+import { Job } from '../request/job.js';
+import { FailureReason } from '../request/outcome.js';
+import type { Outcome } from '../request/outcome.js';
+import type { EntryContext } from './entry-context.js';
+import { ErrorCode } from './entry-events.js';
+import type { EndpointRequest, Reply } from './entry-events.js';
+import { errorReply } from './job-table.js';
+import { RetryBudget } from './retry-budget.js';
+
+/** What the request table needs of the other parts of the entry. */
+export interface RequestTableOptions {
+  readonly ctx: EntryContext;
+  /** Receives a request to be placed. */
+  readonly onOpen: (job: Job) => void;
+  /** Receives a request whose task waits again. */
+  readonly onRetry: (job: Job) => void;
+  /** Receives a request that is answered. */
+  readonly onAnswered: (job: Job) => void;
+}
+
+interface OpenRequest {
+  readonly job: Job;
+  readonly replyId: number;
+  attempts: number;
+  /** When the next attempt may start, while one is owed. */
+  retryAtMs: number | undefined;
+}
+
+const FIRST_RETRY_MS = 20;
+const MAX_RETRY_MS = 1000;
+const RETRY_AFTER_MS = 1000;
+
+/**
+ * Single requests through to an endpoint.
+ *
+ * A request lives only as long as its caller's connection to this entry, so
+ * it needs no claim: its id is unique to this incarnation and is sent to one
+ * runner. After a loss it is tried again only if it is idempotent, within a
+ * budget and its deadline.
+ */
+export class RequestTable {
+  private readonly _options: RequestTableOptions;
+  private readonly _ctx: EntryContext;
+  private readonly _requests = new Map<string, OpenRequest>();
+  private readonly _budget = new RetryBudget();
+  private _nextId = 1;
+
+  /** @param options - Context and what to tell the other parts. */
+  constructor(options: RequestTableOptions) {
+    this._options = options;
+    this._ctx = options.ctx;
+  }
+
+  /** Number of requests without an answer. */
+  get openCount(): number {
+    return this._requests.size;
+  }
+
+  /**
+   * @param request - An admitted request.
+   * @param replyId - Its caller.
+   */
+  add(request: EndpointRequest, replyId: number): void {
+    const { endpoint, payload, idempotent, contentType, ...rest } = request;
+    const id = `${this._ctx.options.incarnation}:r${String(this._nextId++)}`;
+    const job = new Job({
+      spec: { ...rest, id, digest: '', tasks: [{ endpoint, payload }] },
+      kind: TaskKind.REQUEST,
+      idempotent,
+      contentType,
+    });
+    this._budget.onAttempt();
+    this._requests.set(id, {
+      job,
+      replyId,
+      attempts: 1,
+      retryAtMs: undefined,
+    });
+    this._options.onOpen(job);
+  }
+
+  /**
+   * Answers a request that has ended, or plans its next attempt.
+   *
+   * @param job - A request whose task has changed.
+   * @param now - Current time in milliseconds.
+   */
+  onChanged(job: Job, now: number): void {
+    const open = this._requests.get(job.spec.id);
+    if (!open) {
+      return;
+    }
+    if (!job.outcome && !this._planRetry(open, now)) {
+      job.fail(
+        FailureReason.TaskLost,
+        'The request may have run and its result is lost.',
+      );
+    }
+    this._answerIfDecided(open);
+  }
+
+  /** @param now - Current time in milliseconds. */
+  tick(now: number): void {
+    for (const open of [...this._requests.values()]) {
+      if (open.job.spec.deadlineMs <= now) {
+        open.job.fail(FailureReason.Deadline, 'The deadline passed.');
+        this._answerIfDecided(open);
+      } else if (open.retryAtMs !== undefined && open.retryAtMs <= now) {
+        open.retryAtMs = undefined;
+        this._options.onRetry(open.job);
+      }
+    }
+  }
+
+  /** @param replyId - A caller that no longer waits. */
+  forgetCaller(replyId: number): void {
+    for (const open of [...this._requests.values()]) {
+      if (open.replyId === replyId) {
+        open.job.fail(FailureReason.Cancelled, 'The caller is gone.');
+        this._answerIfDecided(open);
+      }
+    }
+  }
+
+  /** Answers every caller of an incarnation that has been replaced. */
+  abandon(): void {
+    for (const open of [...this._requests.values()]) {
+      open.job.fail(FailureReason.TaskLost, 'The entry has been replaced.');
+      this._answerIfDecided(open);
+    }
+  }
+
+  private _planRetry(open: OpenRequest, now: number): boolean {
+    if (open.retryAtMs !== undefined) {
+      return true;
+    }
+    if (!this._budget.takeRetry()) {
+      return false;
+    }
+    const limitMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** open.attempts);
+    open.attempts += 1;
+    open.retryAtMs = now + limitMs * this._ctx.options.random();
+    return true;
+  }
+
+  private _answerIfDecided(open: OpenRequest): void {
+    const { outcome } = open.job;
+    if (!outcome) {
+      return;
+    }
+    this._requests.delete(open.job.spec.id);
+    this._ctx.emit({
+      kind: 'reply',
+      replyId: open.replyId,
+      reply: toReply(outcome, open.attempts > 1),
+    });
+    this._options.onAnswered(open.job);
+  }
+}
+
+const toReply = (outcome: Outcome, wasRetried: boolean): Reply => {
+  if (outcome.kind === 'complete') {
+    const answer = outcome.answers[0];
+    if (!answer) {
+      throw new Error('A complete request has exactly one answer.');
+    }
+    const { status, contentType } = answer;
+    const body = Buffer.from(answer.body, 'base64');
+    return { kind: 'answer', status, contentType, body };
+  }
+  const last = outcome.runStates[0] ?? RunState.MAY_HAVE_RUN;
+  // An earlier attempt of an idempotent request may have run.
+  const runState = wasRetried ? RunState.MAY_HAVE_RUN : last;
+  return errorReply({
+    code:
+      outcome.reason === FailureReason.Deadline
+        ? ErrorCode.Deadline
+        : ErrorCode.Lost,
+    detail: outcome.detail,
+    runState,
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+};
--- /dev/null
+++ b/packages/core/src/lib/process/run-records.ts
@@ -0,0 +1,142 @@
+import type { ResultMessage, StartMessage } from '../messages.js';
+
+/** How far a runner has come with one task. */
+export type RecordState =
+  /** Accepted; waits for a unit and has not been sent to the endpoint. */
+  | { readonly kind: 'queued' }
+  /** The endpoint has been called. */
+  | { readonly kind: 'running'; readonly callId: number }
+  | { readonly kind: 'done'; readonly result: ResultMessage };
+
+/** What a runner keeps of one accepted start. */
+export interface RunRecord {
+  /** The entry incarnation that answers for the task. */
+  owner: string;
+  readonly start: StartMessage;
+  readonly startedAtMs: number;
+  state: RecordState;
+  /** The owner's outcome is recorded; nobody will ask for the result. */
+  released: boolean;
+}
+
+interface OwnerRecords {
+  readonly jobs: Map<string, Map<number, RunRecord>>;
+  /** Whether records were dropped before the owner released them. */
+  incomplete: boolean;
+}
+
+/**
+ * All starts that a runner accepted and whose owner has not released them.
+ *
+ * A record is made before the endpoint is called. Without it a repeated start
+ * would run twice, so records end only when the owner says that the outcome
+ * is recorded, or after the retention period, which is then remembered.
+ */
+export class RunRecords {
+  private readonly _owners = new Map<string, OwnerRecords>();
+
+  /** @returns The record of a task, if the start was accepted. */
+  get(owner: string, job: string, index: number): RunRecord | undefined {
+    return this._owners.get(owner)?.jobs.get(job)?.get(index);
+  }
+
+  /** @param record - A start that is accepted now. */
+  add(record: RunRecord): void {
+    const { jobs } = this._ownerRecords(record.owner);
+    let tasks = jobs.get(record.start.job);
+    if (!tasks) {
+      tasks = new Map();
+      jobs.set(record.start.job, tasks);
+    }
+    tasks.set(record.start.index, record);
+  }
+
+  /** @param record - A record that is proved not to have run. */
+  remove(record: RunRecord): void {
+    const jobs = this._owners.get(record.owner)?.jobs;
+    const tasks = jobs?.get(record.start.job);
+    tasks?.delete(record.start.index);
+    if (tasks?.size === 0) {
+      jobs?.delete(record.start.job);
+    }
+  }
+
+  /**
+   * Drops the results of a job; tasks that still run are dropped at their end.
+   *
+   * @param owner - The entry incarnation that released the job.
+   * @param job - The job.
+   */
+  release(owner: string, job: string): void {
+    const tasks = this._owners.get(owner)?.jobs.get(job);
+    for (const record of tasks?.values() ?? []) {
+      record.released = true;
+      if (record.state.kind === 'done') {
+        this.remove(record);
+      }
+    }
+  }
+
+  /** @returns All records of an owner. */
+  *of(owner: string): Generator<RunRecord> {
+    for (const tasks of this._owners.get(owner)?.jobs.values() ?? []) {
+      yield* tasks.values();
+    }
+  }
+
+  /** @returns All records. */
+  *all(): Generator<RunRecord> {
+    for (const owner of this._owners.keys()) {
+      yield* this.of(owner);
+    }
+  }
+
+  /** @returns Whether records of the owner were dropped unreleased. */
+  isIncomplete(owner: string): boolean {
+    return this._owners.get(owner)?.incomplete ?? false;
+  }
+
+  /**
+   * Hands all records of a fenced owner to its successor.
+   *
+   * @param owner - The fenced entry incarnation.
+   * @param successor - The entry incarnation that took over.
+   */
+  move(owner: string, successor: string): void {
+    for (const record of [...this.of(owner)]) {
+      this.remove(record);
+      record.owner = successor;
+      this.add(record);
+    }
+    if (this.isIncomplete(owner)) {
+      this._ownerRecords(successor).incomplete = true;
+    }
+    this._owners.delete(owner);
+  }
+
+  /**
+   * Drops finished records that were never released.
+   *
+   * @param startedBeforeMs - Only records started before this time are dropped.
+   */
+  expire(startedBeforeMs: number): void {
+    for (const record of [...this.all()]) {
+      if (
+        record.state.kind === 'done' &&
+        record.startedAtMs < startedBeforeMs
+      ) {
+        this.remove(record);
+        this._ownerRecords(record.owner).incomplete = true;
+      }
+    }
+  }
+
+  private _ownerRecords(owner: string): OwnerRecords {
+    let records = this._owners.get(owner);
+    if (!records) {
+      records = { jobs: new Map(), incomplete: false };
+      this._owners.set(owner, records);
+    }
+    return records;
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/runner.ts
@@ -0,0 +1,618 @@
+import { EntryLink } from '../connection/entry-link.js';
+import { RefusalReason, RunState, TaskKind } from '../messages.js';
+import type {
+  EntryMessage,
+  FenceRequest,
+  Hello,
+  Open,
+  ResultMessage,
+  RunnerConfig,
+  StartMessage,
+  TaskRecord,
+  TaskRef,
+  Units,
+} from '../messages.js';
+import { CreditPool } from './credit-pool.js';
+import { ResourceLedger } from './resource-ledger.js';
+import type { RunRecord } from './run-records.js';
+import { RunRecords } from './run-records.js';
+import type {
+  CallOutcome,
+  EndpointAnnouncement,
+  RunnerAction,
+  RunnerEvent,
+  WorkerAnnouncement,
+} from './runner-events.js';
+
+/** Options of {@link RunnerCore}. */
+export interface RunnerOptions {
+  readonly id: string;
+  /** Unique to this run of the process. */
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  /** Longest time without confirmation that the configuration is current. */
+  readonly freshnessMs?: number;
+  /** Time after which an announcement that is not renewed lapses. */
+  readonly announcementLeaseMs?: number;
+  /** Starts accepted above the slots from entries with waiting work. */
+  readonly prefetch?: number;
+  /** How long an unreleased result is kept. */
+  readonly retentionMs?: number;
+  /** How long a planned stop waits for owners to release their results. */
+  readonly stopWaitMs?: number;
+}
+
+interface Lease<T> {
+  readonly value: T;
+  readonly untilMs: number;
+}
+
+const DEFAULT_FRESHNESS_MS = 4000;
+const DEFAULT_ANNOUNCEMENT_LEASE_MS = 3000;
+const DEFAULT_PREFETCH = 1;
+const DEFAULT_RETENTION_MS = 3_600_000;
+const DEFAULT_STOP_WAIT_MS = 30_000;
+/** Silence after which a runner gives up a link. */
+const LINK_SILENCE_MS = 10_000;
+
+const NO_CONFIG: RunnerConfig = {
+  version: 0,
+  dataCentreInService: false,
+  endpointInService: false,
+};
+
+/**
+ * The decisions of a runner: the one authority over the slots, connections
+ * and resources beside it.
+ *
+ * Entries propose starts; the runner records a start before it calls the
+ * endpoint, or refuses it, which proves that the task did not run.
+ */
+export class RunnerCore {
+  private readonly _options: RunnerOptions;
+  private readonly _freshnessMs: number;
+  private readonly _announcementLeaseMs: number;
+  private readonly _records = new RunRecords();
+  private readonly _resources = new ResourceLedger();
+  private readonly _slots: CreditPool;
+  private readonly _connections: CreditPool;
+  private readonly _links = new Map<string, EntryLink>();
+  private readonly _linkOfOwner = new Map<string, EntryLink>();
+  private readonly _highestLink = new Map<string, number>();
+  private readonly _successors = new Map<string, string>();
+  private readonly _calls = new Map<number, RunRecord>();
+  private _prefetched: RunRecord[] = [];
+  private _actions: RunnerAction[] = [];
+  private _nextCallId = 1;
+  private _endpoint: Lease<EndpointAnnouncement> | undefined;
+  private _worker: Lease<WorkerAnnouncement> | undefined;
+  private _config = NO_CONFIG;
+  private _confirmedAtMs = -Infinity;
+  private _stopDeadlineMs: number | undefined;
+  private _stopped = false;
+
+  /** @param options - Identity and limits. */
+  constructor(options: RunnerOptions) {
+    this._options = options;
+    this._freshnessMs = options.freshnessMs ?? DEFAULT_FRESHNESS_MS;
+    this._announcementLeaseMs =
+      options.announcementLeaseMs ?? DEFAULT_ANNOUNCEMENT_LEASE_MS;
+    const prefetch = options.prefetch ?? DEFAULT_PREFETCH;
+    this._slots = new CreditPool({ capacity: 0, prefetch });
+    this._connections = new CreditPool({ capacity: 0 });
+  }
+
+  /** Version of the configuration in force here. */
+  get configVersion(): number {
+    return this._config.version;
+  }
+
+  /** Number of calls that the endpoint has not answered. */
+  get running(): number {
+    return this._calls.size;
+  }
+
+  /** Number of entries with an open link. */
+  get linkCount(): number {
+    return this._linkOfOwner.size;
+  }
+
+  /** The endpoint that is announced now, if any. */
+  get endpoint(): EndpointAnnouncement | undefined {
+    return this._endpoint?.value;
+  }
+
+  /**
+   * @param event - What happened.
+   * @param now - Current time in milliseconds.
+   * @returns What is to be done, in this order.
+   */
+  handle(event: RunnerEvent, now: number): readonly RunnerAction[] {
+    this._actions = [];
+    this._apply(event, now);
+    return this._actions;
+  }
+
+  private _apply(event: RunnerEvent, now: number): void {
+    switch (event.kind) {
+      case 'link-message':
+        this._onLinkMessage(event.linkId, event.msg, now);
+        return;
+      case 'link-closed':
+        this._dropLink(event.linkId);
+        return;
+      case 'call-done':
+        this._onCallDone(event.callId, event.outcome, now);
+        return;
+      case 'fence':
+        this._onFence(event.replyId, event.req);
+        return;
+      case 'endpoint-announced':
+        this._onEndpoint(event.endpoint, now);
+        return;
+      case 'worker-announced':
+        this._worker = this._lease(event.worker, now);
+        this._resources.total = event.worker.total;
+        return;
+      case 'flush':
+        this._flush(now);
+        return;
+      case 'tick':
+        this._tick(now);
+        return;
+      case 'stop':
+        this._stopDeadlineMs ??=
+          now + (this._options.stopWaitMs ?? DEFAULT_STOP_WAIT_MS);
+        this._notifyAll();
+    }
+  }
+
+  private _onLinkMessage(linkId: string, msg: EntryMessage, now: number): void {
+    if (msg.open) {
+      this._openLink(linkId, msg.open, now);
+    }
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    link.heardAtMs = now;
+    this._onConfig(msg);
+    this._onCredits(link, msg);
+    for (const start of msg.starts) {
+      this._onStart(link, start, now);
+    }
+    for (const ref of msg.cancels) {
+      this._onCancel(link, ref);
+    }
+    for (const job of msg.released) {
+      this._records.release(link.owner, job);
+    }
+    // Any message is answered, so that silence on a link is noticed.
+    link.outbox.sentAtMs = now;
+  }
+
+  private _openLink(linkId: string, open: Open, now: number): void {
+    const owner = open.incarnation;
+    if (this._successors.has(owner)) {
+      this._refuseFenced(linkId, now);
+      return;
+    }
+    if (open.linkNumber <= (this._highestLink.get(owner) ?? 0)) {
+      this._actions.push({ kind: 'close-link', linkId });
+      return;
+    }
+    this._closeLinkOf(owner);
+    this._highestLink.set(owner, open.linkNumber);
+    const link = new EntryLink(linkId, owner, open.linkNumber, now);
+    this._links.set(linkId, link);
+    this._linkOfOwner.set(owner, link);
+    this._slots.connect(owner);
+    this._connections.connect(owner);
+    link.outbox.hello = this._hello();
+  }
+
+  private _refuseFenced(linkId: string, now: number): void {
+    const link = new EntryLink(linkId, '', 0, now);
+    link.outbox.fenced = true;
+    link.outbox.sentAtMs = now;
+    this._actions.push({ kind: 'send', linkId, msg: link.outbox });
+    this._actions.push({ kind: 'close-link', linkId });
+  }
+
+  private _hello(): Hello {
+    return {
+      runner: this._options.id,
+      incarnation: this._options.incarnation,
+      dataCentre: this._options.dataCentre,
+      rack: this._worker?.value.rack ?? '',
+      endpoint: this._endpoint?.value.name ?? '',
+      capacity: this._capacity(),
+      worker: this._resources.total,
+    };
+  }
+
+  private _capacity(): Units {
+    const endpoint = this._endpoint?.value;
+    if (!endpoint) {
+      return { slots: 0, connections: 0 };
+    }
+    const slots = Math.min(endpoint.slots, endpoint.connections);
+    return { slots, connections: endpoint.connections - slots };
+  }
+
+  private _onConfig(msg: EntryMessage): void {
+    if (msg.config && msg.config.version > this._config.version) {
+      this._config = msg.config;
+    }
+    if (msg.configVersion >= this._config.version) {
+      this._confirmedAtMs = Math.max(this._confirmedAtMs, msg.confirmedAtMs);
+    }
+  }
+
+  private _onCredits(link: EntryLink, msg: EntryMessage): void {
+    if (msg.returned) {
+      this._slots.giveBack(link.owner, msg.returned.slots);
+      this._connections.giveBack(link.owner, msg.returned.connections);
+    }
+    if (msg.demand) {
+      this._slots.setDemand(link.owner, msg.demand.slots);
+      this._connections.setDemand(link.owner, msg.demand.connections);
+    }
+  }
+
+  private _onStart(link: EntryLink, start: StartMessage, now: number): void {
+    const known = this._records.get(link.owner, start.job, start.index);
+    if (known) {
+      if (known.state.kind === 'done') {
+        link.outbox.results.push(known.state.result);
+      }
+      return;
+    }
+    const reason =
+      this._stopDeadlineMs === undefined
+        ? (this._refusalOf(start, now) ?? this._takeCapacity(link.owner, start))
+        : RefusalReason.STOPPING;
+    if (reason !== undefined) {
+      this._refuse(link, start, reason);
+      return;
+    }
+    this._resources.hold(start.needs);
+    const record: RunRecord = {
+      owner: link.owner,
+      start,
+      startedAtMs: now,
+      state: { kind: 'queued' },
+      released: false,
+    };
+    this._records.add(record);
+    this._prefetched.push(record);
+    this._startPrefetched(now);
+  }
+
+  private _refusalOf(
+    start: StartMessage,
+    now: number,
+  ): RefusalReason | undefined {
+    const endpoint = this._endpoint;
+    if (
+      !endpoint ||
+      endpoint.untilMs < now ||
+      endpoint.value.name !== start.endpoint
+    ) {
+      return RefusalReason.ENDPOINT_ABSENT;
+    }
+    if (endpoint.value.leaving || !this._config.endpointInService) {
+      return RefusalReason.ENDPOINT_LEAVING;
+    }
+    if (!this._config.dataCentreInService) {
+      return RefusalReason.DATA_CENTRE_OUT;
+    }
+    if (now - this._confirmedAtMs > this._freshnessMs) {
+      return RefusalReason.STALE_CONFIGURATION;
+    }
+    if (start.deadlineMs <= now) {
+      return RefusalReason.DEADLINE;
+    }
+    return undefined;
+  }
+
+  private _takeCapacity(
+    owner: string,
+    start: StartMessage,
+  ): RefusalReason | undefined {
+    if (!this._resources.fits(start.needs)) {
+      return RefusalReason.NO_RESOURCES;
+    }
+    return this._poolOf(start).take(owner)
+      ? undefined
+      : RefusalReason.NO_CAPACITY;
+  }
+
+  private _refuse(
+    link: EntryLink | undefined,
+    start: StartMessage,
+    reason: RefusalReason,
+  ): void {
+    link?.outbox.refusals.push({
+      job: start.job,
+      index: start.index,
+      reason,
+    });
+  }
+
+  private _startPrefetched(now: number): void {
+    const waiting = this._prefetched;
+    this._prefetched = [];
+    let runningTasks = 0;
+    for (const record of this._calls.values()) {
+      runningTasks += record.start.kind === TaskKind.JOB ? 1 : 0;
+    }
+    for (const record of waiting) {
+      const isTask = record.start.kind === TaskKind.JOB;
+      if (isTask && runningTasks >= this._slots.capacity) {
+        this._prefetched.push(record);
+        continue;
+      }
+      if (this._call(record, now) && isTask) {
+        runningTasks += 1;
+      }
+    }
+  }
+
+  private _call(record: RunRecord, now: number): boolean {
+    const reason = this._refusalOf(record.start, now);
+    if (reason !== undefined) {
+      this._withdraw(record, reason);
+      return false;
+    }
+    const callId = this._nextCallId++;
+    record.state = { kind: 'running', callId };
+    this._calls.set(callId, record);
+    this._actions.push({
+      kind: 'call',
+      callId,
+      url: this._endpoint?.value.url ?? '',
+      start: record.start,
+    });
+    return true;
+  }
+
+  /** Ends an accepted start that provably did not reach the endpoint. */
+  private _withdraw(record: RunRecord, reason: RefusalReason): void {
+    this._records.remove(record);
+    this._releaseCapacity(record);
+    this._refuse(this._linkOfOwner.get(record.owner), record.start, reason);
+  }
+
+  private _releaseCapacity(record: RunRecord): void {
+    this._poolOf(record.start).release(record.owner);
+    this._resources.release(record.start.needs);
+  }
+
+  private _onCallDone(callId: number, outcome: CallOutcome, now: number): void {
+    const record = this._calls.get(callId);
+    if (!record) {
+      return;
+    }
+    this._calls.delete(callId);
+    if (outcome.kind === 'not-sent') {
+      this._withdraw(record, RefusalReason.ENDPOINT_UNREACHABLE);
+    } else {
+      const result = toResult(record, outcome, now);
+      record.state = { kind: 'done', result };
+      this._releaseCapacity(record);
+      this._deliver(record, result);
+    }
+    this._startPrefetched(now);
+  }
+
+  private _deliver(record: RunRecord, result: ResultMessage): void {
+    if (record.released) {
+      this._records.remove(record);
+      return;
+    }
+    this._linkOfOwner.get(record.owner)?.outbox.results.push(result);
+  }
+
+  private _onCancel(link: EntryLink, ref: TaskRef): void {
+    const record = this._records.get(link.owner, ref.job, ref.index);
+    switch (record?.state.kind) {
+      case 'queued':
+        this._prefetched = this._prefetched.filter((r) => r !== record);
+        this._withdraw(record, RefusalReason.CANCELLED);
+        return;
+      case 'running':
+        this._actions.push({
+          kind: 'abort-call',
+          callId: record.state.callId,
+        });
+        return;
+      case 'done':
+      case undefined:
+    }
+  }
+
+  private _onFence(replyId: number, req: FenceRequest): void {
+    this._fence(req.owner, req.successor);
+    const records: TaskRecord[] = [];
+    for (const record of this._records.of(req.successor)) {
+      records.push(toTaskRecord(record));
+    }
+    this._actions.push({
+      kind: 'fence-reply',
+      replyId,
+      reply: {
+        incarnation: this._options.incarnation,
+        records,
+        incomplete: this._records.isIncomplete(req.successor),
+      },
+    });
+  }
+
+  /**
+   * Fences an owner and, when it was fenced before, the successor that holds
+   * its records: that successor has itself been replaced.
+   */
+  private _fence(owner: string, successor: string): void {
+    const current = this._successors.get(owner);
+    if (owner === successor || current === successor) {
+      return;
+    }
+    this._successors.set(owner, successor);
+    this._closeLinkOf(owner);
+    this._moveRecords(owner, successor);
+    if (current !== undefined) {
+      this._fence(current, successor);
+    }
+  }
+
+  private _moveRecords(owner: string, successor: string): void {
+    this._records.move(owner, successor);
+    this._slots.move(owner, successor);
+    this._connections.move(owner, successor);
+  }
+
+  private _onEndpoint(endpoint: EndpointAnnouncement, now: number): void {
+    const changed =
+      this._endpoint?.value.name !== endpoint.name ||
+      this._endpoint.value.leaving !== endpoint.leaving;
+    this._endpoint = this._lease(endpoint, now);
+    const capacity = this._capacity();
+    this._slots.capacity = capacity.slots;
+    this._connections.capacity = capacity.connections;
+    if (changed) {
+      this._notifyAll();
+    }
+  }
+
+  private _lease<T>(value: T, now: number): Lease<T> {
+    return { value, untilMs: now + this._announcementLeaseMs };
+  }
+
+  private _flush(now: number): void {
+    const owners = [...this._linkOfOwner.keys()];
+    this._slots.open = this._canStart(now);
+    this._connections.open = this._canStart(now);
+    this._allocate(this._slots, 'slots', owners);
+    this._allocate(this._connections, 'connections', owners);
+    for (const link of this._linkOfOwner.values()) {
+      const msg = link.takeOutbox();
+      if (!msg) {
+        continue;
+      }
+      msg.sentAtMs = now;
+      msg.configVersion = this._config.version;
+      msg.free = this._resources.free;
+      msg.endpointPresent = this._canStart(now);
+      msg.stopping = this._stopDeadlineMs !== undefined;
+      this._actions.push({ kind: 'send', linkId: link.linkId, msg });
+    }
+  }
+
+  private _allocate(
+    pool: CreditPool,
+    name: keyof Units,
+    owners: readonly string[],
+  ): void {
+    for (const [owner, change] of pool.allocate(owners)) {
+      const link = this._linkOfOwner.get(owner);
+      link?.addCredits('grants', name, change.grant);
+      link?.addCredits('recalls', name, change.recall);
+    }
+  }
+
+  private _canStart(now: number): boolean {
+    const endpoint = this._endpoint;
+    return (
+      this._stopDeadlineMs === undefined &&
+      endpoint !== undefined &&
+      endpoint.untilMs >= now &&
+      !endpoint.value.leaving
+    );
+  }
+
+  private _tick(now: number): void {
+    for (const link of [...this._links.values()]) {
+      if (now - link.heardAtMs > LINK_SILENCE_MS) {
+        this._actions.push({ kind: 'close-link', linkId: link.linkId });
+        this._dropLink(link.linkId);
+      }
+    }
+    if (this._worker && this._worker.untilMs < now) {
+      this._worker = undefined;
+      this._resources.total = { cores: 0, memoryMb: 0, accelerators: 0 };
+    }
+    this._records.expire(
+      now - (this._options.retentionMs ?? DEFAULT_RETENTION_MS),
+    );
+    this._finishStop(now);
+  }
+
+  private _finishStop(now: number): void {
+    if (this._stopDeadlineMs === undefined || this._stopped) {
+      return;
+    }
+    const idle = this._calls.size === 0 && this._prefetched.length === 0;
+    const released = this._records.all().next().done === true;
+    if (idle && (released || now >= this._stopDeadlineMs)) {
+      this._stopped = true;
+      this._actions.push({ kind: 'stopped' });
+    }
+  }
+
+  private _notifyAll(): void {
+    for (const link of this._linkOfOwner.values()) {
+      link.outbox.hello = this._hello();
+    }
+  }
+
+  private _closeLinkOf(owner: string): void {
+    const link = this._linkOfOwner.get(owner);
+    if (link) {
+      this._actions.push({ kind: 'close-link', linkId: link.linkId });
+      this._dropLink(link.linkId);
+    }
+  }
+
+  private _dropLink(linkId: string): void {
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    this._links.delete(linkId);
+    if (this._linkOfOwner.get(link.owner) === link) {
+      this._linkOfOwner.delete(link.owner);
+      this._slots.disconnect(link.owner);
+      this._connections.disconnect(link.owner);
+    }
+  }
+
+  private _poolOf(start: StartMessage): CreditPool {
+    return start.kind === TaskKind.JOB ? this._slots : this._connections;
+  }
+}
+
+const toResult = (
+  record: RunRecord,
+  outcome: Exclude<CallOutcome, { kind: 'not-sent' }>,
+  now: number,
+): ResultMessage => {
+  const answered = outcome.kind === 'answered';
+  return {
+    job: record.start.job,
+    index: record.start.index,
+    state: answered ? RunState.RAN : RunState.MAY_HAVE_RUN,
+    status: answered ? outcome.status : 0,
+    body: answered ? outcome.body : new Uint8Array(),
+    contentType: answered ? outcome.contentType : '',
+    runMs: now - record.startedAtMs,
+    detail: answered ? '' : outcome.detail,
+  };
+};
+
+const toTaskRecord = (record: RunRecord): TaskRecord => ({
+  job: record.start.job,
+  index: record.start.index,
+  running: record.state.kind !== 'done',
+  ...(record.state.kind === 'done' ? { result: record.state.result } : {}),
+});
--- /dev/null
+++ b/packages/core/src/lib/process/store-writer.ts
@@ -0,0 +1,302 @@
+import type { Condition, Row, StoreReply, Write } from '../store.js';
+import type { StoreCaller } from './store-client.js';
+import { TokenBucket } from './token-bucket.js';
+
+/** What became of a conditional write. */
+export type WriteOutcome =
+  /** All rows of the write have this version. */
+  | { readonly kind: 'committed'; readonly version: number }
+  /** Conditions on these keys do not hold; nothing took effect. */
+  | { readonly kind: 'conflict'; readonly keys: readonly string[] }
+  /** The writer stopped trying, and nothing took effect or ever will. */
+  | { readonly kind: 'given-up' };
+
+/** A write that takes effect whole or not at all. */
+export interface ConditionalWrite {
+  readonly conditions: readonly Condition[];
+  readonly writes: readonly Write[];
+  /**
+   * Key of a row that this write sets. Its value is unique to the write, so
+   * that reading it back tells whether the write took effect.
+   */
+  readonly proofKey: string;
+  /**
+   * When to stop trying. A write whose answer was lost is not given up: it
+   * may still take effect, so the writer goes on until it knows.
+   */
+  readonly giveUpAtMs?: number;
+  /** Receives the outcome, exactly once. */
+  readonly onDone: (outcome: WriteOutcome, now: number) => void;
+}
+
+/** Options of {@link StoreWriter}. */
+export interface StoreWriterOptions {
+  readonly store: StoreCaller;
+  /** Uniform random numbers from 0 to 1. */
+  readonly random: () => number;
+  /** Most transactions a second. */
+  readonly writesPerSecond?: number;
+  /** Most writes in one transaction. */
+  readonly batchSize?: number;
+  /** Longest pause before an attempt is repeated. */
+  readonly maxBackoffMs?: number;
+}
+
+const DEFAULT_WRITES_PER_SECOND = 40;
+const DEFAULT_BATCH_SIZE = 64;
+const DEFAULT_MAX_BACKOFF_MS = 1000;
+const FIRST_BACKOFF_MS = 20;
+
+/**
+ * Groups conditional writes into transactions.
+ *
+ * One transaction is in flight at a time; what arrives meanwhile shares the
+ * next one, so the number of transactions does not grow with the load. After
+ * a lost answer the rows are read back before anything is sent again: a
+ * repeated write carries the same unique value under the same conditions, so
+ * an earlier attempt that takes effect late is recognized and can't be
+ * applied twice.
+ */
+export class StoreWriter {
+  private readonly _store: StoreCaller;
+  private readonly _random: () => number;
+  private readonly _batchSize: number;
+  private readonly _maxBackoffMs: number;
+  private readonly _budget: TokenBucket;
+  private _queue: ConditionalWrite[] = [];
+  private _batch: ConditionalWrite[] = [];
+  /** Writes of the batch that must be read back before the next attempt. */
+  private readonly _unread = new Set<ConditionalWrite>();
+  /** Writes of which an earlier attempt may still take effect. */
+  private readonly _uncertain = new Set<ConditionalWrite>();
+  private _busy = false;
+  private _failures = 0;
+  private _retryAtMs = 0;
+
+  /**
+   * @param options - Store and limits.
+   * @param now - Current time in milliseconds.
+   */
+  constructor(options: StoreWriterOptions, now: number) {
+    const rate = options.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND;
+    this._store = options.store;
+    this._random = options.random;
+    this._batchSize = options.batchSize ?? DEFAULT_BATCH_SIZE;
+    this._maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
+    this._budget = new TokenBucket({ ratePerSecond: rate, burst: rate }, now);
+  }
+
+  /** Number of writes without an outcome. */
+  get pending(): number {
+    return this._queue.length + this._batch.length;
+  }
+
+  /** Whether the last attempt did not reach the store. */
+  get isFailing(): boolean {
+    return this._failures > 0;
+  }
+
+  /** @param write - A write to take effect as soon as the budget allows. */
+  submit(write: ConditionalWrite): void {
+    this._queue.push(write);
+  }
+
+  /**
+   * Starts the next transaction if one may start.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pump(now: number): void {
+    this._giveUp(now);
+    if (this._busy || now < this._retryAtMs || this.pending === 0) {
+      return;
+    }
+    if (this._batch.some((write) => this._unread.has(write))) {
+      this._readBack();
+      return;
+    }
+    if (!this._budget.take(1, now)) {
+      return;
+    }
+    this._fillBatch();
+    this._transact();
+  }
+
+  private _fillBatch(): void {
+    const room = this._batchSize - this._batch.length;
+    const touched = new Set(this._batch.flatMap(touchedKeys));
+    const written = new Set(this._batch.flatMap(writtenKeys));
+    const kept: ConditionalWrite[] = [];
+    let taken = 0;
+    for (const write of this._queue) {
+      // A key written by one can't be written or tested by another in the
+      // same transaction; later writes of such a key keep their order.
+      const clashes =
+        writtenKeys(write).some((key) => touched.has(key)) ||
+        conditionKeys(write).some((key) => written.has(key));
+      addAll(touched, touchedKeys(write));
+      addAll(written, writtenKeys(write));
+      if (taken < room && !clashes) {
+        this._batch.push(write);
+        taken += 1;
+      } else {
+        kept.push(write);
+      }
+    }
+    this._queue = kept;
+  }
+
+  private _transact(): void {
+    this._busy = true;
+    const conditions = this._batch.flatMap((write) => write.conditions);
+    const writes = this._batch.flatMap((write) => write.writes);
+    this._store.call({ kind: 'transact', conditions, writes }, (reply, now) => {
+      this._busy = false;
+      this._onTransacted(reply, now);
+      this.pump(now);
+    });
+  }
+
+  private _onTransacted(reply: StoreReply, now: number): void {
+    switch (reply.kind) {
+      case 'committed':
+        this._failures = 0;
+        this._finish(this._batch, reply, now);
+        return;
+      case 'conflict':
+        this._failures = 0;
+        this._onConflict(reply.keys, now);
+        return;
+      case 'refused':
+        this._backOff(now);
+        return;
+      case 'rows':
+      case 'unknown':
+        for (const write of this._batch) {
+          this._unread.add(write);
+          this._uncertain.add(write);
+        }
+        this._backOff(now);
+    }
+  }
+
+  private _onConflict(keys: readonly string[], now: number): void {
+    const lost = this._batch.filter((write) =>
+      conditionKeys(write).some((key) => keys.includes(key)),
+    );
+    this._finish(lost, { kind: 'conflict', keys }, now);
+  }
+
+  private _readBack(): void {
+    this._busy = true;
+    const batch = this._batch;
+    const keys = [
+      ...new Set(batch.flatMap((w) => [w.proofKey, ...conditionKeys(w)])),
+    ];
+    this._store.call({ kind: 'read', keys }, (reply, now) => {
+      this._busy = false;
+      if (reply.kind === 'rows') {
+        this._failures = 0;
+        this._compare(batch, reply.rows, now);
+      } else {
+        this._backOff(now);
+      }
+      this.pump(now);
+    });
+  }
+
+  private _compare(
+    batch: readonly ConditionalWrite[],
+    rows: readonly Row[],
+    now: number,
+  ): void {
+    const found = new Map(rows.map((row) => [row.key, row]));
+    for (const write of batch) {
+      const version = appliedVersion(write, found);
+      if (version !== undefined) {
+        this._finish([write], { kind: 'committed', version }, now);
+        continue;
+      }
+      const keys = failedConditions(write, found);
+      if (keys.length > 0) {
+        this._finish([write], { kind: 'conflict', keys }, now);
+      } else {
+        this._unread.delete(write);
+      }
+    }
+  }
+
+  private _finish(
+    writes: readonly ConditionalWrite[],
+    outcome: WriteOutcome,
+    now: number,
+  ): void {
+    const finished = new Set(writes);
+    this._batch = this._batch.filter((write) => !finished.has(write));
+    for (const write of finished) {
+      this._unread.delete(write);
+      this._uncertain.delete(write);
+      write.onDone(outcome, now);
+    }
+  }
+
+  private _backOff(now: number): void {
+    const limit = Math.min(
+      this._maxBackoffMs,
+      FIRST_BACKOFF_MS * 2 ** this._failures,
+    );
+    this._failures += 1;
+    this._retryAtMs = now + this._random() * limit;
+  }
+
+  private _giveUp(now: number): void {
+    const isDue = (write: ConditionalWrite): boolean =>
+      write.giveUpAtMs !== undefined && write.giveUpAtMs <= now;
+    const due = this._queue.filter(isDue);
+    if (due.length > 0) {
+      this._queue = this._queue.filter((write) => !isDue(write));
+    }
+    if (!this._busy) {
+      due.push(
+        ...this._batch.filter((w) => isDue(w) && !this._uncertain.has(w)),
+      );
+    }
+    this._finish(due, { kind: 'given-up' }, now);
+  }
+}
+
+const conditionKeys = (write: ConditionalWrite): string[] =>
+  write.conditions.map((condition) => condition.key);
+
+const writtenKeys = (write: ConditionalWrite): string[] =>
+  write.writes.map((w) => w.key);
+
+const touchedKeys = (write: ConditionalWrite): string[] => [
+  ...conditionKeys(write),
+  ...writtenKeys(write),
+];
+
+const addAll = (set: Set<string>, keys: readonly string[]): void => {
+  for (const key of keys) {
+    set.add(key);
+  }
+};
+
+const appliedVersion = (
+  write: ConditionalWrite,
+  rows: ReadonlyMap<string, Row>,
+): number | undefined => {
+  const proof = write.writes.find((w) => w.key === write.proofKey);
+  const row = rows.get(write.proofKey);
+  return proof && row?.value === proof.value ? row.version : undefined;
+};
+
+const failedConditions = (
+  write: ConditionalWrite,
+  rows: ReadonlyMap<string, Row>,
+): string[] =>
+  conditionKeys(write).filter((key) =>
+    write.conditions.some(
+      (c) => c.key === key && (rows.get(key)?.version ?? 0) !== c.version,
+    ),
+  );
--- /dev/null
+++ b/packages/core/src/lib/process/takeover.ts
@@ -0,0 +1,357 @@
+import type { RunnerRef } from '../connection/runner-peer.js';
+import { runnerKey } from '../connection/runner-peer.js';
+import { taskKey } from '../messages.js';
+import type { FenceReply, ResultMessage } from '../messages.js';
+import type { TaskState } from '../request/job.js';
+import type { JobSpec } from '../request/job-spec.js';
+import { storeKeys } from '../store.js';
+import type { Condition, Row } from '../store.js';
+import type { EntryContext } from './entry-context.js';
+import type { CollectedTasks } from './job-table.js';
+import type { MemberView } from './membership.js';
+import type { JobRow, MemberRow } from './rows.js';
+
+/** What a takeover needs of the other parts of the entry. */
+export interface TakeoverOptions {
+  readonly ctx: EntryContext;
+  /** The entry that is replaced. */
+  readonly victim: MemberView;
+  readonly ownerCondition: () => Condition;
+  /** Puts a runner into this entry's row; `true` once it is there. */
+  readonly ensureRunner: (ref: RunnerRef) => boolean;
+  /** Makes a runner known to the dispatcher. */
+  readonly onRunnerKnown: (ref: RunnerRef, now: number) => void;
+  /** @returns A row that gives the job to this entry. */
+  readonly adoptionRow: (row: JobRow) => JobRow;
+  /** Receives a job that has been adopted. */
+  readonly onAdopted: (
+    row: JobRow,
+    spec: JobSpec,
+    rowVersion: number,
+    found: CollectedTasks,
+  ) => void;
+  /**
+   * @param sinceMs - When the victim lost its right to replace others.
+   * @returns Whether entries that the victim was replacing may be left.
+   */
+  readonly hasDependents: (sinceMs: number) => boolean;
+}
+
+type Phase =
+  'idle' | 'taking' | 'fencing' | 'scanning' | 'adopting' | 'leaving' | 'done';
+
+interface FenceState {
+  readonly ref: RunnerRef;
+  reply: FenceReply | undefined;
+  calling: boolean;
+  retryAtMs: number;
+  gone: boolean;
+}
+
+interface FoundTask {
+  readonly runner: string;
+  readonly result: ResultMessage | undefined;
+}
+
+const FENCE_RETRY_MS = 300;
+const SCAN_LIMIT = 100;
+
+/**
+ * Replaces one entry that is gone: fence, collect, adopt.
+ *
+ * 1. The victim's owner row is deleted, so that none of its writes can take
+ *    effect any more, and its member row names the successor.
+ * 2. Every runner in the victim's row is fenced: it refuses all further starts
+ *    of the victim and reports what it has of its jobs.
+ * 3. Each open job is adopted. A task that no runner has seen is proved not
+ *    run only if every runner has answered; else it may have run.
+ */
+export class Takeover {
+  readonly victim: MemberRow;
+  private readonly _options: TakeoverOptions;
+  private readonly _ctx: EntryContext;
+  private readonly _fences: FenceState[];
+  private readonly _fenceOfCall = new Map<number, FenceState>();
+  private readonly _found = new Map<string, FoundTask>();
+  private _phase: Phase = 'idle';
+  private _busy = false;
+  private _takenAtMs = 0;
+  private _version: number;
+
+  /** @param options - The victim and what to tell the other parts. */
+  constructor(options: TakeoverOptions) {
+    this._options = options;
+    this._ctx = options.ctx;
+    this.victim = options.victim.row;
+    this._version = options.victim.version;
+    this._fences = this.victim.runners.map((ref) => ({
+      ref,
+      reply: undefined,
+      calling: false,
+      retryAtMs: 0,
+      gone: false,
+    }));
+  }
+
+  /** Whether the takeover has ended, with success or because another won. */
+  get isDone(): boolean {
+    return this._phase === 'done';
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @param nextCallId - Numbers the calls to runners.
+   */
+  tick(now: number, nextCallId: () => number): void {
+    if (this._busy) {
+      return;
+    }
+    switch (this._phase) {
+      case 'idle':
+        this._take();
+        return;
+      case 'fencing':
+        this._fence(now, nextCallId);
+        return;
+      case 'scanning':
+        this._scan();
+        return;
+      case 'leaving':
+        this._leave();
+        return;
+      case 'taking':
+      case 'adopting':
+      case 'done':
+    }
+  }
+
+  /**
+   * @param callId - A fence call.
+   * @param reply - The runner's answer; absent when the call failed.
+   * @param now - Current time in milliseconds.
+   * @returns Whether the call belongs to this takeover.
+   */
+  onFenceReply(
+    callId: number,
+    reply: FenceReply | undefined,
+    now: number,
+  ): boolean {
+    const fence = this._fenceOfCall.get(callId);
+    if (!fence) {
+      return false;
+    }
+    this._fenceOfCall.delete(callId);
+    fence.calling = false;
+    if (!reply) {
+      fence.retryAtMs = now + FENCE_RETRY_MS;
+    } else if (reply.incarnation !== fence.ref.incarnation) {
+      fence.gone = true;
+    } else if (!fence.gone) {
+      fence.reply = reply;
+      this._options.onRunnerKnown(fence.ref, now);
+    }
+    return true;
+  }
+
+  private _take(): void {
+    const { incarnation } = this._ctx.options;
+    const key = storeKeys.member(this.victim.incarnation);
+    const row: MemberRow = {
+      ...this.victim,
+      nonce: `${incarnation}:t:${this.victim.incarnation}`,
+      fencedBy: incarnation,
+    };
+    this._phase = 'taking';
+    this._ctx.writer.submit({
+      conditions: [
+        { key, version: this._version },
+        this._options.ownerCondition(),
+      ],
+      writes: [
+        { key, value: JSON.stringify(row) },
+        { key: storeKeys.owner(this.victim.incarnation), value: null },
+      ],
+      proofKey: key,
+      onDone: (outcome, now) => {
+        if (outcome.kind !== 'committed') {
+          this._phase = 'done';
+          return;
+        }
+        this._version = outcome.version;
+        this._phase = 'fencing';
+        this._takenAtMs = now;
+      },
+    });
+  }
+
+  private _fence(now: number, nextCallId: () => number): void {
+    const untilMs = this._takenAtMs + this._ctx.options.fenceTimeoutMs;
+    let open = 0;
+    for (const fence of this._fences) {
+      if (fence.reply) {
+        // A successor of this entry must find the runner, too.
+        open += this._options.ensureRunner(fence.ref) ? 0 : 1;
+      } else if (now >= untilMs) {
+        fence.gone = true;
+      } else if (!fence.gone) {
+        open += 1;
+        this._callFence(fence, now, nextCallId);
+      }
+    }
+    if (open === 0) {
+      this._collect();
+      this._phase = 'scanning';
+      this._scan();
+    }
+  }
+
+  private _callFence(
+    fence: FenceState,
+    now: number,
+    nextCallId: () => number,
+  ): void {
+    if (fence.calling || now < fence.retryAtMs) {
+      return;
+    }
+    const callId = nextCallId();
+    fence.calling = true;
+    this._fenceOfCall.set(callId, fence);
+    this._ctx.emit({
+      kind: 'fence',
+      callId,
+      address: fence.ref.address,
+      req: {
+        owner: this.victim.incarnation,
+        successor: this._ctx.options.incarnation,
+      },
+    });
+  }
+
+  private _collect(): void {
+    for (const { ref, reply } of this._fences) {
+      for (const record of reply?.records ?? []) {
+        this._found.set(taskKey(record.job, record.index), {
+          runner: runnerKey(ref),
+          result: record.result,
+        });
+      }
+    }
+  }
+
+  private _scan(): void {
+    this._busy = true;
+    const prefix = storeKeys.openPrefix(this.victim.incarnation);
+    this._ctx.store.call(
+      { kind: 'scan', prefix, after: '', limit: SCAN_LIMIT },
+      (reply) => {
+        this._busy = false;
+        if (reply.kind !== 'rows') {
+          return;
+        }
+        if (reply.rows.length === 0) {
+          this._phase = 'leaving';
+          return;
+        }
+        this._readJobs(reply.rows.map((r) => r.key.slice(prefix.length)));
+      },
+    );
+  }
+
+  private _readJobs(ids: readonly string[]): void {
+    this._busy = true;
+    const keys = ids.map((id) => storeKeys.job(id));
+    this._ctx.store.call({ kind: 'read', keys }, (reply) => {
+      this._busy = false;
+      if (reply.kind === 'rows') {
+        this._adoptAll(reply.rows);
+      }
+    });
+  }
+
+  private _adoptAll(rows: readonly Row[]): void {
+    let open = rows.length;
+    this._phase = 'adopting';
+    for (const row of rows) {
+      this._adopt(row, () => {
+        open -= 1;
+        if (open === 0) {
+          this._phase = 'scanning';
+        }
+      });
+    }
+  }
+
+  private _adopt(row: Row, onEnd: () => void): void {
+    const { options, writer } = this._ctx;
+    const before = JSON.parse(row.value) as JobRow;
+    const spec = before.spec;
+    if (!spec) {
+      throw new Error(`Open job without its submission: ${row.key}`);
+    }
+    const adopted = this._options.adoptionRow(before);
+    writer.submit({
+      conditions: [
+        { key: row.key, version: row.version },
+        this._options.ownerCondition(),
+      ],
+      writes: [
+        { key: row.key, value: JSON.stringify(adopted) },
+        { key: storeKeys.open(options.incarnation, spec.id), value: '' },
+        {
+          key: storeKeys.open(this.victim.incarnation, spec.id),
+          value: null,
+        },
+      ],
+      proofKey: row.key,
+      onDone: (outcome) => {
+        if (outcome.kind === 'committed') {
+          const found = this._tasksOf(spec);
+          this._options.onAdopted(adopted, spec, outcome.version, found);
+        }
+        onEnd();
+      },
+    });
+  }
+
+  private _tasksOf(spec: JobSpec): CollectedTasks {
+    const isProved = this._fences.every((f) => f.reply && !f.reply.incomplete);
+    const states: TaskState[] = [];
+    const results: ResultMessage[] = [];
+    const lost: number[] = [];
+    for (let index = 0; index < spec.tasks.length; index++) {
+      const found = this._found.get(taskKey(spec.id, index));
+      if (found) {
+        states.push({ kind: 'sent', runner: found.runner });
+        if (found.result) {
+          results.push(found.result);
+        }
+      } else if (isProved) {
+        states.push({ kind: 'waiting' });
+      } else {
+        states.push({ kind: 'sent', runner: '' });
+        lost.push(index);
+      }
+    }
+    const runners = this._fences.map(({ ref }) => runnerKey(ref));
+    return { states, results, lost, runners };
+  }
+
+  private _leave(): void {
+    if (this._options.hasDependents(this._takenAtMs)) {
+      return;
+    }
+    const key = storeKeys.member(this.victim.incarnation);
+    this._phase = 'taking';
+    this._ctx.writer.submit({
+      conditions: [
+        { key, version: this._version },
+        this._options.ownerCondition(),
+      ],
+      writes: [{ key, value: null }],
+      proofKey: key,
+      onDone: () => {
+        this._phase = 'done';
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/takeovers.ts
@@ -0,0 +1,121 @@
+import type { RunnerRef } from '../connection/runner-peer.js';
+import type { FenceReply } from '../messages.js';
+import type { EntryContext } from './entry-context.js';
+import type { JobTable } from './job-table.js';
+import type { MemberView, Membership } from './membership.js';
+import { Takeover } from './takeover.js';
+
+/** Options of {@link Takeovers}. */
+export interface TakeoversOptions {
+  readonly ctx: EntryContext;
+  readonly membership: Membership;
+  readonly jobs: JobTable;
+  /** Makes a runner known to the dispatcher. */
+  readonly onRunnerKnown: (ref: RunnerRef, now: number) => void;
+}
+
+/** Spreads the attempts of several entries to replace the same one. */
+const MAX_START_DELAY_MS = 1000;
+
+/**
+ * Decides which entries this one replaces.
+ *
+ * An entry whose lease has run out is replaced by whoever changes its row
+ * first. Entries that it was itself replacing go to the same successor, before
+ * its row is deleted; so the records that runners moved to it are found.
+ */
+export class Takeovers {
+  private readonly _options: TakeoversOptions;
+  private readonly _active = new Map<string, Takeover>();
+  private readonly _startAtMs = new Map<string, number>();
+  private _nextCallId = 1;
+
+  /** @param options - Parts of the entry that take part. */
+  constructor(options: TakeoversOptions) {
+    this._options = options;
+  }
+
+  /** Number of entries that are being replaced by this one. */
+  get activeCount(): number {
+    return this._active.size;
+  }
+
+  /** @param now - Current time in milliseconds. */
+  tick(now: number): void {
+    for (const view of this._options.membership.others) {
+      if (!this._active.has(view.row.incarnation)) {
+        this._consider(view, now);
+      }
+    }
+    for (const [incarnation, takeover] of this._active) {
+      takeover.tick(now, () => this._nextCallId++);
+      if (takeover.isDone) {
+        this._active.delete(incarnation);
+      }
+    }
+  }
+
+  /**
+   * @param callId - A fence call.
+   * @param reply - The runner's answer; absent when the call failed.
+   * @param now - Current time in milliseconds.
+   */
+  onFenceReply(
+    callId: number,
+    reply: FenceReply | undefined,
+    now: number,
+  ): void {
+    for (const takeover of this._active.values()) {
+      if (takeover.onFenceReply(callId, reply, now)) {
+        return;
+      }
+    }
+  }
+
+  private _consider(view: MemberView, now: number): void {
+    const { incarnation } = view.row;
+    if (!this._isDue(view)) {
+      this._startAtMs.delete(incarnation);
+      return;
+    }
+    const delayMs = MAX_START_DELAY_MS * this._options.ctx.options.random();
+    const startAtMs = this._startAtMs.get(incarnation) ?? now + delayMs;
+    this._startAtMs.set(incarnation, startAtMs);
+    if (now >= startAtMs) {
+      this._startAtMs.delete(incarnation);
+      this._active.set(incarnation, this._create(view));
+    }
+  }
+
+  private _isDue(view: MemberView): boolean {
+    const { membership, ctx } = this._options;
+    const fencer = view.row.fencedBy;
+    if (fencer === undefined) {
+      return membership.isExpired(view);
+    }
+    if (fencer === ctx.options.incarnation) {
+      return false;
+    }
+    const isKnown = membership.others.some((v) => v.row.incarnation === fencer);
+    return this._active.has(fencer) || !isKnown;
+  }
+
+  private _create(victim: MemberView): Takeover {
+    const { ctx, membership, jobs, onRunnerKnown } = this._options;
+    const { incarnation } = victim.row;
+    return new Takeover({
+      ctx,
+      victim,
+      ownerCondition: () => membership.ownerCondition,
+      ensureRunner: (ref) => membership.ensureRunner(ref),
+      onRunnerKnown,
+      adoptionRow: (row) => jobs.adoptionRow(row),
+      onAdopted: (row, spec, rowVersion, found) => {
+        jobs.adopt(row, spec, rowVersion, found);
+      },
+      hasDependents: (sinceMs) =>
+        !membership.hasScannedSince(sinceMs) ||
+        membership.others.some((v) => v.row.fencedBy === incarnation),
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/task-queue.ts
@@ -0,0 +1,142 @@
+import type { Job } from '../request/job.js';
+import { PriorityClass } from '../request/job-spec.js';
+
+/** One task that waits to be placed. */
+export interface QueuedTask {
+  readonly job: Job;
+  readonly index: number;
+}
+
+/** Options of {@link TaskQueue}. */
+export interface TaskQueueOptions {
+  /** Least share of the placements that routine work gets while it waits. */
+  readonly routineShare?: number;
+}
+
+interface Lane {
+  /** Jobs in order of arrival, each with its waiting tasks in order. */
+  readonly jobs: Map<Job, number[]>;
+  size: number;
+}
+
+const DEFAULT_ROUTINE_SHARE = 0.1;
+
+/**
+ * Tasks that wait for one pool of one endpoint.
+ *
+ * Urgent work goes first; routine work is owed a share of the placements while
+ * both wait, so neither starves. Tasks are kept by job, so that a job which
+ * can't be placed now is passed over in one step.
+ */
+export class TaskQueue {
+  private readonly _routineShare: number;
+  private readonly _urgent: Lane = { jobs: new Map(), size: 0 };
+  private readonly _routine: Lane = { jobs: new Map(), size: 0 };
+  private _routineCredit = 0;
+
+  /** @param options - Shares of the classes. */
+  constructor(options: TaskQueueOptions = {}) {
+    this._routineShare = options.routineShare ?? DEFAULT_ROUTINE_SHARE;
+  }
+
+  /** Number of waiting tasks. */
+  get size(): number {
+    return this._urgent.size + this._routine.size;
+  }
+
+  /**
+   * @param job - The job of the task.
+   * @param index - Position of the task in its job.
+   */
+  push(job: Job, index: number): void {
+    const lane = this._laneOf(job);
+    const indexes = lane.jobs.get(job);
+    if (indexes) {
+      indexes.push(index);
+    } else {
+      lane.jobs.set(job, [index]);
+    }
+    lane.size += 1;
+  }
+
+  /**
+   * Drops all waiting tasks of a job.
+   *
+   * @param job - The job.
+   */
+  remove(job: Job): void {
+    const lane = this._laneOf(job);
+    lane.size -= lane.jobs.get(job)?.length ?? 0;
+    lane.jobs.delete(job);
+  }
+
+  /**
+   * Takes the next task that can be placed.
+   *
+   * @param canPlace - Tells whether a task can be placed now; after the first
+   * `false` the other tasks of the same job are passed over.
+   * @returns The task, or nothing when no task can be placed.
+   */
+  take(canPlace: (task: QueuedTask) => boolean): QueuedTask | undefined {
+    const both = this._urgent.size > 0 && this._routine.size > 0;
+    if (!both) {
+      return this._takeFrom(
+        this._urgent.size > 0 ? this._urgent : this._routine,
+        canPlace,
+      );
+    }
+    const routineFirst = this._routineCredit + this._routineShare >= 1;
+    const first = routineFirst ? this._routine : this._urgent;
+    const second = routineFirst ? this._urgent : this._routine;
+    const task =
+      this._takeFrom(first, canPlace) ?? this._takeFrom(second, canPlace);
+    if (task) {
+      this._account(task);
+    }
+    return task;
+  }
+
+  /** @returns The jobs that wait, urgent ones first, and how many tasks each has. */
+  *waiting(): Generator<[Job, number]> {
+    for (const lane of [this._urgent, this._routine]) {
+      for (const [job, indexes] of lane.jobs) {
+        yield [job, indexes.length];
+      }
+    }
+  }
+
+  private _account(task: QueuedTask): void {
+    if (task.job.spec.priority === PriorityClass.Routine) {
+      this._routineCredit = Math.max(0, this._routineCredit - 1);
+    }
+    this._routineCredit = Math.min(1, this._routineCredit + this._routineShare);
+  }
+
+  private _laneOf(job: Job): Lane {
+    return job.spec.priority === PriorityClass.Urgent
+      ? this._urgent
+      : this._routine;
+  }
+
+  private _takeFrom(
+    lane: Lane,
+    canPlace: (task: QueuedTask) => boolean,
+  ): QueuedTask | undefined {
+    for (const [job, indexes] of lane.jobs) {
+      const index = indexes[0];
+      if (index === undefined) {
+        continue;
+      }
+      const task = { job, index };
+      if (canPlace(task)) {
+        indexes.shift();
+        lane.size -= 1;
+        if (indexes.length === 0) {
+          lane.jobs.delete(job);
+        }
+        return task;
+      }
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/version/config-follower.ts
@@ -0,0 +1,276 @@
+import type { PollReply, PollRequest, TicketRow } from '../messages.js';
+import type { EntryContext } from '../process/entry-context.js';
+import type { MemberView } from '../process/membership.js';
+import type { HeadRow } from '../process/rows.js';
+import { storeKeys } from '../store.js';
+import type { Row, StoreReply } from '../store.js';
+import { Configuration } from './configuration.js';
+import type { Ticket } from './ticket.js';
+
+/** Options of {@link ConfigFollower}. */
+export interface ConfigFollowerOptions {
+  readonly ctx: EntryContext;
+  /**
+   * @returns The other entries that count towards a majority, or nothing while
+   * they are not known yet.
+   */
+  readonly peers: () => readonly MemberView[] | undefined;
+}
+
+interface PollRound {
+  readonly sentAtMs: number;
+  readonly needed: number;
+  answers: number;
+}
+
+const TICKET_SCAN_LIMIT = 500;
+const KEPT_TICKETS = 1024;
+/** Without news from the store for this long, the other entries are asked. */
+const PEER_POLL_AFTER_MS = 1500;
+const PEER_POLL_PERIOD_MS = 1000;
+
+/**
+ * Follows the accepted tickets and knows since when the configuration in force
+ * here has been confirmed as the newest.
+ *
+ * The store confirms it: a read of the head sent at `t` that shows no newer
+ * ticket proves the version current at `t`. While the store gives no answer,
+ * a majority of the entries confirms it: an accepted ticket is spread to a
+ * majority before its operator is answered, so any majority has a member that
+ * knows it. An entry that hears neither stops starting tasks.
+ */
+export class ConfigFollower {
+  private readonly _ctx: EntryContext;
+  private readonly _peers: () => readonly MemberView[] | undefined;
+  private readonly _tickets = new Map<number, TicketRow>();
+  private readonly _peerVersions = new Map<string, number>();
+  private readonly _polls = new Map<
+    number,
+    { readonly peer: string; readonly round: PollRound }
+  >();
+  private _current = Configuration.empty;
+  private _confirmedAtMs = -Infinity;
+  private _storeConfirmedAtMs = -Infinity;
+  private _reading = false;
+  private _readAtMs = 0;
+  private _pollAtMs = 0;
+  private _nextCallId = 1;
+
+  /** @param options - Context and the entries that can confirm a version. */
+  constructor(options: ConfigFollowerOptions) {
+    this._ctx = options.ctx;
+    this._peers = options.peers;
+  }
+
+  /** The configuration in force here. */
+  get current(): Configuration {
+    return this._current;
+  }
+
+  /** When {@link current} was last known to be the newest. */
+  get confirmedAtMs(): number {
+    return this._confirmedAtMs;
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether tasks may be started on the configuration in force here.
+   */
+  isFresh(now: number): boolean {
+    return now - this._confirmedAtMs <= this._ctx.options.freshnessMs;
+  }
+
+  /**
+   * @param incarnation - Another entry.
+   * @returns The highest version that it is known to have.
+   */
+  peerVersion(incarnation: string): number {
+    return this._peerVersions.get(incarnation) ?? 0;
+  }
+
+  /** @returns The accepted tickets that are kept in memory, oldest first. */
+  tickets(): Ticket[] {
+    return [...this._tickets.values()].map(parseTicket);
+  }
+
+  /** @param now - Current time in milliseconds. */
+  tick(now: number): void {
+    if (!this._reading && now >= this._readAtMs) {
+      this._readHead(now);
+    }
+    const silentMs = now - this._storeConfirmedAtMs;
+    if (silentMs > PEER_POLL_AFTER_MS && now >= this._pollAtMs) {
+      this.pollPeers(now);
+    }
+  }
+
+  /**
+   * Exchanges versions with all other entries.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pollPeers(now: number): void {
+    this._pollAtMs = now + PEER_POLL_PERIOD_MS;
+    const peers = this._peers();
+    if (!peers) {
+      return;
+    }
+    const needed = Math.floor((peers.length + 1) / 2) + 1;
+    const round: PollRound = { sentAtMs: now, needed, answers: 1 };
+    for (const peer of peers) {
+      const callId = this._nextCallId++;
+      this._polls.set(callId, { peer: peer.row.incarnation, round });
+      this._ctx.emit({
+        kind: 'poll-peer',
+        callId,
+        address: peer.row.address,
+        req: this._pollRequest(peer.row.incarnation),
+      });
+    }
+    this._confirmByPeers(round);
+  }
+
+  /**
+   * @param callId - The poll that was answered or failed.
+   * @param reply - The answer; absent when the call failed.
+   */
+  onPollReply(callId: number, reply: PollReply | undefined): void {
+    const poll = this._polls.get(callId);
+    this._polls.delete(callId);
+    // Another process may listen on the address by now.
+    if (!poll || reply?.incarnation !== poll.peer) {
+      return;
+    }
+    this.adoptRows(reply.tickets);
+    this._notePeer(reply.incarnation, reply.version);
+    if (reply.version <= this._current.version) {
+      poll.round.answers += 1;
+      this._confirmByPeers(poll.round);
+    }
+  }
+
+  /**
+   * @param req - Another entry's poll.
+   * @returns This entry's version and the tickets that the other lacks.
+   */
+  onPoll(req: PollRequest): PollReply {
+    this.adoptRows(req.tickets);
+    this._notePeer(req.incarnation, req.version);
+    return {
+      incarnation: this._ctx.options.incarnation,
+      version: this._current.version,
+      tickets: this._ticketsAfter(req.version),
+    };
+  }
+
+  /**
+   * Applies accepted tickets in their order; those that are known or leave a
+   * gap are passed over.
+   *
+   * @param rows - Accepted tickets.
+   */
+  adoptRows(rows: readonly TicketRow[]): void {
+    for (const row of rows) {
+      if (row.number === this._current.version + 1) {
+        this._adopt(row);
+      }
+    }
+  }
+
+  private _adopt(row: TicketRow): void {
+    const ticket = parseTicket(row);
+    const next = this._current.apply(ticket);
+    if (next.isErr()) {
+      throw new Error(`Accepted ticket can't be applied: ${next.error}`);
+    }
+    this._current = next.value;
+    this._tickets.set(row.number, row);
+    this._tickets.delete(row.number - KEPT_TICKETS);
+    this._ctx.emit({ kind: 'ticket-adopted', ticket });
+  }
+
+  private _readHead(now: number): void {
+    this._reading = true;
+    this._readAtMs = now + this._ctx.options.headReadMs;
+    this._ctx.store.call(
+      { kind: 'read', keys: [storeKeys.head] },
+      (reply, replyAtMs) => {
+        this._reading = false;
+        this._onHead(reply, now, replyAtMs);
+      },
+    );
+  }
+
+  private _onHead(reply: StoreReply, sentAtMs: number, now: number): void {
+    if (reply.kind !== 'rows') {
+      return;
+    }
+    const head = reply.rows[0];
+    const number = head ? (JSON.parse(head.value) as HeadRow).number : 0;
+    if (number > this._current.version) {
+      this._readTickets(now);
+      return;
+    }
+    this._storeConfirmedAtMs = sentAtMs;
+    this._confirmedAtMs = Math.max(this._confirmedAtMs, sentAtMs);
+  }
+
+  private _readTickets(now: number): void {
+    this._reading = true;
+    this._ctx.store.call(
+      {
+        kind: 'scan',
+        prefix: storeKeys.ticketPrefix,
+        after: storeKeys.ticket(this._current.version),
+        limit: TICKET_SCAN_LIMIT,
+      },
+      (reply) => {
+        this._reading = false;
+        if (reply.kind === 'rows') {
+          this.adoptRows(reply.rows.map(toTicketRow));
+        }
+        // The head is read again at once: only that confirms the version.
+        this._readAtMs = now;
+      },
+    );
+  }
+
+  private _confirmByPeers(round: PollRound): void {
+    if (round.answers >= round.needed) {
+      this._confirmedAtMs = Math.max(this._confirmedAtMs, round.sentAtMs);
+    }
+  }
+
+  private _pollRequest(peer: string): PollRequest {
+    const { incarnation, address } = this._ctx.options;
+    return {
+      incarnation,
+      address,
+      version: this._current.version,
+      tickets: this._ticketsAfter(this.peerVersion(peer)),
+    };
+  }
+
+  private _ticketsAfter(version: number): TicketRow[] {
+    const rows: TicketRow[] = [];
+    for (let n = version + 1; n <= this._current.version; n++) {
+      const row = this._tickets.get(n);
+      if (row) {
+        rows.push(row);
+      }
+    }
+    return rows;
+  }
+
+  private _notePeer(incarnation: string, version: number): void {
+    const known = this.peerVersion(incarnation);
+    this._peerVersions.set(incarnation, Math.max(known, version));
+  }
+}
+
+const parseTicket = (row: TicketRow): Ticket => JSON.parse(row.body) as Ticket;
+
+const toTicketRow = (row: Row): TicketRow => ({
+  number: (JSON.parse(row.value) as Ticket).number,
+  body: row.value,
+});
--- /dev/null
+++ b/packages/core/src/lib/version/ticket-desk.ts
@@ -0,0 +1,178 @@
+import { RunState } from '../messages.js';
+import type { EntryContext } from '../process/entry-context.js';
+import { ErrorCode } from '../process/entry-events.js';
+import type {
+  Reply,
+  TicketProposal,
+  TicketReceipt,
+} from '../process/entry-events.js';
+import { errorReply } from '../process/job-table.js';
+import type { HeadRow } from '../process/rows.js';
+import type { WriteOutcome } from '../process/store-writer.js';
+import { storeKeys } from '../store.js';
+import type { ConfigFollower } from './config-follower.js';
+import type { Ticket } from './ticket.js';
+
+/** What the ticket desk needs of the other parts of the entry. */
+export interface TicketDeskOptions {
+  readonly ctx: EntryContext;
+  readonly config: ConfigFollower;
+  /** @returns Incarnations of the other live entries. */
+  readonly peers: () => readonly string[];
+}
+
+interface PendingTicket {
+  readonly number: number;
+  readonly replyId: number;
+  readonly untilMs: number;
+}
+
+const SPREAD_TIMEOUT_MS = 2000;
+const WRITE_TIMEOUT_MS = 5000;
+const RETRY_AFTER_MS = 1000;
+
+/**
+ * Accepts change tickets.
+ *
+ * A ticket is accepted when the row of its number has been inserted. Its
+ * operator is answered when every other entry has it, or after a time limit
+ * with the names of those that have not confirmed it.
+ */
+export class TicketDesk {
+  private readonly _options: TicketDeskOptions;
+  private readonly _ctx: EntryContext;
+  private _pending: PendingTicket[] = [];
+
+  /** @param options - Context and parts of the entry. */
+  constructor(options: TicketDeskOptions) {
+    this._options = options;
+    this._ctx = options.ctx;
+  }
+
+  /**
+   * @param proposal - What the operator wants.
+   * @param replyId - The operator's call.
+   * @param now - Current time in milliseconds.
+   */
+  propose(proposal: TicketProposal, replyId: number, now: number): void {
+    const { current } = this._options.config;
+    const next = current.version + 1;
+    const number = proposal.number ?? next;
+    if (number !== next) {
+      this._reply(replyId, this._numberTaken(number, next));
+      return;
+    }
+    const checked = current.check(proposal.changes);
+    if (checked.isErr()) {
+      this._reply(replyId, invalidTicket(checked.error));
+      return;
+    }
+    this._insert({ ...proposal, number, atMs: now }, replyId, now);
+  }
+
+  /** @param now - Current time in milliseconds. */
+  tick(now: number): void {
+    for (const pending of this._pending) {
+      const receipt = this._receipt(pending.number);
+      if (receipt.notYet.length === 0 || pending.untilMs <= now) {
+        this._pending = this._pending.filter((p) => p !== pending);
+        this._reply(pending.replyId, { kind: 'ticket', receipt });
+      }
+    }
+  }
+
+  private _insert(ticket: Ticket, replyId: number, now: number): void {
+    const key = storeKeys.ticket(ticket.number);
+    const nonce = `${this._ctx.options.incarnation}:${String(replyId)}`;
+    const body = JSON.stringify({ ...ticket, nonce });
+    const head: HeadRow = { number: ticket.number };
+    this._ctx.writer.submit({
+      conditions: [{ key, version: 0 }],
+      writes: [
+        { key, value: body },
+        { key: storeKeys.head, value: JSON.stringify(head) },
+      ],
+      proofKey: key,
+      giveUpAtMs: now + WRITE_TIMEOUT_MS,
+      onDone: (outcome, doneAtMs) => {
+        this._onInserted(ticket, body, replyId, outcome, doneAtMs);
+      },
+    });
+  }
+
+  private _onInserted(
+    ticket: Ticket,
+    body: string,
+    replyId: number,
+    outcome: WriteOutcome,
+    now: number,
+  ): void {
+    switch (outcome.kind) {
+      case 'committed':
+        this._options.config.adoptRows([{ number: ticket.number, body }]);
+        this._options.config.pollPeers(now);
+        this._pending.push({
+          number: ticket.number,
+          replyId,
+          untilMs: now + SPREAD_TIMEOUT_MS,
+        });
+        return;
+      case 'conflict':
+        this._readWinner(ticket.number, replyId);
+        return;
+      case 'given-up':
+        this._reply(replyId, STORE_SILENT);
+    }
+  }
+
+  private _readWinner(number: number, replyId: number): void {
+    const keys = [storeKeys.ticket(number)];
+    this._ctx.store.call({ kind: 'read', keys }, (reply) => {
+      const row = reply.kind === 'rows' ? reply.rows[0] : undefined;
+      if (row) {
+        this._options.config.adoptRows([{ number, body: row.value }]);
+      }
+      this._reply(replyId, this._numberTaken(number, number + 1));
+    });
+  }
+
+  private _numberTaken(number: number, next: number): Reply {
+    const winner = this._options.config
+      .tickets()
+      .find((ticket) => ticket.number === number);
+    const by = winner ? ` by ${winner.author} ("${winner.reason}")` : '';
+    const detail =
+      number < next
+        ? `Ticket ${String(number)} was taken${by}; look at the configuration and propose ticket ${String(next)}.`
+        : `The next ticket is ${String(next)}; ticket ${String(number)} would leave a gap.`;
+    return errorReply({
+      code: ErrorCode.Conflict,
+      detail,
+      runState: RunState.NOT_RUN,
+    });
+  }
+
+  private _receipt(number: number): TicketReceipt {
+    const { config, peers } = this._options;
+    const inForce = [this._ctx.options.incarnation];
+    const notYet: string[] = [];
+    for (const peer of peers()) {
+      (config.peerVersion(peer) >= number ? inForce : notYet).push(peer);
+    }
+    return { number, inForce, notYet };
+  }
+
+  private _reply(replyId: number, reply: Reply): void {
+    this._ctx.emit({ kind: 'reply', replyId, reply });
+  }
+}
+
+const invalidTicket = (detail: string): Reply =>
+  errorReply({ code: ErrorCode.Invalid, detail, runState: RunState.NOT_RUN });
+
+const STORE_SILENT = errorReply({
+  code: ErrorCode.Unavailable,
+  detail: 'The store does not answer; the ticket was not accepted.',
+  runState: RunState.NOT_RUN,
+  retryAfterMs: RETRY_AFTER_MS,
+});
--- /dev/null
+++ b/packages/core/src/lib/version/ticket.ts
@@ -0,0 +1,39 @@
+/** What a configuration holds, by kind of subject. */
+export type Setting =
+  | { readonly kind: 'data-centre'; readonly inService: boolean }
+  | {
+      readonly kind: 'endpoint';
+      readonly inService: boolean;
+      /** Data centres that may serve the endpoint. */
+      readonly dataCentres: readonly string[];
+    }
+  | {
+      readonly kind: 'desk';
+      /** Sustained task starts a second. */
+      readonly ratePerSecond: number;
+      /** Task starts allowed at once above the sustained rate. */
+      readonly burst: number;
+    }
+  | {
+      readonly kind: 'worker-shape';
+      readonly cores: number;
+      readonly memoryMb: number;
+      readonly accelerators: number;
+    };
+
+/** Sets one subject to a whole new state, or removes it with `null`. */
+export interface Change {
+  /** For example `data-centre/recife`. */
+  readonly subject: string;
+  readonly setting: Setting | null;
+}
+
+/** A numbered change of the configuration. */
+export interface Ticket {
+  readonly number: number;
+  readonly author: string;
+  readonly reason: string;
+  /** When the ticket was made, in milliseconds since the Unix epoch. */
+  readonly atMs: number;
+  readonly changes: readonly Change[];
+}
--- /dev/null
+++ b/packages/core/src/test/store-writer.test.ts
@@ -0,0 +1,103 @@
+import { expect } from 'earl';
+import { StoreClient } from '../lib/process/store-client.js';
+import { StoreWriter } from '../lib/process/store-writer.js';
+import type { WriteOutcome } from '../lib/process/store-writer.js';
+import type { StoreReply, StoreRequest } from '../lib/store.js';
+
+const setUp = () => {
+  const calls: { opId: number; req: StoreRequest }[] = [];
+  const outcomes: WriteOutcome[] = [];
+  const store = new StoreClient((opId, req) => calls.push({ opId, req }));
+  const writer = new StoreWriter({ store, random: () => 0.5 }, 0);
+  const submit = (key: string, giveUpAtMs?: number): void => {
+    writer.submit({
+      conditions: [{ key, version: 0 }],
+      writes: [{ key, value: `nonce of ${key}` }],
+      proofKey: key,
+      giveUpAtMs,
+      onDone: (outcome) => outcomes.push(outcome),
+    });
+    writer.pump(0);
+  };
+  const reply = (answer: StoreReply, now = 0): void => {
+    const call = calls.at(-1);
+    store.onReply(call?.opId ?? 0, answer, now);
+  };
+  const kinds = (): string[] => calls.map((call) => call.req.kind);
+  return { writer, calls, outcomes, submit, reply, kinds };
+};
+
+it('writes that arrive meanwhile share one transaction', () => {
+  const { calls, submit, reply, outcomes } = setUp();
+  submit('a');
+  submit('b');
+  submit('c');
+  expect(calls.length).toEqual(1);
+  reply({ kind: 'committed', version: 1 });
+  expect(calls[1]?.req).toEqual({
+    kind: 'transact',
+    conditions: [
+      { key: 'b', version: 0 },
+      { key: 'c', version: 0 },
+    ],
+    writes: [
+      { key: 'b', value: 'nonce of b' },
+      { key: 'c', value: 'nonce of c' },
+    ],
+  });
+  reply({ kind: 'committed', version: 2 });
+  expect(outcomes.length).toEqual(3);
+});
+
+it('lost answer is read back before anything is sent again', () => {
+  const { writer, submit, reply, kinds, outcomes } = setUp();
+  submit('a');
+  reply({ kind: 'unknown' });
+  writer.pump(100);
+  expect(kinds()).toEqual(['transact', 'read']);
+  const row = { key: 'a', value: 'nonce of a', version: 7 };
+  reply({ kind: 'rows', rows: [row] }, 100);
+  expect(outcomes).toEqual([{ kind: 'committed', version: 7 }]);
+  expect(kinds()).toEqual(['transact', 'read']);
+});
+
+it('row of another writer after a lost answer is a conflict', () => {
+  const { writer, submit, reply, outcomes } = setUp();
+  submit('a');
+  reply({ kind: 'unknown' });
+  writer.pump(100);
+  const row = { key: 'a', value: 'nonce of another', version: 7 };
+  reply({ kind: 'rows', rows: [row] }, 100);
+  expect(outcomes).toEqual([{ kind: 'conflict', keys: ['a'] }]);
+});
+
+it('write with a lost answer is never given up', () => {
+  const { writer, submit, reply, outcomes } = setUp();
+  submit('a', 500);
+  reply({ kind: 'unknown' });
+  writer.pump(1000);
+  expect(outcomes).toEqual([]);
+});
+
+it('refused write is given up at its time', () => {
+  const { writer, submit, reply, outcomes } = setUp();
+  submit('a', 500);
+  reply({ kind: 'refused' });
+  writer.pump(1000);
+  expect(outcomes).toEqual([{ kind: 'given-up' }]);
+});
+
+it('conflict of one write leaves the others of its batch', () => {
+  const { submit, reply, outcomes, calls } = setUp();
+  submit('first');
+  submit('a');
+  submit('b');
+  reply({ kind: 'committed', version: 1 });
+  reply({ kind: 'conflict', keys: ['a'] });
+  expect(outcomes.at(-1)).toEqual({ kind: 'conflict', keys: ['a'] });
+  expect(calls.at(-1)?.req).toEqual({
+    kind: 'transact',
+    conditions: [{ key: 'b', version: 0 }],
+    writes: [{ key: 'b', value: 'nonce of b' }],
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/bin/sapphiremuxd.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from '../lib/process/main.js';
+
+await main(process.argv.slice(2));
--- /dev/null
+++ b/packages/daemon/src/lib/connection/endpoint-client.ts
@@ -0,0 +1,90 @@
+import type { CallOutcome, StartMessage } from '@sapphiremux/core';
+import { Pool } from 'undici';
+
+const MAX_CONNECTIONS = 64;
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** Codes of errors that occur before a request has been sent. */
+const NOT_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Calls the endpoint beside a runner. */
+export class EndpointClient {
+  private readonly _aborts = new Map<number, AbortController>();
+  private _url = '';
+  private _pool: Pool | undefined;
+
+  /**
+   * Calls the endpoint once; a call is never repeated here.
+   *
+   * @param callId - Names the call.
+   * @param url - Where the endpoint listens.
+   * @param start - The task.
+   * @param waitMs - Longest wait for the whole answer.
+   * @returns How the call ended; never rejects.
+   */
+  async call(
+    callId: number,
+    url: string,
+    start: StartMessage,
+    waitMs: number,
+  ): Promise<CallOutcome> {
+    const abort = new AbortController();
+    const timer = setTimeout(() => {
+      abort.abort(new Error('The deadline passed.'));
+    }, waitMs);
+    this._aborts.set(callId, abort);
+    try {
+      const res = await this._poolOf(url).request({
+        method: 'POST',
+        path: '/',
+        headers: {
+          'content-type': start.contentType,
+          'idempotency-key': `${start.job}/${String(start.index)}`,
+        },
+        body: start.payload,
+        signal: abort.signal,
+      });
+      const body = new Uint8Array(await res.body.arrayBuffer());
+      return {
+        kind: 'answered',
+        status: res.statusCode,
+        contentType: String(res.headers['content-type'] ?? ''),
+        body,
+      };
+    } catch (err) {
+      return toOutcome(err as Error & { code?: string });
+    } finally {
+      clearTimeout(timer);
+      this._aborts.delete(callId);
+    }
+  }
+
+  /** @param callId - A call whose result nobody wants any more. */
+  abort(callId: number): void {
+    this._aborts.get(callId)?.abort(new Error('The task was cancelled.'));
+  }
+
+  private _poolOf(url: string): Pool {
+    if (!this._pool || this._url !== url) {
+      void this._pool?.close();
+      this._url = url;
+      this._pool = new Pool(url, {
+        connections: MAX_CONNECTIONS,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+    }
+    return this._pool;
+  }
+}
+
+const toOutcome = (err: Error & { code?: string }): CallOutcome =>
+  NOT_SENT.has(err.code ?? '')
+    ? { kind: 'not-sent' }
+    : { kind: 'broken', detail: err.message };
--- /dev/null
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -0,0 +1,391 @@
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { ConnectError, Code } from '@connectrpc/connect';
+import { EntryCore, ErrorCode, JobStep, RunState } from '@sapphiremux/core';
+import type {
+  EntryAction,
+  EntryEvent,
+  JobStatus,
+  PollReply,
+  Reply,
+} from '@sapphiremux/core';
+import type { EntrySettings } from '@sapphiremux/settings';
+import {
+  AnnounceReplySchema,
+  EntryService,
+  JobReplySchema,
+  PollReplySchema,
+} from '@sapphiremux/wire';
+import { EntryClients } from '../connection/entry-clients.js';
+import { connectRunner, startRpcServer } from '../connection/rpc.js';
+import type { RpcServer } from '../connection/rpc.js';
+import { RunnerLinks } from '../connection/runner-links.js';
+import { loadTls } from '../connection/tls.js';
+import type { TlsContext } from '../connection/tls.js';
+import { now } from './clock.js';
+import type { Log } from './logger.js';
+import { EntryMetrics } from './metrics.js';
+import { StoreHttp } from './store-http.js';
+
+/** Options of {@link EntryHost}. */
+export interface EntryHostOptions {
+  readonly settings: EntrySettings;
+  /** @returns A name that no run of any process has had. */
+  readonly newIncarnation: () => string;
+  readonly log: Log;
+  /** Called when a planned stop has ended. */
+  readonly onStopped: () => void;
+}
+
+type Action<K extends EntryAction['kind']> = Extract<EntryAction, { kind: K }>;
+
+interface WaitingCaller {
+  readonly kind: EntryEvent['kind'];
+  readonly startedAtMs: number;
+  readonly resolve: (reply: Reply) => void;
+}
+
+const TICK_MS = 50;
+const POLL_TIMEOUT_MS = 1000;
+const FENCE_TIMEOUT_MS = 1000;
+/** Added to the wait of a forwarded call for the way there and back. */
+const FORWARD_SLACK_MS = 1000;
+const RETRY_AFTER_MS = 1000;
+
+/** Runs the decisions of an entry: sockets, timers and the store. */
+export class EntryHost {
+  readonly metrics = new EntryMetrics();
+  private readonly _options: EntryHostOptions;
+  private readonly _address: string;
+  private readonly _tls: TlsContext | undefined;
+  private readonly _store: StoreHttp;
+  private readonly _links: RunnerLinks;
+  private readonly _peers: EntryClients;
+  private readonly _callers = new Map<number, WaitingCaller>();
+  private readonly _polls = new Map<number, (reply: PollReply) => void>();
+  private _core: EntryCore;
+  /** Names the core that asked for something, so that late replies are dropped. */
+  private _generation = 1;
+  private _server: RpcServer | undefined;
+  private _timer: NodeJS.Timeout | undefined;
+  private _flushPlanned = false;
+  private _nextReplyId = 1;
+
+  /** @param options - Settings and receivers. */
+  constructor(options: EntryHostOptions) {
+    const { settings } = options;
+    this._options = options;
+    this._address = `${settings.listen.host}:${String(settings.listen.port)}`;
+    this._tls = loadTls(settings.tls);
+    this._peers = new EntryClients(this._tls);
+    this._store = new StoreHttp({
+      url: settings.store.url,
+      timeoutMs: settings.store.timeout,
+      calls: this.metrics.storeCalls,
+    });
+    this._links = new RunnerLinks({
+      tls: this._tls,
+      onMessage: (linkId, msg) => {
+        this.dispatch({ kind: 'link-message', linkId, msg });
+      },
+      onClosed: (linkId) => {
+        this.dispatch({ kind: 'link-closed', linkId });
+      },
+    });
+    this._core = this._createCore();
+  }
+
+  /** The decisions that are in force now. */
+  get core(): EntryCore {
+    return this._core;
+  }
+
+  /** Settings of this process. */
+  get settings(): EntrySettings {
+    return this._options.settings;
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    const { host, port } = this._options.settings.listen;
+    this._server = await startRpcServer({
+      host,
+      port,
+      tls: this._tls,
+      routes: (router) => {
+        this._addRoutes(router);
+      },
+    });
+    this._timer = setInterval(() => {
+      this.dispatch({ kind: 'tick' });
+      this._updateGauges();
+    }, TICK_MS);
+  }
+
+  /**
+   * Hands a call to the decisions.
+   *
+   * @param toEvent - Makes the event from the id of the answer.
+   * @param signal - Aborted when the caller is gone.
+   * @returns The answer.
+   */
+  ask(
+    toEvent: (replyId: number) => EntryEvent,
+    signal?: AbortSignal,
+  ): Promise<Reply> {
+    const replyId = this._nextReplyId++;
+    const event = toEvent(replyId);
+    return new Promise((resolve) => {
+      this._callers.set(replyId, {
+        kind: event.kind,
+        startedAtMs: now(),
+        resolve,
+      });
+      signal?.addEventListener('abort', () => {
+        this._onCallerGone(replyId);
+      });
+      this.dispatch(event);
+    });
+  }
+
+  /** @param event - Something that happened to the entry. */
+  dispatch(event: EntryEvent): void {
+    for (const action of this._core.handle(event, now())) {
+      this._run(action);
+    }
+    if (!this._flushPlanned && event.kind !== 'flush') {
+      this._flushPlanned = true;
+      // Everything that happens in one turn of the loop shares one batch.
+      setImmediate(() => {
+        this._flushPlanned = false;
+        this.dispatch({ kind: 'flush' });
+      });
+    }
+  }
+
+  /** Ends all connections and timers. */
+  async close(): Promise<void> {
+    clearInterval(this._timer);
+    this._links.closeAll();
+    this._peers.close();
+    await this._server?.close();
+    await this._store.close();
+  }
+
+  private _createCore(): EntryCore {
+    const { settings, newIncarnation } = this._options;
+    const { limits } = settings;
+    return new EntryCore(
+      {
+        id: settings.id,
+        incarnation: newIncarnation(),
+        address: this._address,
+        dataCentre: settings.data_centre,
+        random: Math.random,
+        writesPerSecond: settings.store.writes_per_second,
+        freshnessMs: limits.freshness,
+        memberLeaseMs: limits.member_lease,
+        linkSilenceMs: limits.link_silence,
+        runnerLostMs: limits.runner_lost,
+        claimTimeoutMs: limits.claim_timeout,
+        routineShare: limits.routine_share,
+      },
+      now(),
+    );
+  }
+
+  private _onCallerGone(replyId: number): void {
+    if (this._callers.delete(replyId)) {
+      this.dispatch({ kind: 'caller-gone', replyId });
+    }
+  }
+
+  private _addRoutes(router: ConnectRouter): void {
+    router.service(EntryService, {
+      announce: (req) => {
+        this.dispatch({ kind: 'announce', req });
+        const others = this._core.members.map((view) => view.row.address);
+        const entries = [this._address, ...others];
+        return create(AnnounceReplySchema, { entries });
+      },
+      poll: async (req) => {
+        const replyId = this._nextReplyId++;
+        const reply = await new Promise<PollReply>((resolve) => {
+          this._polls.set(replyId, resolve);
+          this.dispatch({ kind: 'poll', replyId, req });
+        });
+        return create(PollReplySchema, reply);
+      },
+      job: async (req) => {
+        const reply = await this.ask((replyId) => ({
+          kind: 'ask',
+          replyId,
+          job: req.job,
+          waitMs: req.waitMs,
+          cancel: req.cancel,
+          forward: false,
+        }));
+        if (reply.kind !== 'job') {
+          throw new ConnectError('not the owner', Code.NotFound);
+        }
+        const status = JSON.stringify(reply.status);
+        return create(JobReplySchema, { status });
+      },
+    });
+  }
+
+  private _run(action: EntryAction): void {
+    switch (action.kind) {
+      case 'reply':
+        this._onReply(action.replyId, action.reply);
+        return;
+      case 'poll-answer':
+        this._polls.get(action.replyId)?.(action.reply);
+        this._polls.delete(action.replyId);
+        return;
+      case 'store':
+        void this._callStore(action);
+        return;
+      case 'open-link':
+        this._links.open(action.linkId, action.address);
+        return;
+      case 'send':
+        this._send(action);
+        return;
+      case 'close-link':
+        this._links.close(action.linkId);
+        return;
+      case 'fence':
+        void this._fence(action);
+        return;
+      case 'poll-peer':
+        void this._pollPeer(action);
+        return;
+      case 'job-step':
+        this._logStep(action);
+        return;
+      case 'ticket-adopted':
+        this._options.log.info('ticket in force', {
+          ticket: action.ticket.number,
+          author: action.ticket.author,
+          afterMs: Math.round(now() - action.ticket.atMs),
+        });
+        return;
+      case 'stand-down':
+        this._replaceCore(action.reason);
+        return;
+      case 'stopped':
+        this._options.onStopped();
+    }
+  }
+
+  private _onReply(replyId: number, reply: Reply): void {
+    const caller = this._callers.get(replyId);
+    if (!caller) {
+      return;
+    }
+    this._callers.delete(replyId);
+    if (reply.kind === 'forward') {
+      void this._forward(reply).then(caller.resolve);
+      return;
+    }
+    const code = reply.kind === 'error' ? reply.error.code : '';
+    this.metrics.replies.inc({ kind: caller.kind, code });
+    this.metrics.replyMs.observe(
+      { kind: caller.kind },
+      now() - caller.startedAtMs,
+    );
+    caller.resolve(reply);
+  }
+
+  private async _forward(
+    reply: Extract<Reply, { kind: 'forward' }>,
+  ): Promise<Reply> {
+    const { address, job, waitMs, cancel } = reply;
+    const answer = await this._peers.call(
+      address,
+      waitMs + FORWARD_SLACK_MS,
+      (client, options) => client.job({ job, waitMs, cancel }, options),
+    );
+    if (answer) {
+      return { kind: 'job', status: JSON.parse(answer.status) as JobStatus };
+    }
+    return {
+      kind: 'error',
+      error: {
+        code: ErrorCode.Unavailable,
+        detail: `The entry that runs job "${job}" does not answer now.`,
+        runState: RunState.MAY_HAVE_RUN,
+        retryAfterMs: RETRY_AFTER_MS,
+      },
+    };
+  }
+
+  private async _callStore(action: Action<'store'>): Promise<void> {
+    const generation = this._generation;
+    const reply = await this._store.call(action.req);
+    if (generation === this._generation) {
+      this.dispatch({ kind: 'store-reply', opId: action.opId, reply });
+    }
+  }
+
+  private _send(action: Action<'send'>): void {
+    const { starts, cancels, released, open, returned } = action.msg;
+    this.metrics.starts.inc(starts.length);
+    if (cancels.length > 0) {
+      this.metrics.wasted.inc({ kind: 'cancel' }, cancels.length);
+    }
+    if (!open && !returned && starts.length + released.length === 0) {
+      this.metrics.wasted.inc({ kind: 'heartbeat' });
+    }
+    this._links.send(action.linkId, action.msg);
+  }
+
+  private async _fence(action: Action<'fence'>): Promise<void> {
+    const generation = this._generation;
+    const { callId, address, req } = action;
+    const rpc = connectRunner({ address, tls: this._tls });
+    const reply = await rpc.client
+      .fence(req, { timeoutMs: FENCE_TIMEOUT_MS })
+      .catch(() => undefined);
+    rpc.close();
+    if (generation === this._generation) {
+      this.dispatch({ kind: 'fence-reply', callId, reply });
+    }
+  }
+
+  private async _pollPeer(action: Action<'poll-peer'>): Promise<void> {
+    const generation = this._generation;
+    const { callId, address, req } = action;
+    const reply = await this._peers.call(
+      address,
+      POLL_TIMEOUT_MS,
+      (client, options) => client.poll(req, options),
+    );
+    if (generation === this._generation) {
+      this.dispatch({ kind: 'poll-reply', callId, reply });
+    }
+  }
+
+  private _logStep(action: Action<'job-step'>): void {
+    const { step, job, detail } = action;
+    this.metrics.jobSteps.inc({ step });
+    if (step === JobStep.Refused) {
+      this.metrics.wasted.inc({ kind: 'refused-start' });
+    }
+    this._options.log.info(`job ${step}`, { job, detail });
+  }
+
+  private _replaceCore(reason: string): void {
+    this._options.log.warn('standing down', { reason });
+    this._links.closeAll();
+    this._generation += 1;
+    this._core = this._createCore();
+  }
+
+  private _updateGauges(): void {
+    this.metrics.waiting.set(this._core.waiting);
+    this.metrics.openJobs.set(this._core.openJobs);
+    this.metrics.configVersion.set(this._core.config.version);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/process/main.ts
@@ -0,0 +1,108 @@
+import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import { formatProblem, parseSettings } from '@sapphiremux/settings';
+import type { Settings } from '@sapphiremux/settings';
+import { createLogger } from './logger.js';
+import type { Log } from './logger.js';
+import type { RunningRole } from './run-entry.js';
+
+/** Exit codes of the daemon. */
+export enum ExitCode {
+  Ok = 0,
+  Failed = 1,
+  BadSettings = 2,
+}
+
+const USAGE = `Usage: sapphiremuxd --config FILE    run the role of the settings file
+       sapphiremuxd --check FILE     check a settings file and exit
+
+Exit codes: 0 stopped as planned, 1 failed, 2 bad settings or arguments.
+`;
+
+/**
+ * Runs the daemon; sets the exit code of the process.
+ *
+ * @param args - Arguments of the command line.
+ */
+export const main = async (args: readonly string[]): Promise<void> => {
+  const options = parseOptions(args);
+  if (!options) {
+    process.stderr.write(USAGE);
+    process.exitCode = ExitCode.BadSettings;
+    return;
+  }
+  const settings = readSettings(options.file);
+  if (!settings) {
+    process.exitCode = ExitCode.BadSettings;
+    return;
+  }
+  if (options.check) {
+    process.stdout.write(`${options.file}: settings are valid\n`);
+    return;
+  }
+  const log = createLogger({ ...settings.log, name: settings.id });
+  const role = await start(settings, log);
+  const stop = (): void => {
+    log.info('planned stop');
+    role.stop();
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+};
+
+interface Options {
+  readonly file: string;
+  readonly check: boolean;
+}
+
+const parseOptions = (args: readonly string[]): Options | undefined => {
+  try {
+    const { values } = parseArgs({
+      args: [...args],
+      options: { config: { type: 'string' }, check: { type: 'string' } },
+    });
+    const file = values.check ?? values.config;
+    return file === undefined
+      ? undefined
+      : { file, check: values.check !== undefined };
+  } catch (err) {
+    process.stderr.write(`${(err as Error).message}\n`);
+    return undefined;
+  }
+};
+
+const readSettings = (file: string): Settings | undefined => {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (err) {
+    process.stderr.write(`${file}: ${(err as Error).message}\n`);
+    return undefined;
+  }
+  const parsed = parseSettings(file, text);
+  if (parsed.isOk()) {
+    return parsed.value;
+  }
+  for (const problem of parsed.error) {
+    process.stderr.write(`${formatProblem(problem)}\n`);
+  }
+  return undefined;
+};
+
+const start = async (settings: Settings, log: Log): Promise<RunningRole> => {
+  const onEnd = (): void => {
+    log.info('stopped');
+    process.exit(ExitCode.Ok);
+  };
+  // A role loads only what it needs: a runner must stay small.
+  switch (settings.role) {
+    case 'entry': {
+      const { runEntry } = await import('./run-entry.js');
+      return runEntry(settings, log, onEnd);
+    }
+    case 'runner': {
+      const { runRunner } = await import('./run-runner.js');
+      return runRunner(settings, log, onEnd);
+    }
+  }
+};
--- /dev/null
+++ b/packages/daemon/src/lib/process/metrics.ts
@@ -0,0 +1,113 @@
+import {
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+  collectDefaultMetrics,
+} from 'prom-client';
+
+const RUN_BUCKETS_MS = [
+  1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000,
+];
+
+/** Creates the metrics that every process has. */
+export const createRegistry = (): Registry => {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  return registry;
+};
+
+/** Metrics of an entry. */
+export class EntryMetrics {
+  readonly registry = createRegistry();
+  readonly storeCalls = new Counter({
+    name: 'sapphiremux_store_calls_total',
+    help: 'Calls to the platform store.',
+    labelNames: ['kind', 'outcome'] as const,
+    registers: [this.registry],
+  });
+  readonly jobSteps = new Counter({
+    name: 'sapphiremux_job_steps_total',
+    help: 'Steps in the life of jobs.',
+    labelNames: ['step'] as const,
+    registers: [this.registry],
+  });
+  readonly replies = new Counter({
+    name: 'sapphiremux_replies_total',
+    help: 'Answers to callers by kind and error code.',
+    labelNames: ['kind', 'code'] as const,
+    registers: [this.registry],
+  });
+  readonly replyMs = new Histogram({
+    name: 'sapphiremux_reply_milliseconds',
+    help: 'Time from a call to its answer.',
+    labelNames: ['kind'] as const,
+    buckets: RUN_BUCKETS_MS,
+    registers: [this.registry],
+  });
+  readonly starts = new Counter({
+    name: 'sapphiremux_task_starts_total',
+    help: 'Task starts sent to runners, resends included.',
+    registers: [this.registry],
+  });
+  readonly wasted = new Counter({
+    name: 'sapphiremux_wasted_messages_total',
+    help: 'Messages that moved no task on, by kind.',
+    labelNames: ['kind'] as const,
+    registers: [this.registry],
+  });
+  readonly waiting = new Gauge({
+    name: 'sapphiremux_waiting_tasks',
+    help: 'Tasks that wait to be placed.',
+    registers: [this.registry],
+  });
+  readonly openJobs = new Gauge({
+    name: 'sapphiremux_open_jobs',
+    help: 'Jobs without a recorded outcome.',
+    registers: [this.registry],
+  });
+  readonly configVersion = new Gauge({
+    name: 'sapphiremux_config_version',
+    help: 'Number of the last ticket in force.',
+    registers: [this.registry],
+  });
+}
+
+/** Metrics of a runner. */
+export class RunnerMetrics {
+  readonly registry = createRegistry();
+  readonly storeCalls = new Counter({
+    name: 'sapphiremux_store_calls_total',
+    help: 'Calls to the platform store.',
+    labelNames: ['kind', 'outcome'] as const,
+    registers: [this.registry],
+  });
+  readonly calls = new Counter({
+    name: 'sapphiremux_endpoint_calls_total',
+    help: 'Calls to the endpoint by how they ended.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+  readonly callMs = new Histogram({
+    name: 'sapphiremux_endpoint_call_milliseconds',
+    help: 'Time of a call to the endpoint.',
+    buckets: RUN_BUCKETS_MS,
+    registers: [this.registry],
+  });
+  readonly refusals = new Counter({
+    name: 'sapphiremux_refused_starts_total',
+    help: 'Starts refused as not run, by reason.',
+    labelNames: ['reason'] as const,
+    registers: [this.registry],
+  });
+  readonly running = new Gauge({
+    name: 'sapphiremux_running_calls',
+    help: 'Calls that the endpoint has not answered.',
+    registers: [this.registry],
+  });
+  readonly configVersion = new Gauge({
+    name: 'sapphiremux_config_version',
+    help: 'Number of the last ticket in force.',
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/lib/process/run-entry.ts
@@ -0,0 +1,50 @@
+import { randomBytes } from 'node:crypto';
+import type { EntrySettings } from '@sapphiremux/settings';
+import { startHttpServer } from '../request/http-server.js';
+import { EntryHost } from './entry-host.js';
+import type { Log } from './logger.js';
+
+const INCARNATION_BYTES = 6;
+
+/** A running role. */
+export interface RunningRole {
+  /** Starts a planned stop; the process ends when all work has ended. */
+  stop(): void;
+}
+
+/**
+ * Runs an entry until its planned stop has ended.
+ *
+ * @param settings - Checked settings.
+ * @param log - The log of the process.
+ * @param onEnd - Called when everything is closed.
+ * @returns The running entry.
+ */
+export const runEntry = async (
+  settings: EntrySettings,
+  log: Log,
+  onEnd: () => void,
+): Promise<RunningRole> => {
+  const host = new EntryHost({
+    settings,
+    newIncarnation: () =>
+      `${settings.id}-${randomBytes(INCARNATION_BYTES).toString('hex')}`,
+    log,
+    onStopped: () => {
+      void close();
+    },
+  });
+  await host.start();
+  const http = await startHttpServer(host, log);
+  log.info('entry started', { id: settings.id, http: settings.http.port });
+  const close = async (): Promise<void> => {
+    await http.close();
+    await host.close();
+    onEnd();
+  };
+  return {
+    stop: () => {
+      host.dispatch({ kind: 'stop' });
+    },
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/lib/process/run-runner.ts
@@ -0,0 +1,45 @@
+import { randomBytes } from 'node:crypto';
+import type { RunnerSettings } from '@sapphiremux/settings';
+import { startLocalServer } from './local-server.js';
+import type { Log } from './logger.js';
+import type { RunningRole } from './run-entry.js';
+import { RunnerHost } from './runner-host.js';
+
+const INCARNATION_BYTES = 6;
+
+/**
+ * Runs a runner until its planned stop has ended.
+ *
+ * @param settings - Checked settings.
+ * @param log - The log of the process.
+ * @param onEnd - Called when everything is closed.
+ * @returns The running runner.
+ */
+export const runRunner = async (
+  settings: RunnerSettings,
+  log: Log,
+  onEnd: () => void,
+): Promise<RunningRole> => {
+  const host = new RunnerHost({
+    settings,
+    incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+    log,
+    onStopped: () => {
+      void close();
+    },
+  });
+  await host.start();
+  const { port } = settings.local;
+  const local = await startLocalServer({ host, port });
+  log.info('runner started', { id: settings.id, local: port });
+  const close = async (): Promise<void> => {
+    await local.close();
+    await host.close();
+    onEnd();
+  };
+  return {
+    stop: () => {
+      host.dispatch({ kind: 'stop' });
+    },
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/lib/request/jobs.controller.ts
@@ -0,0 +1,103 @@
+import { createHash } from 'node:crypto';
+import {
+  Body,
+  Controller,
+  Get,
+  Inject,
+  Param,
+  Post,
+  Query,
+  Res,
+} from '@nestjs/common';
+import type { JobSpec } from '@sapphiremux/core';
+import type { FastifyReply } from 'fastify';
+import type { z } from 'zod';
+import { now } from '../process/clock.js';
+import { EntryHost } from '../process/entry-host.js';
+import { sendReply } from './answers.js';
+import { callerSignal } from './caller-signal.js';
+import { jobSchema, waitSchema } from './schemas.js';
+import { validate } from './validate.js';
+
+/** Submission, status and cancellation of jobs. */
+@Controller('v1/jobs')
+export class JobsController {
+  private readonly _host: EntryHost;
+
+  constructor(@Inject(EntryHost) host: EntryHost) {
+    this._host = host;
+  }
+
+  /** Accepts a job, or attaches to the one with the same id. */
+  @Post()
+  async submit(@Body() body: unknown, @Res() res: FastifyReply): Promise<void> {
+    const spec = toSpec(validate(jobSchema, body));
+    const reply = await this._host.ask((replyId) => ({
+      kind: 'submit',
+      replyId,
+      spec,
+    }));
+    await sendReply(res, reply);
+  }
+
+  /** Answers with the state of a job, after a wait for its outcome. */
+  @Get(':id')
+  async status(
+    @Param('id') id: string,
+    @Query() query: unknown,
+    @Res() res: FastifyReply,
+  ): Promise<void> {
+    const { wait } = validate(waitSchema, query);
+    await this._ask(id, wait, false, res);
+  }
+
+  /** Gives a job up. */
+  @Post(':id/cancel')
+  async cancel(
+    @Param('id') id: string,
+    @Query() query: unknown,
+    @Res() res: FastifyReply,
+  ): Promise<void> {
+    const { wait } = validate(waitSchema, query);
+    await this._ask(id, wait, true, res);
+  }
+
+  private async _ask(
+    job: string,
+    wait: number,
+    cancel: boolean,
+    res: FastifyReply,
+  ): Promise<void> {
+    const waitMs = Math.min(wait, this._host.settings.http.max_wait);
+    const reply = await this._host.ask(
+      (replyId) => ({
+        kind: 'ask',
+        replyId,
+        job,
+        waitMs,
+        cancel,
+        forward: true,
+      }),
+      callerSignal(res),
+    );
+    await sendReply(res, reply);
+  }
+}
+
+const toSpec = (body: z.output<typeof jobSchema>): JobSpec => {
+  const { firstAttempt, ...content } = body;
+  const digest = createHash('sha256')
+    .update(JSON.stringify(content))
+    .digest('base64url');
+  return {
+    ...content,
+    firstAttempt,
+    digest,
+    deadlineMs: now() + body.deadlineMs,
+    tasks: body.tasks.map(({ endpoint, payload, needs }) => ({
+      endpoint,
+      payload: JSON.stringify(payload ?? null),
+      needs,
+    })),
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/lib/request/problem.filter.ts
@@ -0,0 +1,44 @@
+import { Catch, HttpException } from '@nestjs/common';
+import type { ArgumentsHost, ExceptionFilter } from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+import type { Log } from '../process/logger.js';
+import { sendProblem } from './answers.js';
+import { RunStateName } from './problem.js';
+
+const HTTP_INTERNAL_ERROR = 500;
+const FIRST_SERVER_ERROR = 500;
+
+interface ErrorWithStatus extends Error {
+  readonly statusCode?: number;
+}
+
+/** Answers everything that is thrown on the way with problem details. */
+@Catch()
+export class ProblemFilter implements ExceptionFilter {
+  private readonly _log: Log;
+
+  /** @param log - Receives faults of this process. */
+  constructor(log: Log) {
+    this._log = log;
+  }
+
+  catch(err: ErrorWithStatus, host: ArgumentsHost): void {
+    const res = host.switchToHttp().getResponse<FastifyReply>();
+    const status =
+      err instanceof HttpException
+        ? err.getStatus()
+        : (err.statusCode ?? HTTP_INTERNAL_ERROR);
+    const isFault = status >= FIRST_SERVER_ERROR;
+    if (isFault) {
+      this._log.error('call failed', { detail: err.message });
+    }
+    void sendProblem(res, {
+      type: 'urn:sapphiremux:problem:request',
+      title: isFault ? 'Internal error' : 'The request is not accepted',
+      status,
+      detail: err.message,
+      // What is rejected before it reaches the decisions has started nothing.
+      runState: isFault ? RunStateName.MayHaveRun : RunStateName.NotRun,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/request/problem.ts
@@ -0,0 +1,72 @@
+import { ErrorCode, RunState } from '@sapphiremux/core';
+import type { CallerError } from '@sapphiremux/core';
+
+/** What a caller may conclude, in the words of the HTTP interface. */
+export enum RunStateName {
+  NotRun = 'not-run',
+  MayHaveRun = 'may-have-run',
+  Ran = 'ran',
+}
+
+/** Problem details (RFC 9457) with what the caller may conclude. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly runState: RunStateName;
+  readonly retryAfterMs?: number;
+}
+
+const STATUS_OF: Readonly<Record<ErrorCode, number>> = {
+  [ErrorCode.Invalid]: 422,
+  [ErrorCode.Conflict]: 409,
+  [ErrorCode.NotFound]: 404,
+  [ErrorCode.OverQuota]: 429,
+  [ErrorCode.Unavailable]: 503,
+  [ErrorCode.Pending]: 503,
+  [ErrorCode.Deadline]: 504,
+  [ErrorCode.Lost]: 502,
+};
+
+const TITLE_OF: Readonly<Record<ErrorCode, string>> = {
+  [ErrorCode.Invalid]: 'The request can never succeed as it is',
+  [ErrorCode.Conflict]: 'The id or number is in use',
+  [ErrorCode.NotFound]: 'No such job',
+  [ErrorCode.OverQuota]: 'The desk is over its quota',
+  [ErrorCode.Unavailable]: 'Not available now',
+  [ErrorCode.Pending]: 'Not confirmed by the store yet',
+  [ErrorCode.Deadline]: 'The deadline passed',
+  [ErrorCode.Lost]: 'The result is lost',
+};
+
+/**
+ * @param state - What is known of a task.
+ * @returns The word for it in answers; anything unproved may have run.
+ */
+export const runStateName = (state: RunState): RunStateName => {
+  switch (state) {
+    case RunState.NOT_RUN:
+      return RunStateName.NotRun;
+    case RunState.RAN:
+      return RunStateName.Ran;
+    case RunState.MAY_HAVE_RUN:
+    case RunState.UNSPECIFIED:
+      return RunStateName.MayHaveRun;
+  }
+};
+
+/**
+ * @param error - A refusal or failure.
+ * @returns The problem details to answer with.
+ */
+export const toProblem = (error: CallerError): Problem => ({
+  type: `urn:sapphiremux:problem:${error.code}`,
+  title: TITLE_OF[error.code],
+  status: STATUS_OF[error.code],
+  detail: error.detail,
+  runState: runStateName(error.runState),
+  ...(error.retryAfterMs === undefined
+    ? {}
+    : { retryAfterMs: error.retryAfterMs }),
+});
--- /dev/null
+++ b/packages/daemon/src/lib/request/requests.controller.ts
@@ -0,0 +1,41 @@
+import { Body, Controller, Inject, Post, Res } from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+import { now } from '../process/clock.js';
+import { EntryHost } from '../process/entry-host.js';
+import { sendReply } from './answers.js';
+import { callerSignal } from './caller-signal.js';
+import { requestSchema } from './schemas.js';
+import { validate } from './validate.js';
+
+/** Single calls through to an endpoint. */
+@Controller('v1/requests')
+export class RequestsController {
+  private readonly _host: EntryHost;
+
+  constructor(@Inject(EntryHost) host: EntryHost) {
+    this._host = host;
+  }
+
+  /** Runs one request and answers with the endpoint's whole answer. */
+  @Post()
+  async request(
+    @Body() body: unknown,
+    @Res() res: FastifyReply,
+  ): Promise<void> {
+    const { payload, deadlineMs, ...rest } = validate(requestSchema, body);
+    const reply = await this._host.ask(
+      (replyId) => ({
+        kind: 'request',
+        replyId,
+        request: {
+          ...rest,
+          payload: JSON.stringify(payload ?? null),
+          contentType: 'application/json',
+          deadlineMs: now() + deadlineMs,
+        },
+      }),
+      callerSignal(res),
+    );
+    await sendReply(res, reply);
+  }
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,5 @@
+/** Settings of the daemon: TOML, checked key by key. */
+export { formatProblem, parseSettings } from './lib/load.js';
+export type { SettingsProblem } from './lib/load.js';
+export { entrySchema, runnerSchema, settingsSchema } from './lib/schema.js';
+export type { EntrySettings, RunnerSettings, Settings } from './lib/schema.js';
--- /dev/null
+++ b/packages/settings/src/lib/schema.ts
@@ -0,0 +1,147 @@
+import { z } from 'zod';
+import { durationMs, sizeBytes } from './units.js';
+
+const name = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9.-]{0,62}$/,
+    'expected a name of lower-case letters, digits, dots and dashes',
+  );
+
+const port = z.int().min(1).max(65535);
+
+const log = z
+  .strictObject({
+    level: z
+      .enum(['debug', 'info', 'warn', 'error'])
+      .default('info')
+      .describe('Least level that is written.'),
+    format: z
+      .enum(['json', 'pretty'])
+      .default('json')
+      .describe('One JSON object a line, or text for people.'),
+  })
+  .prefault({});
+
+const store = z.strictObject({
+  url: z.url().describe('Where the table service of the platform listens.'),
+  timeout: durationMs
+    .prefault('1s')
+    .describe('Longest wait for an answer of the store.'),
+  writes_per_second: z
+    .int()
+    .positive()
+    .default(40)
+    .describe('Most transactions a second of this process.'),
+});
+
+const listen = z.strictObject({
+  host: z.string().describe('Address at which other processes reach this one.'),
+  port: port.describe('Port for the other processes of the system.'),
+});
+
+const tls = z
+  .strictObject({
+    cert: z.string().describe('File with the certificate chain in PEM.'),
+    key: z.string().describe('File with the private key in PEM.'),
+    ca: z.string().describe('File with the trusted certificates in PEM.'),
+  })
+  .optional()
+  .describe('Certificates for all connections; absent means no encryption.');
+
+const common = {
+  id: name.describe('Name of this process, unique in its role.'),
+  data_centre: name.describe('Data centre in which this process runs.'),
+  listen,
+  store,
+  log,
+  tls,
+};
+
+/** Settings of the entry role. */
+export const entrySchema = z.strictObject({
+  role: z.literal('entry').describe('What this process does.'),
+  ...common,
+  http: z.strictObject({
+    host: z.string().default('127.0.0.1').describe('Address for callers.'),
+    port: port.describe('Port for callers, operators, metrics and health.'),
+    max_body: sizeBytes
+      .prefault('4MiB')
+      .describe('Largest body of a call that is read.'),
+    max_wait: durationMs
+      .prefault('60s')
+      .describe('Longest time that a caller may wait in one call.'),
+  }),
+  limits: z
+    .strictObject({
+      freshness: durationMs
+        .prefault('4s')
+        .describe(
+          'Longest time without confirmation of the configuration in which tasks still start.',
+        ),
+      member_lease: durationMs
+        .prefault('6s')
+        .describe('Silence after which an entry is replaced.'),
+      link_silence: durationMs
+        .prefault('3s')
+        .describe('Silence after which a connection to a runner is replaced.'),
+      runner_lost: durationMs
+        .prefault('10s')
+        .describe('Silence after which a runner counts as lost.'),
+      claim_timeout: durationMs
+        .prefault('2s')
+        .describe('Longest time that a submission waits for the store.'),
+      routine_share: z
+        .number()
+        .min(0)
+        .max(1)
+        .default(0.1)
+        .describe('Least share of the placements that routine work gets.'),
+    })
+    .prefault({}),
+});
+
+/** Settings of the runner role. */
+export const runnerSchema = z.strictObject({
+  role: z.literal('runner').describe('What this process does.'),
+  ...common,
+  local: z.strictObject({
+    port: port.describe(
+      'Port on the local host for announcements, metrics and health.',
+    ),
+  }),
+  limits: z
+    .strictObject({
+      freshness: durationMs
+        .prefault('4s')
+        .describe(
+          'Longest time without confirmation of the configuration in which tasks still start.',
+        ),
+      announcement_lease: durationMs
+        .prefault('3s')
+        .describe('Time after which an announcement lapses.'),
+      prefetch: z
+        .int()
+        .min(0)
+        .max(64)
+        .default(1)
+        .describe('Starts accepted above the slots while work waits.'),
+      retention: durationMs
+        .prefault('1h')
+        .describe('How long a result that nobody released is kept.'),
+    })
+    .prefault({}),
+});
+
+/** Settings of either role. */
+export const settingsSchema = z.discriminatedUnion('role', [
+  entrySchema,
+  runnerSchema,
+]);
+
+/** Checked settings of an entry. */
+export type EntrySettings = z.infer<typeof entrySchema>;
+/** Checked settings of a runner. */
+export type RunnerSettings = z.infer<typeof runnerSchema>;
+/** Checked settings of a process. */
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/settings/src/lib/units.ts
@@ -0,0 +1,46 @@
+import { z } from 'zod';
+
+const MS_OF_UNIT: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const DURATION = /^(\d+(?:\.\d+)?)(ms|s|m|h)$/;
+
+/** A duration with its unit, such as `"500ms"`; gives milliseconds. */
+export const durationMs = z.string().transform((text, ctx) => {
+  const match = DURATION.exec(text);
+  const unitMs = MS_OF_UNIT[match?.[2] ?? ''];
+  if (!match || unitMs === undefined) {
+    ctx.addIssue({
+      code: 'custom',
+      message: 'expected a duration with a unit, such as "500ms", "2s" or "1h"',
+    });
+    return z.NEVER;
+  }
+  return Number(match[1]) * unitMs;
+});
+
+const BYTES_OF_UNIT: Readonly<Record<string, number>> = {
+  B: 1,
+  KiB: 1024,
+  MiB: 1024 * 1024,
+};
+
+const SIZE = /^(\d+)(B|KiB|MiB)$/;
+
+/** A size with its unit, such as `"4MiB"`; gives bytes. */
+export const sizeBytes = z.string().transform((text, ctx) => {
+  const match = SIZE.exec(text);
+  const unitBytes = BYTES_OF_UNIT[match?.[2] ?? ''];
+  if (!match || unitBytes === undefined) {
+    ctx.addIssue({
+      code: 'custom',
+      message: 'expected a size with a unit, such as "64KiB" or "4MiB"',
+    });
+    return z.NEVER;
+  }
+  return Number(match[1]) * unitBytes;
+});
--- /dev/null
+++ b/packages/standins/src/bin/demo.ts
@@ -0,0 +1,99 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { parseArgs } from 'node:util';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { runCli } from '../lib/cli.js';
+import { Estate } from '../lib/estate.js';
+
+const TASK_COUNT = 200;
+const MIN_TASK_MS = 50;
+const MAX_TASK_MS = 1000;
+const KILL_AFTER_MS = 1500;
+const SEED = 7;
+
+const TICKET = `
+author = "demo"
+reason = "declare the estate"
+
+[[changes]]
+subject = "data-centre/north"
+setting = { kind = "data-centre", inService = true }
+
+[[changes]]
+subject = "data-centre/south"
+setting = { kind = "data-centre", inService = true }
+
+[[changes]]
+subject = "endpoint/levy"
+setting = { kind = "endpoint", inService = true, dataCentres = ["north", "south"] }
+
+[[changes]]
+subject = "desk/dakar"
+setting = { kind = "desk", ratePerSecond = 1000, burst = 2000 }
+`;
+
+const { values } = parseArgs({
+  options: { 'kill-runner': { type: 'boolean', default: false } },
+});
+
+const log = (text: string): void => {
+  process.stderr.write(`${text}\n`);
+};
+
+const jobText = (): string => {
+  const random = xoroshiro128plus(SEED);
+  const tasks = Array.from({ length: TASK_COUNT }, (_, index) => {
+    const ms = uniformInt(random, MIN_TASK_MS, MAX_TASK_MS);
+    return { endpoint: 'levy', payload: { index, ms } };
+  });
+  return JSON.stringify({
+    id: 'demo-job',
+    desk: 'dakar',
+    priority: 'urgent',
+    deadlineMs: 60_000,
+    firstAttempt: true,
+    tasks,
+  });
+};
+
+const run = async (estate: Estate, dir: string): Promise<number> => {
+  const ticketFile = join(dir, 'ticket.toml');
+  const jobFile = join(dir, 'job.json');
+  await writeFile(ticketFile, TICKET);
+  await writeFile(jobFile, jobText());
+  log('applying the first ticket');
+  const ticket = await runCli(['ticket', 'apply', ticketFile], estate.urls);
+  log(ticket.stdout + ticket.stderr);
+  log(`submitting a job of ${String(TASK_COUNT)} tasks`);
+  const submitted = runCli(['submit', jobFile, '--wait'], estate.urls);
+  if (values['kill-runner']) {
+    await sleep(KILL_AFTER_MS);
+    log('killing one runner');
+    estate.runners[0]?.child.kill('SIGKILL');
+  }
+  const { code, stdout, stderr } = await submitted;
+  process.stdout.write(stdout);
+  log(stderr);
+  const starts = await estate.account();
+  const doubled = [...starts.values()].filter((count) => count > 1).length;
+  log(
+    `tasks started: ${String(starts.size)}, started twice: ${String(doubled)}`,
+  );
+  if (doubled > 0) {
+    return 1;
+  }
+  return values['kill-runner'] ? 0 : code;
+};
+
+log('starting the store, 2 entries, 3 runners and 3 endpoints');
+const estate = await Estate.start();
+const dir = await mkdtemp(join(tmpdir(), 'sapphiremux-demo-'));
+try {
+  process.exitCode = await run(estate, dir);
+} finally {
+  await estate.close();
+  await rm(dir, { recursive: true });
+}
--- /dev/null
+++ b/packages/standins/src/lib/estate.ts
@@ -0,0 +1,294 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtemp, open, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { freePorts } from './free-ports.js';
+import type { StoreFaults } from './store-server.js';
+
+/** Options of {@link Estate.start}. */
+export interface EstateOptions {
+  /** Number of entries. */
+  readonly entries?: number;
+  /** Data centre of each runner, in order. */
+  readonly runners?: readonly string[];
+  /** Name of the endpoint beside each runner. */
+  readonly endpoint?: string;
+  /** Passed to the daemons' Node.js. */
+  readonly nodeFlags?: readonly string[];
+  /** Lease of the entries, such as "2s". */
+  readonly memberLease?: string;
+}
+
+/** A process of the estate. */
+export interface EstateProcess {
+  readonly name: string;
+  readonly child: ChildProcess;
+  /** Port for callers, announcements or calls, by role. */
+  readonly port: number;
+}
+
+/** A runner with its endpoint. */
+export interface EstateRunner extends EstateProcess {
+  readonly dataCentre: string;
+  readonly endpoint: EstateProcess;
+}
+
+const READY_TIMEOUT_MS = 20_000;
+const READY_POLL_MS = 50;
+const ENTRY_FLAGS = ['--max-semi-space-size=1'];
+
+const binOf = (name: string): string =>
+  fileURLToPath(new URL(`../bin/${name}.js`, import.meta.url));
+
+const DAEMON = fileURLToPath(
+  new URL('../../../daemon/dist/bin/sapphiremuxd.js', import.meta.url),
+);
+
+/**
+ * A small estate of real processes on the local host: the store, entries,
+ * runners and endpoints.
+ */
+export class Estate {
+  readonly entries: EstateProcess[] = [];
+  readonly runners: EstateRunner[] = [];
+  private readonly _options: EstateOptions;
+  private readonly _dir: string;
+  private readonly _storePort: number;
+  private _nextEntry = 1;
+  private _nextRunner = 1;
+  private readonly _processes: ChildProcess[] = [];
+
+  private constructor(options: EstateOptions, dir: string, storePort: number) {
+    this._options = options;
+    this._dir = dir;
+    this._storePort = storePort;
+  }
+
+  /**
+   * @param options - Sizes.
+   * @returns The estate, once every process is ready.
+   */
+  static async start(options: EstateOptions = {}): Promise<Estate> {
+    const dir = await mkdtemp(join(tmpdir(), 'sapphiremux-'));
+    const [storePort = 0] = await freePorts(1);
+    const estate = new Estate(options, dir, storePort);
+    try {
+      await estate._start();
+    } catch (err) {
+      await estate.close();
+      throw err;
+    }
+    return estate;
+  }
+
+  /** Addresses of the entries for callers. */
+  get urls(): string[] {
+    return this.entries.map((e) => `http://127.0.0.1:${String(e.port)}`);
+  }
+
+  /** @param faults - Faults of the store; what is left out is off. */
+  async setStoreFaults(faults: Partial<StoreFaults>): Promise<void> {
+    await call(this._storePort, 'PUT', '/faults', faults);
+  }
+
+  /** @returns How often each task was started, over all endpoints. */
+  async account(): Promise<Map<string, number>> {
+    const total = new Map<string, number>();
+    for (const { endpoint } of this.runners) {
+      const starts = await readAccount(endpoint.port);
+      for (const [key, count] of Object.entries(starts)) {
+        total.set(key, (total.get(key) ?? 0) + count);
+      }
+    }
+    return total;
+  }
+
+  /** Starts one more entry. */
+  async addEntry(): Promise<EstateProcess> {
+    const name = `entry-${String(this._nextEntry++)}`;
+    const [listenPort = 0, httpPort = 0] = await freePorts(2);
+    const lease = this._options.memberLease;
+    const text = [
+      'role = "entry"',
+      `id = "${name}"`,
+      'data_centre = "north"',
+      ...this._commonSettings(listenPort),
+      '[http]',
+      `port = ${String(httpPort)}`,
+      ...(lease ? ['[limits]', `member_lease = "${lease}"`] : []),
+    ];
+    const child = await this._daemon(name, text);
+    const entry = { name, child, port: httpPort };
+    this.entries.push(entry);
+    await waitReady(httpPort);
+    return entry;
+  }
+
+  /**
+   * Starts one more runner with its endpoint.
+   *
+   * @param dataCentre - Where they are.
+   */
+  async addRunner(dataCentre: string): Promise<EstateRunner> {
+    const name = `runner-${String(this._nextRunner++)}`;
+    const [listenPort = 0, localPort = 0, endpointPort = 0] =
+      await freePorts(3);
+    const text = [
+      'role = "runner"',
+      `id = "${name}"`,
+      `data_centre = "${dataCentre}"`,
+      ...this._commonSettings(listenPort),
+      '[local]',
+      `port = ${String(localPort)}`,
+    ];
+    const child = await this._daemon(name, text);
+    const endpoint = await this._endpoint(name, endpointPort, localPort);
+    const runner = { name, child, port: localPort, dataCentre, endpoint };
+    this.runners.push(runner);
+    await waitReady(localPort);
+    return runner;
+  }
+
+  /** Ends every process of the estate at once. */
+  async close(): Promise<void> {
+    await Promise.all(this._processes.map(endProcess));
+    if (!process.env.SAPPHIREMUX_KEEP_LOGS) {
+      await rm(this._dir, { recursive: true });
+    }
+  }
+
+  /**
+   * @param name - Name of a process.
+   * @returns The file with its log.
+   */
+  logFile(name: string): string {
+    return join(this._dir, `${name}.log`);
+  }
+
+  private async _start(): Promise<void> {
+    const port = String(this._storePort);
+    await this._spawn('store', [binOf('store'), '--port', port]);
+    await waitUntil(async () => {
+      await call(this._storePort, 'GET', '/counts');
+      return true;
+    });
+    const { entries = 2, runners = ['north', 'north', 'south'] } =
+      this._options;
+    await Promise.all(Array.from({ length: entries }, () => this.addEntry()));
+    await Promise.all(runners.map((dc) => this.addRunner(dc)));
+  }
+
+  private _commonSettings(listenPort: number): string[] {
+    return [
+      '[listen]',
+      'host = "127.0.0.1"',
+      `port = ${String(listenPort)}`,
+      '[store]',
+      `url = "http://127.0.0.1:${String(this._storePort)}"`,
+    ];
+  }
+
+  private async _daemon(name: string, text: string[]): Promise<ChildProcess> {
+    const file = join(this._dir, `${name}.toml`);
+    await writeFile(file, text.join('\n'));
+    const flags = this._options.nodeFlags ?? ENTRY_FLAGS;
+    return this._spawn(name, [...flags, DAEMON, '--config', file]);
+  }
+
+  private async _endpoint(
+    runner: string,
+    port: number,
+    runnerPort: number,
+  ): Promise<EstateProcess> {
+    const name = `endpoint-of-${runner}`;
+    const child = await this._spawn(name, [
+      binOf('endpoint'),
+      ...['--name', this._options.endpoint ?? 'levy'],
+      ...['--port', String(port)],
+      ...['--runner-port', String(runnerPort)],
+    ]);
+    return { name, child, port };
+  }
+
+  private async _spawn(name: string, args: string[]): Promise<ChildProcess> {
+    const log = await open(this.logFile(name), 'a');
+    const child = spawn(process.execPath, args, {
+      stdio: ['ignore', log.fd, log.fd],
+    });
+    await log.close();
+    this._processes.push(child);
+    return child;
+  }
+}
+
+/**
+ * @param condition - Checked until it holds; an error counts as not yet.
+ * @param timeoutMs - When to give up.
+ */
+export const waitUntil = async (
+  condition: () => Promise<boolean>,
+  timeoutMs = READY_TIMEOUT_MS,
+): Promise<void> => {
+  const untilMs = performance.now() + timeoutMs;
+  for (;;) {
+    const holds = await condition().catch(() => false);
+    if (holds) {
+      return;
+    }
+    if (performance.now() > untilMs) {
+      throw new Error(`Not reached within ${String(timeoutMs)} ms.`);
+    }
+    await sleep(READY_POLL_MS);
+  }
+};
+
+/**
+ * @param port - Port on the local host.
+ * @param method - HTTP method.
+ * @param path - Path of the call.
+ * @param body - Sent as JSON.
+ * @returns Status and decoded answer.
+ */
+export const call = async (
+  port: number,
+  method: 'GET' | 'POST' | 'PUT',
+  path: string,
+  body?: object,
+): Promise<{ status: number; body: unknown }> => {
+  const res = await request(`http://127.0.0.1:${String(port)}${path}`, {
+    method,
+    headers: body ? { 'content-type': 'application/json' } : {},
+    body: body ? JSON.stringify(body) : null,
+    headersTimeout: 0,
+  });
+  return { status: res.statusCode, body: await res.body.json() };
+};
+
+const HTTP_OK = 200;
+
+const waitReady = (port: number): Promise<void> =>
+  waitUntil(async () => {
+    const { status } = await call(port, 'GET', '/readyz');
+    return status === HTTP_OK;
+  });
+
+const readAccount = async (port: number): Promise<Record<string, number>> => {
+  const { body } = await call(port, 'GET', '/account');
+  return body as Record<string, number>;
+};
+
+const endProcess = (child: ChildProcess): Promise<void> =>
+  new Promise((resolve) => {
+    if (child.exitCode !== null || child.signalCode !== null) {
+      resolve();
+      return;
+    }
+    child.once('exit', () => {
+      resolve();
+    });
+    child.kill('SIGKILL');
+  });
--- /dev/null
+++ b/packages/standins/src/lib/memory-store.ts
@@ -0,0 +1,69 @@
+import type { Row, StoreReply, StoreRequest } from '@sapphiremux/core';
+
+interface Cell {
+  readonly value: string;
+  readonly version: number;
+}
+
+/** The table service in memory: transactions, reads and prefix scans. */
+export class MemoryStore {
+  private readonly _cells = new Map<string, Cell>();
+  private _version = 0;
+
+  /**
+   * @param req - A call.
+   * @returns Its answer; the call has taken effect.
+   */
+  apply(req: StoreRequest): StoreReply {
+    switch (req.kind) {
+      case 'transact':
+        return this._transact(req);
+      case 'read':
+        return { kind: 'rows', rows: this._read(req.keys) };
+      case 'scan':
+        return { kind: 'rows', rows: this._scan(req) };
+    }
+  }
+
+  private _transact(
+    req: Extract<StoreRequest, { kind: 'transact' }>,
+  ): StoreReply {
+    const keys: string[] = [];
+    for (const { key, version } of req.conditions) {
+      if ((this._cells.get(key)?.version ?? 0) !== version) {
+        keys.push(key);
+      }
+    }
+    if (keys.length > 0) {
+      return { kind: 'conflict', keys };
+    }
+    this._version += 1;
+    for (const { key, value } of req.writes) {
+      if (value === null) {
+        this._cells.delete(key);
+      } else {
+        this._cells.set(key, { value, version: this._version });
+      }
+    }
+    return { kind: 'committed', version: this._version };
+  }
+
+  private _read(keys: readonly string[]): Row[] {
+    const rows: Row[] = [];
+    for (const key of keys) {
+      const cell = this._cells.get(key);
+      if (cell) {
+        rows.push({ key, ...cell });
+      }
+    }
+    return rows;
+  }
+
+  private _scan(req: Extract<StoreRequest, { kind: 'scan' }>): Row[] {
+    const keys = [...this._cells.keys()]
+      .filter((key) => key.startsWith(req.prefix) && key > req.after)
+      .sort()
+      .slice(0, req.limit);
+    return this._read(keys);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/test/path.test.ts
@@ -0,0 +1,95 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { expect } from 'earl';
+import { runCli } from '../lib/cli.js';
+import { Estate } from '../lib/estate.js';
+import { FIRST_TICKET, jobOf } from './sample.js';
+
+let estate: Estate;
+let dir: string;
+
+/** Joins the lines that the client wraps. */
+const flat = (text: string): string => text.replace(/\s+[›»]?\s*/g, ' ');
+
+before(async () => {
+  estate = await Estate.start();
+  dir = await mkdtemp(join(tmpdir(), 'sapphiremux-test-'));
+  const file = join(dir, 'ticket.json');
+  await writeFile(file, JSON.stringify(FIRST_TICKET));
+  await runCli(['ticket', 'apply', file], estate.urls);
+});
+
+after(async () => {
+  await estate.close();
+  await rm(dir, { recursive: true });
+});
+
+it('job is answered whole and each task runs once', async () => {
+  const file = join(dir, 'job.json');
+  await writeFile(file, JSON.stringify(jobOf('whole', 40, 20)));
+  const run = await runCli(['submit', file, '--wait', '--json'], estate.urls);
+  expect(run.code).toEqual(0);
+  const job = JSON.parse(run.stdout) as { state: string; answers: unknown[] };
+  expect(job.state).toEqual('complete');
+  expect(job.answers.length).toEqual(40);
+  const account = await estate.account();
+  const starts = [...account].filter(([key]) => key.startsWith('whole/'));
+  expect(starts.length).toEqual(40);
+  expect(starts.every(([, count]) => count === 1)).toEqual(true);
+});
+
+it('resubmission at another entry attaches to the job', async () => {
+  const file = join(dir, 'job.json');
+  await writeFile(file, JSON.stringify(jobOf('twice', 10, 50)));
+  const [first = '', second = ''] = estate.urls;
+  await runCli(['submit', file], [first]);
+  const run = await runCli(['submit', file, '--wait', '--json'], [second]);
+  expect(run.code).toEqual(0);
+  const account = await estate.account();
+  const starts = [...account].filter(([key]) => key.startsWith('twice/'));
+  expect(starts.length).toEqual(10);
+  expect(starts.every(([, count]) => count === 1)).toEqual(true);
+});
+
+it('same id with other content is refused', async () => {
+  const file = join(dir, 'job.json');
+  await writeFile(file, JSON.stringify(jobOf('twice', 11, 50)));
+  const run = await runCli(['submit', file], estate.urls);
+  expect(run.code).toEqual(2);
+});
+
+it('request is answered whole', async () => {
+  const file = join(dir, 'request.json');
+  const request = {
+    desk: 'dakar',
+    endpoint: 'levy',
+    deadlineMs: 5000,
+    payload: { ms: 5 },
+  };
+  await writeFile(file, JSON.stringify(request));
+  const run = await runCli(['request', file, '--json'], estate.urls);
+  expect(run.code).toEqual(0);
+  expect(JSON.parse(run.stdout) as object).toHaveSubset({
+    endpoint: 'levy',
+    ms: 5,
+  });
+});
+
+it('job for an undeclared endpoint is refused with the reason', async () => {
+  const file = join(dir, 'job.json');
+  const job = jobOf('impossible', 1, 1);
+  const tasks = [{ endpoint: 'nowhere', payload: {} }];
+  await writeFile(file, JSON.stringify({ ...job, tasks }));
+  const run = await runCli(['submit', file], estate.urls);
+  expect(run.code).toEqual(2);
+  expect(flat(run.stderr)).toInclude('endpoint "nowhere" is not declared');
+});
+
+it('second ticket of a number is told the first', async () => {
+  const file = join(dir, 'ticket.json');
+  await writeFile(file, JSON.stringify({ ...FIRST_TICKET, number: 1 }));
+  const run = await runCli(['ticket', 'apply', file], estate.urls);
+  expect(run.code).toEqual(2);
+  expect(flat(run.stderr)).toInclude('declare the estate');
+});
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,3 @@
+/** Messages and services between the processes of sapphiremux. */
+export * from './gen/sapphiremux/v1/dispatch_pb.js';
+export type { Plain } from './lib/plain.js';
