Stateful fuzzing of the decisions against an oracle of the promises

Cause: the promises were stated but nothing showed that they hold.

What it does: entries, runners, store and network run in virtual time; fast-check generates submissions, tickets and faults; an oracle that knows only the promises compares what endpoints saw with what callers were told.

Found and mended: an entry that is replaced, or whose ticket is written while the store is silent, owed its operator an answer for ever (each open call is now answered at the stand-down, a ticket after 5 s); a planned stop did not wait for an open ticket.

Narrowed with a trace: a desk that submits an id again before its first attempt is answered may still receive 'not run' for the first attempt, from an entry that was paused meanwhile. The statement firstAttempt now says that the id is not submitted again until the attempt is answered or given up.

--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -60,6 +60,8 @@
   private readonly _requests: RequestTable;
   private readonly _takeovers: Takeovers;
   private _actions: EntryAction[] = [];
+  /** Calls without an answer, so that none is forgotten at the end. */
+  private readonly _openCalls = new Set<number>();
   private _isReplaced = false;
   private _stopDeadlineMs: number | undefined;
   private _isLeaving = false;
@@ -71,6 +73,9 @@
   constructor(options: EntryOptions, now: number) {
     const resolved = { ...ENTRY_DEFAULTS, ...options };
     const emit = (action: EntryAction): void => {
+      if (action.kind === 'reply') {
+        this._openCalls.delete(action.replyId);
+      }
       this._actions.push(action);
     };
     this._store = new StoreClient((opId, req) => {
@@ -193,15 +198,19 @@
   private _apply(event: EntryEvent, now: number): void {
     switch (event.kind) {
       case 'submit':
+        this._openCalls.add(event.replyId);
         this._onSubmit(event.spec, event.replyId, now);
         return;
       case 'request':
+        this._openCalls.add(event.replyId);
         this._onRequest(event.request, event.replyId, now);
         return;
       case 'ask':
+        this._openCalls.add(event.replyId);
         this._onAsk(event, now);
         return;
       case 'apply-ticket':
+        this._openCalls.add(event.replyId);
         this._onTicket(event, now);
         return;
       case 'store-reply':
@@ -231,6 +240,7 @@
         this._tickets.tick(now);
         return;
       case 'caller-gone':
+        this._openCalls.delete(event.replyId);
         this._jobs.forgetCaller(event.replyId);
         this._requests.forgetCaller(event.replyId);
         return;
@@ -381,7 +391,7 @@
     }
     const open =
       this._jobs.openCount +
-      this._requests.openCount +
+      this._openCalls.size +
       this._takeovers.activeCount;
     if (open === 0) {
       this._isLeaving = true;
@@ -398,10 +408,10 @@
       return;
     }
     this._isReplaced = true;
-    this._jobs.abandon(
-      'This entry has been replaced; ask again to reach the new owner.',
-    );
     this._requests.abandon();
+    for (const replyId of this._openCalls) {
+      this._reply(replyId, REPLACED);
+    }
     for (const peer of this._dispatcher.runners()) {
       if (peer.link) {
         this._ctx.emit({ kind: 'close-link', linkId: peer.link.linkId });
@@ -458,3 +468,10 @@
   runState: RunState.MAY_HAVE_RUN,
   retryAfterMs: RETRY_AFTER_MS,
 });
+
+const REPLACED = errorReply({
+  code: ErrorCode.Unavailable,
+  detail: 'This entry has been replaced; ask again to reach the new owner.',
+  runState: RunState.MAY_HAVE_RUN,
+  retryAfterMs: RETRY_AFTER_MS,
+});
--- a/packages/core/src/lib/process/job-table.ts
+++ b/packages/core/src/lib/process/job-table.ts
@@ -285,32 +285,6 @@
     }
   }
 
-  /**
-   * Answers every waiting caller of an incarnation that has been replaced.
-   *
-   * @param detail - A sentence for the callers.
-   */
-  abandon(detail: string): void {
-    const reply = errorReply({
-      code: ErrorCode.Unavailable,
-      detail,
-      runState: RunState.MAY_HAVE_RUN,
-      retryAfterMs: RETRY_AFTER_MS,
-    });
-    for (const claim of this._claims.values()) {
-      claim.replyIds.forEach((replyId) => {
-        this._reply(replyId, reply);
-      });
-    }
-    for (const owned of this._jobs.values()) {
-      owned.waiters.forEach(({ replyId }) => {
-        this._reply(replyId, reply);
-      });
-    }
-    this._claims.clear();
-    this._jobs.clear();
-  }
-
   /** @param replyId - A caller that no longer waits. */
   forgetCaller(replyId: number): void {
     for (const owned of this._jobs.values()) {
--- a/packages/core/src/lib/request/job-spec.ts
+++ b/packages/core/src/lib/request/job-spec.ts
@@ -30,8 +30,9 @@
   /** Digest of the submitted content. */
   readonly digest: string;
   /**
-   * The desk states that the id was never submitted before. Only then can a
-   * refusal prove that nothing of the job has run.
+   * The desk states that the id was never submitted before, and will not be
+   * again until this attempt is answered or given up. Only then can a refusal
+   * prove that nothing of the job has run.
    */
   readonly firstAttempt?: boolean;
 }
--- a/packages/core/src/lib/version/ticket-desk.ts
+++ b/packages/core/src/lib/version/ticket-desk.ts
@@ -21,7 +21,7 @@
   readonly peers: () => readonly string[];
 }
 
-interface PendingTicket {
+interface SpreadingTicket {
   readonly number: number;
   readonly replyId: number;
   readonly untilMs: number;
@@ -41,7 +41,9 @@
 export class TicketDesk {
   private readonly _options: TicketDeskOptions;
   private readonly _ctx: EntryContext;
-  private _pending: PendingTicket[] = [];
+  /** When to answer operators whose ticket is being written. */
+  private readonly _writing = new Map<number, number>();
+  private _spreading: SpreadingTicket[] = [];
 
   /** @param options - Context and parts of the entry. */
   constructor(options: TicketDeskOptions) {
@@ -72,11 +74,17 @@
 
   /** @param now - Current time in milliseconds. */
   tick(now: number): void {
-    for (const pending of this._pending) {
-      const receipt = this._receipt(pending.number);
-      if (receipt.notYet.length === 0 || pending.untilMs <= now) {
-        this._pending = this._pending.filter((p) => p !== pending);
-        this._reply(pending.replyId, { kind: 'ticket', receipt });
+    for (const [replyId, untilMs] of this._writing) {
+      if (untilMs <= now) {
+        this._writing.delete(replyId);
+        this._reply(replyId, NOT_CONFIRMED);
+      }
+    }
+    for (const ticket of this._spreading) {
+      const receipt = this._receipt(ticket.number);
+      if (receipt.notYet.length === 0 || ticket.untilMs <= now) {
+        this._spreading = this._spreading.filter((t) => t !== ticket);
+        this._reply(ticket.replyId, { kind: 'ticket', receipt });
       }
     }
   }
@@ -86,6 +94,8 @@
     const nonce = `${this._ctx.options.incarnation}:${String(replyId)}`;
     const body = JSON.stringify({ ...ticket, nonce });
     const head: HeadRow = { number: ticket.number };
+    const untilMs = now + WRITE_TIMEOUT_MS;
+    this._writing.set(replyId, untilMs);
     this._ctx.writer.submit({
       conditions: [{ key, version: 0 }],
       writes: [
@@ -93,7 +103,7 @@
         { key: storeKeys.head, value: JSON.stringify(head) },
       ],
       proofKey: key,
-      giveUpAtMs: now + WRITE_TIMEOUT_MS,
+      giveUpAtMs: untilMs,
       onDone: (outcome, doneAtMs) => {
         this._onInserted(ticket, body, replyId, outcome, doneAtMs);
       },
@@ -107,21 +117,25 @@
     outcome: WriteOutcome,
     now: number,
   ): void {
+    const isAnswered = !this._writing.delete(replyId);
     switch (outcome.kind) {
       case 'committed':
         this._options.config.adoptRows([{ number: ticket.number, body }]);
         this._options.config.pollPeers(now);
-        this._pending.push({
-          number: ticket.number,
-          replyId,
-          untilMs: now + SPREAD_TIMEOUT_MS,
-        });
+        if (!isAnswered) {
+          const untilMs = now + SPREAD_TIMEOUT_MS;
+          this._spreading.push({ number: ticket.number, replyId, untilMs });
+        }
         return;
       case 'conflict':
-        this._readWinner(ticket.number, replyId);
+        if (!isAnswered) {
+          this._readWinner(ticket.number, replyId);
+        }
         return;
       case 'given-up':
-        this._reply(replyId, STORE_SILENT);
+        if (!isAnswered) {
+          this._reply(replyId, STORE_SILENT);
+        }
     }
   }
 
@@ -176,3 +190,11 @@
   runState: RunState.NOT_RUN,
   retryAfterMs: RETRY_AFTER_MS,
 });
+
+const NOT_CONFIRMED = errorReply({
+  code: ErrorCode.Pending,
+  detail:
+    'The store has not confirmed the ticket; list the tickets before proposing it again.',
+  runState: RunState.MAY_HAVE_RUN,
+  retryAfterMs: RETRY_AFTER_MS,
+});
--- a/packages/daemon/src/lib/request/schemas.ts
+++ b/packages/daemon/src/lib/request/schemas.ts
@@ -51,7 +51,7 @@
     .boolean()
     .default(false)
     .describe(
-      'States that the id was never submitted before; only then can a refusal prove that nothing ran.',
+      'States that the id was never submitted before and will not be again until this attempt is answered or given up; only then can a refusal prove that nothing ran.',
     ),
   tasks: z.array(task).min(1).max(MAX_TASKS),
 });
--- /dev/null
+++ b/packages/standins/src/lib/sim/sim-runner.ts
@@ -0,0 +1,230 @@
+import { RunnerCore } from '@sapphiremux/core';
+import type {
+  CallOutcome,
+  RunnerAction,
+  RunnerEvent,
+  RunnerMessage,
+  FenceReply,
+  FenceRequest,
+  StartMessage,
+} from '@sapphiremux/core';
+import type { EventQueue } from './event-queue.js';
+import type { Oracle } from './oracle.js';
+import { SimProcess } from './sim-process.js';
+
+/** How the endpoint beside a runner behaves. */
+export enum EndpointMode {
+  Up = 'up',
+  /** Refuses connections. */
+  Unreachable = 'unreachable',
+  /** Starts each task, then breaks the connection. */
+  Breaking = 'breaking',
+  /** Answers each task with an error. */
+  Failing = 'failing',
+  /** Does not announce itself any more. */
+  Gone = 'gone',
+}
+
+/** Options of {@link SimRunner}. */
+export interface SimRunnerOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly queue: EventQueue;
+  readonly oracle: Oracle;
+  readonly skewMs: number;
+  /** Uniform random numbers from 0 to 1. */
+  readonly random: () => number;
+  readonly onSend: (linkId: string, msg: RunnerMessage) => void;
+  readonly onCloseLink: (linkId: string) => void;
+  readonly onAnnounce: (incarnation: string) => void;
+}
+
+const TICK_MS = 100;
+const ANNOUNCE_MS = 1000;
+const SLOTS = 2;
+const CONNECTIONS = 6;
+const MIN_TASK_MS = 5;
+const MAX_TASK_MS = 400;
+const LONG_TASK_MS = 3000;
+const LONG_TASK_SHARE = 0.05;
+const HTTP_OK = 200;
+const HTTP_ERROR = 500;
+
+/** A runner with its endpoint in virtual time. */
+export class SimRunner extends SimProcess {
+  readonly dataCentre: string;
+  mode = EndpointMode.Up;
+  isLeaving = false;
+  private readonly _options: SimRunnerOptions;
+  private readonly _fences = new Map<number, (reply: FenceReply) => void>();
+  private readonly _aborts = new Map<number, () => void>();
+  private _core!: RunnerCore;
+  private _incarnation = '';
+  private _flushPlanned = false;
+  private _nextReplyId = 1;
+
+  /** @param options - Identity and receivers. */
+  constructor(options: SimRunnerOptions) {
+    super(options.name, options.queue, options.skewMs);
+    this._options = options;
+    this.dataCentre = options.dataCentre;
+    this.boot();
+    this._repeat(TICK_MS, () => {
+      this.dispatch({ kind: 'tick' });
+    });
+    this._repeat(ANNOUNCE_MS, () => {
+      this._announce();
+    });
+  }
+
+  /** Version of the configuration in force. */
+  get configVersion(): number {
+    return this._core.configVersion;
+  }
+
+  /** @param event - Something that happened to the runner. */
+  dispatch(event: RunnerEvent): void {
+    for (const action of this._core.handle(event, this.now)) {
+      this._run(action);
+    }
+    this._options.oracle.onVersion(
+      this._incarnation,
+      this._core.configVersion,
+      this.queue.nowMs,
+    );
+    this._planFlush();
+  }
+
+  /**
+   * @param req - An entry's fence.
+   * @param onReply - Receives the answer.
+   */
+  fence(req: FenceRequest, onReply: (reply: FenceReply) => void): void {
+    const replyId = this._nextReplyId++;
+    this._fences.set(replyId, onReply);
+    this.dispatch({ kind: 'fence', replyId, req });
+  }
+
+  protected boot(): void {
+    this._incarnation = `${this.name}.${String(this.generation)}`;
+    this._flushPlanned = false;
+    this._aborts.clear();
+    this._core = new RunnerCore({
+      id: this.name,
+      incarnation: this._incarnation,
+      dataCentre: this.dataCentre,
+    });
+    this._announce();
+  }
+
+  private _repeat(periodMs: number, run: () => void): void {
+    this.queue.after(periodMs, () => {
+      this.post(run);
+      this._repeat(periodMs, run);
+    });
+  }
+
+  private _announce(): void {
+    if (this.mode === EndpointMode.Gone) {
+      return;
+    }
+    const endpoint = {
+      name: 'levy',
+      url: this.name,
+      slots: SLOTS,
+      connections: CONNECTIONS,
+      leaving: this.isLeaving,
+    };
+    this.dispatch({ kind: 'endpoint-announced', endpoint });
+    this._options.onAnnounce(this._incarnation);
+  }
+
+  private _planFlush(): void {
+    if (this._flushPlanned) {
+      return;
+    }
+    this._flushPlanned = true;
+    const { generation } = this;
+    this.queue.after(0, () => {
+      this.post(() => {
+        if (generation === this.generation) {
+          this._flushPlanned = false;
+          for (const action of this._core.handle({ kind: 'flush' }, this.now)) {
+            this._run(action);
+          }
+        }
+      });
+    });
+  }
+
+  private _run(action: RunnerAction): void {
+    switch (action.kind) {
+      case 'send':
+        this._options.onSend(action.linkId, action.msg);
+        return;
+      case 'close-link':
+        this._options.onCloseLink(action.linkId);
+        return;
+      case 'call':
+        this._call(action.callId, action.start);
+        return;
+      case 'abort-call':
+        this._aborts.get(action.callId)?.();
+        return;
+      case 'fence-reply':
+        this._fences.get(action.replyId)?.(action.reply);
+        this._fences.delete(action.replyId);
+        return;
+      case 'stopped':
+        this.kill();
+    }
+  }
+
+  private _call(callId: number, start: StartMessage): void {
+    const payload = Buffer.from(start.payload).toString();
+    if (this.mode === EndpointMode.Unreachable) {
+      this._finish(callId, 1, { kind: 'not-sent' });
+      return;
+    }
+    this._options.oracle.onStart(
+      payload,
+      [this.dataCentre, this.name],
+      payload.startsWith('idempotent'),
+      this.queue.nowMs,
+    );
+    this._aborts.set(callId, () => {
+      this._finish(callId, 1, { kind: 'broken', detail: 'aborted' });
+    });
+    const isBreaking = this.mode === EndpointMode.Breaking;
+    this._finish(
+      callId,
+      this._taskMs(),
+      isBreaking
+        ? { kind: 'broken', detail: 'connection reset' }
+        : {
+            kind: 'answered',
+            status: this.mode === EndpointMode.Failing ? HTTP_ERROR : HTTP_OK,
+            contentType: 'text/plain',
+            body: start.payload,
+          },
+    );
+  }
+
+  private _taskMs(): number {
+    const { random } = this._options;
+    const maxMs = random() < LONG_TASK_SHARE ? LONG_TASK_MS : MAX_TASK_MS;
+    return MIN_TASK_MS + random() * (maxMs - MIN_TASK_MS);
+  }
+
+  private _finish(callId: number, afterMs: number, outcome: CallOutcome): void {
+    const { generation } = this;
+    this.queue.after(afterMs, () => {
+      this.post(() => {
+        if (generation === this.generation) {
+          this._aborts.delete(callId);
+          this.dispatch({ kind: 'call-done', callId, outcome });
+        }
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/lib/sim/world.ts
@@ -0,0 +1,519 @@
+import { ErrorCode, PriorityClass, RunState } from '@sapphiremux/core';
+import type {
+  Change,
+  EntryMessage,
+  JobSpec,
+  Reply,
+  RunnerMessage,
+} from '@sapphiremux/core';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { EventQueue } from './event-queue.js';
+import { Network } from './network.js';
+import { Oracle } from './oracle.js';
+import { SimEntry } from './sim-entry.js';
+import { SimRunner } from './sim-runner.js';
+import { SimStore } from './sim-store.js';
+
+/** Options of {@link World}. */
+export interface WorldOptions {
+  readonly seed: number;
+}
+
+/** A submission that a caller made. */
+export interface Submission {
+  readonly id: string;
+  readonly taskCount: number;
+  readonly isUrgent: boolean;
+  readonly isFirst: boolean;
+}
+
+interface Link {
+  readonly entry: SimEntry;
+  readonly runner: SimRunner;
+  readonly generation: number;
+}
+
+interface ReturnTicket {
+  readonly place: string;
+  /** Absent until the operator knows the number. */
+  number: number | undefined;
+}
+
+const ENTRIES = ['entry-1', 'entry-2', 'entry-3'];
+const RUNNERS: readonly (readonly [string, string])[] = [
+  ['runner-1', 'north'],
+  ['runner-2', 'north'],
+  ['runner-3', 'south'],
+  ['runner-4', 'south'],
+];
+const MAX_SKEW_MS = 200;
+const RPC_TIMEOUT_MS = 1000;
+const FORWARD_TIMEOUT_MS = 2000;
+const JOB_DEADLINE_MS = 20_000;
+const REQUEST_DEADLINE_MS = 8000;
+
+/** A small estate in virtual time, with an oracle that watches it. */
+export class World {
+  readonly queue = new EventQueue();
+  readonly oracle = new Oracle();
+  readonly network: Network;
+  readonly store: SimStore;
+  readonly entries: readonly SimEntry[];
+  readonly runners: readonly SimRunner[];
+  /** Jobs that a caller knows to be accepted. */
+  readonly accepted = new Set<string>();
+  private readonly _links = new Map<string, Link>();
+  private readonly _attempts = new Map<string, number>();
+  private readonly _returns: ReturnTicket[] = [];
+  private _nextRequest = 1;
+
+  /** @param options - Seed of everything that is random. */
+  constructor(options: WorldOptions) {
+    const generator = xoroshiro128plus(options.seed);
+    const random = (): number => uniformFloat64(generator);
+    const { queue, oracle } = this;
+    this.network = new Network({ queue, random });
+    this.store = new SimStore({ queue, random });
+    const skewMs = (): number => (random() - 0.5) * 2 * MAX_SKEW_MS;
+    this.runners = RUNNERS.map(
+      ([name, dataCentre]) =>
+        new SimRunner({
+          name,
+          dataCentre,
+          queue,
+          oracle,
+          skewMs: skewMs(),
+          random,
+          onSend: (linkId, msg) => {
+            this._toEntry(linkId, msg);
+          },
+          onCloseLink: (linkId) => {
+            this._closeAtEntry(linkId);
+          },
+          onAnnounce: (incarnation) => {
+            queue.after(0, () => {
+              this._announce(name, dataCentre, incarnation);
+            });
+          },
+        }),
+    );
+    this.entries = ENTRIES.map((name) =>
+      this._createEntry(name, random, skewMs()),
+    );
+  }
+
+  /**
+   * Submits a job.
+   *
+   * @param entry - The entry that is asked.
+   * @param submission - What is submitted.
+   */
+  submit(entry: SimEntry, submission: Submission): void {
+    const spec = this._toSpec(entry, submission);
+    const keys = spec.tasks.map((task) => task.payload);
+    const attempt = (this._attempts.get(spec.id) ?? 0) + 1;
+    this._attempts.set(spec.id, attempt);
+    keys.forEach((key) => {
+      this.oracle.onSubmittedAgain(key);
+    });
+    entry.ask(
+      (replyId) => ({ kind: 'submit', replyId, spec }),
+      (reply) => {
+        // A desk that submits again has given the earlier attempt up, and
+        // what is said of that attempt reaches nobody.
+        const isLast = this._attempts.get(spec.id) === attempt;
+        this._onJobReply(spec.id, isLast ? keys : [], reply);
+      },
+    );
+  }
+
+  /**
+   * Asks for the state of a job.
+   *
+   * @param entry - The entry that is asked.
+   * @param job - Id of the job.
+   * @param cancel - Whether the job is given up.
+   * @param waitMs - How long to wait for the outcome.
+   */
+  ask(entry: SimEntry, job: string, cancel: boolean, waitMs: number): void {
+    entry.ask(
+      (replyId) => ({
+        kind: 'ask',
+        replyId,
+        job,
+        waitMs,
+        cancel,
+        forward: true,
+      }),
+      (reply) => {
+        if (reply.kind === 'forward') {
+          this._forward(entry.name, reply, job);
+        } else {
+          this._onJobReply(job, [], reply);
+        }
+      },
+    );
+  }
+
+  /**
+   * Sends a single request.
+   *
+   * @param entry - The entry that is asked.
+   * @param idempotent - Whether it may run more than once.
+   */
+  request(entry: SimEntry, idempotent: boolean): void {
+    const number = String(this._nextRequest++);
+    const payload = `${idempotent ? 'idempotent' : 'once'}-${number}`;
+    const deadlineMs = entry.now + REQUEST_DEADLINE_MS;
+    entry.ask(
+      (replyId) => ({
+        kind: 'request',
+        replyId,
+        request: {
+          desk: 'dakar',
+          endpoint: 'levy',
+          priority: PriorityClass.Urgent,
+          idempotent,
+          payload,
+          contentType: 'text/plain',
+          deadlineMs,
+          dataCentres: [],
+        },
+      }),
+      (reply) => {
+        this._onRequestReply(payload, reply);
+      },
+    );
+  }
+
+  /**
+   * Proposes a ticket that takes a data centre out or brings it back.
+   *
+   * @param entry - The entry that is asked.
+   * @param dataCentre - The data centre.
+   * @param inService - Its new state.
+   */
+  setDataCentre(entry: SimEntry, dataCentre: string, inService: boolean): void {
+    const pending: ReturnTicket = { place: dataCentre, number: undefined };
+    if (inService) {
+      this._returns.push(pending);
+      this.oracle.onReturning(dataCentre, this.queue.nowMs);
+    }
+    this.propose(
+      entry,
+      [
+        {
+          subject: `data-centre/${dataCentre}`,
+          setting: { kind: 'data-centre', inService },
+        },
+      ],
+      (number) => {
+        pending.number = number;
+        if (!inService && !this._isReturned(dataCentre, number)) {
+          this.oracle.onTakenOut(dataCentre, this.queue.nowMs);
+        }
+      },
+    );
+  }
+
+  /**
+   * Proposes a ticket.
+   *
+   * @param entry - The entry that is asked.
+   * @param changes - Its changes.
+   * @param onAccepted - Receives its number.
+   */
+  propose(
+    entry: SimEntry,
+    changes: readonly Change[],
+    onAccepted: (number: number) => void = () => undefined,
+  ): void {
+    entry.ask(
+      (replyId) => ({
+        kind: 'apply-ticket',
+        replyId,
+        proposal: { author: 'operator', reason: 'test', changes },
+      }),
+      (reply) => {
+        if (reply.kind === 'ticket') {
+          onAccepted(reply.receipt.number);
+        }
+      },
+    );
+  }
+
+  /** Ends a process at once; connections to it are reset. */
+  killEntry(entry: SimEntry): void {
+    entry.kill();
+    for (const [linkId, link] of this._links) {
+      if (link.entry === entry) {
+        this._closeAtRunner(linkId);
+      }
+    }
+  }
+
+  /** Ends a process at once; connections to it are reset. */
+  killRunner(runner: SimRunner): void {
+    runner.kill();
+    for (const [linkId, link] of this._links) {
+      if (link.runner === runner) {
+        this._closeAtEntry(linkId);
+      }
+    }
+  }
+
+  /** Makes the open connections between two processes carry nothing. */
+  silence(entry: SimEntry, runner: SimRunner): void {
+    for (const [linkId, link] of this._links) {
+      if (link.entry === entry && link.runner === runner) {
+        this.network.silence(linkId);
+      }
+    }
+  }
+
+  private _createEntry(
+    name: string,
+    random: () => number,
+    skewMs: number,
+  ): SimEntry {
+    const { queue, network, store, oracle } = this;
+    return new SimEntry({
+      name,
+      queue,
+      network,
+      store,
+      oracle,
+      skewMs,
+      random,
+      onOpenLink: (linkId, address) => {
+        this._openLink(name, linkId, address);
+      },
+      onSend: (linkId, msg) => {
+        this._toRunner(linkId, msg);
+      },
+      onCloseLink: (linkId) => {
+        this._closeAtRunner(linkId);
+      },
+      onFence: (address, req, onReply) => {
+        const runner = this._runner(address);
+        this._rpc(name, address, onReply, (answer) => {
+          runner?.post(() => {
+            runner.fence(req, answer);
+          });
+        });
+      },
+      onPollPeer: (address, req, onReply) => {
+        const peer = this._entry(address);
+        this._rpc(name, address, onReply, (answer) => {
+          peer?.post(() => {
+            peer.poll(req, answer);
+          });
+        });
+      },
+    });
+  }
+
+  private _entry(name: string): SimEntry | undefined {
+    return this.entries.find((entry) => entry.name === name);
+  }
+
+  private _runner(name: string): SimRunner | undefined {
+    return this.runners.find((runner) => runner.name === name);
+  }
+
+  private _rpc<T>(
+    from: string,
+    to: string,
+    onReply: (reply: T | undefined) => void,
+    serve: (answer: (reply: T) => void) => void,
+  ): void {
+    let isOpen = true;
+    const finish = (reply: T | undefined): void => {
+      if (isOpen) {
+        isOpen = false;
+        onReply(reply);
+      }
+    };
+    this.queue.after(RPC_TIMEOUT_MS, () => {
+      finish(undefined);
+    });
+    this.network.datagram(from, to, () => {
+      serve((reply) => {
+        this.network.datagram(to, from, () => {
+          finish(reply);
+        });
+      });
+    });
+  }
+
+  private _announce(
+    runner: string,
+    dataCentre: string,
+    incarnation: string,
+  ): void {
+    const req = {
+      runner,
+      incarnation,
+      address: runner,
+      dataCentre,
+      endpoint: 'levy',
+    };
+    for (const entry of this.entries) {
+      this.network.datagram(runner, entry.name, () => {
+        entry.post(() => {
+          entry.dispatch({ kind: 'announce', req });
+        });
+      });
+    }
+  }
+
+  private _openLink(from: string, linkId: string, address: string): void {
+    const entry = this._entry(from);
+    const runner = this._runner(address);
+    if (!entry || !runner) {
+      throw new Error(`No such process: ${address}`);
+    }
+    this._links.set(linkId, { entry, runner, generation: runner.generation });
+    if (!runner.isAlive) {
+      this._closeAtEntry(linkId);
+    }
+  }
+
+  private _toRunner(linkId: string, msg: EntryMessage): void {
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    const { entry, runner, generation } = link;
+    this.network.stream(linkId, entry.name, runner.name, () => {
+      if (runner.generation !== generation) {
+        this._closeAtEntry(linkId);
+        return;
+      }
+      runner.post(() => {
+        runner.dispatch({ kind: 'link-message', linkId, msg });
+      });
+    });
+  }
+
+  private _toEntry(linkId: string, msg: RunnerMessage): void {
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    const { entry, runner } = link;
+    this.network.stream(linkId, runner.name, entry.name, () => {
+      entry.post(() => {
+        entry.dispatch({ kind: 'link-message', linkId, msg });
+      });
+    });
+  }
+
+  private _closeAtEntry(linkId: string): void {
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    const { entry, runner } = link;
+    this.network.stream(linkId, runner.name, entry.name, () => {
+      this._links.delete(linkId);
+      entry.post(() => {
+        entry.dispatch({ kind: 'link-closed', linkId });
+      });
+    });
+  }
+
+  private _closeAtRunner(linkId: string): void {
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    const { entry, runner } = link;
+    this.network.stream(linkId, entry.name, runner.name, () => {
+      this._links.delete(linkId);
+      runner.post(() => {
+        runner.dispatch({ kind: 'link-closed', linkId });
+      });
+    });
+  }
+
+  private _forward(
+    from: string,
+    reply: Extract<Reply, { kind: 'forward' }>,
+    id: string,
+  ): void {
+    const owner = this._entry(reply.address);
+    const { job, cancel } = reply;
+    const waitMs = Math.min(reply.waitMs, FORWARD_TIMEOUT_MS);
+    this.network.datagram(from, reply.address, () => {
+      owner?.ask(
+        (replyId) => ({
+          kind: 'ask',
+          replyId,
+          job,
+          waitMs,
+          cancel,
+          forward: false,
+        }),
+        (answer) => {
+          this._onJobReply(id, [], answer);
+        },
+      );
+    });
+  }
+
+  private _onJobReply(id: string, keys: readonly string[], reply: Reply): void {
+    const { nowMs } = this.queue;
+    if (reply.kind === 'job') {
+      this.accepted.add(id);
+      this.oracle.onStatus(id, reply.status, nowMs);
+      return;
+    }
+    const isRefusal =
+      reply.kind === 'error' && reply.error.code !== ErrorCode.Conflict;
+    if (isRefusal && reply.error.runState === RunState.NOT_RUN) {
+      keys.forEach((key) => {
+        this.oracle.onNotRun(key, nowMs);
+      });
+    }
+  }
+
+  private _onRequestReply(payload: string, reply: Reply): void {
+    const { nowMs } = this.queue;
+    if (reply.kind === 'answer') {
+      this.oracle.onAnswer(payload, reply, nowMs);
+    } else if (
+      reply.kind === 'error' &&
+      reply.error.runState === RunState.NOT_RUN
+    ) {
+      this.oracle.onNotRun(payload, nowMs);
+    }
+  }
+
+  private _isReturned(place: string, drained: number): boolean {
+    return this._returns.some(
+      (ticket) =>
+        ticket.place === place &&
+        (ticket.number === undefined || ticket.number > drained),
+    );
+  }
+
+  private _toSpec(entry: SimEntry, submission: Submission): JobSpec {
+    const { id, taskCount, isUrgent, isFirst } = submission;
+    const tasks = Array.from({ length: taskCount }, (_, index) => ({
+      endpoint: 'levy',
+      payload: `${id}#${String(index)}`,
+    }));
+    return {
+      id,
+      desk: 'dakar',
+      priority: isUrgent ? PriorityClass.Urgent : PriorityClass.Routine,
+      deadlineMs: entry.now + JOB_DEADLINE_MS,
+      dataCentres: [],
+      tasks,
+      digest: String(taskCount),
+      firstAttempt: isFirst,
+    };
+  }
+}
--- /dev/null
+++ b/scripts/mutations.mjs
@@ -0,0 +1,157 @@
+// Breaks one rule at a time in the built core and checks that the fuzzer
+// turns red. Run it after a build: node scripts/mutations.mjs [NAME]
+import { spawnSync } from 'node:child_process';
+import { readFileSync, writeFileSync } from 'node:fs';
+
+const CORE = 'packages/core/dist/lib/';
+const FUZZ = 'packages/standins/dist/bin/fuzz.js';
+const RUNS = '1500';
+
+const MUTATIONS = [
+  {
+    name: 'claim without its condition',
+    file: 'process/job-table.js',
+    from: 'conditions: [{ key, version: 0 }, this._options.ownerCondition()]',
+    to: 'conditions: [this._options.ownerCondition()]',
+  },
+  {
+    name: 'claim without the owner row',
+    file: 'process/job-table.js',
+    from: 'conditions: [{ key, version: 0 }, this._options.ownerCondition()]',
+    to: 'conditions: [{ key, version: 0 }]',
+  },
+  {
+    name: 'lost answer taken for a refusal',
+    file: 'process/store-writer.js',
+    from: "case 'rows':\n            case 'unknown':",
+    to: "case 'unknown':\n                this._backOff(now);\n                return;\n            case 'rows':",
+  },
+  {
+    name: 'start without a record',
+    file: 'process/runner.js',
+    from: 'if (known) {',
+    to: 'if (known && !start.resend) {',
+  },
+  {
+    name: 'lost task started again',
+    file: 'request/job.js',
+    from: 'if (this.idempotent) {',
+    to: 'if (true) {',
+  },
+  {
+    name: 'fence without effect',
+    file: 'process/runner.js',
+    from: 'this._fence(req.owner, req.successor);',
+    to: '',
+  },
+  {
+    name: 'absence taken for a proof',
+    file: 'process/takeover.js',
+    from: 'this._fences.every((f) => f.reply && !f.reply.incomplete)',
+    to: 'true',
+  },
+  {
+    name: 'runner used before it is in the member row',
+    file: 'process/membership.js',
+    from: 'return this._persisted.has(key);',
+    to: 'return true;',
+  },
+  {
+    name: 'runner forgotten while a job still counts on it',
+    file: 'process/dispatcher.js',
+    from: 'if (!jobs.some((job) => job.runners.has(key))) {',
+    to: 'if (true) {',
+  },
+  {
+    name: 'outcome without its condition',
+    file: 'process/job-table.js',
+    from: '{ key, version: owned.rowVersion },\n                this._options.ownerCondition(),',
+    to: '',
+  },
+  {
+    name: 'earlier link still served',
+    file: 'process/runner.js',
+    from: 'this._closeLinkOf(owner);\n        this._highestLink',
+    to: 'this._highestLink',
+  },
+  {
+    name: 'configuration never goes stale at the runner',
+    file: 'process/runner.js',
+    from: 'now - this._confirmedAtMs > this._freshnessMs',
+    to: 'false',
+  },
+  {
+    name: 'runner takes any configuration',
+    file: 'process/runner.js',
+    from: 'msg.config && msg.config.version > this._config.version',
+    to: 'msg.config',
+  },
+  {
+    name: 'leaving endpoint still used',
+    file: 'process/runner.js',
+    from: 'endpoint.value.leaving || ',
+    to: '',
+  },
+  {
+    name: 'data centre not checked',
+    file: 'process/runner.js',
+    from: '!this._config.dataCentreInService',
+    to: 'false',
+  },
+  {
+    name: 'planned stop does not wait for callers',
+    file: 'process/entry.js',
+    from: 'this._openCalls.size +',
+    to: '',
+  },
+  {
+    name: 'silent link kept',
+    file: 'process/dispatcher.js',
+    from: 'now - peer.link.heardAtMs > linkSilenceMs',
+    to: 'false',
+  },
+  {
+    name: 'answer of another caller',
+    file: 'process/job-table.js',
+    from: 'taskCount: spec.tasks.length,\n            doneCount,',
+    to: 'taskCount: spec.tasks.length + 1,\n            doneCount,',
+  },
+  {
+    name: 'partial answer',
+    file: 'request/job.js',
+    from: 'this._done < this._states.length',
+    to: 'this._done < this._states.length - 1',
+  },
+  {
+    name: 'refusal claims "not run" without proof',
+    file: 'process/job-table.js',
+    from: 'spec.firstAttempt ? RunState.NOT_RUN : RunState.MAY_HAVE_RUN',
+    to: 'RunState.NOT_RUN',
+  },
+];
+
+const run = ({ name, file, from, to }) => {
+  const path = CORE + file;
+  const original = readFileSync(path, 'utf8');
+  if (!original.includes(from)) {
+    return `${name}: NOT APPLIED`;
+  }
+  writeFileSync(path, original.replace(from, to));
+  try {
+    const args = [FUZZ, '--runs', RUNS, '--seed', '1', '--shrink-seconds', '0'];
+    const { stdout, status } = spawnSync('node', args, { encoding: 'utf8' });
+    const seen = stdout.split('\n').find((line) => / at \d+\.\d: /.test(line));
+    return status === 0
+      ? `${name}: NOT FOUND in ${RUNS} runs`
+      : `${name}: found: ${(seen ?? 'crash').slice(0, 100)}`;
+  } finally {
+    writeFileSync(path, original);
+  }
+};
+
+const wanted = process.argv[2];
+for (const mutation of MUTATIONS) {
+  if (wanted === undefined || mutation.name.includes(wanted)) {
+    console.log(run(mutation));
+  }
+}
