Fault matrix: every fault at every step, before and after it

Cause: the fuzzer meets a fault at a given step only by chance.

Found: a successor that was cut off for 8 s during its fence gave every runner up after 5 s and failed jobs that could have gone on. It now waits 10 s, as long as an owner bears with a silent runner.

--- a/packages/core/src/lib/process/entry-context.ts
+++ b/packages/core/src/lib/process/entry-context.ts
@@ -49,7 +49,7 @@
   heartbeatMs: 1000,
   runnerLostMs: 10_000,
   claimTimeoutMs: 2000,
-  fenceTimeoutMs: 5000,
+  fenceTimeoutMs: 10_000,
   outcomeCacheMs: 60_000,
   routineShare: 0.1,
 } as const;
--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -390,9 +390,7 @@
       return;
     }
     const open =
-      this._jobs.openCount +
-      this._openCalls.size +
-      this._takeovers.activeCount;
+      this._jobs.openCount + this._openCalls.size + this._takeovers.activeCount;
     if (open === 0) {
       this._isLeaving = true;
       this._membership.leave(() => {
--- a/packages/standins/src/bin/fuzz.ts
+++ b/packages/standins/src/bin/fuzz.ts
@@ -45,7 +45,7 @@
   for (const step of scenario?.steps ?? []) {
     console.log(JSON.stringify(step));
   }
-  console.log(String((result.errorInstance as Error | null)?.message ?? ''));
+  console.log((result.errorInstance as Error | null)?.message ?? '');
   console.log(
     `replay: npm run fuzz -- --seed ${String(result.seed)} --path "${result.counterexamplePath ?? ''}" --runs 1`,
   );
--- a/packages/standins/src/lib/sim/oracle.ts
+++ b/packages/standins/src/lib/sim/oracle.ts
@@ -44,6 +44,15 @@
     return count;
   }
 
+  /**
+   * @param id - A job.
+   * @returns The outcome that its callers were told.
+   */
+  outcomeOf(id: string): Outcome | undefined {
+    const text = this._outcomes.get(id);
+    return text === undefined ? undefined : (JSON.parse(text) as Outcome);
+  }
+
   /**
    * An endpoint has received a task.
    *
--- a/packages/standins/src/lib/sim/scenario.ts
+++ b/packages/standins/src/lib/sim/scenario.ts
@@ -38,7 +38,7 @@
       readonly runner: number;
     }
   | {
-      readonly kind: 'cut' | 'cut-one-way' | 'silence';
+      readonly kind: 'cut' | 'cut-one-way' | 'silence' | 'stall';
       readonly entry: number;
       readonly runner: number;
     }
@@ -109,7 +109,8 @@
   return world.oracle.violations;
 };
 
-const begin = (world: World): void => {
+/** Declares the estate and waits until it is in force. */
+export const begin = (world: World): void => {
   world.queue.runUntil(START_MS / 2);
   const [entry] = world.entries;
   if (entry) {
@@ -193,6 +194,7 @@
     case 'cut':
     case 'cut-one-way':
     case 'silence':
+    case 'stall':
       disturb(world, command);
       return;
     case 'cut-entries':
@@ -223,7 +225,10 @@
 
 const disturb = (
   world: World,
-  command: Extract<Command, { kind: 'cut' | 'cut-one-way' | 'silence' }>,
+  command: Extract<
+    Command,
+    { kind: 'cut' | 'cut-one-way' | 'silence' | 'stall' }
+  >,
 ): void => {
   const entry = entryOf(world, command.entry);
   const runner = runnerOf(world, command.runner);
@@ -236,7 +241,14 @@
       world.network.cut(runner.name, entry.name);
       return;
     case 'silence':
-      world.silence(entry, runner);
+      world.linksBetween(entry, runner).forEach((link) => {
+        world.network.silence(link);
+      });
+      return;
+    case 'stall':
+      world.linksBetween(entry, runner).forEach((link) => {
+        world.network.stall(link);
+      });
   }
 };
 
@@ -283,7 +295,8 @@
   return ids;
 };
 
-const recover = (world: World): void => {
+/** Ends every fault and gives the estate time to settle. */
+export const recover = (world: World): void => {
   world.store.mode = StoreMode.Up;
   world.network.heal();
   resumeAll(world);
@@ -300,7 +313,7 @@
 };
 
 /** Checks what must hold once nothing is disturbed any more. */
-const settle = (world: World): void => {
+export const settle = (world: World): void => {
   const { oracle, queue } = world;
   for (const id of world.accepted) {
     const entry = entryOf(world, 0);
@@ -430,7 +443,7 @@
       runner: runnerIndex(),
     }),
     fc.record({
-      kind: kinds('cut', 'cut-one-way', 'silence'),
+      kind: kinds('cut', 'cut-one-way', 'silence', 'stall'),
       entry: entryIndex(),
       runner: runnerIndex(),
     }),
--- a/packages/standins/src/lib/sim/sim-entry.ts
+++ b/packages/standins/src/lib/sim/sim-entry.ts
@@ -25,6 +25,12 @@
   readonly skewMs: number;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
+  /** Sees each action; runs it now, later, twice or not at all. */
+  readonly intercept: (
+    entry: SimEntry,
+    action: EntryAction,
+    run: () => void,
+  ) => void;
   readonly onOpenLink: (linkId: string, address: string) => void;
   readonly onSend: (linkId: string, msg: EntryMessage) => void;
   readonly onCloseLink: (linkId: string) => void;
@@ -100,7 +106,9 @@
   dispatch(event: EntryEvent): void {
     const incarnation = this._incarnation;
     for (const action of this._core.handle(event, this.now)) {
-      this._runAction(action);
+      this._options.intercept(this, action, () => {
+        this._perform(action);
+      });
     }
     if (incarnation === this._incarnation) {
       this._options.oracle.onVersion(
@@ -151,7 +159,9 @@
     this._later(0, () => {
       this._flushPlanned = false;
       for (const action of this._core.handle({ kind: 'flush' }, this.now)) {
-        this._runAction(action);
+        this._options.intercept(this, action, () => {
+          this._perform(action);
+        });
       }
     });
   }
@@ -174,7 +184,7 @@
     };
   }
 
-  private _runAction(action: EntryAction): void {
+  private _perform(action: EntryAction): void {
     const { _options: options } = this;
     switch (action.kind) {
       case 'reply':
--- a/packages/standins/src/lib/sim/sim-runner.ts
+++ b/packages/standins/src/lib/sim/sim-runner.ts
@@ -34,6 +34,12 @@
   readonly skewMs: number;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
+  /** Sees each action; runs it now, later, twice or not at all. */
+  readonly intercept: (
+    runner: SimRunner,
+    action: RunnerAction,
+    run: () => void,
+  ) => void;
   readonly onSend: (linkId: string, msg: RunnerMessage) => void;
   readonly onCloseLink: (linkId: string) => void;
   readonly onAnnounce: (incarnation: string) => void;
@@ -85,7 +91,9 @@
   /** @param event - Something that happened to the runner. */
   dispatch(event: RunnerEvent): void {
     for (const action of this._core.handle(event, this.now)) {
-      this._run(action);
+      this._options.intercept(this, action, () => {
+        this._perform(action);
+      });
     }
     this._options.oracle.onVersion(
       this._incarnation,
@@ -150,14 +158,16 @@
         if (generation === this.generation) {
           this._flushPlanned = false;
           for (const action of this._core.handle({ kind: 'flush' }, this.now)) {
-            this._run(action);
+            this._options.intercept(this, action, () => {
+              this._perform(action);
+            });
           }
         }
       });
     });
   }
 
-  private _run(action: RunnerAction): void {
+  private _perform(action: RunnerAction): void {
     switch (action.kind) {
       case 'send':
         this._options.onSend(action.linkId, action.msg);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -5,7 +5,8 @@
 
 const CORE = 'packages/core/dist/lib/';
 const FUZZ = 'packages/standins/dist/bin/fuzz.js';
-const RUNS = '1500';
+const MATRIX = 'packages/standins/dist/bin/matrix.js';
+const RUNS = '600';
 
 const MUTATIONS = [
   {
@@ -130,7 +131,7 @@
   },
 ];
 
-const run = ({ name, file, from, to }) => {
+const run = ({ name, file, from, to, and }) => {
   const path = CORE + file;
   const original = readFileSync(path, 'utf8');
   if (!original.includes(from)) {
@@ -149,6 +150,13 @@
   }
 };
 
+const check = (args) => {
+  const { stdout, status } = spawnSync('node', args, { encoding: 'utf8' });
+  const line = stdout.split('\n').find((l) => / at \d+\.\d: /.test(l));
+  const promise = line?.trim().replace(/ at \d+\.\d: .*/, '') ?? 'crash';
+  return status === 0 ? 'not found' : promise;
+};
+
 const wanted = process.argv[2];
 for (const mutation of MUTATIONS) {
   if (wanted === undefined || mutation.name.includes(wanted)) {
