Hand-over at a planned stop: the row stays as the others have read it

Cause: after the time limit of a planned stop the entry set its row to leaving and then wrote it again at every tick and every renewal, so the conditional write of each successor met a newer version and no takeover ever began.

Ruled out: the lease (a leaving row counts as expired at once) and the fence (never reached).

Before: the new test 'entry that hands over cuts nothing' fails, the entry is still alive after 30 s. After: it passes; the job completes elsewhere.

Also: directed tests for three takeover corners that the mutations showed to be out of the fuzzer's reach.

--- a/packages/core/src/lib/process/membership.ts
+++ b/packages/core/src/lib/process/membership.ts
@@ -35,6 +35,7 @@
   private _ownerVersion = 0;
   private _beat = 0;
   private _leaving = false;
+  private _handedOver = false;
   private _writing = false;
   private _dirty = true;
   private _renewAtMs = 0;
@@ -121,8 +122,10 @@
 
   /** Asks the other entries to take this entry's jobs over. */
   handOver(): void {
-    this._leaving = true;
-    this._dirty = true;
+    if (!this._leaving) {
+      this._leaving = true;
+      this._dirty = true;
+    }
   }
 
   /** Deletes this entry's rows, when it owns no jobs any more. */
@@ -148,8 +151,9 @@
   }
 
   private _writeIfDue(now: number): void {
-    const due = now >= this._renewAtMs;
-    if (this._writing || !(due || this._dirty)) {
+    // A row that asks for a takeover must stay as the others have read it.
+    const due = now >= this._renewAtMs && !this._leaving;
+    if (this._writing || this._handedOver || !(due || this._dirty)) {
       return;
     }
     const { options, writer } = this._ctx;
@@ -167,6 +171,7 @@
       ],
       proofKey: storeKeys.member(row.incarnation),
       onDone: (outcome) => {
+        this._handedOver = row.leaving === true;
         this._onWritten(outcome, runners);
       },
     });
--- a/packages/standins/src/lib/sim/world.ts
+++ b/packages/standins/src/lib/sim/world.ts
@@ -46,6 +46,8 @@
   readonly taskCount: number;
   readonly isUrgent: boolean;
   readonly isFirst: boolean;
+  /** Time until the job is given up. */
+  readonly deadlineMs?: number;
 }
 
 interface Link {
@@ -546,7 +548,7 @@
       id,
       desk: 'dakar',
       priority: isUrgent ? PriorityClass.Urgent : PriorityClass.Routine,
-      deadlineMs: entry.now + JOB_DEADLINE_MS,
+      deadlineMs: entry.now + (submission.deadlineMs ?? JOB_DEADLINE_MS),
       dataCentres: [],
       tasks,
       digest: String(taskCount),
--- /dev/null
+++ b/packages/standins/src/test/takeover.test.ts
@@ -0,0 +1,120 @@
+import { expect } from 'earl';
+import { begin, settle } from '../lib/sim/scenario.js';
+import { EndpointMode } from '../lib/sim/sim-runner.js';
+import { StoreMode } from '../lib/sim/sim-store.js';
+import { World } from '../lib/sim/world.js';
+
+const LONG_DEADLINE_MS = 120_000;
+const TAKEOVER_MS = 25_000;
+
+const start = () => {
+  const world = new World({ seed: 3 });
+  begin(world);
+  const [first, second] = world.entries;
+  if (!first || !second) {
+    throw new Error('A world has entries.');
+  }
+  const run = (ms: number): void => {
+    world.queue.runUntil(world.queue.nowMs + ms);
+  };
+  const submission = {
+    id: 'job-a',
+    taskCount: 6,
+    isUrgent: false,
+    isFirst: true,
+    deadlineMs: LONG_DEADLINE_MS,
+  };
+  return { world, first, second, run, submission };
+};
+
+const end = (world: World): void => {
+  settle(world);
+  expect(world.oracle.violations).toEqual([]);
+};
+
+it('replaced owner that wakes can not claim', () => {
+  const { world, first, second, run, submission } = start();
+  first.pause();
+  world.submit(first, submission);
+  run(TAKEOVER_MS);
+  first.resume();
+  run(2000);
+  world.submit(second, { ...submission, isFirst: false });
+  run(TAKEOVER_MS);
+  end(world);
+});
+
+it('runner takes no task before a successor would find it', () => {
+  const { world, first, run, submission } = start();
+  world.runners.forEach((runner) => {
+    runner.mode = EndpointMode.Gone;
+  });
+  run(5000);
+  world.submit(first, submission);
+  run(1000);
+  world.runners.forEach((runner) => {
+    world.killRunner(runner);
+    runner.mode = EndpointMode.Up;
+  });
+  world.store.mode = StoreMode.Silent;
+  world.runners.forEach((runner) => {
+    runner.restart();
+  });
+  run(2500);
+  world.killEntry(first);
+  world.store.mode = StoreMode.Up;
+  run(TAKEOVER_MS);
+  first.restart();
+  run(TAKEOVER_MS);
+  end(world);
+});
+
+it('runner that held a task of an open job is never forgotten', () => {
+  const { world, first, second, run, submission } = start();
+  const [, , ...south] = world.runners;
+  const north = world.runners.slice(0, 2);
+  south.forEach((runner) => {
+    runner.mode = EndpointMode.Gone;
+  });
+  run(5000);
+  world.submit(first, { ...submission, taskCount: 12 });
+  run(300);
+  world.setDataCentre(second, 'north', false);
+  run(6000);
+  north.forEach((runner) => {
+    world.killRunner(runner);
+  });
+  run(15_000);
+  world.killEntry(first);
+  run(TAKEOVER_MS);
+  north.forEach((runner) => {
+    runner.restart();
+  });
+  world.setDataCentre(second, 'north', true);
+  first.restart();
+  run(LONG_DEADLINE_MS);
+  end(world);
+});
+
+it('entry that hands over cuts nothing', () => {
+  const { world, first, second, run, submission } = start();
+  world.runners.forEach((runner) => {
+    runner.isLeaving = true;
+  });
+  run(3000);
+  world.submit(first, submission);
+  run(500);
+  first.dispatch({ kind: 'stop' });
+  run(30_000);
+  expect(first.isAlive).toEqual(false);
+  world.runners.forEach((runner) => {
+    runner.isLeaving = false;
+  });
+  run(10_000);
+  world.ask(second, 'job-a', false, 10_000);
+  run(10_000);
+  expect(world.oracle.outcomeOf('job-a')?.kind).toEqual('complete');
+  first.restart();
+  run(TAKEOVER_MS);
+  end(world);
+});
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -6,7 +6,8 @@
 const CORE = 'packages/core/dist/lib/';
 const FUZZ = 'packages/standins/dist/bin/fuzz.js';
 const MATRIX = 'packages/standins/dist/bin/matrix.js';
-const RUNS = '600';
+const TAKEOVER = 'packages/standins/dist/test/takeover.test.js';
+const FUZZ_ARGS = ['--runs', '500', '--seed', '1', '--shrink-seconds', '0'];
 
 const MUTATIONS = [
   {
@@ -92,12 +93,18 @@
     file: 'process/runner.js',
     from: 'endpoint.value.leaving || ',
     to: '',
+    and: { from: '!endpoint.value.leaving', to: 'true' },
   },
   {
-    name: 'data centre not checked',
+    name: 'data centre not checked by either side',
     file: 'process/runner.js',
     from: '!this._config.dataCentreInService',
     to: 'false',
+    and: {
+      file: 'process/dispatcher.js',
+      from: 'config.isDataCentreInService(dataCentre)',
+      to: 'true',
+    },
   },
   {
     name: 'planned stop does not wait for callers',
@@ -131,29 +138,39 @@
   },
 ];
 
-const run = ({ name, file, from, to, and }) => {
+const edit = ({ file, from, to }) => {
   const path = CORE + file;
   const original = readFileSync(path, 'utf8');
   if (!original.includes(from)) {
-    return `${name}: NOT APPLIED`;
+    throw new Error(`${path} does not contain ${from}`);
   }
   writeFileSync(path, original.replace(from, to));
+  return () => {
+    writeFileSync(path, original);
+  };
+};
+
+const run = ({ and, ...mutation }) => {
+  const undo = [edit(mutation)];
+  if (and) {
+    undo.unshift(edit({ file: mutation.file, ...and }));
+  }
   try {
-    const args = [FUZZ, '--runs', RUNS, '--seed', '1', '--shrink-seconds', '0'];
-    const { stdout, status } = spawnSync('node', args, { encoding: 'utf8' });
-    const seen = stdout.split('\n').find((line) => / at \d+\.\d: /.test(line));
-    return status === 0
-      ? `${name}: NOT FOUND in ${RUNS} runs`
-      : `${name}: found: ${(seen ?? 'crash').slice(0, 100)}`;
+    const tests = check(['node_modules/.bin/mocha', TAKEOVER]);
+    const matrix = check([MATRIX]);
+    const fuzz = check([FUZZ, ...FUZZ_ARGS]);
+    return `| ${mutation.name} | ${tests} | ${matrix} | ${fuzz} |`;
   } finally {
-    writeFileSync(path, original);
+    undo.forEach((restore) => {
+      restore();
+    });
   }
 };
 
 const check = (args) => {
   const { stdout, status } = spawnSync('node', args, { encoding: 'utf8' });
   const line = stdout.split('\n').find((l) => / at \d+\.\d: /.test(l));
-  const promise = line?.trim().replace(/ at \d+\.\d: .*/, '') ?? 'crash';
+  const promise = line?.trim().replace(/ at \d+\.\d: .*/, '') ?? 'found';
   return status === 0 ? 'not found' : promise;
 };
 
