--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -9,6 +9,7 @@
   PollReply,
   Reply,
 } from '@sapphiremux/core';
+import { advertisedAddress } from '@sapphiremux/settings';
 import type { EntrySettings } from '@sapphiremux/settings';
 import {
   AnnounceReplySchema,
@@ -75,7 +76,7 @@
   constructor(options: EntryHostOptions) {
     const { settings } = options;
     this._options = options;
-    this._address = `${settings.listen.host}:${String(settings.listen.port)}`;
+    this._address = advertisedAddress(settings);
     this._tls = loadTls(settings.tls);
     this._peers = new EntryClients(this._tls);
     this._store = new StoreHttp({
--- a/packages/daemon/src/lib/process/runner-host.ts
+++ b/packages/daemon/src/lib/process/runner-host.ts
@@ -7,6 +7,7 @@
   RunnerAction,
   RunnerEvent,
 } from '@sapphiremux/core';
+import { advertisedAddress } from '@sapphiremux/settings';
 import type { RunnerSettings } from '@sapphiremux/settings';
 import {
   FenceReplySchema,
@@ -234,7 +235,7 @@
     const req = {
       runner: settings.id,
       incarnation,
-      address: `${settings.listen.host}:${String(settings.listen.port)}`,
+      address: advertisedAddress(settings),
       dataCentre: settings.data_centre,
       endpoint: endpoint.name,
     };
--- a/packages/settings/src/lib/schema.ts
+++ b/packages/settings/src/lib/schema.ts
@@ -38,6 +38,13 @@
 const listen = z.strictObject({
   host: z.string().describe('Address at which other processes reach this one.'),
   port: port.describe('Port for the other processes of the system.'),
+  advertise: z
+    .string()
+    .regex(/^.+:\d+$/, 'expected an address with a port, as in "10.0.0.7:7100"')
+    .optional()
+    .describe(
+      'Address to make known instead, where a forwarder is in between.',
+    ),
 });
 
 const tls = z
--- a/packages/standins/src/lib/estate.ts
+++ b/packages/standins/src/lib/estate.ts
@@ -7,6 +7,7 @@
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
 import { freePorts } from './free-ports.js';
+import { Relay } from './relay.js';
 import type { StoreFaults } from './store-server.js';
 
 /** Options of {@link Estate.start}. */
@@ -17,6 +18,8 @@
   readonly runners?: readonly string[];
   /** Name of the endpoint beside each runner. */
   readonly endpoint?: string;
+  /** Puts a relay before each runner. */
+  readonly relays?: boolean;
   /** Passed to the daemons' Node.js. */
   readonly nodeFlags?: readonly string[];
   /** Lease of the entries, such as "2s". */
@@ -35,6 +38,8 @@
 export interface EstateRunner extends EstateProcess {
   readonly dataCentre: string;
   readonly endpoint: EstateProcess;
+  /** Forwards the connections of entries, if the estate has relays. */
+  readonly relay: Relay | undefined;
 }
 
 const READY_TIMEOUT_MS = 20_000;
@@ -135,19 +140,29 @@
    */
   async addRunner(dataCentre: string): Promise<EstateRunner> {
     const name = `runner-${String(this._nextRunner++)}`;
-    const [listenPort = 0, localPort = 0, endpointPort = 0] =
-      await freePorts(3);
+    const [listenPort = 0, localPort = 0, endpointPort = 0, relayPort = 0] =
+      await freePorts(4);
+    const relay = this._options.relays
+      ? await Relay.start(relayPort, listenPort)
+      : undefined;
     const text = [
       'role = "runner"',
       `id = "${name}"`,
       `data_centre = "${dataCentre}"`,
-      ...this._commonSettings(listenPort),
+      ...this._commonSettings(listenPort, relay && relayPort),
       '[local]',
       `port = ${String(localPort)}`,
     ];
     const child = await this._daemon(name, text);
     const endpoint = await this._endpoint(name, endpointPort, localPort);
-    const runner = { name, child, port: localPort, dataCentre, endpoint };
+    const runner: EstateRunner = {
+      name,
+      child,
+      port: localPort,
+      dataCentre,
+      endpoint,
+      relay,
+    };
     this.runners.push(runner);
     await waitReady(localPort);
     return runner;
@@ -156,6 +171,7 @@
   /** Ends every process of the estate at once. */
   async close(): Promise<void> {
     await Promise.all(this._processes.map(endProcess));
+    this.runners.forEach(({ relay }) => relay?.close());
     if (!process.env.SAPPHIREMUX_KEEP_LOGS) {
       await rm(this._dir, { recursive: true });
     }
@@ -182,11 +198,14 @@
     await Promise.all(runners.map((dc) => this.addRunner(dc)));
   }
 
-  private _commonSettings(listenPort: number): string[] {
+  private _commonSettings(listenPort: number, advertised?: number): string[] {
     return [
       '[listen]',
       'host = "127.0.0.1"',
       `port = ${String(listenPort)}`,
+      ...(advertised === undefined
+        ? []
+        : [`advertise = "127.0.0.1:${String(advertised)}"`]),
       '[store]',
       `url = "http://127.0.0.1:${String(this._storePort)}"`,
     ];
--- a/packages/standins/src/lib/sim/matrix.ts
+++ b/packages/standins/src/lib/sim/matrix.ts
@@ -124,16 +124,12 @@
   world.queue.runUntil(world.queue.nowMs + 100);
   world.ask(third, 'job-a', false, RUN_MS);
   world.ask(second, 'job-b', false, RUN_MS);
-  switch (step) {
-    case Step.Takeover:
-      world.killEntry(first);
-      break;
-    case Step.Stop:
-      first.post(() => {
-        first.dispatch({ kind: 'stop' });
-      });
-      break;
-    default:
+  if (step === Step.Takeover) {
+    world.killEntry(first);
+  } else if (step === Step.Stop) {
+    first.post(() => {
+      first.dispatch({ kind: 'stop' });
+    });
   }
   world.setDataCentre(second, 'south', false);
   world.queue.runUntil(world.queue.nowMs + 400);
@@ -268,15 +264,14 @@
   role === 'entry' ? isEntryStep(step, action) : isRunnerStep(step, action);
 
 const isRunnerStep = (step: Step, action: RunnerAction): boolean => {
-  switch (step) {
-    case Step.Start:
-    case Step.Execute:
-      return action.kind === 'call';
-    case Step.Result:
-      return action.kind === 'send' && action.msg.results.length > 0;
-    default:
-      return false;
+  if (step === Step.Start || step === Step.Execute) {
+    return action.kind === 'call';
   }
+  return (
+    step === Step.Result &&
+    action.kind === 'send' &&
+    action.msg.results.length > 0
+  );
 };
 
 const isEntryStep = (step: Step, action: EntryAction): boolean => {
