Load tool, documents, slower ticks while idle

Cause: nothing measured the placement, and an idle entry or runner ticked 20 times a second.

What it does: npm run bench drives seeded open-loop traces at an estate of real processes and through a central queue with exact knowledge; it also measures one entry with runners that take no time against bare streams in the same run. Submissions take ?wait, so that a caller needs one round trip.

--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -144,6 +144,17 @@
     );
   }
 
+  /** Whether anything waits on the time: callers, jobs, writes, takeovers. */
+  get isBusy(): boolean {
+    return (
+      !this.isReady ||
+      this._openCalls.size > 0 ||
+      this._jobs.openCount > 0 ||
+      this._writer.pending > 0 ||
+      this._takeovers.activeCount > 0
+    );
+  }
+
   /** The configuration in force here. */
   get config(): Configuration {
     return this._config.current;
--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -47,6 +47,8 @@
 }
 
 const TICK_MS = 50;
+/** Period of the ticks while the entry has no work. */
+const IDLE_TICK_MS = 250;
 const POLL_TIMEOUT_MS = 1000;
 const FENCE_TIMEOUT_MS = 1000;
 /** Added to the wait of a forwarded call for the way there and back. */
@@ -117,10 +119,7 @@
         this._addRoutes(router);
       },
     });
-    this._timer = setInterval(() => {
-      this.dispatch({ kind: 'tick' });
-      this._updateGauges();
-    }, TICK_MS);
+    this._tick();
   }
 
   /**
@@ -166,13 +165,22 @@
 
   /** Ends all connections and timers. */
   async close(): Promise<void> {
-    clearInterval(this._timer);
+    clearTimeout(this._timer);
     this._links.closeAll();
     this._peers.close();
     await this._server?.close();
     await this._store.close();
   }
 
+  private _tick(): void {
+    this.dispatch({ kind: 'tick' });
+    this._updateGauges();
+    const periodMs = this._core.isBusy ? TICK_MS : IDLE_TICK_MS;
+    this._timer = setTimeout(() => {
+      this._tick();
+    }, periodMs);
+  }
+
   private _createCore(): EntryCore {
     const { settings, newIncarnation } = this._options;
     const { limits } = settings;
--- a/packages/daemon/src/lib/process/runner-host.ts
+++ b/packages/daemon/src/lib/process/runner-host.ts
@@ -36,8 +36,10 @@
   readonly onStopped: () => void;
 }
 
-const TICK_MS = 50;
+const TICK_MS = 250;
 const ANNOUNCE_MS = 1000;
+/** Period of announcements to entries that are connected already. */
+const CONNECTED_ANNOUNCE_MS = 5000;
 const CALL_TIMEOUT_MS = 1000;
 const MEMBER_SCAN_LIMIT = 1000;
 
@@ -56,6 +58,7 @@
   private _server: RpcServer | undefined;
   private _timers: NodeJS.Timeout[] = [];
   private _flushPlanned = false;
+  private _announceAtMs = 0;
   private _nextId = 1;
 
   /** @param options - Settings and receivers. */
@@ -225,7 +228,7 @@
     const { endpoint } = this._core;
     this.metrics.running.set(this._core.running);
     this.metrics.configVersion.set(this._core.configVersion);
-    if (!endpoint) {
+    if (!endpoint || now() < this._announceAtMs) {
       return;
     }
     if (this._entries.length === 0) {
@@ -251,6 +254,8 @@
       }),
     );
     this._entries = [...known];
+    const isConnected = this._core.linkCount >= this._entries.length;
+    this._announceAtMs = isConnected ? now() + CONNECTED_ANNOUNCE_MS : 0;
   }
 
   /** Reads the entries from the store, when none is known or answers. */
--- a/packages/daemon/src/lib/request/openapi.ts
+++ b/packages/daemon/src/lib/request/openapi.ts
@@ -45,6 +45,7 @@
     '/v1/jobs': {
       post: operation('Submit a job, or attach to it', {
         body: jobSchema,
+        parameters: [WAIT_PARAMETER],
         ok: 'The state of the job; status 202 while it is open.',
       }),
     },
--- /dev/null
+++ b/packages/load/src/bin/bench.ts
@@ -0,0 +1,54 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+import { parseArgs } from 'node:util';
+import { htmlReport, textTable } from '../lib/report.js';
+import { runResponseExperiment } from '../lib/response-experiment.js';
+import { readScenario } from '../lib/scenario.js';
+import { runThroughputExperiment } from '../lib/throughput-experiment.js';
+
+const { values } = parseArgs({
+  options: {
+    quick: { type: 'boolean', default: false },
+    scenario: { type: 'string' },
+    'throughput-only': { type: 'boolean', default: false },
+    out: { type: 'string', default: 'out' },
+  },
+});
+
+const scenarioFile = (name: string): string =>
+  fileURLToPath(new URL(`../../scenarios/${name}.toml`, import.meta.url));
+
+const file =
+  values.scenario ?? scenarioFile(values.quick ? 'quick' : 'levy-desk');
+const scenario = await readScenario(file);
+
+const loads = values['throughput-only']
+  ? []
+  : await runResponseExperiment(scenario);
+const throughput = await runThroughputExperiment({
+  seconds: values.quick ? 3 : 10,
+  runners: 3,
+  tasksPerJob: 100,
+  concurrency: 24,
+});
+const result = { loads, throughput };
+
+console.log(textTable(result));
+await mkdir(values.out, { recursive: true });
+await writeFile(`${values.out}/bench.html`, htmlReport(result));
+await writeFile(
+  `${values.out}/bench.jsonl`,
+  [...loads, throughput].map((line) => `${JSON.stringify(line)}\n`).join(''),
+);
+const figures: Record<string, number> = {
+  entryStartsPerSecond: Math.round(throughput.entryStartsPerSecond),
+  bareStreamRatio: Number(throughput.ratio.toFixed(3)),
+};
+for (const { load, meanRatio, urgentP99Ratio, wasteRatio } of loads) {
+  figures[`meanRatioAt${String(load)}`] = Number(meanRatio.toFixed(3));
+  figures[`urgentP99RatioAt${String(load)}`] = Number(
+    urgentP99Ratio.toFixed(3),
+  );
+  figures[`wasteRatioAt${String(load)}`] = Number(wasteRatio.toFixed(4));
+}
+console.log(JSON.stringify(figures));
--- /dev/null
+++ b/packages/load/src/lib/bare-stream.ts
@@ -0,0 +1,78 @@
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { EntryMessageSchema, RunnerService } from '@sapphiremux/wire';
+import type { EntryMessage } from '@sapphiremux/wire';
+
+/** Options of {@link measureBareStream}. */
+export interface BareStreamOptions {
+  /** Ports of instant runners. */
+  readonly ports: readonly number[];
+  readonly tasksPerMessage: number;
+  /** Messages in flight on each stream. */
+  readonly depth: number;
+  readonly seconds: number;
+}
+
+const PAYLOAD = Buffer.from('{"ms":0}');
+const MS_PER_SECOND = 1000;
+
+/**
+ * Carries tasks over bare Connect streams to instant runners, with no
+ * decisions in between.
+ *
+ * @param options - Streams and size of the batches.
+ * @returns Answered tasks a second.
+ */
+export const measureBareStream = async (
+  options: BareStreamOptions,
+): Promise<number> => {
+  const untilMs = performance.now() + options.seconds * MS_PER_SECOND;
+  const counts = await Promise.all(
+    options.ports.map((port) => runStream(port, options, untilMs)),
+  );
+  return counts.reduce((sum, count) => sum + count, 0) / options.seconds;
+};
+
+const runStream = async (
+  port: number,
+  options: BareStreamOptions,
+  untilMs: number,
+): Promise<number> => {
+  const transport = createConnectTransport({
+    httpVersion: '2',
+    baseUrl: `http://127.0.0.1:${String(port)}`,
+  });
+  const client = createClient(RunnerService, transport);
+  let answered = 0;
+  let wake: () => void = () => undefined;
+  let credit = options.depth;
+  async function* batches(): AsyncGenerator<EntryMessage> {
+    for (let n = 0; performance.now() < untilMs; n++) {
+      while (credit <= 0 && performance.now() < untilMs) {
+        await new Promise<void>((resolve) => {
+          wake = resolve;
+        });
+      }
+      credit -= 1;
+      yield batch(n, options.tasksPerMessage);
+    }
+  }
+  for await (const msg of client.dispatch(batches())) {
+    answered += msg.results.length;
+    credit += 1;
+    wake();
+  }
+  return answered;
+};
+
+const batch = (n: number, count: number): EntryMessage =>
+  create(EntryMessageSchema, {
+    starts: Array.from({ length: count }, (_, index) => ({
+      job: `job-${String(n)}`,
+      index,
+      endpoint: 'levy',
+      payload: PAYLOAD,
+      contentType: 'application/json',
+    })),
+  });
--- /dev/null
+++ b/packages/load/src/lib/driver.ts
@@ -0,0 +1,72 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import type { TraceJob } from './trace.js';
+
+/** Options of {@link drive}. */
+export interface DriveOptions {
+  /** Addresses of the entries; jobs go to them in turn. */
+  readonly urls: readonly string[];
+  readonly trace: readonly TraceJob[];
+  /** Makes ids unique among runs. */
+  readonly name: string;
+}
+
+/** What became of one job of a trace. */
+export interface JobOutcome {
+  readonly state: 'complete' | 'failed' | 'refused';
+  /** From the intended time of the submission to the whole answer. */
+  readonly responseMs: number;
+}
+
+interface JobBody {
+  readonly state?: string;
+}
+
+const DEADLINE_MS = 120_000;
+const WAIT_MS = 60_000;
+
+/**
+ * Submits the jobs of a trace at their times, whatever the answers take.
+ *
+ * @param options - Trace and entries.
+ * @returns What became of each job, in the order of the trace.
+ */
+export const drive = async (options: DriveOptions): Promise<JobOutcome[]> => {
+  const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  const startMs = performance.now();
+  const running = options.trace.map(async (job, index) => {
+    await sleep(Math.max(0, startMs + job.atMs - performance.now()));
+    const url = options.urls[index % options.urls.length] ?? '';
+    const id = `${options.name}-${String(index)}`;
+    const state = await runJob(url, id, job, agent);
+    return { state, responseMs: performance.now() - startMs - job.atMs };
+  });
+  const outcomes = await Promise.all(running);
+  await agent.close();
+  return outcomes;
+};
+
+const runJob = async (
+  url: string,
+  id: string,
+  job: TraceJob,
+  agent: Agent,
+): Promise<JobOutcome['state']> => {
+  const body = {
+    id,
+    desk: 'bench',
+    priority: job.isUrgent ? 'urgent' : 'routine',
+    deadlineMs: DEADLINE_MS,
+    firstAttempt: true,
+    tasks: job.taskMs.map((ms) => ({ endpoint: 'levy', payload: { ms } })),
+  };
+  const path = `/v1/jobs?wait=${String(WAIT_MS)}`;
+  const res = await request(new URL(path, url), {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+    dispatcher: agent,
+  });
+  const { state } = (await res.body.json()) as JobBody;
+  return state === 'complete' || state === 'failed' ? state : 'refused';
+};
--- /dev/null
+++ b/packages/load/src/lib/metrics.ts
@@ -0,0 +1,32 @@
+import type { Estate } from '@sapphiremux/standins';
+import { request } from 'undici';
+
+/** Counters of the entries of an estate, added up. */
+export interface Counters {
+  readonly starts: number;
+  /** Wasted messages by kind. */
+  readonly wasted: Readonly<Record<string, number>>;
+}
+
+const STARTS = /^sapphiremux_task_starts_total (\d+)/;
+const WASTED = /^sapphiremux_wasted_messages_total\{kind="([^"]+)"\} (\d+)/;
+
+/**
+ * @param estate - A running estate.
+ * @returns What its entries have counted so far.
+ */
+export const readCounters = async (estate: Estate): Promise<Counters> => {
+  let starts = 0;
+  const wasted: Record<string, number> = {};
+  for (const url of estate.urls) {
+    const res = await request(new URL('/metrics', url));
+    for (const line of (await res.body.text()).split('\n')) {
+      starts += Number(STARTS.exec(line)?.[1] ?? 0);
+      const [, kind = '', count = '0'] = WASTED.exec(line) ?? [];
+      if (kind !== '') {
+        wasted[kind] = (wasted[kind] ?? 0) + Number(count);
+      }
+    }
+  }
+  return { starts, wasted };
+};
--- /dev/null
+++ b/packages/load/src/lib/reference.ts
@@ -0,0 +1,57 @@
+import type { TraceJob } from './trace.js';
+
+/**
+ * Runs a trace through the ideal: one central queue over all slots, first
+ * come first served within each class, urgent work first, exact knowledge, no
+ * network and no store.
+ *
+ * @param trace - Jobs in the order of their times.
+ * @param slots - Number of slots.
+ * @returns Response time of each job, in the order of the trace.
+ */
+export const referenceResponses = (
+  trace: readonly TraceJob[],
+  slots: number,
+): number[] => {
+  const freeAtMs = new Array<number>(slots).fill(0);
+  const endMs = new Array<number>(trace.length).fill(0);
+  const urgent: [number, number][] = [];
+  const routine: [number, number][] = [];
+  let next = 0;
+  const admit = (untilMs: number): void => {
+    for (let job = trace[next]; job && job.atMs <= untilMs; job = trace[next]) {
+      const lane = job.isUrgent ? urgent : routine;
+      for (const taskMs of job.taskMs) {
+        lane.push([next, taskMs]);
+      }
+      next += 1;
+    }
+  };
+  for (;;) {
+    const slot = indexOfLeast(freeAtMs);
+    let nowMs = freeAtMs[slot] ?? 0;
+    admit(nowMs);
+    const waiting = trace[next];
+    if (urgent.length + routine.length === 0) {
+      if (!waiting) {
+        break;
+      }
+      nowMs = waiting.atMs;
+      admit(nowMs);
+    }
+    const [job, taskMs] = urgent.shift() ?? routine.shift() ?? [0, 0];
+    freeAtMs[slot] = nowMs + taskMs;
+    endMs[job] = Math.max(endMs[job] ?? 0, nowMs + taskMs);
+  }
+  return trace.map((job, index) => (endMs[index] ?? 0) - job.atMs);
+};
+
+const indexOfLeast = (values: readonly number[]): number => {
+  let best = 0;
+  for (let i = 1; i < values.length; i++) {
+    if ((values[i] ?? 0) < (values[best] ?? 0)) {
+      best = i;
+    }
+  }
+  return best;
+};
--- /dev/null
+++ b/packages/load/src/lib/response-experiment.ts
@@ -0,0 +1,107 @@
+import { Estate } from '@sapphiremux/standins';
+import { drive } from './driver.js';
+import type { JobOutcome } from './driver.js';
+import { readCounters } from './metrics.js';
+import { referenceResponses } from './reference.js';
+import type { Scenario } from './scenario.js';
+import { summarize } from './summary.js';
+import type { Summary } from './summary.js';
+import { declareEstate } from './ticket.js';
+import { makeTrace } from './trace.js';
+
+/** Figures of one load. */
+export interface LoadResult {
+  readonly load: number;
+  readonly measured: Summary;
+  readonly reference: Summary;
+  /** Mean response time over the mean of the reference. */
+  readonly meanRatio: number;
+  readonly urgentP99Ratio: number;
+  readonly failed: number;
+  readonly taskStarts: number;
+  /** Wasted messages by kind. */
+  readonly wasted: Readonly<Record<string, number>>;
+  /** Wasted messages for each task start. */
+  readonly wasteRatio: number;
+}
+
+const SLOTS_PER_RUNNER = 8;
+const MS_PER_SECOND = 1000;
+
+/**
+ * Runs a scenario at each of its loads on an estate of real processes, and
+ * the same traces through the reference.
+ *
+ * @param scenario - Sizes and loads.
+ * @returns Figures of each load.
+ */
+export const runResponseExperiment = async (
+  scenario: Scenario,
+): Promise<LoadResult[]> => {
+  const estate = await Estate.start({
+    entries: scenario.entries,
+    runners: scenario.runners,
+  });
+  try {
+    await declareEstate(estate, scenario.runners);
+    const results: LoadResult[] = [];
+    for (const load of scenario.loads) {
+      results.push(await runLoad(estate, scenario, load));
+    }
+    return results;
+  } finally {
+    await estate.close();
+  }
+};
+
+const runLoad = async (
+  estate: Estate,
+  scenario: Scenario,
+  load: number,
+): Promise<LoadResult> => {
+  const slots = scenario.runners.length * SLOTS_PER_RUNNER;
+  const trace = makeTrace({
+    seed: scenario.seed,
+    lengthMs: (scenario.warmup_seconds + scenario.seconds) * MS_PER_SECOND,
+    load,
+    slots,
+    tasksPerJob: scenario.tasks_per_job,
+    urgentShare: scenario.urgent_share,
+  });
+  const before = await readCounters(estate);
+  const outcomes = await drive({
+    urls: estate.urls,
+    trace,
+    name: `load-${String(load)}`,
+  });
+  const after = await readCounters(estate);
+  const ideal = referenceResponses(trace, slots);
+  const isCounted = (index: number): boolean =>
+    (trace[index]?.atMs ?? 0) >= scenario.warmup_seconds * MS_PER_SECOND;
+  const isUrgent = (index: number): boolean =>
+    isCounted(index) && (trace[index]?.isUrgent ?? false);
+  const measuredMs = outcomes.map((o: JobOutcome) => o.responseMs);
+  const pick = (values: readonly number[], keep: (i: number) => boolean) =>
+    summarize(values.filter((_, index) => keep(index)));
+  const measured = pick(measuredMs, isCounted);
+  const reference = pick(ideal, isCounted);
+  const taskStarts = after.starts - before.starts;
+  const wasted: Record<string, number> = {};
+  let wasteSum = 0;
+  for (const [kind, count] of Object.entries(after.wasted)) {
+    wasted[kind] = count - (before.wasted[kind] ?? 0);
+    wasteSum += wasted[kind];
+  }
+  return {
+    load,
+    measured,
+    reference,
+    meanRatio: measured.meanMs / reference.meanMs,
+    urgentP99Ratio:
+      pick(measuredMs, isUrgent).p99Ms / pick(ideal, isUrgent).p99Ms,
+    failed: outcomes.filter((o) => o.state !== 'complete').length,
+    taskStarts,
+    wasted,
+    wasteRatio: wasteSum / Math.max(1, taskStarts),
+  };
+};
--- /dev/null
+++ b/packages/load/src/lib/scenario.ts
@@ -0,0 +1,31 @@
+import { readFile } from 'node:fs/promises';
+import { parse } from 'smol-toml';
+import { z } from 'zod';
+
+/** What an experiment runs. */
+export const scenarioSchema = z.strictObject({
+  seed: z.int(),
+  seconds: z.number().positive(),
+  warmup_seconds: z.number().min(0),
+  entries: z.int().positive(),
+  runners: z.array(z.string()).min(1),
+  loads: z.array(z.number().positive().max(0.98)).min(1),
+  tasks_per_job: z.int().positive().max(800),
+  urgent_share: z.number().min(0).max(1),
+});
+
+/** A checked scenario. */
+export type Scenario = z.infer<typeof scenarioSchema>;
+
+/**
+ * @param file - Scenario in TOML.
+ * @returns The checked scenario.
+ * @throws An error that names the file and the keys that are wrong.
+ */
+export const readScenario = async (file: string): Promise<Scenario> => {
+  const parsed = scenarioSchema.safeParse(parse(await readFile(file, 'utf8')));
+  if (!parsed.success) {
+    throw new Error(`${file}: ${z.prettifyError(parsed.error)}`);
+  }
+  return parsed.data;
+};
--- /dev/null
+++ b/packages/load/src/lib/summary.ts
@@ -0,0 +1,32 @@
+import { build } from 'hdr-histogram-js';
+
+/** Figures of a set of response times, in milliseconds. */
+export interface Summary {
+  readonly count: number;
+  readonly meanMs: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+const HIGHEST_MS = 600_000;
+const DIGITS = 3;
+
+/**
+ * @param responsesMs - Response times.
+ * @returns Their figures.
+ */
+export const summarize = (responsesMs: readonly number[]): Summary => {
+  const histogram = build({
+    highestTrackableValue: HIGHEST_MS,
+    numberOfSignificantValueDigits: DIGITS,
+  });
+  for (const ms of responsesMs) {
+    histogram.recordValue(Math.max(1, Math.round(ms)));
+  }
+  return {
+    count: responsesMs.length,
+    meanMs: histogram.mean,
+    p50Ms: histogram.getValueAtPercentile(50),
+    p99Ms: histogram.getValueAtPercentile(99),
+  };
+};
--- /dev/null
+++ b/packages/load/src/lib/ticket.ts
@@ -0,0 +1,35 @@
+import { call } from '@sapphiremux/standins';
+import type { Estate } from '@sapphiremux/standins';
+
+const UNLIMITED = 1_000_000;
+
+/**
+ * Declares data centres, the endpoint and the desk of an experiment.
+ *
+ * @param estate - The estate.
+ * @param dataCentres - Names of its data centres.
+ */
+export const declareEstate = async (
+  estate: Estate,
+  dataCentres: readonly string[],
+): Promise<void> => {
+  const names = [...new Set(dataCentres)];
+  await call(estate.entries[0]?.port ?? 0, 'POST', '/v1/tickets', {
+    author: 'bench',
+    reason: 'declare the estate',
+    changes: [
+      ...names.map((name) => ({
+        subject: `data-centre/${name}`,
+        setting: { kind: 'data-centre', inService: true },
+      })),
+      {
+        subject: 'endpoint/levy',
+        setting: { kind: 'endpoint', inService: true, dataCentres: names },
+      },
+      {
+        subject: 'desk/bench',
+        setting: { kind: 'desk', ratePerSecond: UNLIMITED, burst: UNLIMITED },
+      },
+    ],
+  });
+};
--- /dev/null
+++ b/packages/load/src/lib/trace.ts
@@ -0,0 +1,64 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** A job of a trace. */
+export interface TraceJob {
+  /** Intended time of the submission from the start of the trace. */
+  readonly atMs: number;
+  /** Run time of each task. */
+  readonly taskMs: readonly number[];
+  readonly isUrgent: boolean;
+}
+
+/** Options of {@link makeTrace}. */
+export interface TraceOptions {
+  readonly seed: number;
+  readonly lengthMs: number;
+  /** Share of the slots' capacity that the tasks take. */
+  readonly load: number;
+  readonly slots: number;
+  readonly tasksPerJob: number;
+  readonly urgentShare: number;
+}
+
+const SHORT_MS = [50, 500] as const;
+const LONG_MS = [1000, 5000] as const;
+const LONG_SHARE = 0.05;
+
+const mean = ([low, high]: readonly [number, number]): number =>
+  (low + high) / 2;
+
+/** Mean run time of a task in a trace. */
+export const MEAN_TASK_MS =
+  (1 - LONG_SHARE) * mean(SHORT_MS) + LONG_SHARE * mean(LONG_MS);
+
+/**
+ * Makes open-loop arrivals: their times do not depend on the answers.
+ *
+ * @param options - Load and sizes.
+ * @returns Jobs in the order of their times; the same for the same options.
+ */
+export const makeTrace = (options: TraceOptions): TraceJob[] => {
+  const generator = xoroshiro128plus(options.seed);
+  const random = (): number => uniformFloat64(generator);
+  const jobMs = MEAN_TASK_MS * options.tasksPerJob;
+  const jobsPerMs = (options.load * options.slots) / jobMs;
+  const jobs: TraceJob[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += -Math.log(1 - random()) / jobsPerMs;
+    if (atMs >= options.lengthMs) {
+      return jobs;
+    }
+    const isUrgent = random() < options.urgentShare;
+    const taskMs = Array.from({ length: options.tasksPerJob }, () =>
+      taskTime(random),
+    );
+    jobs.push({ atMs, taskMs, isUrgent });
+  }
+};
+
+const taskTime = (random: () => number): number => {
+  const [low, high] = random() < LONG_SHARE ? LONG_MS : SHORT_MS;
+  return Math.round(low + random() * (high - low));
+};
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,3 +3,4 @@
 export type { CliRun } from './lib/cli.js';
 export { Estate, call, waitUntil } from './lib/estate.js';
 export { MemoryStore } from './lib/memory-store.js';
+export { freePorts } from './lib/free-ports.js';
--- a/packages/standins/src/lib/estate.ts
+++ b/packages/standins/src/lib/estate.ts
@@ -34,6 +34,11 @@
   readonly port: number;
 }
 
+/** An entry with its port for other processes. */
+export interface EstateEntry extends EstateProcess {
+  readonly listenPort: number;
+}
+
 /** A runner with its endpoint. */
 export interface EstateRunner extends EstateProcess {
   readonly dataCentre: string;
@@ -58,7 +63,7 @@
  * runners and endpoints.
  */
 export class Estate {
-  readonly entries: EstateProcess[] = [];
+  readonly entries: EstateEntry[] = [];
   readonly runners: EstateRunner[] = [];
   private readonly _options: EstateOptions;
   private readonly _dir: string;
@@ -113,7 +118,7 @@
   }
 
   /** Starts one more entry. */
-  async addEntry(): Promise<EstateProcess> {
+  async addEntry(): Promise<EstateEntry> {
     const name = `entry-${String(this._nextEntry++)}`;
     const [listenPort = 0, httpPort = 0] = await freePorts(2);
     const lease = this._options.memberLease;
@@ -127,7 +132,7 @@
       ...(lease ? ['[limits]', `member_lease = "${lease}"`] : []),
     ];
     const child = await this._daemon(name, text);
-    const entry = { name, child, port: httpPort };
+    const entry = { name, child, port: httpPort, listenPort };
     this.entries.push(entry);
     await waitReady(httpPort);
     return entry;
--- a/packages/standins/src/test/takeover.test.ts
+++ b/packages/standins/src/test/takeover.test.ts
@@ -56,6 +56,8 @@
     world.killRunner(runner);
     runner.mode = EndpointMode.Up;
   });
+  // The entry forgets the runners of before; none of them was sent a task.
+  run(15_000);
   world.store.mode = StoreMode.Silent;
   world.runners.forEach((runner) => {
     runner.restart();
