Cheaper placement; slopes of the decisions

Cause: the profile of a loaded entry shows configuration look-ups, key strings and payload encoding for each candidate of each task.

What it does: a runner peer remembers whether its data centre and endpoint are in service under the configuration at hand, its key, and whether a successor would find it; payloads are encoded by Buffer.

--- a/packages/core/src/lib/connection/runner-peer.ts
+++ b/packages/core/src/lib/connection/runner-peer.ts
@@ -6,6 +6,7 @@
   Units,
 } from '../messages.js';
 import { fitsInto } from '../process/resource-ledger.js';
+import type { Configuration } from '../version/configuration.js';
 
 /** Names a runner incarnation and where it listens. */
 export interface RunnerRef {
@@ -51,6 +52,10 @@
  */
 export class RunnerPeer {
   readonly ref: RunnerRef;
+  /** Unique to the runner incarnation. */
+  readonly key: string;
+  /** Whether a successor of this entry would find the runner. */
+  isFindable = false;
   /** Starts that the runner has neither refused nor answered. */
   readonly inFlight = new Map<string, StartMessage>();
   link: RunnerLink | undefined;
@@ -65,6 +70,8 @@
   free: Resources = { cores: 0, memoryMb: 0, accelerators: 0 };
   accepting = false;
   private _outbox: EntryMessage | undefined;
+  private _checkedConfig: Configuration | undefined;
+  private _isInService = false;
 
   /**
    * @param ref - The runner incarnation.
@@ -72,14 +79,10 @@
    */
   constructor(ref: RunnerRef, now: number) {
     this.ref = ref;
+    this.key = runnerKey(ref);
     this.heardAtMs = now;
   }
 
-  /** Unique to the runner incarnation. */
-  get key(): string {
-    return runnerKey(this.ref);
-  }
-
   /** The batch that the next flush sends. */
   get outbox(): EntryMessage {
     this._outbox ??= emptyEntryMessage();
@@ -151,6 +154,21 @@
     );
   }
 
+  /**
+   * @param config - The configuration in force.
+   * @returns Whether the runner's data centre and endpoint are in service.
+   */
+  isInService(config: Configuration): boolean {
+    if (this._checkedConfig !== config) {
+      const { dataCentre, endpoint } = this.ref;
+      this._checkedConfig = config;
+      this._isInService =
+        config.isDataCentreInService(dataCentre) &&
+        config.isEndpointInService(endpoint, dataCentre);
+    }
+    return this._isInService;
+  }
+
   /**
    * Converts a time at which this entry's configuration was confirmed to the
    * runner's clock, never later than the true time: only intervals measured
--- a/packages/core/src/lib/process/dispatcher.ts
+++ b/packages/core/src/lib/process/dispatcher.ts
@@ -32,7 +32,6 @@
 const MAX_PAUSE_MS = 5000;
 const LINK_RETRY_MS = 500;
 const MAX_DEMAND = 64;
-const ENCODER = new TextEncoder();
 
 /**
  * Places waiting tasks on runners and keeps the links to them.
@@ -395,19 +394,20 @@
   }
 
   private _isAllowed(peer: RunnerPeer, job: Job): boolean {
-    const { dataCentre, endpoint } = peer.ref;
     const { dataCentres } = job.spec;
-    const config = this._options.config.current;
     return (
-      (dataCentres.length === 0 || dataCentres.includes(dataCentre)) &&
-      config.isDataCentreInService(dataCentre) &&
-      config.isEndpointInService(endpoint, dataCentre)
+      (dataCentres.length === 0 || dataCentres.includes(peer.ref.dataCentre)) &&
+      peer.isInService(this._options.config.current)
     );
   }
 
   /** Requests are not taken over, so their runners need not be found. */
   private _isFindable(peer: RunnerPeer, pool: keyof Units): boolean {
-    return pool === 'connections' || this._options.ensureRunner(peer.ref);
+    if (pool === 'connections') {
+      return true;
+    }
+    peer.isFindable ||= this._options.ensureRunner(peer.ref);
+    return peer.isFindable;
   }
 
   private _start(
@@ -491,7 +491,7 @@
     index,
     kind: job.kind,
     endpoint: task?.endpoint ?? '',
-    payload: ENCODER.encode(task?.payload ?? ''),
+    payload: Buffer.from(task?.payload ?? ''),
     contentType: job.contentType,
     deadlineMs: job.spec.deadlineMs,
     needs: task?.needs,
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -101,7 +101,7 @@
     from: '!this._config.dataCentreInService',
     to: 'false',
     and: {
-      file: 'process/dispatcher.js',
+      file: 'connection/runner-peer.js',
       from: 'config.isDataCentreInService(dataCentre)',
       to: 'true',
     },
