--- a/packages/load/src/lib/core-cost.ts
+++ b/packages/load/src/lib/core-cost.ts
@@ -1,5 +1,6 @@
 import {
   EntryCore,
+  JobStep,
   PriorityClass,
   RunState,
   emptyRunnerMessage,
@@ -192,7 +193,7 @@
       this._runnerOfLink.set(action.linkId, action.address);
     } else if (action.kind === 'send') {
       this._answer(action);
-    } else if (action.kind === 'job-step' && action.step === 'recorded') {
+    } else if (action.kind === 'job-step' && action.step === JobStep.Recorded) {
       this._answered += 1;
     }
   }
--- a/packages/standins/src/test/takeover.test.ts
+++ b/packages/standins/src/test/takeover.test.ts
@@ -3,12 +3,13 @@
 import { EndpointMode } from '../lib/sim/sim-runner.js';
 import { StoreMode } from '../lib/sim/sim-store.js';
 import { World } from '../lib/sim/world.js';
+import type { Intercept } from '../lib/sim/world.js';
 
 const LONG_DEADLINE_MS = 120_000;
 const TAKEOVER_MS = 25_000;
 
-const start = () => {
-  const world = new World({ seed: 3 });
+const start = (intercept?: Intercept) => {
+  const world = new World({ seed: 3, ...(intercept ? { intercept } : {}) });
   begin(world);
   const [first, second] = world.entries;
   if (!first || !second) {
@@ -44,6 +45,37 @@
   end(world);
 });
 
+it('replaced owner that wakes can not change an outcome', () => {
+  let isPaused = false;
+  const { world, first, second, run, submission } = start((action, go) => {
+    const isOutcome =
+      action.role === 'entry' &&
+      action.action.kind === 'store' &&
+      JSON.stringify(action.action.req).includes('outcome');
+    if (isOutcome && !isPaused) {
+      isPaused = true;
+      action.process.pause();
+      action.process.post(go);
+    } else {
+      go();
+    }
+  });
+  world.submit(first, submission);
+  run(5000);
+  expect(isPaused).toEqual(true);
+  world.runners.forEach((runner) => {
+    world.killRunner(runner);
+    runner.restart();
+  });
+  run(TAKEOVER_MS);
+  world.ask(second, 'job-a', false, 1000);
+  run(2000);
+  expect(world.oracle.outcomeOf('job-a')?.kind).toEqual('failed');
+  first.resume();
+  run(5000);
+  end(world);
+});
+
 it('runner takes no task before a successor would find it', () => {
   const { world, first, run, submission } = start();
   world.runners.forEach((runner) => {
