Object store for submissions and outcomes that are too large for a row

Cause: a job of 800 tasks put its whole submission and outcome into one row of the table.

What it does: above 64 KiB the text goes to the object store first, under a key that stands for this content for good, so that a put whose answer was lost may be repeated. The row names the object. Weighed: one object for each group of claims (fewer puts, but a takeover would read what it does not need).

--- a/packages/core/src/lib/process/entry-context.ts
+++ b/packages/core/src/lib/process/entry-context.ts
@@ -1,4 +1,5 @@
 import type { EntryAction, JobStep } from './entry-events.js';
+import type { ObjectClient } from './object-client.js';
 import type { StoreClient } from './store-client.js';
 import type { StoreWriter } from './store-writer.js';
 
@@ -36,6 +37,8 @@
   readonly outcomeCacheMs?: number;
   /** Least share of the placements that routine work gets while it waits. */
   readonly routineShare?: number;
+  /** Submissions and outcomes above this size go to the object store. */
+  readonly rowLimitBytes?: number;
 }
 
 /** Defaults of {@link EntryOptions}. */
@@ -52,6 +55,7 @@
   fenceTimeoutMs: 10_000,
   outcomeCacheMs: 5000,
   routineShare: 0.1,
+  rowLimitBytes: 65_536,
 } as const;
 
 /** Options with every default filled in. */
@@ -62,6 +66,7 @@
   readonly options: ResolvedEntryOptions;
   readonly store: StoreClient;
   readonly writer: StoreWriter;
+  readonly objects: ObjectClient;
   /** @param action - Something that the process is to do. */
   emit(action: EntryAction): void;
   /** Reports a step in the life of a job. */
--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -23,7 +23,9 @@
 import { JobTable, errorReply, refuseSubmission } from './job-table.js';
 import { Membership } from './membership.js';
 import type { MemberView } from './membership.js';
+import { ObjectClient } from './object-client.js';
 import { RequestTable } from './request-table.js';
+import { isFinal } from './rows.js';
 import type { JobRow } from './rows.js';
 import { StoreClient } from './store-client.js';
 import { StoreWriter } from './store-writer.js';
@@ -86,6 +88,7 @@
       options: resolved,
       store: this._store,
       writer: this._writer,
+      objects: new ObjectClient({ ...resolved, store: this._store }),
       emit,
       logStep: (step, job, detail = '') => {
         emit({ kind: 'job-step', step, job, detail });
@@ -349,21 +352,27 @@
         return;
       }
       const row = reply.rows[0];
-      this._reply(
-        event.replyId,
-        row ? this._answerFromRow(row, event) : unknownJob(event.job),
-      );
+      if (row) {
+        this._answerFromRow(row, event);
+      } else {
+        this._reply(event.replyId, unknownJob(event.job));
+      }
     });
   }
 
-  private _answerFromRow(row: Row, event: AskEvent): Reply {
-    const { owner, address, outcome } = JSON.parse(row.value) as JobRow;
+  private _answerFromRow(row: Row, event: AskEvent): void {
+    const jobRow = JSON.parse(row.value) as JobRow;
+    const { owner, address } = jobRow;
     const isElsewhere = owner !== this._ctx.options.incarnation;
-    if (!outcome && isElsewhere && event.forward) {
-      const { job, waitMs, cancel } = event;
-      return { kind: 'forward', address, job, waitMs, cancel };
+    const { job, waitMs, cancel, replyId } = event;
+    if (!isFinal(jobRow) && isElsewhere && event.forward) {
+      const forward = { address, job, waitMs, cancel };
+      this._reply(replyId, { kind: 'forward', ...forward });
+      return;
     }
-    return this._jobs.replyFromRow(row, undefined) ?? STORE_SILENT;
+    this._jobs.readStatus(job, jobRow, (status) => {
+      this._reply(replyId, status ? { kind: 'job', status } : STORE_SILENT);
+    });
   }
 
   private _onTicket(
@@ -386,6 +395,7 @@
   }
 
   private _tick(now: number): void {
+    this._ctx.objects.tick(now);
     this._membership.tick(now);
     this._config.tick(now);
     this._tickets.tick(now);
--- a/packages/core/src/lib/process/job-table.ts
+++ b/packages/core/src/lib/process/job-table.ts
@@ -4,11 +4,13 @@
 import type { TaskState } from '../request/job.js';
 import type { JobSpec } from '../request/job-spec.js';
 import { FailureReason } from '../request/outcome.js';
+import type { Outcome } from '../request/outcome.js';
 import { storeKeys } from '../store.js';
 import type { Condition, Row } from '../store.js';
 import type { EntryContext } from './entry-context.js';
 import { ErrorCode, JobStep } from './entry-events.js';
 import type { CallerError, JobStatus, Reply } from './entry-events.js';
+import { isFinal } from './rows.js';
 import type { JobRow } from './rows.js';
 import type { WriteOutcome } from './store-writer.js';
 
@@ -128,29 +130,26 @@
    * @param now - Current time in milliseconds.
    */
   claim(spec: JobSpec, replyId: number, now: number): void {
-    const { options, writer } = this._ctx;
+    const { options, objects } = this._ctx;
     this._claims.set(spec.id, {
       spec,
       replyIds: new Set([replyId]),
       startedAtMs: now,
       cancelled: false,
     });
-    const row = this._openRow(spec, 1);
-    const key = storeKeys.job(spec.id);
-    writer.submit({
-      conditions: [{ key, version: 0 }, this._options.ownerCondition()],
-      writes: [
-        { key, value: JSON.stringify(row) },
-        {
-          key: storeKeys.open(options.incarnation, spec.id),
-          value: row.nonce,
-        },
-      ],
-      proofKey: key,
-      giveUpAtMs: now + options.claimTimeoutMs,
-      onDone: (outcome) => {
-        this._onClaimed(spec, outcome);
-      },
+    const untilMs = now + options.claimTimeoutMs;
+    const text = JSON.stringify(spec);
+    if (text.length <= options.rowLimitBytes) {
+      this._submitClaim(spec, { spec }, untilMs);
+      return;
+    }
+    const specKey = storeKeys.spec(spec.id, spec.digest);
+    objects.put(specKey, text, untilMs, (isStored) => {
+      if (isStored) {
+        this._submitClaim(spec, { specKey }, untilMs);
+      } else {
+        this._endClaim(spec.id, refuseSubmission(spec, STORE_SILENT));
+      }
     });
   }
 
@@ -247,29 +246,26 @@
   }
 
   /**
-   * Answers a caller from the row of a job that this entry does not own.
+   * Reads the state of a job that this entry does not own.
    *
-   * @param row - The row as read.
-   * @param digest - Digest of the caller's submission, if it made one.
-   * @returns The answer, or nothing when this entry must resume the job.
+   * @param id - The job.
+   * @param row - Its row.
+   * @param onDone - Receives the state, or nothing when the outcome can't be
+   * read now.
    */
-  replyFromRow(row: Row, digest: string | undefined): Reply | undefined {
-    const id = row.key.slice(storeKeys.job('').length);
-    const jobRow = JSON.parse(row.value) as JobRow;
-    if (digest !== undefined && jobRow.digest !== digest) {
-      return conflictReply(id);
-    }
-    const isOwn = jobRow.owner === this._ctx.options.incarnation;
-    if (isOwn && !jobRow.outcome) {
-      return undefined;
+  readStatus(
+    id: string,
+    row: JobRow,
+    onDone: (status: JobStatus | undefined) => void,
+  ): void {
+    if (row.outcomeKey === undefined) {
+      onDone(toStatus(id, row, row.outcome));
+      return;
     }
-    const { desk, taskCount, outcome } = jobRow;
-    const doneCount = outcome?.kind === 'complete' ? taskCount : 0;
-    const status = { id, desk, taskCount, doneCount };
-    return {
-      kind: 'job',
-      status: outcome ? { ...status, outcome } : status,
-    };
+    this._ctx.objects.get(row.outcomeKey, (body) => {
+      const outcome = body && (JSON.parse(body) as Outcome);
+      onDone(outcome ? toStatus(id, row, outcome) : undefined);
+    });
   }
 
   /** @param now - Current time in milliseconds. */
@@ -362,14 +358,49 @@
         this._endClaim(spec.id, pendingReply(spec.id));
         return;
       }
-      const answer = this.replyFromRow(row, spec.digest);
-      if (answer) {
-        this._ctx.logStep(JobStep.Attached, spec.id);
-        this._endClaim(spec.id, answer);
-        return;
-      }
+      this._attachToRow(spec, row);
+    });
+  }
+
+  private _attachToRow(spec: JobSpec, row: Row): void {
+    const jobRow = JSON.parse(row.value) as JobRow;
+    if (jobRow.digest !== spec.digest) {
+      this._endClaim(spec.id, conflictReply(spec.id));
+      return;
+    }
+    const isOwn = jobRow.owner === this._ctx.options.incarnation;
+    if (isOwn && !isFinal(jobRow)) {
       // The claim is this entry's own and none of its tasks has started.
       this._finishClaim(spec, row.version);
+      return;
+    }
+    this._ctx.logStep(JobStep.Attached, spec.id);
+    this.readStatus(spec.id, jobRow, (status) => {
+      const reply = status && ({ kind: 'job', status } as const);
+      this._endClaim(spec.id, reply ?? pendingReply(spec.id));
+    });
+  }
+
+  private _submitClaim(
+    spec: JobSpec,
+    content: Pick<JobRow, 'spec' | 'specKey'>,
+    giveUpAtMs: number,
+  ): void {
+    const { options, writer } = this._ctx;
+    const row = { ...this._row(spec, 1), ...content };
+    const key = storeKeys.job(spec.id);
+    const openKey = storeKeys.open(options.incarnation, spec.id);
+    writer.submit({
+      conditions: [{ key, version: 0 }, this._options.ownerCondition()],
+      writes: [
+        { key, value: JSON.stringify(row) },
+        { key: openKey, value: row.nonce },
+      ],
+      proofKey: key,
+      giveUpAtMs,
+      onDone: (outcome) => {
+        this._onClaimed(spec, outcome);
+      },
     });
   }
 
@@ -395,10 +426,26 @@
   }
 
   private _record(owned: OwnedJob): void {
-    const { options, writer } = this._ctx;
+    const { options, objects } = this._ctx;
     const { spec, epoch, outcome } = owned.job;
-    const open = this._openRow(spec, epoch);
-    const row: JobRow = { ...open, spec: undefined, outcome };
+    const text = JSON.stringify(outcome);
+    if (text.length <= options.rowLimitBytes) {
+      this._submitOutcome(owned, { outcome });
+      return;
+    }
+    const outcomeKey = storeKeys.outcome(spec.id, options.incarnation, epoch);
+    objects.put(outcomeKey, text, Infinity, () => {
+      this._submitOutcome(owned, { outcomeKey });
+    });
+  }
+
+  private _submitOutcome(
+    owned: OwnedJob,
+    content: Pick<JobRow, 'outcome' | 'outcomeKey'>,
+  ): void {
+    const { options, writer } = this._ctx;
+    const { spec, epoch } = owned.job;
+    const row: JobRow = { ...this._row(spec, epoch), ...content };
     const key = storeKeys.job(spec.id);
     writer.submit({
       conditions: [
@@ -434,7 +481,7 @@
     this._options.onRecorded(owned.job);
   }
 
-  private _openRow(spec: JobSpec, epoch: number): JobRow {
+  private _row(spec: JobSpec, epoch: number): JobRow {
     const { incarnation, address } = this._ctx.options;
     return {
       nonce: this._nonce(),
@@ -444,7 +491,6 @@
       digest: spec.digest,
       desk: spec.desk,
       taskCount: spec.tasks.length,
-      spec,
     };
   }
 
@@ -469,6 +515,18 @@
   }
 }
 
+const toStatus = (
+  id: string,
+  { desk, taskCount }: JobRow,
+  outcome: Outcome | undefined,
+): JobStatus => ({
+  id,
+  desk,
+  taskCount,
+  doneCount: outcome?.kind === 'complete' ? taskCount : 0,
+  ...(outcome ? { outcome } : {}),
+});
+
 /** @returns The answer that carries an error. */
 export const errorReply = (error: CallerError): Reply => ({
   kind: 'error',
--- a/packages/core/src/lib/process/rows.ts
+++ b/packages/core/src/lib/process/rows.ts
@@ -15,10 +15,14 @@
   readonly digest: string;
   readonly desk: string;
   readonly taskCount: number;
-  /** The submission; present while the job is open. */
+  /** The submission, while the job is open and it fits into the row. */
   readonly spec?: JobSpec;
-  /** Present once the job is final. */
+  /** Object with the submission, where it is too large for the row. */
+  readonly specKey?: string;
+  /** The outcome, once the job is final, where it fits into the row. */
   readonly outcome?: Outcome;
+  /** Object with the outcome, where it is too large for the row. */
+  readonly outcomeKey?: string;
 }
 
 /** The row by which an entry is known and keeps its lease. */
@@ -47,3 +51,10 @@
 export interface OwnerRow {
   readonly nonce: string;
 }
+
+/**
+ * @param row - The row of a job.
+ * @returns Whether the job has its outcome.
+ */
+export const isFinal = (row: JobRow): boolean =>
+  row.outcome !== undefined || row.outcomeKey !== undefined;
--- a/packages/core/src/lib/process/store-writer.ts
+++ b/packages/core/src/lib/process/store-writer.ts
@@ -171,6 +171,7 @@
         this._backOff(now);
         return;
       case 'rows':
+      case 'object':
       case 'unknown':
         for (const write of this._batch) {
           this._unread.add(write);
--- a/packages/core/src/lib/process/takeover.ts
+++ b/packages/core/src/lib/process/takeover.ts
@@ -282,12 +282,32 @@
   }
 
   private _adopt(row: Row, onEnd: () => void): void {
-    const { options, writer } = this._ctx;
     const before = JSON.parse(row.value) as JobRow;
-    const spec = before.spec;
-    if (!spec) {
+    if (before.spec) {
+      this._submitAdoption(row, before, before.spec, onEnd);
+      return;
+    }
+    if (before.specKey === undefined) {
       throw new Error(`Open job without its submission: ${row.key}`);
     }
+    this._ctx.objects.get(before.specKey, (body) => {
+      if (body === undefined) {
+        // The job stays in the index; the next scan comes back to it.
+        onEnd();
+        return;
+      }
+      const spec = JSON.parse(body) as JobSpec;
+      this._submitAdoption(row, before, spec, onEnd);
+    });
+  }
+
+  private _submitAdoption(
+    row: Row,
+    before: JobRow,
+    spec: JobSpec,
+    onEnd: () => void,
+  ): void {
+    const { options, writer } = this._ctx;
     const adopted = this._options.adoptionRow(before);
     writer.submit({
       conditions: [
--- a/packages/core/src/lib/store.ts
+++ b/packages/core/src/lib/store.ts
@@ -18,7 +18,7 @@
   readonly value: string | null;
 }
 
-/** A call to the table service. */
+/** A call to the table service or the object store of the platform. */
 export type StoreRequest =
   | {
       readonly kind: 'transact';
@@ -31,10 +31,13 @@
       readonly prefix: string;
       readonly after: string;
       readonly limit: number;
-    };
+    }
+  /** Stores an object under a key that stands for this content for good. */
+  | { readonly kind: 'put-object'; readonly key: string; readonly body: string }
+  | { readonly kind: 'get-object'; readonly key: string };
 
 /**
- * What became of a call to the table service.
+ * What became of a call to the table service or the object store.
  *
  * `refused` proves that nothing took effect. `unknown` proves nothing: the
  * call may have taken effect, or may still do so.
@@ -44,6 +47,8 @@
   | { readonly kind: 'committed'; readonly version: number }
   | { readonly kind: 'conflict'; readonly keys: readonly string[] }
   | { readonly kind: 'rows'; readonly rows: readonly Row[] }
+  /** An object, or nothing when the key has none. */
+  | { readonly kind: 'object'; readonly body: string | undefined }
   | { readonly kind: 'refused' }
   | { readonly kind: 'unknown' };
 
@@ -59,4 +64,9 @@
     `ticket/${String(number).padStart(9, '0')}`,
   ticketPrefix: 'ticket/',
   head: 'head',
+  /** Object with a submission; the digest makes the content unique. */
+  spec: (id: string, digest: string): string => `spec/${id}/${digest}`,
+  /** Object with an outcome; an owner decides it once in its epoch. */
+  outcome: (id: string, owner: string, epoch: number): string =>
+    `outcome/${id}/${owner}/${String(epoch)}`,
 } as const;
--- a/packages/standins/src/lib/memory-store.ts
+++ b/packages/standins/src/lib/memory-store.ts
@@ -5,9 +5,10 @@
   readonly version: number;
 }
 
-/** The table service in memory: transactions, reads and prefix scans. */
+/** The table service and the object store in memory. */
 export class MemoryStore {
   private readonly _cells = new Map<string, Cell>();
+  private readonly _objects = new Map<string, string>();
   private _version = 0;
 
   /**
@@ -22,6 +23,12 @@
         return { kind: 'rows', rows: this._read(req.keys) };
       case 'scan':
         return { kind: 'rows', rows: this._scan(req) };
+      case 'put-object':
+        this._objects.set(req.key, req.body);
+        this._version += 1;
+        return { kind: 'committed', version: this._version };
+      case 'get-object':
+        return { kind: 'object', body: this._objects.get(req.key) };
     }
   }
 
--- a/packages/standins/src/lib/sim/matrix.ts
+++ b/packages/standins/src/lib/sim/matrix.ts
@@ -277,11 +277,11 @@
 const isEntryStep = (step: Step, action: EntryAction): boolean => {
   switch (step) {
     case Step.Claim:
-      return writes(action, storeKeys.job(''), '"spec"');
+      return writes(action, storeKeys.job(''), '"spec');
     case Step.Place:
       return action.kind === 'send' && action.msg.starts.length > 0;
     case Step.Finalize:
-      return writes(action, storeKeys.job(''), '"outcome"');
+      return writes(action, storeKeys.job(''), '"outcome');
     case Step.Answer:
       return action.kind === 'reply' && isFinalReply(action);
     case Step.Ticket:
--- a/packages/standins/src/lib/sim/sim-entry.ts
+++ b/packages/standins/src/lib/sim/sim-entry.ts
@@ -50,6 +50,8 @@
 export type ReplyHandler = (reply: Reply) => void;
 
 const TICK_MS = 100;
+/** Small, so that the larger jobs of a run go to the object store. */
+const ROW_LIMIT_BYTES = 600;
 
 /** An entry in virtual time. */
 export class SimEntry extends SimProcess {
@@ -137,6 +139,7 @@
         address: this.name,
         dataCentre: 'north',
         random: this._options.random,
+        rowLimitBytes: ROW_LIMIT_BYTES,
       },
       this.now,
     );
--- a/packages/standins/src/lib/sim/sim-store.ts
+++ b/packages/standins/src/lib/sim/sim-store.ts
@@ -11,7 +11,7 @@
   Silent = 'silent',
   /** Answers late, sometimes after the caller has given up. */
   Slow = 'slow',
-  /** Takes effect, then loses the answer of every second transaction. */
+  /** Takes effect, then loses the answer of every second write. */
   LosingAnswers = 'losing-answers',
 }
 
@@ -51,7 +51,7 @@
   ): void {
     const { queue, random } = this._options;
     const mode = isCut ? StoreMode.Silent : this.mode;
-    const workMs = (req.kind === 'transact' ? WRITE_MS : READ_MS) + random();
+    const workMs = (isWrite(req) ? WRITE_MS : READ_MS) + random();
     switch (mode) {
       case StoreMode.Up:
         this._answer(req, workMs, onReply);
@@ -68,7 +68,7 @@
         this._answer(req, random() * SLOW_MS, onReply);
         return;
       case StoreMode.LosingAnswers:
-        if (req.kind === 'transact' && random() < LOST_SHARE) {
+        if (isWrite(req) && random() < LOST_SHARE) {
           queue.after(workMs, () => this._rows.apply(req));
           this._timeOut(onReply);
         } else {
@@ -102,3 +102,6 @@
     }
   }
 }
+
+const isWrite = (req: StoreRequest): boolean =>
+  req.kind === 'transact' || req.kind === 'put-object';
--- a/packages/standins/src/lib/store-server.ts
+++ b/packages/standins/src/lib/store-server.ts
@@ -57,7 +57,8 @@
       if (faults.silent) {
         return hang(res);
       }
-      const isWrite = req.body.kind === 'transact';
+      const { kind } = req.body;
+      const isWrite = kind === 'transact' || kind === 'put-object';
       await sleep((isWrite ? SYNCED_WRITE_MS : READ_MS) + faults.delayMs);
       if (faults.refuse) {
         return res.status(HTTP_UNAVAILABLE).send({ kind: 'refused' });
