A data centre leaves and returns under load: experiment; cheaper idle processes

Cause: the work done while a data centre leaves and returns was not measured. An idle process sampled the delay of its loop a hundred times a second.

--- a/packages/daemon/src/lib/process/metrics.ts
+++ b/packages/daemon/src/lib/process/metrics.ts
@@ -10,10 +10,16 @@
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000,
 ];
 
+/** Period of the samples of the loop's delay; each wakes the process. */
+const LOOP_SAMPLE_MS = 500;
+
 /** Creates the metrics that every process has. */
 export const createRegistry = (): Registry => {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({
+    register: registry,
+    eventLoopMonitoringPrecision: LOOP_SAMPLE_MS,
+  });
   return registry;
 };
 
--- a/packages/load/src/bin/bench.ts
+++ b/packages/load/src/bin/bench.ts
@@ -1,6 +1,7 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
+import { runDrainExperiment } from '../lib/drain-experiment.js';
 import { htmlReport, textTable } from '../lib/report.js';
 import { runResponseExperiment } from '../lib/response-experiment.js';
 import { readScenario } from '../lib/scenario.js';
@@ -25,25 +26,36 @@
 const loads = values['throughput-only']
   ? []
   : await runResponseExperiment(scenario);
+const drain =
+  values.quick || values['throughput-only']
+    ? undefined
+    : await runDrainExperiment(scenario.seed);
 const throughput = await runThroughputExperiment({
   seconds: values.quick ? 3 : 10,
   runners: 3,
   tasksPerJob: 100,
   concurrency: 64,
 });
-const result = { loads, throughput };
+const result = { loads, drain, throughput };
 
 console.log(textTable(result));
 await mkdir(values.out, { recursive: true });
 await writeFile(`${values.out}/bench.html`, htmlReport(result));
 await writeFile(
   `${values.out}/bench.jsonl`,
-  [...loads, throughput].map((line) => `${JSON.stringify(line)}\n`).join(''),
+  [...loads, drain ?? {}, throughput]
+    .map((line) => `${JSON.stringify(line)}\n`)
+    .join(''),
 );
 const figures: Record<string, number> = {
   entryStartsPerSecond: Math.round(throughput.entryStartsPerSecond),
   bareStreamRatio: Number(throughput.ratio.toFixed(3)),
 };
+if (drain) {
+  figures.usedWhileOut = Number(drain.usedWhileOut.toFixed(3));
+  figures.usedAfterReturn = Number(drain.usedAfterReturn.toFixed(3));
+  figures.lateStarts = drain.lateStarts;
+}
 for (const { load, meanRatio, urgentP99Ratio, wasteRatio } of loads) {
   figures[`meanRatioAt${String(load)}`] = Number(meanRatio.toFixed(3));
   figures[`urgentP99RatioAt${String(load)}`] = Number(
--- a/packages/load/src/lib/report.ts
+++ b/packages/load/src/lib/report.ts
@@ -1,9 +1,11 @@
+import type { DrainResult } from './drain-experiment.js';
 import type { LoadResult } from './response-experiment.js';
 import type { ThroughputResult } from './throughput-experiment.js';
 
 /** Everything that one run of the tool measured. */
 export interface BenchResult {
   readonly loads: readonly LoadResult[];
+  readonly drain: DrainResult | undefined;
   readonly throughput: ThroughputResult | undefined;
 }
 
@@ -27,6 +29,12 @@
     (r) =>
       `load ${String(r.load)}: ${String(r.measured.count)} jobs, mean ${ms(r.measured.meanMs)} over ${ms(r.reference.meanMs)} = ${r.meanRatio.toFixed(3)}, p99 ${ms(r.measured.p99Ms)} over ${ms(r.reference.p99Ms)}, urgent p99 ratio ${r.urgentP99Ratio.toFixed(3)}, waste ${(r.wasteRatio * 100).toFixed(1)} % ${JSON.stringify(r.wasted)}, failed ${String(r.failed)}`,
   );
+  const d = result.drain;
+  if (d) {
+    lines.push(
+      `data centre out: ${percent(d.usedWhileOut)} of the remaining slots used, ${String(d.lateStarts)} late starts, ticket answered in ${ms(d.ticketMs)}; back: ${percent(d.usedAfterReturn)} of all slots used; failed ${String(d.failedJobs)}`,
+    );
+  }
   const t = result.throughput;
   if (t) {
     lines.push(
@@ -63,6 +71,8 @@
   return `<!doctype html><html lang="en"><meta charset="utf-8"><title>sapphiremux bench</title><body style="font-family:sans-serif">${charts.join('')}<pre>${textTable(result)}</pre></body></html>\n`;
 };
 
+const percent = (share: number): string => `${(share * 100).toFixed(1)} %`;
+
 const ms = (value: number): string => `${value.toFixed(0)} ms`;
 
 const chart = (title: string, bars: readonly Bar[]): string => {
--- a/packages/standins/src/lib/endpoint-server.ts
+++ b/packages/standins/src/lib/endpoint-server.ts
@@ -30,6 +30,13 @@
   readonly status: number;
 }
 
+/** What the stand-in endpoint has done so far. */
+export interface EndpointUsage {
+  readonly starts: number;
+  /** Time of all tasks together, running ones included. */
+  readonly busyMs: number;
+}
+
 const ANNOUNCE_MS = 1000;
 const HTTP_OK = 200;
 
@@ -48,15 +55,19 @@
   const starts: Record<string, number> = {};
   let faults: EndpointFaults = { status: 0 };
   let leaving = false;
+  const meter = new BusyMeter();
   app.post<{ Body: TaskPayload | null }>('/', async (req, res) => {
     const key = String(req.headers['idempotency-key']);
     starts[key] = (starts[key] ?? 0) + 1;
     const { ms = 0, status = HTTP_OK } = req.body ?? {};
+    meter.change(1);
     await sleep(ms);
+    meter.change(-1);
     const answered = faults.status === 0 ? status : faults.status;
     return res.status(answered).send({ key, endpoint: options.name, ms });
   });
   app.get('/account', () => starts);
+  app.get('/usage', () => meter.usage());
   app.put<{ Body: EndpointFaults }>('/faults', (req) => {
     faults = req.body;
     return faults;
@@ -76,6 +87,33 @@
   return app;
 };
 
+/** Adds up the time of tasks that run side by side. */
+class BusyMeter {
+  private _starts = 0;
+  private _running = 0;
+  private _busyMs = 0;
+  private _sinceMs = performance.now();
+
+  /** @param by - Change of the number of running tasks. */
+  change(by: 1 | -1): void {
+    this._advance();
+    this._running += by;
+    this._starts += Math.max(0, by);
+  }
+
+  /** @returns What has been done so far. */
+  usage(): EndpointUsage {
+    this._advance();
+    return { starts: this._starts, busyMs: this._busyMs };
+  }
+
+  private _advance(): void {
+    const now = performance.now();
+    this._busyMs += this._running * (now - this._sinceMs);
+    this._sinceMs = now;
+  }
+}
+
 const announce = async (
   options: EndpointServerOptions,
   leaving: boolean,
