--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -4,3 +4,4 @@
 export { entrySchema, runnerSchema, settingsSchema } from './lib/schema.js';
 export type { EntrySettings, RunnerSettings, Settings } from './lib/schema.js';
 export { advertisedAddress } from './lib/address.js';
+export { settingsReference } from './lib/reference.js';
