--- /dev/null
+++ b/packages/core/src/lib/connection/entry-links.ts
@@ -0,0 +1,78 @@
+import type { Open } from '../messages.js';
+import { EntryLink } from './entry-link.js';
+
+/**
+ * The links of a runner, at most one to each entry incarnation.
+ *
+ * Link numbers of an owner rise, and only the highest link is served: a start
+ * that was held up on an earlier connection can't run after it was refused on
+ * a later one.
+ */
+export class EntryLinks {
+  private readonly _byId = new Map<string, EntryLink>();
+  private readonly _byOwner = new Map<string, EntryLink>();
+  private readonly _highest = new Map<string, number>();
+
+  /** Number of entries with an open link. */
+  get size(): number {
+    return this._byOwner.size;
+  }
+
+  /** @returns The entry incarnations with an open link. */
+  owners(): string[] {
+    return [...this._byOwner.keys()];
+  }
+
+  /** @returns All open links. */
+  all(): EntryLink[] {
+    return [...this._byOwner.values()];
+  }
+
+  /** @returns The link with the id, if it is served. */
+  get(linkId: string): EntryLink | undefined {
+    return this._byId.get(linkId);
+  }
+
+  /** @returns The link of an entry incarnation, if it has one. */
+  of(owner: string): EntryLink | undefined {
+    return this._byOwner.get(owner);
+  }
+
+  /**
+   * @param open - Introduction of an entry on a new connection.
+   * @returns Whether no later link of the entry has been served.
+   */
+  isLatest(open: Open): boolean {
+    return open.linkNumber > (this._highest.get(open.incarnation) ?? 0);
+  }
+
+  /**
+   * @param linkId - A connection on which an entry has introduced itself.
+   * @param open - Its introduction.
+   * @param now - Current time in milliseconds.
+   * @returns The link, which is the one of its owner from now on.
+   */
+  open(linkId: string, open: Open, now: number): EntryLink {
+    const owner = open.incarnation;
+    this._highest.set(owner, open.linkNumber);
+    const link = new EntryLink(linkId, owner, open.linkNumber, now);
+    this._byId.set(linkId, link);
+    this._byOwner.set(owner, link);
+    return link;
+  }
+
+  /**
+   * @param linkId - A link that is closed.
+   * @returns The link, if it was served until now.
+   */
+  drop(linkId: string): EntryLink | undefined {
+    const link = this._byId.get(linkId);
+    if (link) {
+      this._byId.delete(linkId);
+      if (this._byOwner.get(link.owner) === link) {
+        this._byOwner.delete(link.owner);
+      }
+    }
+    return link;
+  }
+}
--- a/packages/core/src/lib/process/runner.ts
+++ b/packages/core/src/lib/process/runner.ts
@@ -1,4 +1,5 @@
 import { EntryLink } from '../connection/entry-link.js';
+import { EntryLinks } from '../connection/entry-links.js';
 import { RefusalReason, RunState, TaskKind } from '../messages.js';
 import type {
   EntryMessage,
@@ -6,7 +7,6 @@
   Hello,
   Open,
   ResultMessage,
-  RunnerConfig,
   StartMessage,
   TaskRecord,
   TaskRef,
@@ -16,24 +16,21 @@
 import { ResourceLedger } from './resource-ledger.js';
 import type { RunRecord } from './run-records.js';
 import { RunRecords } from './run-records.js';
+import { StartGate } from './start-gate.js';
+import type { StartGateOptions } from './start-gate.js';
 import type {
   CallOutcome,
   EndpointAnnouncement,
   RunnerAction,
   RunnerEvent,
-  WorkerAnnouncement,
 } from './runner-events.js';
 
 /** Options of {@link RunnerCore}. */
-export interface RunnerOptions {
+export interface RunnerOptions extends StartGateOptions {
   readonly id: string;
   /** Unique to this run of the process. */
   readonly incarnation: string;
   readonly dataCentre: string;
-  /** Longest time without confirmation that the configuration is current. */
-  readonly freshnessMs?: number;
-  /** Time after which an announcement that is not renewed lapses. */
-  readonly announcementLeaseMs?: number;
   /** Starts accepted above the slots from entries with waiting work. */
   readonly prefetch?: number;
   /** How long an unreleased result is kept. */
@@ -42,25 +39,12 @@
   readonly stopWaitMs?: number;
 }
 
-interface Lease<T> {
-  readonly value: T;
-  readonly untilMs: number;
-}
-
-const DEFAULT_FRESHNESS_MS = 4000;
-const DEFAULT_ANNOUNCEMENT_LEASE_MS = 3000;
 const DEFAULT_PREFETCH = 0;
 const DEFAULT_RETENTION_MS = 3_600_000;
 const DEFAULT_STOP_WAIT_MS = 30_000;
 /** Silence after which a runner gives up a link. */
 const LINK_SILENCE_MS = 10_000;
 
-const NO_CONFIG: RunnerConfig = {
-  version: 0,
-  dataCentreInService: false,
-  endpointInService: false,
-};
-
 /**
  * The decisions of a runner: the one authority over the slots, connections
  * and resources beside it.
@@ -70,33 +54,24 @@
  */
 export class RunnerCore {
   private readonly _options: RunnerOptions;
-  private readonly _freshnessMs: number;
-  private readonly _announcementLeaseMs: number;
+  private readonly _gate: StartGate;
   private readonly _records = new RunRecords();
   private readonly _resources = new ResourceLedger();
   private readonly _slots: CreditPool;
   private readonly _connections: CreditPool;
-  private readonly _links = new Map<string, EntryLink>();
-  private readonly _linkOfOwner = new Map<string, EntryLink>();
-  private readonly _highestLink = new Map<string, number>();
+  private readonly _links = new EntryLinks();
   private readonly _successors = new Map<string, string>();
   private readonly _calls = new Map<number, RunRecord>();
   private _prefetched: RunRecord[] = [];
   private _actions: RunnerAction[] = [];
   private _nextCallId = 1;
-  private _endpoint: Lease<EndpointAnnouncement> | undefined;
-  private _worker: Lease<WorkerAnnouncement> | undefined;
-  private _config = NO_CONFIG;
-  private _confirmedAtMs = -Infinity;
   private _stopDeadlineMs: number | undefined;
   private _stopped = false;
 
   /** @param options - Identity and limits. */
   constructor(options: RunnerOptions) {
     this._options = options;
-    this._freshnessMs = options.freshnessMs ?? DEFAULT_FRESHNESS_MS;
-    this._announcementLeaseMs =
-      options.announcementLeaseMs ?? DEFAULT_ANNOUNCEMENT_LEASE_MS;
+    this._gate = new StartGate(options);
     const prefetch = options.prefetch ?? DEFAULT_PREFETCH;
     this._slots = new CreditPool({ capacity: 0, prefetch });
     this._connections = new CreditPool({ capacity: 0 });
@@ -104,7 +79,7 @@
 
   /** Version of the configuration in force here. */
   get configVersion(): number {
-    return this._config.version;
+    return this._gate.configVersion;
   }
 
   /** Number of calls that the endpoint has not answered. */
@@ -114,12 +89,12 @@
 
   /** Number of entries with an open link. */
   get linkCount(): number {
-    return this._linkOfOwner.size;
+    return this._links.size;
   }
 
   /** The endpoint that is announced now, if any. */
   get endpoint(): EndpointAnnouncement | undefined {
-    return this._endpoint?.value;
+    return this._gate.endpoint;
   }
 
   /**
@@ -151,7 +126,7 @@
         this._onEndpoint(event.endpoint, now);
         return;
       case 'worker-announced':
-        this._worker = this._lease(event.worker, now);
+        this._gate.onWorker(event.worker, now);
         this._resources.total = event.worker.total;
         return;
       case 'flush':
@@ -176,7 +151,7 @@
       return;
     }
     link.heardAtMs = now;
-    this._onConfig(msg);
+    this._gate.onConfig(msg);
     this._onCredits(link, msg);
     for (const start of msg.starts) {
       this._onStart(link, start, now);
@@ -197,15 +172,12 @@
       this._refuseFenced(linkId, now);
       return;
     }
-    if (open.linkNumber <= (this._highestLink.get(owner) ?? 0)) {
+    if (!this._links.isLatest(open)) {
       this._actions.push({ kind: 'close-link', linkId });
       return;
     }
     this._closeLinkOf(owner);
-    this._highestLink.set(owner, open.linkNumber);
-    const link = new EntryLink(linkId, owner, open.linkNumber, now);
-    this._links.set(linkId, link);
-    this._linkOfOwner.set(owner, link);
+    const link = this._links.open(linkId, open, now);
     this._slots.connect(owner);
     this._connections.connect(owner);
     link.outbox.hello = this._hello();
@@ -224,31 +196,13 @@
       runner: this._options.id,
       incarnation: this._options.incarnation,
       dataCentre: this._options.dataCentre,
-      rack: this._worker?.value.rack ?? '',
-      endpoint: this._endpoint?.value.name ?? '',
-      capacity: this._capacity(),
+      rack: this._gate.worker?.rack ?? '',
+      endpoint: this._gate.endpoint?.name ?? '',
+      capacity: this._gate.capacity,
       worker: this._resources.total,
     };
   }
 
-  private _capacity(): Units {
-    const endpoint = this._endpoint?.value;
-    if (!endpoint) {
-      return { slots: 0, connections: 0 };
-    }
-    const slots = Math.min(endpoint.slots, endpoint.connections);
-    return { slots, connections: endpoint.connections - slots };
-  }
-
-  private _onConfig(msg: EntryMessage): void {
-    if (msg.config && msg.config.version > this._config.version) {
-      this._config = msg.config;
-    }
-    if (msg.configVersion >= this._config.version) {
-      this._confirmedAtMs = Math.max(this._confirmedAtMs, msg.confirmedAtMs);
-    }
-  }
-
   private _onCredits(link: EntryLink, msg: EntryMessage): void {
     if (msg.returned) {
       this._slots.giveBack(link.owner, msg.returned.slots);
@@ -270,7 +224,8 @@
     }
     const reason =
       this._stopDeadlineMs === undefined
-        ? (this._refusalOf(start, now) ?? this._takeCapacity(link.owner, start))
+        ? (this._gate.refusalOf(start, now) ??
+          this._takeCapacity(link.owner, start))
         : RefusalReason.STOPPING;
     if (reason !== undefined) {
       this._refuse(link, start, reason);
@@ -289,33 +244,6 @@
     this._startPrefetched(now);
   }
 
-  private _refusalOf(
-    start: StartMessage,
-    now: number,
-  ): RefusalReason | undefined {
-    const endpoint = this._endpoint;
-    if (
-      !endpoint ||
-      endpoint.untilMs < now ||
-      endpoint.value.name !== start.endpoint
-    ) {
-      return RefusalReason.ENDPOINT_ABSENT;
-    }
-    if (endpoint.value.leaving || !this._config.endpointInService) {
-      return RefusalReason.ENDPOINT_LEAVING;
-    }
-    if (!this._config.dataCentreInService) {
-      return RefusalReason.DATA_CENTRE_OUT;
-    }
-    if (now - this._confirmedAtMs > this._freshnessMs) {
-      return RefusalReason.STALE_CONFIGURATION;
-    }
-    if (start.deadlineMs <= now) {
-      return RefusalReason.DEADLINE;
-    }
-    return undefined;
-  }
-
   private _takeCapacity(
     owner: string,
     start: StartMessage,
@@ -360,7 +288,7 @@
   }
 
   private _call(record: RunRecord, now: number): boolean {
-    const reason = this._refusalOf(record.start, now);
+    const reason = this._gate.refusalOf(record.start, now);
     if (reason !== undefined) {
       this._withdraw(record, reason);
       return false;
@@ -371,7 +299,7 @@
     this._actions.push({
       kind: 'call',
       callId,
-      url: this._endpoint?.value.url ?? '',
+      url: this._gate.endpoint?.url ?? '',
       start: record.start,
     });
     return true;
@@ -381,7 +309,7 @@
   private _withdraw(record: RunRecord, reason: RefusalReason): void {
     this._records.remove(record);
     this._releaseCapacity(record);
-    this._refuse(this._linkOfOwner.get(record.owner), record.start, reason);
+    this._refuse(this._links.of(record.owner), record.start, reason);
   }
 
   private _releaseCapacity(record: RunRecord): void {
@@ -411,7 +339,7 @@
       this._records.remove(record);
       return;
     }
-    this._linkOfOwner.get(record.owner)?.outbox.results.push(result);
+    this._links.of(record.owner)?.outbox.results.push(result);
   }
 
   private _onCancel(link: EntryLink, ref: TaskRef): void {
@@ -473,35 +401,28 @@
   }
 
   private _onEndpoint(endpoint: EndpointAnnouncement, now: number): void {
-    const changed =
-      this._endpoint?.value.name !== endpoint.name ||
-      this._endpoint.value.leaving !== endpoint.leaving;
-    this._endpoint = this._lease(endpoint, now);
-    const capacity = this._capacity();
-    this._slots.capacity = capacity.slots;
-    this._connections.capacity = capacity.connections;
-    if (changed) {
+    const isNews = this._gate.onEndpoint(endpoint, now);
+    const { slots, connections } = this._gate.capacity;
+    this._slots.capacity = slots;
+    this._connections.capacity = connections;
+    if (isNews) {
       this._notifyAll();
     }
   }
 
-  private _lease<T>(value: T, now: number): Lease<T> {
-    return { value, untilMs: now + this._announcementLeaseMs };
-  }
-
   private _flush(now: number): void {
-    const owners = [...this._linkOfOwner.keys()];
+    const owners = this._links.owners();
     this._slots.open = this._canStart(now);
     this._connections.open = this._canStart(now);
     this._allocate(this._slots, 'slots', owners);
     this._allocate(this._connections, 'connections', owners);
-    for (const link of this._linkOfOwner.values()) {
+    for (const link of this._links.all()) {
       const msg = link.takeOutbox();
       if (!msg) {
         continue;
       }
       msg.sentAtMs = now;
-      msg.configVersion = this._config.version;
+      msg.configVersion = this._gate.configVersion;
       msg.free = this._resources.free;
       msg.endpointPresent = this._canStart(now);
       msg.stopping = this._stopDeadlineMs !== undefined;
@@ -515,31 +436,24 @@
     owners: readonly string[],
   ): void {
     for (const [owner, change] of pool.allocate(owners)) {
-      const link = this._linkOfOwner.get(owner);
+      const link = this._links.of(owner);
       link?.addCredits('grants', name, change.grant);
       link?.addCredits('recalls', name, change.recall);
     }
   }
 
   private _canStart(now: number): boolean {
-    const endpoint = this._endpoint;
-    return (
-      this._stopDeadlineMs === undefined &&
-      endpoint !== undefined &&
-      endpoint.untilMs >= now &&
-      !endpoint.value.leaving
-    );
+    return this._stopDeadlineMs === undefined && this._gate.isOpen(now);
   }
 
   private _tick(now: number): void {
-    for (const link of [...this._links.values()]) {
+    for (const link of this._links.all()) {
       if (now - link.heardAtMs > LINK_SILENCE_MS) {
         this._actions.push({ kind: 'close-link', linkId: link.linkId });
         this._dropLink(link.linkId);
       }
     }
-    if (this._worker && this._worker.untilMs < now) {
-      this._worker = undefined;
+    if (this._gate.dropLapsedWorker(now)) {
       this._resources.total = { cores: 0, memoryMb: 0, accelerators: 0 };
     }
     this._records.expire(
@@ -561,13 +475,13 @@
   }
 
   private _notifyAll(): void {
-    for (const link of this._linkOfOwner.values()) {
+    for (const link of this._links.all()) {
       link.outbox.hello = this._hello();
     }
   }
 
   private _closeLinkOf(owner: string): void {
-    const link = this._linkOfOwner.get(owner);
+    const link = this._links.of(owner);
     if (link) {
       this._actions.push({ kind: 'close-link', linkId: link.linkId });
       this._dropLink(link.linkId);
@@ -575,13 +489,8 @@
   }
 
   private _dropLink(linkId: string): void {
-    const link = this._links.get(linkId);
-    if (!link) {
-      return;
-    }
-    this._links.delete(linkId);
-    if (this._linkOfOwner.get(link.owner) === link) {
-      this._linkOfOwner.delete(link.owner);
+    const link = this._links.drop(linkId);
+    if (link) {
       this._slots.disconnect(link.owner);
       this._connections.disconnect(link.owner);
     }
--- /dev/null
+++ b/packages/core/src/lib/process/start-gate.ts
@@ -0,0 +1,169 @@
+import { RefusalReason } from '../messages.js';
+import type {
+  EntryMessage,
+  RunnerConfig,
+  StartMessage,
+  Units,
+} from '../messages.js';
+import type {
+  EndpointAnnouncement,
+  WorkerAnnouncement,
+} from './runner-events.js';
+
+/** Options of {@link StartGate}; times in milliseconds. */
+export interface StartGateOptions {
+  /** Longest time without confirmation that the configuration is current. */
+  readonly freshnessMs?: number;
+  /** Time after which an announcement that is not renewed lapses. */
+  readonly announcementLeaseMs?: number;
+}
+
+interface Lease<T> {
+  readonly value: T;
+  readonly untilMs: number;
+}
+
+const DEFAULT_FRESHNESS_MS = 4000;
+const DEFAULT_ANNOUNCEMENT_LEASE_MS = 3000;
+
+const NO_CONFIG: RunnerConfig = {
+  version: 0,
+  dataCentreInService: false,
+  endpointInService: false,
+};
+
+const NO_CAPACITY: Units = { slots: 0, connections: 0 };
+
+/**
+ * Knows whether a runner may start tasks now: its endpoint is announced and
+ * does not leave, the configuration has both endpoint and data centre in
+ * service, and that configuration was confirmed recently.
+ */
+export class StartGate {
+  private readonly _freshnessMs: number;
+  private readonly _leaseMs: number;
+  private _endpoint: Lease<EndpointAnnouncement> | undefined;
+  private _worker: Lease<WorkerAnnouncement> | undefined;
+  private _config = NO_CONFIG;
+  private _confirmedAtMs = -Infinity;
+
+  /** @param options - Bounds. */
+  constructor(options: StartGateOptions) {
+    this._freshnessMs = options.freshnessMs ?? DEFAULT_FRESHNESS_MS;
+    this._leaseMs =
+      options.announcementLeaseMs ?? DEFAULT_ANNOUNCEMENT_LEASE_MS;
+  }
+
+  /** Version of the configuration in force. */
+  get configVersion(): number {
+    return this._config.version;
+  }
+
+  /** The endpoint as last announced. */
+  get endpoint(): EndpointAnnouncement | undefined {
+    return this._endpoint?.value;
+  }
+
+  /** The worker as last announced. */
+  get worker(): WorkerAnnouncement | undefined {
+    return this._worker?.value;
+  }
+
+  /** Units of the endpoint; connections beyond those that slots take. */
+  get capacity(): Units {
+    const endpoint = this.endpoint;
+    if (!endpoint) {
+      return NO_CAPACITY;
+    }
+    const slots = Math.min(endpoint.slots, endpoint.connections);
+    return { slots, connections: endpoint.connections - slots };
+  }
+
+  /**
+   * @param endpoint - The endpoint announces or renews itself.
+   * @param now - Current time in milliseconds.
+   * @returns Whether entries must be told.
+   */
+  onEndpoint(endpoint: EndpointAnnouncement, now: number): boolean {
+    const before = this.endpoint;
+    this._endpoint = { value: endpoint, untilMs: now + this._leaseMs };
+    return (
+      before?.name !== endpoint.name || before.leaving !== endpoint.leaving
+    );
+  }
+
+  /**
+   * @param worker - The worker announces or renews itself.
+   * @param now - Current time in milliseconds.
+   */
+  onWorker(worker: WorkerAnnouncement, now: number): void {
+    this._worker = { value: worker, untilMs: now + this._leaseMs };
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether the worker has just stopped to renew itself.
+   */
+  dropLapsedWorker(now: number): boolean {
+    const hasLapsed = this._worker !== undefined && this._worker.untilMs < now;
+    if (hasLapsed) {
+      this._worker = undefined;
+    }
+    return hasLapsed;
+  }
+
+  /**
+   * Takes in what an entry says of the configuration. Only a higher version
+   * replaces the one in force, and only a version that is not lower confirms
+   * it.
+   *
+   * @param msg - A batch of an entry.
+   */
+  onConfig(msg: EntryMessage): void {
+    if (msg.config && msg.config.version > this._config.version) {
+      this._config = msg.config;
+    }
+    if (msg.configVersion >= this._config.version) {
+      this._confirmedAtMs = Math.max(this._confirmedAtMs, msg.confirmedAtMs);
+    }
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether the endpoint takes tasks at all.
+   */
+  isOpen(now: number): boolean {
+    const endpoint = this._endpoint;
+    return (
+      endpoint !== undefined &&
+      endpoint.untilMs >= now &&
+      !endpoint.value.leaving
+    );
+  }
+
+  /**
+   * @param start - A start that an entry proposes.
+   * @param now - Current time in milliseconds.
+   * @returns Why the start must be refused, if so.
+   */
+  refusalOf(start: StartMessage, now: number): RefusalReason | undefined {
+    const endpoint = this._endpoint;
+    if (
+      !endpoint ||
+      endpoint.untilMs < now ||
+      endpoint.value.name !== start.endpoint
+    ) {
+      return RefusalReason.ENDPOINT_ABSENT;
+    }
+    if (endpoint.value.leaving || !this._config.endpointInService) {
+      return RefusalReason.ENDPOINT_LEAVING;
+    }
+    if (!this._config.dataCentreInService) {
+      return RefusalReason.DATA_CENTRE_OUT;
+    }
+    if (now - this._confirmedAtMs > this._freshnessMs) {
+      return RefusalReason.STALE_CONFIGURATION;
+    }
+    return start.deadlineMs <= now ? RefusalReason.DEADLINE : undefined;
+  }
+}
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -73,31 +73,31 @@
   {
     name: 'earlier link still served',
     file: 'process/runner.js',
-    from: 'this._closeLinkOf(owner);\n        this._highestLink',
-    to: 'this._highestLink',
+    from: 'this._closeLinkOf(owner);\n        const link = this._links',
+    to: 'const link = this._links',
   },
   {
     name: 'configuration never goes stale at the runner',
-    file: 'process/runner.js',
+    file: 'process/start-gate.js',
     from: 'now - this._confirmedAtMs > this._freshnessMs',
     to: 'false',
   },
   {
     name: 'runner takes any configuration',
-    file: 'process/runner.js',
+    file: 'process/start-gate.js',
     from: 'msg.config && msg.config.version > this._config.version',
     to: 'msg.config',
   },
   {
     name: 'leaving endpoint still used',
-    file: 'process/runner.js',
+    file: 'process/start-gate.js',
     from: 'endpoint.value.leaving || ',
     to: '',
     and: { from: '!endpoint.value.leaving', to: 'true' },
   },
   {
     name: 'data centre not checked by either side',
-    file: 'process/runner.js',
+    file: 'process/start-gate.js',
     from: '!this._config.dataCentreInService',
     to: 'false',
     and: {
