Entry: rows of jobs and answers to callers are modules of their own

job-table.ts had grown to 550 lines and held the store format, the answers and the life of a job; takeover.ts wrote the same row a second time.

--- a/packages/core/src/lib/process/admission.ts
+++ b/packages/core/src/lib/process/admission.ts
@@ -1,14 +1,10 @@
-import type { JobSpec } from '../request/job-spec.js';
-import type { TaskSpec } from '../request/job-spec.js';
+import type { JobSpec, TaskSpec } from '../request/job-spec.js';
 import type { Configuration } from '../version/configuration.js';
+import type { Refusal } from '../request/replies.js';
 import { ErrorCode } from './entry-events.js';
-import type { CallerError } from './entry-events.js';
 import { fitsInto } from './resource-ledger.js';
 import { TokenBucket } from './token-bucket.js';
 
-/** A refusal before it is known what it proves. */
-export type Refusal = Omit<CallerError, 'runState'>;
-
 /** What is admitted: a job, or a single request as a job of one task. */
 export type AdmissionRequest = Pick<
   JobSpec,
--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -1,26 +1,33 @@
 import type { RunnerPeer } from '../connection/runner-peer.js';
-import { RunState, TaskKind } from '../messages.js';
+import { TaskKind } from '../messages.js';
 import type { AnnounceRequest } from '../messages.js';
 import type { Job } from '../request/job.js';
 import type { JobSpec } from '../request/job-spec.js';
+import {
+  NOT_READY,
+  REPLACED,
+  STATE_UNREADABLE,
+  notRunReply,
+  refuseSubmission,
+  unknownJobReply,
+} from '../request/replies.js';
 import { storeKeys } from '../store.js';
 import type { Row } from '../store.js';
 import { ConfigFollower } from '../version/config-follower.js';
 import type { Configuration } from '../version/configuration.js';
 import { TicketDesk } from '../version/ticket-desk.js';
 import { Admission } from './admission.js';
-import type { Refusal } from './admission.js';
 import { Dispatcher } from './dispatcher.js';
 import { ENTRY_DEFAULTS } from './entry-context.js';
 import type { EntryContext, EntryOptions } from './entry-context.js';
-import { ErrorCode } from './entry-events.js';
 import type {
   EndpointRequest,
   EntryAction,
   EntryEvent,
   Reply,
 } from './entry-events.js';
-import { JobTable, errorReply, refuseSubmission } from './job-table.js';
+import { JobRows } from './job-rows.js';
+import { JobTable } from './job-table.js';
 import { Membership } from './membership.js';
 import type { MemberView } from './membership.js';
 import { ObjectClient } from './object-client.js';
@@ -33,16 +40,9 @@
 
 type AskEvent = Extract<EntryEvent, { kind: 'ask' }>;
 
-const RETRY_AFTER_MS = 1000;
 /** How long a planned stop waits for its jobs before it hands them over. */
 const STOP_WAIT_MS = 20_000;
 
-const NOT_READY: Refusal = {
-  code: ErrorCode.Unavailable,
-  detail: 'This entry does not take new work now; another one may.',
-  retryAfterMs: RETRY_AFTER_MS,
-};
-
 /**
  * The decisions of an entry, as one state machine.
  *
@@ -58,6 +58,7 @@
   private readonly _tickets: TicketDesk;
   private readonly _admission: Admission;
   private readonly _dispatcher: Dispatcher;
+  private readonly _rows: JobRows;
   private readonly _jobs: JobTable;
   private readonly _requests: RequestTable;
   private readonly _takeovers: Takeovers;
@@ -125,11 +126,16 @@
       entryCount: () => this._membership.live.length + 1,
       waiting: () => this._dispatcher.waiting,
     });
+    this._rows = new JobRows({
+      ctx,
+      ownerCondition: () => this._membership.ownerCondition,
+    });
     this._jobs = this._createJobTable();
     this._requests = this._createRequestTable();
     this._takeovers = new Takeovers({
       ctx,
       membership: this._membership,
+      rows: this._rows,
       jobs: this._jobs,
       onRunnerKnown: (ref, at) => {
         this._dispatcher.onRunnerKnown(ref, at);
@@ -272,6 +278,7 @@
   private _createJobTable(): JobTable {
     return new JobTable({
       ctx: this._ctx,
+      rows: this._rows,
       ownerCondition: () => this._membership.ownerCondition,
       onOpen: (job) => {
         this._dispatcher.add(job);
@@ -327,7 +334,7 @@
         )
       : NOT_READY;
     if (refusal) {
-      this._reply(replyId, notRun(refusal));
+      this._reply(replyId, notRunReply(refusal));
       return;
     }
     this._requests.add(request, replyId);
@@ -348,14 +355,14 @@
     const keys = [storeKeys.job(event.job)];
     this._store.call({ kind: 'read', keys }, (reply) => {
       if (reply.kind !== 'rows') {
-        this._reply(event.replyId, STORE_SILENT);
+        this._reply(event.replyId, STATE_UNREADABLE);
         return;
       }
       const row = reply.rows[0];
       if (row) {
         this._answerFromRow(row, event);
       } else {
-        this._reply(event.replyId, unknownJob(event.job));
+        this._reply(event.replyId, unknownJobReply(event.job));
       }
     });
   }
@@ -370,8 +377,8 @@
       this._reply(replyId, { kind: 'forward', ...forward });
       return;
     }
-    this._jobs.readStatus(job, jobRow, (status) => {
-      this._reply(replyId, status ? { kind: 'job', status } : STORE_SILENT);
+    this._rows.readStatus(job, jobRow, (status) => {
+      this._reply(replyId, status ? { kind: 'job', status } : STATE_UNREADABLE);
     });
   }
 
@@ -380,7 +387,7 @@
     now: number,
   ): void {
     if (!this.isReady) {
-      this._reply(event.replyId, notRun(NOT_READY));
+      this._reply(event.replyId, notRunReply(NOT_READY));
       return;
     }
     this._tickets.propose(event.proposal, event.replyId, now);
@@ -447,9 +454,9 @@
     if (event.kind === 'submit') {
       this._reply(event.replyId, refuseSubmission(event.spec, NOT_READY));
     } else if (event.kind === 'request' || event.kind === 'apply-ticket') {
-      this._reply(event.replyId, notRun(NOT_READY));
+      this._reply(event.replyId, notRunReply(NOT_READY));
     } else if (event.kind === 'ask') {
-      this._reply(event.replyId, STORE_SILENT);
+      this._reply(event.replyId, STATE_UNREADABLE);
     } else if (event.kind === 'poll') {
       const reply = { incarnation: '', version: 0, tickets: [] };
       const { replyId } = event;
@@ -462,9 +469,6 @@
   }
 }
 
-const notRun = (refusal: Refusal): Reply =>
-  errorReply({ ...refusal, runState: RunState.NOT_RUN });
-
 const toRef = (req: AnnounceRequest) => ({
   id: req.runner,
   incarnation: req.incarnation,
@@ -472,25 +476,3 @@
   dataCentre: req.dataCentre,
   endpoint: req.endpoint,
 });
-
-const unknownJob = (id: string): Reply =>
-  errorReply({
-    code: ErrorCode.NotFound,
-    detail: `No job "${id}" is known.`,
-    // An earlier submission may still be on its way.
-    runState: RunState.MAY_HAVE_RUN,
-  });
-
-const STORE_SILENT = errorReply({
-  code: ErrorCode.Unavailable,
-  detail: 'The state of the job can not be read now.',
-  runState: RunState.MAY_HAVE_RUN,
-  retryAfterMs: RETRY_AFTER_MS,
-});
-
-const REPLACED = errorReply({
-  code: ErrorCode.Unavailable,
-  detail: 'This entry has been replaced; ask again to reach the new owner.',
-  runState: RunState.MAY_HAVE_RUN,
-  retryAfterMs: RETRY_AFTER_MS,
-});
--- /dev/null
+++ b/packages/core/src/lib/process/job-rows.ts
@@ -0,0 +1,210 @@
+import type { Job } from '../request/job.js';
+import type { JobSpec } from '../request/job-spec.js';
+import type { Outcome } from '../request/outcome.js';
+import { storeKeys } from '../store.js';
+import type { Condition, Write } from '../store.js';
+import type { EntryContext } from './entry-context.js';
+import type { JobStatus } from './entry-events.js';
+import type { JobRow } from './rows.js';
+import type { WriteOutcome } from './store-writer.js';
+
+/** What the rows of jobs depend on. */
+export interface JobRowsOptions {
+  readonly ctx: EntryContext;
+  /** @returns Holds as long as this incarnation may own jobs. */
+  readonly ownerCondition: () => Condition;
+}
+
+/** Receives what became of a write. */
+export type WriteHandler = (outcome: WriteOutcome, now: number) => void;
+
+/**
+ * Writes and reads the rows of jobs: the claim, the adoption, the outcome.
+ *
+ * Texts that are too large for a row go to the object store first, and the
+ * row names the object; so whoever sees the row finds the object.
+ */
+export class JobRows {
+  private readonly _ctx: EntryContext;
+  private readonly _ownerCondition: () => Condition;
+  private _nextNonce = 1;
+
+  /** @param options - Context and condition of every write. */
+  constructor(options: JobRowsOptions) {
+    this._ctx = options.ctx;
+    this._ownerCondition = options.ownerCondition;
+  }
+
+  /**
+   * Inserts the row of a submission, unless there is one.
+   *
+   * @param spec - The submission.
+   * @param giveUpAtMs - When to stop trying.
+   * @param onDone - Receives the outcome; `given-up` proves that no claim
+   * exists or ever will.
+   */
+  claim(spec: JobSpec, giveUpAtMs: number, onDone: WriteHandler): void {
+    const { options, objects } = this._ctx;
+    const submit = (content: Partial<JobRow>): void => {
+      const row = { ...this._row(spec, 1), ...content };
+      const openKey = storeKeys.open(options.incarnation, spec.id);
+      const writes = [{ key: openKey, value: row.nonce }];
+      this._submit(row, spec.id, 0, writes, onDone, giveUpAtMs);
+    };
+    const text = JSON.stringify(spec);
+    if (text.length <= options.rowLimitBytes) {
+      submit({ spec });
+      return;
+    }
+    const specKey = storeKeys.spec(spec.id, spec.digest);
+    objects.put(specKey, text, giveUpAtMs, (isStored, now) => {
+      if (isStored) {
+        submit({ specKey });
+      } else {
+        onDone({ kind: 'given-up' }, now);
+      }
+    });
+  }
+
+  /**
+   * Replaces the row of an open job by its outcome.
+   *
+   * @param job - A job whose outcome is decided.
+   * @param version - Version of its row.
+   * @param onDone - Receives whether the outcome is recorded.
+   */
+  record(job: Job, version: number, onDone: WriteHandler): void {
+    const { options, objects } = this._ctx;
+    const { spec, epoch, outcome } = job;
+    const submit = (content: Partial<JobRow>): void => {
+      const row = { ...this._row(spec, epoch), ...content };
+      const openKey = storeKeys.open(options.incarnation, spec.id);
+      const writes = [{ key: openKey, value: null }];
+      this._submit(row, spec.id, version, writes, onDone);
+    };
+    const text = JSON.stringify(outcome);
+    if (text.length <= options.rowLimitBytes) {
+      submit({ outcome });
+      return;
+    }
+    const outcomeKey = storeKeys.outcome(spec.id, options.incarnation, epoch);
+    objects.put(outcomeKey, text, Infinity, () => {
+      submit({ outcomeKey });
+    });
+  }
+
+  /**
+   * Gives an open job of a fenced owner to this entry.
+   *
+   * @param id - The job.
+   * @param before - Its row.
+   * @param version - Version of that row.
+   * @param onDone - Receives the new row and what became of the write.
+   */
+  adopt(
+    id: string,
+    before: JobRow,
+    version: number,
+    onDone: (row: JobRow, outcome: WriteOutcome) => void,
+  ): void {
+    const { incarnation, address } = this._ctx.options;
+    const row: JobRow = {
+      ...before,
+      owner: incarnation,
+      address,
+      epoch: before.epoch + 1,
+      nonce: this._nonce(),
+    };
+    const writes = [
+      { key: storeKeys.open(incarnation, id), value: row.nonce },
+      { key: storeKeys.open(before.owner, id), value: null },
+    ];
+    this._submit(row, id, version, writes, (outcome) => {
+      onDone(row, outcome);
+    });
+  }
+
+  /**
+   * @param row - The row of an open job.
+   * @param onDone - Receives the submission, or nothing when it can't be read
+   * now.
+   */
+  readSpec(row: JobRow, onDone: (spec: JobSpec | undefined) => void): void {
+    if (row.specKey === undefined) {
+      onDone(row.spec);
+      return;
+    }
+    this._ctx.objects.get(row.specKey, (body) => {
+      onDone(body === undefined ? undefined : (JSON.parse(body) as JobSpec));
+    });
+  }
+
+  /**
+   * @param id - The job.
+   * @param row - Its row.
+   * @param onDone - Receives the state, or nothing when the outcome can't be
+   * read now.
+   */
+  readStatus(
+    id: string,
+    row: JobRow,
+    onDone: (status: JobStatus | undefined) => void,
+  ): void {
+    if (row.outcomeKey === undefined) {
+      onDone(toStatus(id, row, row.outcome));
+      return;
+    }
+    this._ctx.objects.get(row.outcomeKey, (body) => {
+      const outcome =
+        body === undefined ? undefined : (JSON.parse(body) as Outcome);
+      onDone(outcome && toStatus(id, row, outcome));
+    });
+  }
+
+  private _submit(
+    row: JobRow,
+    id: string,
+    version: number,
+    more: readonly Write[],
+    onDone: WriteHandler,
+    giveUpAtMs?: number,
+  ): void {
+    const key = storeKeys.job(id);
+    this._ctx.writer.submit({
+      conditions: [{ key, version }, this._ownerCondition()],
+      writes: [{ key, value: JSON.stringify(row) }, ...more],
+      proofKey: key,
+      giveUpAtMs,
+      onDone,
+    });
+  }
+
+  private _row(spec: JobSpec, epoch: number): JobRow {
+    const { incarnation, address } = this._ctx.options;
+    return {
+      nonce: this._nonce(),
+      owner: incarnation,
+      address,
+      epoch,
+      digest: spec.digest,
+      desk: spec.desk,
+      taskCount: spec.tasks.length,
+    };
+  }
+
+  private _nonce(): string {
+    return `${this._ctx.options.incarnation}:j${String(this._nextNonce++)}`;
+  }
+}
+
+const toStatus = (
+  id: string,
+  { desk, taskCount }: JobRow,
+  outcome: Outcome | undefined,
+): JobStatus => ({
+  id,
+  desk,
+  taskCount,
+  doneCount: outcome?.kind === 'complete' ? taskCount : 0,
+  ...(outcome ? { outcome } : {}),
+});
--- a/packages/core/src/lib/process/job-table.ts
+++ b/packages/core/src/lib/process/job-table.ts
@@ -1,15 +1,20 @@
-import { RunState } from '../messages.js';
 import type { ResultMessage } from '../messages.js';
 import { Job } from '../request/job.js';
 import type { TaskState } from '../request/job.js';
 import type { JobSpec } from '../request/job-spec.js';
 import { FailureReason } from '../request/outcome.js';
-import type { Outcome } from '../request/outcome.js';
+import {
+  CLAIM_REFUSED,
+  conflictReply,
+  pendingReply,
+  refuseSubmission,
+} from '../request/replies.js';
 import { storeKeys } from '../store.js';
 import type { Condition, Row } from '../store.js';
 import type { EntryContext } from './entry-context.js';
-import { ErrorCode, JobStep } from './entry-events.js';
-import type { CallerError, JobStatus, Reply } from './entry-events.js';
+import { JobStep } from './entry-events.js';
+import type { JobStatus, Reply } from './entry-events.js';
+import type { JobRows } from './job-rows.js';
 import { isFinal } from './rows.js';
 import type { JobRow } from './rows.js';
 import type { WriteOutcome } from './store-writer.js';
@@ -17,6 +22,7 @@
 /** What the job table needs of the other parts of the entry. */
 export interface JobTableOptions {
   readonly ctx: EntryContext;
+  readonly rows: JobRows;
   /** @returns Holds as long as this incarnation may own jobs. */
   readonly ownerCondition: () => Condition;
   /** Receives a job whose waiting tasks may be placed. */
@@ -60,8 +66,6 @@
   readonly runners: readonly string[];
 }
 
-const RETRY_AFTER_MS = 1000;
-
 /**
  * The jobs that this entry owns, from the claim to the recorded outcome.
  *
@@ -72,14 +76,15 @@
 export class JobTable {
   private readonly _options: JobTableOptions;
   private readonly _ctx: EntryContext;
+  private readonly _rows: JobRows;
   private readonly _claims = new Map<string, Claim>();
   private readonly _jobs = new Map<string, OwnedJob>();
-  private _nextNonce = 1;
 
   /** @param options - Context and what to tell the other parts. */
   constructor(options: JobTableOptions) {
     this._options = options;
     this._ctx = options.ctx;
+    this._rows = options.rows;
   }
 
   /** Number of jobs without a recorded outcome, claims included. */
@@ -130,26 +135,15 @@
    * @param now - Current time in milliseconds.
    */
   claim(spec: JobSpec, replyId: number, now: number): void {
-    const { options, objects } = this._ctx;
     this._claims.set(spec.id, {
       spec,
       replyIds: new Set([replyId]),
       startedAtMs: now,
       cancelled: false,
     });
-    const untilMs = now + options.claimTimeoutMs;
-    const text = JSON.stringify(spec);
-    if (text.length <= options.rowLimitBytes) {
-      this._submitClaim(spec, { spec }, untilMs);
-      return;
-    }
-    const specKey = storeKeys.spec(spec.id, spec.digest);
-    objects.put(specKey, text, untilMs, (isStored) => {
-      if (isStored) {
-        this._submitClaim(spec, { specKey }, untilMs);
-      } else {
-        this._endClaim(spec.id, refuseSubmission(spec, STORE_SILENT));
-      }
+    const untilMs = now + this._ctx.options.claimTimeoutMs;
+    this._rows.claim(spec, untilMs, (outcome) => {
+      this._onClaimed(spec, outcome);
     });
   }
 
@@ -180,18 +174,6 @@
     this.settle(job);
   }
 
-  /** @returns A row that gives the job to this entry. */
-  adoptionRow(row: JobRow): JobRow {
-    const { incarnation, address } = this._ctx.options;
-    return {
-      ...row,
-      owner: incarnation,
-      address,
-      epoch: row.epoch + 1,
-      nonce: this._nonce(),
-    };
-  }
-
   /**
    * Answers with a job's status, at once or when its outcome is recorded.
    *
@@ -242,29 +224,8 @@
     owned.decided = true;
     this._ctx.logStep(JobStep.Decided, job.spec.id, job.outcome.kind);
     this._options.onDecided(job);
-    this._record(owned);
-  }
-
-  /**
-   * Reads the state of a job that this entry does not own.
-   *
-   * @param id - The job.
-   * @param row - Its row.
-   * @param onDone - Receives the state, or nothing when the outcome can't be
-   * read now.
-   */
-  readStatus(
-    id: string,
-    row: JobRow,
-    onDone: (status: JobStatus | undefined) => void,
-  ): void {
-    if (row.outcomeKey === undefined) {
-      onDone(toStatus(id, row, row.outcome));
-      return;
-    }
-    this._ctx.objects.get(row.outcomeKey, (body) => {
-      const outcome = body && (JSON.parse(body) as Outcome);
-      onDone(outcome ? toStatus(id, row, outcome) : undefined);
+    this._rows.record(job, owned.rowVersion, (result, now) => {
+      this._onRecorded(owned, result, now);
     });
   }
 
@@ -334,7 +295,7 @@
         this._readTaken(spec);
         return;
       case 'given-up':
-        this._endClaim(spec.id, refuseSubmission(spec, STORE_SILENT));
+        this._endClaim(spec.id, refuseSubmission(spec, CLAIM_REFUSED));
     }
   }
 
@@ -375,35 +336,12 @@
       return;
     }
     this._ctx.logStep(JobStep.Attached, spec.id);
-    this.readStatus(spec.id, jobRow, (status) => {
+    this._rows.readStatus(spec.id, jobRow, (status) => {
       const reply = status && ({ kind: 'job', status } as const);
       this._endClaim(spec.id, reply ?? pendingReply(spec.id));
     });
   }
 
-  private _submitClaim(
-    spec: JobSpec,
-    content: Pick<JobRow, 'spec' | 'specKey'>,
-    giveUpAtMs: number,
-  ): void {
-    const { options, writer } = this._ctx;
-    const row = { ...this._row(spec, 1), ...content };
-    const key = storeKeys.job(spec.id);
-    const openKey = storeKeys.open(options.incarnation, spec.id);
-    writer.submit({
-      conditions: [{ key, version: 0 }, this._options.ownerCondition()],
-      writes: [
-        { key, value: JSON.stringify(row) },
-        { key: openKey, value: row.nonce },
-      ],
-      proofKey: key,
-      giveUpAtMs,
-      onDone: (outcome) => {
-        this._onClaimed(spec, outcome);
-      },
-    });
-  }
-
   private _endClaim(id: string, reply: Reply): void {
     const claim = this._claims.get(id);
     this._claims.delete(id);
@@ -425,44 +363,6 @@
     return owned;
   }
 
-  private _record(owned: OwnedJob): void {
-    const { options, objects } = this._ctx;
-    const { spec, epoch, outcome } = owned.job;
-    const text = JSON.stringify(outcome);
-    if (text.length <= options.rowLimitBytes) {
-      this._submitOutcome(owned, { outcome });
-      return;
-    }
-    const outcomeKey = storeKeys.outcome(spec.id, options.incarnation, epoch);
-    objects.put(outcomeKey, text, Infinity, () => {
-      this._submitOutcome(owned, { outcomeKey });
-    });
-  }
-
-  private _submitOutcome(
-    owned: OwnedJob,
-    content: Pick<JobRow, 'outcome' | 'outcomeKey'>,
-  ): void {
-    const { options, writer } = this._ctx;
-    const { spec, epoch } = owned.job;
-    const row: JobRow = { ...this._row(spec, epoch), ...content };
-    const key = storeKeys.job(spec.id);
-    writer.submit({
-      conditions: [
-        { key, version: owned.rowVersion },
-        this._options.ownerCondition(),
-      ],
-      writes: [
-        { key, value: JSON.stringify(row) },
-        { key: storeKeys.open(options.incarnation, spec.id), value: null },
-      ],
-      proofKey: key,
-      onDone: (result, now) => {
-        this._onRecorded(owned, result, now);
-      },
-    });
-  }
-
   private _onRecorded(
     owned: OwnedJob,
     result: WriteOutcome,
@@ -481,23 +381,6 @@
     this._options.onRecorded(owned.job);
   }
 
-  private _row(spec: JobSpec, epoch: number): JobRow {
-    const { incarnation, address } = this._ctx.options;
-    return {
-      nonce: this._nonce(),
-      owner: incarnation,
-      address,
-      epoch,
-      digest: spec.digest,
-      desk: spec.desk,
-      taskCount: spec.tasks.length,
-    };
-  }
-
-  private _nonce(): string {
-    return `${this._ctx.options.incarnation}:j${String(this._nextNonce++)}`;
-  }
-
   private _statusReply(owned: OwnedJob): Reply {
     const { spec, doneCount, outcome } = owned.job;
     const status: JobStatus = {
@@ -514,61 +397,3 @@
     this._ctx.emit({ kind: 'reply', replyId, reply });
   }
 }
-
-const toStatus = (
-  id: string,
-  { desk, taskCount }: JobRow,
-  outcome: Outcome | undefined,
-): JobStatus => ({
-  id,
-  desk,
-  taskCount,
-  doneCount: outcome?.kind === 'complete' ? taskCount : 0,
-  ...(outcome ? { outcome } : {}),
-});
-
-/** @returns The answer that carries an error. */
-export const errorReply = (error: CallerError): Reply => ({
-  kind: 'error',
-  error,
-});
-
-const conflictReply = (id: string): Reply =>
-  errorReply({
-    code: ErrorCode.Conflict,
-    detail: `Submission "${id}" exists with other content; use a new id for new content.`,
-    runState: RunState.NOT_RUN,
-  });
-
-const pendingReply = (id: string): Reply =>
-  errorReply({
-    code: ErrorCode.Pending,
-    detail: `The store has not confirmed submission "${id}" yet; submit it again with the same id to attach to it.`,
-    runState: RunState.MAY_HAVE_RUN,
-    retryAfterMs: RETRY_AFTER_MS,
-  });
-
-const STORE_SILENT: Omit<CallerError, 'runState'> = {
-  code: ErrorCode.Unavailable,
-  detail: 'The store does not answer, so the submission was not accepted.',
-  retryAfterMs: RETRY_AFTER_MS,
-};
-
-/**
- * Refuses a submission of which nothing was started here.
- *
- * An earlier attempt with the same id may have been accepted elsewhere, so the
- * refusal proves "not run" only for a first attempt.
- *
- * @param spec - The submission.
- * @param error - Why it is refused.
- * @returns The answer.
- */
-export const refuseSubmission = (
-  spec: JobSpec,
-  error: Omit<CallerError, 'runState'>,
-): Reply =>
-  errorReply({
-    ...error,
-    runState: spec.firstAttempt ? RunState.NOT_RUN : RunState.MAY_HAVE_RUN,
-  });
--- a/packages/core/src/lib/process/request-table.ts
+++ b/packages/core/src/lib/process/request-table.ts
@@ -5,7 +5,7 @@
 import type { EntryContext } from './entry-context.js';
 import { ErrorCode } from './entry-events.js';
 import type { EndpointRequest, Reply } from './entry-events.js';
-import { errorReply } from './job-table.js';
+import { errorReply } from '../request/replies.js';
 import { RetryBudget } from './retry-budget.js';
 
 /** What the request table needs of the other parts of the entry. */
--- a/packages/core/src/lib/process/takeover.ts
+++ b/packages/core/src/lib/process/takeover.ts
@@ -7,6 +7,7 @@
 import { storeKeys } from '../store.js';
 import type { Condition, Row } from '../store.js';
 import type { EntryContext } from './entry-context.js';
+import type { JobRows } from './job-rows.js';
 import type { CollectedTasks } from './job-table.js';
 import type { MemberView } from './membership.js';
 import type { JobRow, MemberRow } from './rows.js';
@@ -21,8 +22,7 @@
   readonly ensureRunner: (ref: RunnerRef) => boolean;
   /** Makes a runner known to the dispatcher. */
   readonly onRunnerKnown: (ref: RunnerRef, now: number) => void;
-  /** @returns A row that gives the job to this entry. */
-  readonly adoptionRow: (row: JobRow) => JobRow;
+  readonly rows: JobRows;
   /** Receives a job that has been adopted. */
   readonly onAdopted: (
     row: JobRow,
@@ -282,54 +282,21 @@
   }
 
   private _adopt(row: Row, onEnd: () => void): void {
+    const { rows, onAdopted } = this._options;
     const before = JSON.parse(row.value) as JobRow;
-    if (before.spec) {
-      this._submitAdoption(row, before, before.spec, onEnd);
-      return;
-    }
-    if (before.specKey === undefined) {
-      throw new Error(`Open job without its submission: ${row.key}`);
-    }
-    this._ctx.objects.get(before.specKey, (body) => {
-      if (body === undefined) {
+    rows.readSpec(before, (spec) => {
+      if (!spec) {
         // The job stays in the index; the next scan comes back to it.
         onEnd();
         return;
       }
-      const spec = JSON.parse(body) as JobSpec;
-      this._submitAdoption(row, before, spec, onEnd);
-    });
-  }
-
-  private _submitAdoption(
-    row: Row,
-    before: JobRow,
-    spec: JobSpec,
-    onEnd: () => void,
-  ): void {
-    const { options, writer } = this._ctx;
-    const adopted = this._options.adoptionRow(before);
-    writer.submit({
-      conditions: [
-        { key: row.key, version: row.version },
-        this._options.ownerCondition(),
-      ],
-      writes: [
-        { key: row.key, value: JSON.stringify(adopted) },
-        { key: storeKeys.open(options.incarnation, spec.id), value: '' },
-        {
-          key: storeKeys.open(this.victim.incarnation, spec.id),
-          value: null,
-        },
-      ],
-      proofKey: row.key,
-      onDone: (outcome) => {
+      rows.adopt(spec.id, before, row.version, (adopted, outcome) => {
         if (outcome.kind === 'committed') {
           const found = this._tasksOf(spec);
-          this._options.onAdopted(adopted, spec, outcome.version, found);
+          onAdopted(adopted, spec, outcome.version, found);
         }
         onEnd();
-      },
+      });
     });
   }
 
--- a/packages/core/src/lib/process/takeovers.ts
+++ b/packages/core/src/lib/process/takeovers.ts
@@ -1,6 +1,7 @@
 import type { RunnerRef } from '../connection/runner-peer.js';
 import type { FenceReply } from '../messages.js';
 import type { EntryContext } from './entry-context.js';
+import type { JobRows } from './job-rows.js';
 import type { JobTable } from './job-table.js';
 import type { MemberView, Membership } from './membership.js';
 import { Takeover } from './takeover.js';
@@ -9,6 +10,7 @@
 export interface TakeoversOptions {
   readonly ctx: EntryContext;
   readonly membership: Membership;
+  readonly rows: JobRows;
   readonly jobs: JobTable;
   /** Makes a runner known to the dispatcher. */
   readonly onRunnerKnown: (ref: RunnerRef, now: number) => void;
@@ -101,7 +103,7 @@
   }
 
   private _create(victim: MemberView): Takeover {
-    const { ctx, membership, jobs, onRunnerKnown } = this._options;
+    const { ctx, membership, rows, jobs, onRunnerKnown } = this._options;
     const { incarnation } = victim.row;
     return new Takeover({
       ctx,
@@ -109,7 +111,7 @@
       ownerCondition: () => membership.ownerCondition,
       ensureRunner: (ref) => membership.ensureRunner(ref),
       onRunnerKnown,
-      adoptionRow: (row) => jobs.adoptionRow(row),
+      rows,
       onAdopted: (row, spec, rowVersion, found) => {
         jobs.adopt(row, spec, rowVersion, found);
       },
--- a/packages/core/src/lib/version/ticket-desk.ts
+++ b/packages/core/src/lib/version/ticket-desk.ts
@@ -6,7 +6,7 @@
   TicketProposal,
   TicketReceipt,
 } from '../process/entry-events.js';
-import { errorReply } from '../process/job-table.js';
+import { errorReply } from '../request/replies.js';
 import type { HeadRow } from '../process/rows.js';
 import type { WriteOutcome } from '../process/store-writer.js';
 import { storeKeys } from '../store.js';
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -12,21 +12,21 @@
 const MUTATIONS = [
   {
     name: 'claim without its condition',
-    file: 'process/job-table.js',
-    from: 'conditions: [{ key, version: 0 }, this._options.ownerCondition()]',
-    to: 'conditions: [this._options.ownerCondition()]',
+    file: 'process/job-rows.js',
+    from: 'conditions: [{ key, version }, this._ownerCondition()]',
+    to: 'conditions: version === 0 ? [this._ownerCondition()] : [{ key, version }, this._ownerCondition()]',
   },
   {
     name: 'claim without the owner row',
-    file: 'process/job-table.js',
-    from: 'conditions: [{ key, version: 0 }, this._options.ownerCondition()]',
-    to: 'conditions: [{ key, version: 0 }]',
+    file: 'process/job-rows.js',
+    from: 'conditions: [{ key, version }, this._ownerCondition()]',
+    to: 'conditions: version === 0 ? [{ key, version }] : [{ key, version }, this._ownerCondition()]',
   },
   {
     name: 'lost answer taken for a refusal',
     file: 'process/store-writer.js',
-    from: "case 'rows':\n            case 'unknown':",
-    to: "case 'unknown':\n                this._backOff(now);\n                return;\n            case 'rows':",
+    from: "case 'rows':\n            case 'object':\n            case 'unknown':",
+    to: "case 'unknown':\n                this._backOff(now);\n                return;\n            case 'rows':\n            case 'object':",
   },
   {
     name: 'start without a record',
@@ -66,9 +66,9 @@
   },
   {
     name: 'outcome without its condition',
-    file: 'process/job-table.js',
-    from: '{ key, version: owned.rowVersion },\n                this._options.ownerCondition(),',
-    to: '',
+    file: 'process/job-rows.js',
+    from: 'conditions: [{ key, version }, this._ownerCondition()]',
+    to: 'conditions: row.outcome || row.outcomeKey ? [] : [{ key, version }, this._ownerCondition()]',
   },
   {
     name: 'earlier link still served',
@@ -132,9 +132,9 @@
   },
   {
     name: 'refusal claims "not run" without proof',
-    file: 'process/job-table.js',
-    from: 'spec.firstAttempt ? RunState.NOT_RUN : RunState.MAY_HAVE_RUN',
-    to: 'RunState.NOT_RUN',
+    file: 'request/replies.js',
+    from: 'spec.firstAttempt ? notRunReply(refusal) : unknownReply(refusal)',
+    to: 'notRunReply(refusal)',
   },
 ];
 
