Late announcement of an earlier incarnation costs no task; cheaper end of a job

Cause: an announcement that was under way while its runner was restarted made the entry give up the living incarnation, and with it the jobs that had tasks there. Ruled out: a link check alone, since the announcement comes on a connection of its own. Now it is ignored while another incarnation answers on its link; a fence reply is still certain.

Before: the new test fails (job 'failed'); after: 'complete'.

The end of a job looked through everything in flight at all runners; it now goes to the runners that hold its tasks.

--- a/packages/core/src/lib/process/dispatcher.ts
+++ b/packages/core/src/lib/process/dispatcher.ts
@@ -79,9 +79,7 @@
       this._queues.push(job, index);
     }
     for (const index of job.sentTasks()) {
-      const state = job.state(index);
-      const peer =
-        state.kind === 'sent' ? this._runners.get(state.runner) : undefined;
+      const peer = this._holderOf(job, index);
       if (peer) {
         const start = toStart(job, index);
         peer.inFlight.set(taskKey(start.job, index), start);
@@ -110,13 +108,12 @@
    * @param job - A job whose outcome is decided.
    */
   drop(job: Job): void {
+    const { id } = job.spec;
     this._queues.remove(job);
-    for (const peer of this._runners.all()) {
-      for (const [key, start] of peer.inFlight) {
-        if (start.job === job.spec.id) {
-          peer.inFlight.delete(key);
-          peer.outbox.cancels.push({ job: start.job, index: start.index });
-        }
+    for (const index of job.sentTasks()) {
+      const peer = this._holderOf(job, index);
+      if (peer?.inFlight.delete(taskKey(id, index))) {
+        peer.outbox.cancels.push({ job: id, index });
       }
     }
   }
@@ -134,7 +131,25 @@
   }
 
   /**
-   * @param ref - A runner incarnation, from an announcement or a member row.
+   * Takes in an announcement, which may have been under way for long. While
+   * another incarnation of the runner answers on its link, it is ignored.
+   *
+   * @param ref - The runner incarnation that announced itself.
+   * @param now - Current time in milliseconds.
+   */
+  onAnnounced(ref: RunnerRef, now: number): void {
+    const { linkSilenceMs } = this._ctx.options;
+    const isReplaced = this._runners
+      .otherIncarnations(ref)
+      .some(({ link }) => link && now - link.heardAtMs <= linkSilenceMs);
+    if (!isReplaced) {
+      this.onRunnerKnown(ref, now);
+    }
+  }
+
+  /**
+   * @param ref - A runner incarnation that exists now; any other incarnation
+   * of the runner is gone.
    * @param now - Current time in milliseconds.
    */
   onRunnerKnown(ref: RunnerRef, now: number): void {
@@ -231,6 +246,11 @@
     }
   }
 
+  private _holderOf(job: Job, index: number): RunnerPeer | undefined {
+    const state = job.state(index);
+    return state.kind === 'sent' ? this._runners.get(state.runner) : undefined;
+  }
+
   private _openLink(peer: RunnerPeer, now: number): void {
     const { incarnation, id } = this._ctx.options;
     const linkNumber = this._nextLinkNumber++;
--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -237,7 +237,7 @@
         this._store.onReply(event.opId, event.reply, now);
         return;
       case 'announce':
-        this._dispatcher.onRunnerKnown(toRef(event.req), now);
+        this._dispatcher.onAnnounced(toRef(event.req), now);
         return;
       case 'link-message':
         this._dispatcher.onMessage(event.linkId, event.msg, now);
--- /dev/null
+++ b/packages/standins/src/test/runners.test.ts
@@ -0,0 +1,37 @@
+import { expect } from 'earl';
+import { begin, settle } from '../lib/sim/scenario.js';
+import { World } from '../lib/sim/world.js';
+
+it('late announcement of an earlier incarnation costs no task', () => {
+  const world = new World({ seed: 5 });
+  begin(world);
+  const [entry] = world.entries;
+  const [runner] = world.runners;
+  if (!entry || !runner) {
+    throw new Error('A world has entries and runners.');
+  }
+  world.killRunner(runner);
+  runner.restart();
+  world.queue.runUntil(world.queue.nowMs + 3000);
+  world.submit(entry, {
+    id: 'job-a',
+    taskCount: 8,
+    isUrgent: false,
+    isFirst: true,
+  });
+  world.queue.runUntil(world.queue.nowMs + 20);
+  entry.dispatch({
+    kind: 'announce',
+    req: {
+      runner: runner.name,
+      incarnation: `${runner.name}.1`,
+      address: runner.name,
+      dataCentre: runner.dataCentre,
+      endpoint: 'levy',
+    },
+  });
+  world.queue.runUntil(world.queue.nowMs + 30_000);
+  settle(world);
+  expect(world.oracle.outcomeOf('job-a')?.kind).toEqual('complete');
+  expect(world.oracle.violations).toEqual([]);
+});
