Read budget of the store; a stand-in worker that reports late and can be steered

Cause: reads of an entry had no limit, and the stand-in endpoint had no worker that stops, throttles or checkpoints a task.

What it does: reads above the limit wait (store.reads_per_second, 100); the runner's metrics show the usage that its worker reports. Settings of a runner no longer take the budgets of an entry, which had no effect there.

--- a/packages/core/src/lib/process/dispatcher.ts
+++ b/packages/core/src/lib/process/dispatcher.ts
@@ -4,17 +4,14 @@
   RefusalMessage,
   ResultMessage,
   RunnerMessage,
-  StartMessage,
   Units,
 } from '../messages.js';
 import type { Job } from '../request/job.js';
 import type { ConfigFollower } from '../version/config-follower.js';
 import type { EntryContext } from './entry-context.js';
 import { JobStep } from './entry-events.js';
+import { Placement, toStart } from './placement.js';
 import { RunnerDirectory } from './runner-directory.js';
-import type { QueuedTask } from './task-queue.js';
-import { WorkQueues } from './work-queues.js';
-import type { WorkQueue } from './work-queues.js';
 
 /** What the dispatcher needs of the other parts of the entry. */
 export interface DispatcherOptions {
@@ -31,10 +28,9 @@
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 5000;
 const LINK_RETRY_MS = 500;
-const MAX_DEMAND = 64;
 
 /**
- * Places waiting tasks on runners and keeps the links to them.
+ * Keeps the links to runners and the tasks in their hands.
  *
  * Tasks wait here, not at the runners, and bind to a runner only when it has
  * given a credit. A task in flight is in exactly one runner's hands until the
@@ -43,8 +39,8 @@
 export class Dispatcher {
   private readonly _options: DispatcherOptions;
   private readonly _ctx: EntryContext;
-  private readonly _queues: WorkQueues;
   private readonly _runners = new RunnerDirectory();
+  private readonly _placement: Placement;
   private readonly _jobs = new Map<string, Job>();
   /** Runners that are gone but were sent tasks of jobs not yet recorded. */
   private readonly _gone = new Map<string, RunnerRef>();
@@ -54,12 +50,17 @@
   constructor(options: DispatcherOptions) {
     this._options = options;
     this._ctx = options.ctx;
-    this._queues = new WorkQueues(options.ctx.options.routineShare);
+    this._placement = new Placement({
+      runners: this._runners,
+      config: () => options.config.current,
+      ensureRunner: options.ensureRunner,
+      routineShare: options.ctx.options.routineShare,
+    });
   }
 
   /** Number of tasks that wait to be placed. */
   get waiting(): number {
-    return this._queues.size;
+    return this._placement.waiting;
   }
 
   /** @returns The runner incarnations known here. */
@@ -76,7 +77,7 @@
   add(job: Job): void {
     this._jobs.set(job.spec.id, job);
     for (const index of job.waitingTasks()) {
-      this._queues.push(job, index);
+      this._placement.push(job, index);
     }
     for (const index of job.sentTasks()) {
       const peer = this._holderOf(job, index);
@@ -98,7 +99,7 @@
    */
   requeue(job: Job, index: number): void {
     if (!job.outcome && job.state(index).kind === 'waiting') {
-      this._queues.push(job, index);
+      this._placement.push(job, index);
     }
   }
 
@@ -109,7 +110,7 @@
    */
   drop(job: Job): void {
     const { id } = job.spec;
-    this._queues.remove(job);
+    this._placement.remove(job);
     for (const index of job.sentTasks()) {
       const peer = this._holderOf(job, index);
       if (peer?.inFlight.delete(taskKey(id, index))) {
@@ -236,9 +237,7 @@
    */
   flush(now: number): void {
     if (this._options.config.isFresh(now)) {
-      for (const queue of this._queues.all()) {
-        this._place(queue, now);
-      }
+      this._placement.run(now);
     }
     for (const peer of this._runners.all()) {
       this._reportDemand(peer);
@@ -375,87 +374,12 @@
     }
   }
 
-  private _place(queue: WorkQueue, now: number): void {
-    let peer: RunnerPeer | undefined;
-    const canPlace = (task: QueuedTask): boolean => {
-      peer = this._choose(queue, task, now);
-      return peer !== undefined;
-    };
-    for (;;) {
-      const task = queue.tasks.take(canPlace);
-      if (!task || !peer) {
-        return;
-      }
-      this._start(peer, queue.pool, task);
-    }
-  }
-
-  private _choose(
-    queue: WorkQueue,
-    task: QueuedTask,
-    now: number,
-  ): RunnerPeer | undefined {
-    const needs = task.job.spec.tasks[task.index]?.needs;
-    let best: RunnerPeer | undefined;
-    let most = 0;
-    for (const peer of this._runners.ofEndpoint(queue.endpoint)) {
-      const credits = peer.link?.credits[queue.pool] ?? 0;
-      if (
-        credits > most &&
-        peer.canStart(queue.pool, needs, now) &&
-        this._isAllowed(peer, task.job) &&
-        this._isFindable(peer, queue.pool)
-      ) {
-        best = peer;
-        most = credits;
-      }
-    }
-    return best;
-  }
-
-  private _isAllowed(peer: RunnerPeer, job: Job): boolean {
-    const { dataCentres } = job.spec;
-    return (
-      (dataCentres.length === 0 || dataCentres.includes(peer.ref.dataCentre)) &&
-      peer.isInService(this._options.config.current)
-    );
-  }
-
-  /** Requests are not taken over, so their runners need not be found. */
-  private _isFindable(peer: RunnerPeer, pool: keyof Units): boolean {
-    if (pool === 'connections') {
-      return true;
-    }
-    peer.isFindable ||= this._options.ensureRunner(peer.ref);
-    return peer.isFindable;
-  }
-
-  private _start(
-    peer: RunnerPeer,
-    pool: keyof Units,
-    { job, index }: QueuedTask,
-  ): void {
-    const start = toStart(job, index);
-    job.markSent(index, peer.key);
-    peer.inFlight.set(taskKey(start.job, index), start);
-    peer.outbox.starts.push(start);
-    if (peer.link) {
-      peer.link.credits[pool] -= 1;
-    }
-    if (start.needs) {
-      peer.free = subtract(peer.free, start.needs);
-    }
-  }
-
   private _reportDemand(peer: RunnerPeer): void {
     const link = peer.link;
     if (!link?.ready) {
       return;
     }
-    const demand: Units = {
-      slots: this._demandOf(peer, 'slots'),
-      connections: this._demandOf(peer, 'connections'),
-    };
+    const demand = this._placement.demandOf(peer);
     const { reported } = link;
     const isNews =
       (demand.slots === 0) !== (reported.slots === 0) ||
@@ -466,21 +390,6 @@
     }
   }
 
-  private _demandOf(peer: RunnerPeer, pool: keyof Units): number {
-    const queue = this._queues.find(peer.ref.endpoint, pool);
-    if (!queue || queue.tasks.size === 0 || !peer.accepting) {
-      return 0;
-    }
-    let demand = 0;
-    for (const [job, count] of queue.tasks.waiting()) {
-      demand += this._isAllowed(peer, job) ? count : 0;
-      if (demand >= MAX_DEMAND) {
-        return MAX_DEMAND;
-      }
-    }
-    return demand;
-  }
-
   private _send(peer: RunnerPeer, now: number): void {
     const link = peer.link;
     if (!link) {
@@ -504,29 +413,5 @@
   }
 }
 
-const toStart = (job: Job, index: number): StartMessage => {
-  const task = job.spec.tasks[index];
-  return {
-    job: job.spec.id,
-    index,
-    kind: job.kind,
-    endpoint: task?.endpoint ?? '',
-    payload: Buffer.from(task?.payload ?? ''),
-    contentType: job.contentType,
-    deadlineMs: job.spec.deadlineMs,
-    needs: task?.needs,
-    resend: false,
-  };
-};
-
 const isSame = (a: Units, b: Units): boolean =>
   a.slots === b.slots && a.connections === b.connections;
-
-const subtract = (
-  free: RunnerPeer['free'],
-  needs: NonNullable<StartMessage['needs']>,
-): RunnerPeer['free'] => ({
-  cores: free.cores - needs.cores,
-  memoryMb: free.memoryMb - needs.memoryMb,
-  accelerators: free.accelerators - needs.accelerators,
-});
--- a/packages/core/src/lib/process/entry-context.ts
+++ b/packages/core/src/lib/process/entry-context.ts
@@ -15,6 +15,8 @@
   readonly random: () => number;
   /** Most transactions a second. */
   readonly writesPerSecond?: number;
+  /** Most reads a second; reads above it wait. */
+  readonly readsPerSecond?: number;
   /** Longest time without confirmation that the configuration is current. */
   readonly freshnessMs?: number;
   /** How often the head of the configuration is read. */
@@ -44,6 +46,7 @@
 /** Defaults of {@link EntryOptions}. */
 export const ENTRY_DEFAULTS = {
   writesPerSecond: 40,
+  readsPerSecond: 100,
   freshnessMs: 4000,
   headReadMs: 1000,
   memberScanMs: 2000,
--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -81,9 +81,16 @@
       }
       this._actions.push(action);
     };
-    this._store = new StoreClient((opId, req) => {
-      emit({ kind: 'store', opId, req });
-    });
+    const { readsPerSecond } = resolved;
+    this._store = new StoreClient(
+      {
+        emit: (opId, req) => {
+          emit({ kind: 'store', opId, req });
+        },
+        readsPerSecond,
+      },
+      now,
+    );
     this._writer = new StoreWriter({ ...resolved, store: this._store }, now);
     this._ctx = {
       options: resolved,
@@ -209,6 +216,7 @@
     if (this._isReplaced) {
       this._refuseReplaced(event);
     } else {
+      this._store.pump(now);
       this._apply(event, now);
       this._writer.pump(now);
     }
--- a/packages/core/src/lib/process/store-client.ts
+++ b/packages/core/src/lib/process/store-client.ts
@@ -1,4 +1,5 @@
 import type { StoreReply, StoreRequest } from '../store.js';
+import { TokenBucket } from './token-bucket.js';
 
 /** Sends calls to the platform's table service and matches their replies. */
 export interface StoreCaller {
@@ -15,26 +16,65 @@
 /** Emits a store call under an operation id. */
 export type StoreEmitter = (opId: number, req: StoreRequest) => void;
 
+/** Options of {@link StoreClient}. */
+export interface StoreClientOptions {
+  /** Carries a call out of the decisions. */
+  readonly emit: StoreEmitter;
+  /** Most reads a second; reads above it wait. */
+  readonly readsPerSecond?: number;
+}
+
+interface WaitingCall {
+  readonly req: StoreRequest;
+  readonly onReply: StoreReplyHandler;
+}
+
+const DEFAULT_READS_PER_SECOND = 100;
+
 /** Numbers the store calls of a process and keeps who waits for each. */
 export class StoreClient implements StoreCaller {
   private readonly _emit: StoreEmitter;
   private readonly _waiting = new Map<number, StoreReplyHandler>();
+  private readonly _reads: TokenBucket;
+  private _held: WaitingCall[] = [];
+  private _nowMs: number;
   private _nextOpId = 1;
 
-  /** @param emit - Carries a call out of the decisions. */
-  constructor(emit: StoreEmitter) {
-    this._emit = emit;
+  /**
+   * @param options - Emitter and limit.
+   * @param now - Current time in milliseconds.
+   */
+  constructor(options: StoreClientOptions, now: number) {
+    const rate = options.readsPerSecond ?? DEFAULT_READS_PER_SECOND;
+    this._emit = options.emit;
+    this._reads = new TokenBucket({ ratePerSecond: rate, burst: rate }, now);
+    this._nowMs = now;
   }
 
-  /** Number of calls without a reply. */
-  get inFlight(): number {
-    return this._waiting.size;
+  call(req: StoreRequest, onReply: StoreReplyHandler): void {
+    const isHeld =
+      isRead(req) &&
+      (this._held.length > 0 || !this._reads.take(1, this._nowMs));
+    if (isHeld) {
+      this._held.push({ req, onReply });
+    } else {
+      this._start(req, onReply);
+    }
   }
 
-  call(req: StoreRequest, onReply: StoreReplyHandler): void {
-    const opId = this._nextOpId++;
-    this._waiting.set(opId, onReply);
-    this._emit(opId, req);
+  /**
+   * Starts reads that have waited for the limit.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pump(now: number): void {
+    this._nowMs = now;
+    while (this._held.length > 0 && this._reads.take(1, now)) {
+      const next = this._held.shift();
+      if (next) {
+        this._start(next.req, next.onReply);
+      }
+    }
   }
 
   /**
@@ -49,4 +89,13 @@
     this._waiting.delete(opId);
     handler?.(reply, now);
   }
+
+  private _start(req: StoreRequest, onReply: StoreReplyHandler): void {
+    const opId = this._nextOpId++;
+    this._waiting.set(opId, onReply);
+    this._emit(opId, req);
+  }
 }
+
+const isRead = ({ kind }: StoreRequest): boolean =>
+  kind === 'read' || kind === 'scan' || kind === 'get-object';
--- a/packages/core/src/test/store-writer.test.ts
+++ b/packages/core/src/test/store-writer.test.ts
@@ -7,7 +7,10 @@
 const setUp = () => {
   const calls: { opId: number; req: StoreRequest }[] = [];
   const outcomes: WriteOutcome[] = [];
-  const store = new StoreClient((opId, req) => calls.push({ opId, req }));
+  const store = new StoreClient(
+    { emit: (opId, req) => calls.push({ opId, req }) },
+    0,
+  );
   const writer = new StoreWriter({ store, random: () => 0.5 }, 0);
   const submit = (key: string, giveUpAtMs?: number): void => {
     writer.submit({
--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -193,6 +193,7 @@
         dataCentre: settings.data_centre,
         random: Math.random,
         writesPerSecond: settings.store.writes_per_second,
+        readsPerSecond: settings.store.reads_per_second,
         freshnessMs: limits.freshness,
         memberLeaseMs: limits.member_lease,
         linkSilenceMs: limits.link_silence,
--- a/packages/daemon/src/lib/process/local-server.ts
+++ b/packages/daemon/src/lib/process/local-server.ts
@@ -22,6 +22,7 @@
   readonly cores: number;
   readonly memoryMb: number;
   readonly accelerators: number;
+  readonly usage?: { readonly cores: number; readonly memoryMb: number };
 }
 
 const LOCAL_HOST = '127.0.0.1';
@@ -53,6 +54,14 @@
     cores: { type: 'number', minimum: 0 },
     memoryMb: { type: 'number', minimum: 0 },
     accelerators: { type: 'number', minimum: 0 },
+    usage: {
+      type: 'object',
+      required: ['cores', 'memoryMb'],
+      properties: {
+        cores: { type: 'number', minimum: 0 },
+        memoryMb: { type: 'number', minimum: 0 },
+      },
+    },
   },
 };
 
@@ -82,7 +91,11 @@
     '/v1/worker',
     { schema: { body: WORKER_SCHEMA } },
     (req, res) => {
-      const { name, rack, ...total } = req.body;
+      const { name, rack, usage, ...total } = req.body;
+      if (usage) {
+        host.metrics.workerCores.set(usage.cores);
+        host.metrics.workerMemoryMb.set(usage.memoryMb);
+      }
       host.dispatch({
         kind: 'worker-announced',
         worker: { name, rack, total },
--- a/packages/daemon/src/lib/process/metrics.ts
+++ b/packages/daemon/src/lib/process/metrics.ts
@@ -111,6 +111,16 @@
     help: 'Calls that the endpoint has not answered.',
     registers: [this.registry],
   });
+  readonly workerCores = new Gauge({
+    name: 'sapphiremux_worker_used_cores',
+    help: 'Cores in use as the worker last reported, with its lag.',
+    registers: [this.registry],
+  });
+  readonly workerMemoryMb = new Gauge({
+    name: 'sapphiremux_worker_used_megabytes',
+    help: 'Memory in use as the worker last reported, with its lag.',
+    registers: [this.registry],
+  });
   readonly configVersion = new Gauge({
     name: 'sapphiremux_config_version',
     help: 'Number of the last ticket in force.',
--- a/packages/settings/src/lib/schema.ts
+++ b/packages/settings/src/lib/schema.ts
@@ -28,11 +28,19 @@
   timeout: durationMs
     .prefault('1s')
     .describe('Longest wait for an answer of the store.'),
+});
+
+const budgetedStore = store.extend({
   writes_per_second: z
     .int()
     .positive()
     .default(40)
     .describe('Most transactions a second of this process.'),
+  reads_per_second: z
+    .int()
+    .positive()
+    .default(100)
+    .describe('Most reads a second of this process; more of them wait.'),
 });
 
 const listen = z.strictObject({
@@ -60,7 +68,6 @@
   id: name.describe('Name of this process, unique in its role.'),
   data_centre: name.describe('Data centre in which this process runs.'),
   listen,
-  store,
   log,
   tls,
 };
@@ -69,6 +76,7 @@
 export const entrySchema = z.strictObject({
   role: z.literal('entry').describe('What this process does.'),
   ...common,
+  store: budgetedStore,
   http: z.strictObject({
     host: z.string().default('127.0.0.1').describe('Address for callers.'),
     port: port.describe('Port for callers, operators, metrics and health.'),
@@ -112,6 +120,7 @@
 export const runnerSchema = z.strictObject({
   role: z.literal('runner').describe('What this process does.'),
   ...common,
+  store,
   local: z.strictObject({
     port: port.describe(
       'Port on the local host for announcements, metrics and health.',
--- a/packages/standins/src/bin/fuzz.ts
+++ b/packages/standins/src/bin/fuzz.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
-import { runScenario, scenarios } from '../lib/sim/scenario.js';
+import { scenarios } from '../lib/sim/commands.js';
+import { runScenario } from '../lib/sim/scenario.js';
 
 const MS_PER_SECOND = 1000;
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,7 +1,7 @@
 /** Stand-ins for the platform, endpoints and workers, and a local estate. */
 export { runCli } from './lib/cli.js';
 export type { CliRun } from './lib/cli.js';
-export type { EndpointUsage } from './lib/endpoint-server.js';
+export type { EndpointUsage } from './lib/stand-in-worker.js';
 export { Estate, call, waitUntil } from './lib/estate.js';
 export { MemoryStore } from './lib/memory-store.js';
 export { freePorts } from './lib/free-ports.js';
--- a/packages/standins/src/lib/endpoint-server.ts
+++ b/packages/standins/src/lib/endpoint-server.ts
@@ -1,7 +1,8 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { request } from 'undici';
+import { StandInWorker, TaskEnd } from './stand-in-worker.js';
+import type { TaskPayload, WorkerUsage } from './stand-in-worker.js';
 
 /** Options of {@link startEndpointServer}. */
 export interface EndpointServerOptions {
@@ -16,12 +17,11 @@
   readonly rack: string;
 }
 
-/** What a task asks of the stand-in endpoint. */
-interface TaskPayload {
-  /** Time that the task takes. */
-  readonly ms?: number;
-  /** Status to answer with. */
-  readonly status?: number;
+/** What an operator of the worker wants with a task. */
+interface TaskControl {
+  readonly key: string;
+  /** Share of the full speed, zero for a checkpoint; `null` stops the task. */
+  readonly speed: number | null;
 }
 
 /** Faults that the stand-in endpoint shows. */
@@ -30,15 +30,9 @@
   readonly status: number;
 }
 
-/** What the stand-in endpoint has done so far. */
-export interface EndpointUsage {
-  readonly starts: number;
-  /** Time of all tasks together, running ones included. */
-  readonly busyMs: number;
-}
-
 const ANNOUNCE_MS = 1000;
 const HTTP_OK = 200;
+const HTTP_STOPPED = 503;
 
 /**
  * Starts the stand-in of an endpoint with its worker. It runs each task by
@@ -55,73 +49,54 @@
   const starts: Record<string, number> = {};
   let faults: EndpointFaults = { status: 0 };
   let leaving = false;
-  const meter = new BusyMeter();
+  const worker = new StandInWorker();
   app.post<{ Body: TaskPayload | null }>('/', async (req, res) => {
     const key = String(req.headers['idempotency-key']);
     starts[key] = (starts[key] ?? 0) + 1;
     const { ms = 0, status = HTTP_OK } = req.body ?? {};
-    meter.change(1);
-    await sleep(ms);
-    meter.change(-1);
+    const end = await worker.run(key, req.body ?? {});
+    if (end === TaskEnd.Stopped) {
+      return res.status(HTTP_STOPPED).send({ key, stopped: true });
+    }
     const answered = faults.status === 0 ? status : faults.status;
     return res.status(answered).send({ key, endpoint: options.name, ms });
   });
   app.get('/account', () => starts);
-  app.get('/usage', () => meter.usage());
+  app.get('/usage', () => worker.work());
   app.put<{ Body: EndpointFaults }>('/faults', (req) => {
     faults = req.body;
     return faults;
   });
+  app.post<{ Body: TaskControl }>('/tasks', (req) => {
+    const { key, speed } = req.body;
+    return {
+      done: speed === null ? worker.stop(key) : worker.throttle(key, speed),
+    };
+  });
   app.post('/leave', () => {
     leaving = true;
     return { leaving };
   });
   const timer = setInterval(() => {
-    void announce(options, leaving);
+    void announce(options, leaving, worker.reportedUsage());
   }, ANNOUNCE_MS);
   app.addHook('onClose', () => {
     clearInterval(timer);
   });
   await app.listen({ host: '127.0.0.1', port: options.port });
-  void announce(options, leaving);
+  void announce(options, leaving, worker.reportedUsage());
   return app;
 };
 
-/** Adds up the time of tasks that run side by side. */
-class BusyMeter {
-  private _starts = 0;
-  private _running = 0;
-  private _busyMs = 0;
-  private _sinceMs = performance.now();
-
-  /** @param by - Change of the number of running tasks. */
-  change(by: 1 | -1): void {
-    this._advance();
-    this._running += by;
-    this._starts += Math.max(0, by);
-  }
-
-  /** @returns What has been done so far. */
-  usage(): EndpointUsage {
-    this._advance();
-    return { starts: this._starts, busyMs: this._busyMs };
-  }
-
-  private _advance(): void {
-    const now = performance.now();
-    this._busyMs += this._running * (now - this._sinceMs);
-    this._sinceMs = now;
-  }
-}
-
 const announce = async (
   options: EndpointServerOptions,
   leaving: boolean,
+  usage: WorkerUsage,
 ): Promise<void> => {
   const { name, slots, connections, rack, cores, memoryMb } = options;
   const url = `http://127.0.0.1:${String(options.port)}`;
   const endpoint = { name, url, slots, connections, leaving };
-  const worker = { name, rack, cores, memoryMb, accelerators: 0 };
+  const worker = { name, rack, cores, memoryMb, accelerators: 0, usage };
   await post(options.runnerPort, '/v1/endpoint', endpoint);
   await post(options.runnerPort, '/v1/worker', worker);
 };
--- a/packages/standins/src/lib/sim/scenario.ts
+++ b/packages/standins/src/lib/sim/scenario.ts
@@ -1,96 +1,15 @@
-import fc from 'fast-check';
+import { ENTRY_COUNT, RUNNER_COUNT } from './commands.js';
+import type { Command, Scenario } from './commands.js';
 import type { Violation } from './oracle.js';
 import { EndpointMode } from './sim-runner.js';
 import { StoreMode } from './sim-store.js';
 import { World } from './world.js';
 
-/** One thing that a caller, an operator or fate does. */
-export type Command =
-  | {
-      readonly kind: 'submit';
-      readonly entry: number;
-      readonly job: number;
-      readonly isUrgent: boolean;
-    }
-  | {
-      readonly kind: 'ask' | 'cancel';
-      readonly entry: number;
-      readonly job: number;
-    }
-  | {
-      readonly kind: 'request';
-      readonly entry: number;
-      readonly idempotent: boolean;
-    }
-  | {
-      readonly kind: 'ticket';
-      readonly entry: number;
-      readonly south: boolean;
-      readonly inService: boolean;
-    }
-  | { readonly kind: 'racing-tickets'; readonly south: boolean }
-  | {
-      readonly kind: 'kill-entry' | 'pause-entry' | 'stop-entry';
-      readonly entry: number;
-    }
-  | {
-      readonly kind: 'kill-runner' | 'pause-runner' | 'stop-runner';
-      readonly runner: number;
-    }
-  | {
-      readonly kind: 'cut' | 'cut-one-way' | 'silence' | 'stall';
-      readonly entry: number;
-      readonly runner: number;
-    }
-  | { readonly kind: 'cut-entries' | 'cut-store'; readonly entry: number }
-  | { readonly kind: 'heal' | 'resume' | 'restart' }
-  | { readonly kind: 'store'; readonly mode: StoreMode }
-  | {
-      readonly kind: 'endpoint';
-      readonly runner: number;
-      readonly mode: EndpointMode;
-    }
-  | {
-      readonly kind: 'leave';
-      readonly runner: number;
-      readonly isLeaving: boolean;
-    };
-
-/** A command and the time until the next one. */
-export interface Step {
-  readonly command: Command;
-  readonly thenMs: number;
-}
-
-/** A whole run. */
-export interface Scenario {
-  readonly seed: number;
-  readonly steps: readonly Step[];
-}
-
-const ENTRY_COUNT = 3;
-const RUNNER_COUNT = 4;
-const JOB_COUNT = 6;
-const MAX_STEPS = 30;
-const MAX_GAP_MS = 4000;
 const START_MS = 8000;
 /** Longer than every deadline, lease and lost time together. */
 const SETTLE_MS = 60_000;
 const FINAL_ASK_MS = 5000;
 
-/** @returns Generator of scenarios. */
-export const scenarios = (): fc.Arbitrary<Scenario> =>
-  fc.record({
-    seed: fc.nat(),
-    steps: fc.array(
-      fc.record({
-        command: commands(),
-        thenMs: fc.oneof(fc.nat(20), fc.nat(500), fc.nat(MAX_GAP_MS)),
-      }),
-      { maxLength: MAX_STEPS, size: 'max' },
-    ),
-  });
-
 /**
  * Runs a scenario and then lets everything recover.
  *
@@ -379,87 +298,3 @@
 };
 
 const jobName = (job: number): string => `job-${String(job)}`;
-
-const entryIndex = (): fc.Arbitrary<number> => fc.nat(ENTRY_COUNT - 1);
-
-const runnerIndex = (): fc.Arbitrary<number> => fc.nat(RUNNER_COUNT - 1);
-
-const kinds = <K extends string>(...names: K[]): fc.Arbitrary<K> =>
-  fc.constantFrom(...names);
-
-const commands = (): fc.Arbitrary<Command> =>
-  fc.oneof(
-    { weight: 10, arbitrary: submissions() },
-    { weight: 5, arbitrary: fc.oneof(questions(), requests()) },
-    { weight: 4, arbitrary: tickets() },
-    { weight: 8, arbitrary: faults() },
-    {
-      weight: 3,
-      arbitrary: fc.record({ kind: kinds('heal', 'resume', 'restart') }),
-    },
-  );
-
-const submissions = (): fc.Arbitrary<Command> =>
-  fc.record({
-    kind: fc.constant('submit'),
-    entry: entryIndex(),
-    job: fc.nat(JOB_COUNT - 1),
-    isUrgent: fc.boolean(),
-  });
-
-const questions = (): fc.Arbitrary<Command> =>
-  fc.record({
-    kind: kinds('ask', 'ask', 'cancel'),
-    entry: entryIndex(),
-    job: fc.nat(JOB_COUNT - 1),
-  });
-
-const requests = (): fc.Arbitrary<Command> =>
-  fc.record({
-    kind: fc.constant('request'),
-    entry: entryIndex(),
-    idempotent: fc.boolean(),
-  });
-
-const tickets = (): fc.Arbitrary<Command> =>
-  fc.oneof(
-    fc.record({
-      kind: fc.constant('ticket'),
-      entry: entryIndex(),
-      south: fc.boolean(),
-      inService: fc.boolean(),
-    }),
-    fc.record({ kind: fc.constant('racing-tickets'), south: fc.boolean() }),
-  );
-
-const faults = (): fc.Arbitrary<Command> =>
-  fc.oneof(
-    fc.record({
-      kind: kinds('kill-entry', 'pause-entry', 'stop-entry'),
-      entry: entryIndex(),
-    }),
-    fc.record({
-      kind: kinds('kill-runner', 'pause-runner', 'stop-runner'),
-      runner: runnerIndex(),
-    }),
-    fc.record({
-      kind: kinds('cut', 'cut-one-way', 'silence', 'stall'),
-      entry: entryIndex(),
-      runner: runnerIndex(),
-    }),
-    fc.record({ kind: kinds('cut-entries', 'cut-store'), entry: entryIndex() }),
-    fc.record({
-      kind: fc.constant('store'),
-      mode: fc.constantFrom(...Object.values(StoreMode)),
-    }),
-    fc.record({
-      kind: fc.constant('endpoint'),
-      runner: runnerIndex(),
-      mode: fc.constantFrom(...Object.values(EndpointMode)),
-    }),
-    fc.record({
-      kind: fc.constant('leave'),
-      runner: runnerIndex(),
-      isLeaving: fc.boolean(),
-    }),
-  );
--- a/packages/standins/src/lib/sim/world.ts
+++ b/packages/standins/src/lib/sim/world.ts
@@ -451,28 +451,28 @@
 
   private _closeAtEntry(linkId: string): void {
     const link = this._links.get(linkId);
-    if (!link) {
-      return;
+    if (link) {
+      this._close(linkId, link.runner, link.entry);
     }
-    const { entry, runner } = link;
-    this.network.stream(linkId, runner.name, entry.name, () => {
-      this._links.delete(linkId);
-      entry.post(() => {
-        entry.dispatch({ kind: 'link-closed', linkId });
-      });
-    });
   }
 
   private _closeAtRunner(linkId: string): void {
     const link = this._links.get(linkId);
-    if (!link) {
-      return;
+    if (link) {
+      this._close(linkId, link.entry, link.runner);
     }
-    const { entry, runner } = link;
-    this.network.stream(linkId, entry.name, runner.name, () => {
+  }
+
+  /** Tells the other end of a connection that it is closed. */
+  private _close(
+    linkId: string,
+    from: SimEntry | SimRunner,
+    to: SimEntry | SimRunner,
+  ): void {
+    this.network.stream(linkId, from.name, to.name, () => {
       this._links.delete(linkId);
-      runner.post(() => {
-        runner.dispatch({ kind: 'link-closed', linkId });
+      to.post(() => {
+        to.dispatch({ kind: 'link-closed', linkId });
       });
     });
   }
--- a/packages/standins/src/test/fuzz.test.ts
+++ b/packages/standins/src/test/fuzz.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
-import { runScenario, scenarios } from '../lib/sim/scenario.js';
+import { scenarios } from '../lib/sim/commands.js';
+import { runScenario } from '../lib/sim/scenario.js';
 
 const RUNS = 400;
 const SEED = 1;
--- /dev/null
+++ b/packages/standins/src/test/worker.test.ts
@@ -0,0 +1,27 @@
+import { expect } from 'earl';
+import { StandInWorker, TaskEnd } from '../lib/stand-in-worker.js';
+
+it('stopped task ends as stopped', async () => {
+  const worker = new StandInWorker();
+  const running = worker.run('a', { ms: 60_000 });
+  expect(worker.stop('a')).toEqual(true);
+  expect(await running).toEqual(TaskEnd.Stopped);
+  expect(worker.stop('a')).toEqual(false);
+});
+
+it('checkpointed task goes on when its speed is raised', async () => {
+  const worker = new StandInWorker();
+  const running = worker.run('a', { ms: 20 });
+  worker.throttle('a', 0);
+  const first = await Promise.race([running, Promise.resolve('waits')]);
+  expect(first).toEqual('waits');
+  worker.throttle('a', 4);
+  expect(await running).toEqual(TaskEnd.Done);
+});
+
+it('usage is reported with a lag', () => {
+  const worker = new StandInWorker();
+  void worker.run('a', { ms: 60_000, cores: 4, memoryMb: 100 });
+  expect(worker.reportedUsage()).toEqual({ cores: 0, memoryMb: 0 });
+  worker.stop('a');
+});
