Client: a repeat does not claim to be the first attempt

Cause: after a try that was cut on the way, the client sent the same body to the next entry, with the statement that the id had never been submitted; a refusal there then proved 'not run' although the first entry may have taken the job. The example job carried the statement as well, so that submitting it again broke it. Found by reading.

Before: two of the four new tests fail (first attempt claimed; exit code 3 instead of 4); after: four pass.

--- a/packages/cli/src/lib/commands/submit.ts
+++ b/packages/cli/src/lib/commands/submit.ts
@@ -8,22 +8,28 @@
     'Submit a job from a TOML or JSON file. Submitting the same file again attaches to the same job.\n\nExit codes: 0 accepted or complete, 1 failed, 2 wrong input, 3 refused and not run, 4 may have run.';
   static override examples = [
     '<%= config.bin %> submit job.toml',
-    '<%= config.bin %> submit job.json --wait --json',
+    '<%= config.bin %> submit job.json --first --wait --json',
   ];
   static override args = {
     file: Args.string({ required: true, description: 'File with the job.' }),
   };
   static override flags = {
+    first: Flags.boolean({
+      description:
+        'State that this id was never submitted before, so that a refusal can prove that nothing ran.',
+    }),
     wait: Flags.boolean({ description: 'Wait for the whole answer.' }),
   };
 
   override async run(): Promise<JobState> {
     const { args, flags } = await this.parse(Submit);
-    const body = await this.readData(args.file);
+    const content = await this.readData(args.file);
+    const body = { ...content, firstAttempt: flags.first };
     const job = await this.ask<JobState>(flags.entry, {
       method: 'POST',
       path: '/v1/jobs',
       body,
+      repeatBody: { ...content, firstAttempt: false },
       repeatable: true,
     });
     return this.showJob(
--- a/packages/cli/src/lib/entry-client.ts
+++ b/packages/cli/src/lib/entry-client.ts
@@ -37,6 +37,8 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly body?: unknown;
+  /** Sent instead once an earlier try may have reached an entry. */
+  readonly repeatBody?: unknown;
   /** Whether another entry may be asked after a failure on the way. */
   readonly repeatable: boolean;
 }
@@ -76,14 +78,23 @@
       exitCode: ExitCode.Invalid,
       message: 'No entry is given; use --entry or SAPPHIREMUX_ENTRIES.',
     };
+    let mayHaveRun = false;
     for (const url of this._urls) {
-      const answer = await this._try<T>(url, call);
-      if (answer.isOk() || !canAskNext(call, answer.error)) {
+      const body = mayHaveRun ? (call.repeatBody ?? call.body) : call.body;
+      const answer = await this._try<T>(url, { ...call, body });
+      if (answer.isOk()) {
         return answer;
       }
       failure = answer.error;
+      mayHaveRun ||= failure.exitCode === ExitCode.MayHaveRun;
+      if (!canAskNext(call, failure)) {
+        break;
+      }
     }
-    return Err(failure);
+    // What one entry proves does not hold for a try that another has seen.
+    const isUnproved = mayHaveRun && failure.exitCode === ExitCode.NotRun;
+    const exitCode = isUnproved ? ExitCode.MayHaveRun : failure.exitCode;
+    return Err({ ...failure, exitCode });
   }
 
   private async _try<T>(
--- /dev/null
+++ b/packages/cli/src/test/entry-client.test.ts
@@ -0,0 +1,84 @@
+import { createServer } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'earl';
+import { EntryClient } from '../lib/entry-client.js';
+import { ExitCode } from '../lib/exit-codes.js';
+
+const servers: Server[] = [];
+
+const serve = (listener: RequestListener): Promise<string> =>
+  new Promise((resolve) => {
+    const server = createServer(listener);
+    servers.push(server);
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      resolve(`http://127.0.0.1:${String(port)}`);
+    });
+  });
+
+const cutting: RequestListener = (req) => {
+  req.socket.destroy();
+};
+
+const UNUSED = 'http://127.0.0.1:1';
+
+const submission = {
+  method: 'POST',
+  path: '/v1/jobs',
+  body: { id: 'a', firstAttempt: true },
+  repeatBody: { id: 'a', firstAttempt: false },
+  repeatable: true,
+} as const;
+
+const echo = (bodies: unknown[]): RequestListener => {
+  return (req, res) => {
+    let text = '';
+    req.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    req.on('end', () => {
+      bodies.push(JSON.parse(text));
+      res.end('{}');
+    });
+  };
+};
+
+afterEach(() => {
+  servers.splice(0).forEach((server) => {
+    server.closeAllConnections();
+    server.close();
+  });
+});
+
+it('repeat after a cut does not claim to be the first attempt', async () => {
+  const bodies: unknown[] = [];
+  const urls = [await serve(cutting), await serve(echo(bodies))];
+  const answer = await new EntryClient(urls).call(submission);
+  expect(answer.isOk()).toEqual(true);
+  expect(bodies).toEqual([{ id: 'a', firstAttempt: false }]);
+});
+
+it('repeat after a refused connection is still the first attempt', async () => {
+  const bodies: unknown[] = [];
+  const urls = [UNUSED, await serve(echo(bodies))];
+  await new EntryClient(urls).call(submission);
+  expect(bodies).toEqual([{ id: 'a', firstAttempt: true }]);
+});
+
+it('cut request that must run at most once is not repeated', async () => {
+  const bodies: unknown[] = [];
+  const urls = [await serve(cutting), await serve(echo(bodies))];
+  const call = { ...submission, path: '/v1/requests', repeatable: false };
+  const answer = await new EntryClient(urls).call(call);
+  const code = answer.isErr() ? answer.error.exitCode : ExitCode.Ok;
+  expect(code).toEqual(ExitCode.MayHaveRun);
+  expect(bodies).toEqual([]);
+});
+
+it('last refusal after a cut proves nothing', async () => {
+  const urls = [await serve(cutting), UNUSED];
+  const answer = await new EntryClient(urls).call(submission);
+  const code = answer.isErr() ? answer.error.exitCode : ExitCode.Ok;
+  expect(code).toEqual(ExitCode.MayHaveRun);
+});
--- a/packages/standins/src/bin/demo.ts
+++ b/packages/standins/src/bin/demo.ts
@@ -54,7 +54,6 @@
     desk: 'dakar',
     priority: 'urgent',
     deadlineMs: 60_000,
-    firstAttempt: true,
     tasks,
   });
 };
@@ -68,7 +67,10 @@
   const ticket = await runCli(['ticket', 'apply', ticketFile], estate.urls);
   log(ticket.stdout + ticket.stderr);
   log(`submitting a job of ${String(TASK_COUNT)} tasks`);
-  const submitted = runCli(['submit', jobFile, '--wait'], estate.urls);
+  const submitted = runCli(
+    ['submit', jobFile, '--first', '--wait'],
+    estate.urls,
+  );
   if (values['kill-runner']) {
     await sleep(KILL_AFTER_MS);
     log('killing one runner');
