Stopped entry leaves no row behind

The deletion of its rows was submitted while a renewal of the same row was in flight, met the renewed version, and was taken for done; the rows stayed until a takeover after the lease.

Ruled out: the scan period alone (2 s), since the row was still there after it in virtual time.

Before: the new test in virtual time fails at the offset where stop and renewal meet; after: it passes at 20 offsets. The test with processes waits for the next scan of the other entry, which its assertion had left to chance.

--- a/packages/core/src/lib/process/membership.ts
+++ b/packages/core/src/lib/process/membership.ts
@@ -36,6 +36,7 @@
   private _beat = 0;
   private _leaving = false;
   private _handedOver = false;
+  private _onLeft: (() => void) | undefined;
   private _writing = false;
   private _dirty = true;
   private _renewAtMs = 0;
@@ -128,9 +129,22 @@
     }
   }
 
-  /** Deletes this entry's rows, when it owns no jobs any more. */
-  leave(onDone: () => void): void {
+  /**
+   * Deletes this entry's rows, when it owns no jobs any more.
+   *
+   * @param onLeft - Called when the rows are gone.
+   */
+  leave(onLeft: () => void): void {
+    this._onLeft = onLeft;
+    this._leaveIfIdle();
+  }
+
+  /** A renewal in flight would change the version that the deletion needs. */
+  private _leaveIfIdle(): void {
     const { incarnation } = this._ctx.options;
+    if (!this._onLeft || this._writing) {
+      return;
+    }
     this._writing = true;
     this._ctx.writer.submit({
       conditions: [this._ownCondition(), this.ownerCondition],
@@ -139,7 +153,7 @@
         { key: storeKeys.owner(incarnation), value: null },
       ],
       proofKey: storeKeys.member(incarnation),
-      onDone,
+      onDone: this._onLeft,
     });
   }
 
@@ -153,7 +167,12 @@
   private _writeIfDue(now: number): void {
     // A row that asks for a takeover must stay as the others have read it.
     const due = now >= this._renewAtMs && !this._leaving;
-    if (this._writing || this._handedOver || !(due || this._dirty)) {
+    if (
+      this._writing ||
+      this._handedOver ||
+      this._onLeft ||
+      !(due || this._dirty)
+    ) {
       return;
     }
     const { options, writer } = this._ctx;
@@ -218,6 +237,7 @@
         this._persisted.add(runnerKey(ref));
       }
     }
+    this._leaveIfIdle();
   }
 
   private _scan(now: number): void {
--- a/packages/standins/src/test/failures.test.ts
+++ b/packages/standins/src/test/failures.test.ts
@@ -195,7 +195,8 @@
     await waitUntil(() =>
       Promise.resolve(estate.entries[0]?.child.exitCode === 0),
     );
-    expect(await membersOf(estate, 1)).toEqual([]);
+    // The other entry reads the rows again within its scan period.
+    await waitUntil(async () => (await membersOf(estate, 1)).length === 0);
   });
 });
 
--- a/packages/standins/src/test/takeover.test.ts
+++ b/packages/standins/src/test/takeover.test.ts
@@ -152,3 +152,16 @@
   run(TAKEOVER_MS);
   end(world);
 });
+
+it('stopped entry leaves no row behind', () => {
+  for (let tick = 0; tick < 20; tick++) {
+    const { world, first, second, run } = start();
+    run(tick * 100);
+    first.dispatch({ kind: 'stop' });
+    run(3000);
+    expect(first.isAlive).toEqual(false);
+    const ids = second.core.members.map(({ row }) => row.id);
+    expect(ids).toEqual(['entry-3']);
+    expect(world.oracle.violations).toEqual([]);
+  }
+});
