Daemon: clear errors for certificates and ports at the start

Cause: a certificate that can't be read and a port in use ended in a stack trace.

Run: mocha packages/daemon/dist/test/main.test.js, 3 passing. By hand: one entry and one runner connected over TLS with a certificate for 127.0.0.1.

--- a/packages/daemon/src/lib/process/main.ts
+++ b/packages/daemon/src/lib/process/main.ts
@@ -1,7 +1,7 @@
-import { readFileSync } from 'node:fs';
+import { accessSync, constants, readFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { formatProblem, parseSettings } from '@sapphiremux/settings';
-import type { Settings } from '@sapphiremux/settings';
+import type { Settings, SettingsProblem } from '@sapphiremux/settings';
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
 import type { RunningRole } from './run-entry.js';
@@ -41,7 +41,13 @@
     return;
   }
   const log = createLogger({ ...settings.log, name: settings.id });
-  const role = await start(settings, log);
+  let role: RunningRole;
+  try {
+    role = await start(settings, log);
+  } catch (err) {
+    log.error('start failed', { detail: (err as Error).message });
+    process.exit(ExitCode.Failed);
+  }
   const stop = (): void => {
     log.info('planned stop');
     role.stop();
@@ -80,13 +86,29 @@
     return undefined;
   }
   const parsed = parseSettings(file, text);
-  if (parsed.isOk()) {
-    return parsed.value;
-  }
-  for (const problem of parsed.error) {
+  const problems = parsed.isOk()
+    ? unreadableFiles(file, parsed.value)
+    : parsed.error;
+  for (const problem of problems) {
     process.stderr.write(`${formatProblem(problem)}\n`);
   }
-  return undefined;
+  return parsed.isOk() && problems.length === 0 ? parsed.value : undefined;
+};
+
+const unreadableFiles = (
+  file: string,
+  settings: Settings,
+): SettingsProblem[] => {
+  const problems: SettingsProblem[] = [];
+  for (const [key, path] of Object.entries(settings.tls ?? {})) {
+    try {
+      accessSync(path, constants.R_OK);
+    } catch {
+      const expected = `expected a readable file, "${path}" is not`;
+      problems.push({ file, key: `tls.${key}`, expected });
+    }
+  }
+  return problems;
 };
 
 const start = async (settings: Settings, log: Log): Promise<RunningRole> => {
