--- a/packages/daemon/src/lib/connection/endpoint-client.ts
+++ b/packages/daemon/src/lib/connection/endpoint-client.ts
@@ -1,17 +1,10 @@
 import type { CallOutcome, StartMessage } from '@sapphiremux/core';
 import { Pool } from 'undici';
+import { isNotSent } from './not-sent.js';
 
 const MAX_CONNECTIONS = 64;
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** Codes of errors that occur before a request has been sent. */
-const NOT_SENT = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Calls the endpoint beside a runner. */
 export class EndpointClient {
   private readonly _aborts = new Map<number, AbortController>();
@@ -57,7 +50,7 @@
         body,
       };
     } catch (err) {
-      return toOutcome(err as Error & { code?: string });
+      return toOutcome(err as Error);
     } finally {
       clearTimeout(timer);
       this._aborts.delete(callId);
@@ -84,7 +77,7 @@
   }
 }
 
-const toOutcome = (err: Error & { code?: string }): CallOutcome =>
-  NOT_SENT.has(err.code ?? '')
+const toOutcome = (err: Error): CallOutcome =>
+  isNotSent(err)
     ? { kind: 'not-sent' }
     : { kind: 'broken', detail: err.message };
--- a/packages/daemon/src/lib/process/store-http.ts
+++ b/packages/daemon/src/lib/process/store-http.ts
@@ -1,5 +1,6 @@
 import type { StoreReply, StoreRequest } from '@sapphiremux/core';
 import { Pool } from 'undici';
+import { isNotSent } from '../connection/not-sent.js';
 import type { Counter } from 'prom-client';
 
 /** Options of {@link StoreHttp}. */
@@ -15,14 +16,6 @@
 const HTTP_CONFLICT = 409;
 const HTTP_UNAVAILABLE = 503;
 
-/** Codes of errors that occur before a request has been sent. */
-const NOT_SENT = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /**
  * The platform's table service over HTTP.
  *
@@ -78,8 +71,7 @@
           return { kind: 'unknown' };
       }
     } catch (err) {
-      const { code } = err as { code?: string };
-      return { kind: NOT_SENT.has(code ?? '') ? 'refused' : 'unknown' };
+      return { kind: isNotSent(err) ? 'refused' : 'unknown' };
     }
   }
 }
