Read through once more: dead names, one way to build refusals, no empty scan

- A runner looked through its running calls at the end of each call even when nothing waited; it now returns at once.
- Taking the outbox of a peer gives the batch, in place of reading and dropping.
- Removed: SubjectState, JobStep.Placed, JobTable.get, Oracle.startCount, which nothing used.

No behaviour changes.

--- a/packages/core/src/lib/connection/runner-peer.ts
+++ b/packages/core/src/lib/connection/runner-peer.ts
@@ -94,9 +94,9 @@
     return this._outbox !== undefined;
   }
 
-  /** @returns The batch to send, if any; the next one starts empty. */
-  takeOutbox(): EntryMessage | undefined {
-    const msg = this._outbox;
+  /** @returns The batch to send, possibly empty; the next one starts anew. */
+  takeOutbox(): EntryMessage {
+    const msg = this.outbox;
     this._outbox = undefined;
     return msg;
   }
--- a/packages/core/src/lib/process/dispatcher.ts
+++ b/packages/core/src/lib/process/dispatcher.ts
@@ -400,8 +400,7 @@
       return;
     }
     const { current, confirmedAtMs } = this._options.config;
-    const msg = peer.outbox;
-    peer.takeOutbox();
+    const msg = peer.takeOutbox();
     if (link.runnerVersion < current.version) {
       const { dataCentre, endpoint } = peer.ref;
       msg.config = current.forRunner(dataCentre, endpoint);
--- a/packages/core/src/lib/process/entry-events.ts
+++ b/packages/core/src/lib/process/entry-events.ts
@@ -11,7 +11,7 @@
 import type { JobSpec, PriorityClass } from '../request/job-spec.js';
 import type { Outcome } from '../request/outcome.js';
 import type { StoreReply, StoreRequest } from '../store.js';
-import type { Change, Setting, Ticket } from '../version/ticket.js';
+import type { Change, Ticket } from '../version/ticket.js';
 
 /** A single call through to an endpoint. */
 export interface EndpointRequest {
@@ -172,7 +172,6 @@
 export enum JobStep {
   Claimed = 'claimed',
   Attached = 'attached',
-  Placed = 'placed',
   Refused = 'refused',
   Decided = 'decided',
   Recorded = 'recorded',
@@ -227,9 +226,3 @@
   | { readonly kind: 'stand-down'; readonly reason: string }
   /** All work has ended after a planned stop. */
   | { readonly kind: 'stopped' };
-
-/** A subject of the configuration with its state. */
-export interface SubjectState {
-  readonly subject: string;
-  readonly setting: Setting;
-}
--- a/packages/core/src/lib/process/job-table.ts
+++ b/packages/core/src/lib/process/job-table.ts
@@ -96,11 +96,6 @@
     return open;
   }
 
-  /** @returns The job, if this entry owns it. */
-  get(id: string): Job | undefined {
-    return this._jobs.get(id)?.job;
-  }
-
   /** @returns Whether the id is known here, claimed or about to be. */
   has(id: string): boolean {
     return this._jobs.has(id) || this._claims.has(id);
--- a/packages/core/src/lib/process/runner.ts
+++ b/packages/core/src/lib/process/runner.ts
@@ -269,6 +269,9 @@
   }
 
   private _startPrefetched(now: number): void {
+    if (this._prefetched.length === 0) {
+      return;
+    }
     const waiting = this._prefetched;
     this._prefetched = [];
     let runningTasks = 0;
--- a/packages/core/src/lib/version/ticket-desk.ts
+++ b/packages/core/src/lib/version/ticket-desk.ts
@@ -1,4 +1,3 @@
-import { RunState } from '../messages.js';
 import type { EntryContext } from '../process/entry-context.js';
 import { ErrorCode } from '../process/entry-events.js';
 import type {
@@ -6,7 +5,7 @@
   TicketProposal,
   TicketReceipt,
 } from '../process/entry-events.js';
-import { errorReply } from '../request/replies.js';
+import { notRunReply, unknownReply } from '../request/replies.js';
 import type { HeadRow } from '../process/rows.js';
 import type { WriteOutcome } from '../process/store-writer.js';
 import { storeKeys } from '../store.js';
@@ -159,10 +158,9 @@
       number < next
         ? `Ticket ${String(number)} was taken${by}; look at the configuration and propose ticket ${String(next)}.`
         : `The next ticket is ${String(next)}; ticket ${String(number)} would leave a gap.`;
-    return errorReply({
+    return notRunReply({
       code: ErrorCode.Conflict,
       detail,
-      runState: RunState.NOT_RUN,
     });
   }
 
@@ -182,19 +180,17 @@
 }
 
 const invalidTicket = (detail: string): Reply =>
-  errorReply({ code: ErrorCode.Invalid, detail, runState: RunState.NOT_RUN });
+  notRunReply({ code: ErrorCode.Invalid, detail });
 
-const STORE_SILENT = errorReply({
+const STORE_SILENT = notRunReply({
   code: ErrorCode.Unavailable,
   detail: 'The store does not answer; the ticket was not accepted.',
-  runState: RunState.NOT_RUN,
   retryAfterMs: RETRY_AFTER_MS,
 });
 
-const NOT_CONFIRMED = errorReply({
+const NOT_CONFIRMED = unknownReply({
   code: ErrorCode.Pending,
   detail:
     'The store has not confirmed the ticket; list the tickets before proposing it again.',
-  runState: RunState.MAY_HAVE_RUN,
   retryAfterMs: RETRY_AFTER_MS,
 });
--- a/packages/standins/src/lib/sim/oracle.ts
+++ b/packages/standins/src/lib/sim/oracle.ts
@@ -35,15 +35,6 @@
   private readonly _outages: Outage[] = [];
   private readonly _versions = new Map<string, number>();
 
-  /** Number of task starts that endpoints have seen. */
-  get startCount(): number {
-    let count = 0;
-    for (const starts of this._starts.values()) {
-      count += starts.length;
-    }
-    return count;
-  }
-
   /**
    * @param id - A job.
    * @returns The outcome that its callers were told.
