--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,3 +21,20 @@
 export * from './lib/store.js';
 export { Configuration } from './lib/version/configuration.js';
 export type { Change, Setting, Ticket } from './lib/version/ticket.js';
+export { BatchEntry } from './lib/process/batch-entry.js';
+export type { BatchEntryOptions } from './lib/process/batch-entry.js';
+export * from './lib/process/batch-events.js';
+export { MEMBER_TABLE, fleetKeys } from './lib/process/fleet-rows.js';
+export type { EntryRow, WorkerRow } from './lib/process/fleet-rows.js';
+export { MEMBER_PART } from './lib/process/part-stores.js';
+export { WorkerDriver } from './lib/process/worker-driver.js';
+export type { WorkerDriverOptions } from './lib/process/worker-driver.js';
+export * from './lib/process/worker-events.js';
+export { BatchState } from './lib/request/batch-job.js';
+export type { BatchContent, JobStepContent } from './lib/request/batch-job.js';
+export { RouteTable } from './lib/version/route-table.js';
+export type {
+  OperatorChange,
+  QueueRoute,
+  RouteConfig,
+} from './lib/version/route-table.js';
--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -68,3 +68,24 @@
   stopping: false,
   fenced: false,
 });
+
+export { EndKind, StartRefusal } from '@sapphiremux/wire';
+
+/** Processor time in thousandths of a core, memory and accelerators. */
+export type Room = wire.Plain<wire.Room>;
+/** Names one run of a task. */
+export type RunRef = wire.Plain<wire.RunRef>;
+/** Starts that share a specification. */
+export type StartGroup = wire.Plain<wire.StartGroup>;
+/** A batch from an entry to the process beside a worker. */
+export type WorkerOrder = wire.Plain<wire.WorkerOrder>;
+/** A batch from the process beside a worker to an entry. */
+export type WorkerReport = wire.Plain<wire.WorkerReport>;
+/** Who a worker is, in one of its incarnations. */
+export type WorkerHello = wire.Plain<wire.WorkerHello>;
+/** How a run ended. */
+export type RunEnd = wire.Plain<wire.RunEnd>;
+/** A run that provably did not begin. */
+export type RefusedRun = wire.Plain<wire.RefusedRun>;
+/** A run that may be active. */
+export type ActiveRun = wire.Plain<wire.ActiveRun>;
--- /dev/null
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -0,0 +1,89 @@
+import type { BatchContent, BatchProgress } from '../request/batch-job.js';
+import { BatchState } from '../request/batch-job.js';
+
+/** Parts that jobs are spread over; the same in all processes. */
+export const JOB_PARTS = 4;
+
+/** Characters at the end of a job id that choose its part. */
+const HASH_DIGITS = 4;
+const HEX = 16;
+
+/**
+ * @param id - Id of a job: hexadecimal digits.
+ * @returns Number of the part that holds its rows.
+ */
+export const partOf = (id: string): number => {
+  const hash = Number.parseInt(id.slice(-HASH_DIGITS), HEX);
+  return Number.isNaN(hash) ? 0 : hash % JOB_PARTS;
+};
+
+/** @returns Name of a part in the store. */
+export const partName = (part: number): string => `p${String(part)}`;
+
+/** Keys of the rows; the first segment is the table. */
+export const fleetKeys = {
+  job: (id: string): string => `job/${id}`,
+  progress: (id: string): string => `progress/${id}`,
+  open: (owner: string, id: string): string => `open/${owner}/${id}`,
+  openPrefix: (owner: string): string => `open/${owner}/`,
+  owner: (incarnation: string): string => `owner/${incarnation}`,
+  entry: (incarnation: string): string => `member/entry/${incarnation}`,
+  worker: (name: string): string => `member/worker/${name}`,
+} as const;
+
+/** Table of the processes of the system. */
+export const MEMBER_TABLE = 'member';
+/** Prefixes of keys in {@link MEMBER_TABLE}. */
+export const ENTRY_PREFIX = 'entry/';
+export const WORKER_PREFIX = 'worker/';
+
+/** Row of an open job. */
+export interface OpenJobRow {
+  readonly kind: 'open';
+  /** Incarnation of the entry that runs it. */
+  readonly owner: string;
+  readonly epoch: number;
+  readonly content: BatchContent;
+}
+
+/** Row of a job that has ended. */
+export interface EndedJobRow {
+  readonly kind: 'ended';
+  readonly state: BatchState;
+}
+
+/** Row of an entry. */
+export interface EntryRow {
+  readonly name: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  /** Incarnation that has fenced it off. */
+  readonly fencedBy?: string;
+  /** It has stopped as planned and left its jobs to the others. */
+  readonly hasLeft?: boolean;
+}
+
+/** Row of a process beside a worker. */
+export interface WorkerRow {
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+/**
+ * Reads a row that this system wrote.
+ *
+ * @param value - Text of the row.
+ * @returns Its content, or `undefined` when it isn't readable.
+ */
+export const decodeRow = <T extends object>(value: string): T | undefined => {
+  try {
+    const data: unknown = JSON.parse(value);
+    return typeof data === 'object' && data !== null ? (data as T) : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/** @returns Text of a progress row. */
+export const encodeProgress = (progress: BatchProgress): string =>
+  JSON.stringify(progress);
--- /dev/null
+++ b/packages/core/src/lib/process/job-recorder.ts
@@ -0,0 +1,283 @@
+import type { BatchContent, BatchProgress } from '../request/batch-job.js';
+import { BatchState } from '../request/batch-job.js';
+import type { Write } from '../store.js';
+import {
+  JOB_PARTS,
+  encodeProgress,
+  fleetKeys,
+  partName,
+  partOf,
+} from './fleet-rows.js';
+import type { EndedJobRow, OpenJobRow } from './fleet-rows.js';
+import type { PartStores } from './part-stores.js';
+import type { ConditionalWrite, WriteOutcome } from './store-writer.js';
+
+/** Options of {@link JobRecorder}. */
+export interface JobRecorderOptions {
+  readonly stores: PartStores;
+  readonly incarnation: string;
+  /** The owner row is gone: this incarnation has been replaced. */
+  readonly onFenced: () => void;
+}
+
+/** A write that may wait for others to share its transaction. */
+interface DeferredWrite {
+  readonly dueMs: number;
+  readonly part: number;
+  readonly write: ConditionalWrite;
+}
+
+/** Row versions of a job that its owner goes by. */
+export interface RecordedJob {
+  readonly id: string;
+  /** Version of the job's row. */
+  version: number;
+  hasProgressRow: boolean;
+}
+
+/** Outcomes wait this long for a submission to share a transaction with. */
+const DEFER_MS = 30;
+
+/**
+ * Writes the rows of jobs.
+ *
+ * Each write has the owner row of its part among its conditions. A successor
+ * deletes these rows first, so that nothing of a replaced owner takes effect
+ * afterwards, however late it arrives.
+ */
+export class JobRecorder {
+  private readonly _options: JobRecorderOptions;
+  private readonly _ownerVersions = new Map<number, number>();
+  private _deferred: DeferredWrite[] = [];
+  private _waiting: { part: number; start: () => void }[] = [];
+
+  /** @param options - Store and name of the owner. */
+  constructor(options: JobRecorderOptions) {
+    this._options = options;
+  }
+
+  /** Writes the owner row of each part. */
+  start(): void {
+    for (let part = 0; part < JOB_PARTS; part += 1) {
+      this._writeOwner(part);
+    }
+  }
+
+  /**
+   * Records a new job.
+   *
+   * @param id - Id of the job.
+   * @param content - What was submitted.
+   * @param giveUpAtMs - When to stop trying if nothing can have taken effect.
+   * @param onDone - Receives the outcome.
+   */
+  submit(
+    id: string,
+    content: BatchContent,
+    giveUpAtMs: number,
+    onDone: (outcome: WriteOutcome, now: number) => void,
+  ): void {
+    const { incarnation } = this._options;
+    const row: OpenJobRow = {
+      kind: 'open',
+      owner: incarnation,
+      epoch: 0,
+      content,
+    };
+    this._submit(partOf(id), {
+      conditions: [{ key: fleetKeys.job(id), version: 0 }],
+      writes: [
+        { key: fleetKeys.job(id), value: JSON.stringify(row) },
+        { key: fleetKeys.open(incarnation, id), value: '' },
+      ],
+      proofKey: fleetKeys.job(id),
+      giveUpAtMs,
+      onDone,
+    });
+  }
+
+  /**
+   * Makes this entry the owner of a job of a fenced one.
+   *
+   * @param job - The job and the version of its row.
+   * @param from - Incarnation that owned it.
+   * @param row - The new row.
+   * @param onDone - Receives the outcome.
+   */
+  adopt(
+    job: RecordedJob,
+    from: string,
+    row: OpenJobRow,
+    onDone: (outcome: WriteOutcome, now: number) => void,
+  ): void {
+    const { incarnation } = this._options;
+    this._submit(partOf(job.id), {
+      conditions: [{ key: fleetKeys.job(job.id), version: job.version }],
+      writes: [
+        { key: fleetKeys.job(job.id), value: JSON.stringify(row) },
+        { key: fleetKeys.open(incarnation, job.id), value: '' },
+        { key: fleetKeys.open(from, job.id), value: null },
+      ],
+      proofKey: fleetKeys.job(job.id),
+      onDone,
+    });
+  }
+
+  /**
+   * Records the final state of a job.
+   *
+   * @param job - The job.
+   * @param state - Its final state.
+   * @param isUrgent - Whether a caller waits for it.
+   * @param now - Current time in milliseconds.
+   * @param onDone - Receives the outcome.
+   */
+  finish(
+    job: RecordedJob,
+    state: BatchState,
+    isUrgent: boolean,
+    now: number,
+    onDone: (outcome: WriteOutcome, now: number) => void,
+  ): void {
+    const row: EndedJobRow = { kind: 'ended', state };
+    const writes: Write[] = [
+      { key: fleetKeys.job(job.id), value: JSON.stringify(row) },
+      { key: fleetKeys.open(this._options.incarnation, job.id), value: null },
+    ];
+    if (job.hasProgressRow) {
+      writes.push({ key: fleetKeys.progress(job.id), value: null });
+    }
+    const write: ConditionalWrite = {
+      conditions: [{ key: fleetKeys.job(job.id), version: job.version }],
+      writes,
+      proofKey: fleetKeys.job(job.id),
+      onDone,
+    };
+    const part = partOf(job.id);
+    if (isUrgent) {
+      this._submit(part, write);
+    } else {
+      this._deferred.push({ dueMs: now + DEFER_MS, part, write });
+    }
+  }
+
+  /**
+   * Records ends of a job that goes on.
+   *
+   * @param job - The job.
+   * @param progress - All ends so far.
+   * @param now - Current time in milliseconds.
+   * @param onDone - Receives the outcome.
+   */
+  saveProgress(
+    job: RecordedJob,
+    progress: BatchProgress,
+    now: number,
+    onDone: (outcome: WriteOutcome, now: number) => void,
+  ): void {
+    job.hasProgressRow = true;
+    const key = fleetKeys.progress(job.id);
+    const value = encodeProgress(progress);
+    this._deferred.push({
+      dueMs: now + DEFER_MS,
+      part: partOf(job.id),
+      write: {
+        conditions: [{ key: fleetKeys.job(job.id), version: job.version }],
+        writes: [{ key, value }],
+        proofKey: key,
+        onDone,
+      },
+    });
+  }
+
+  /**
+   * Drops the row of a job whose state need not be known any longer.
+   *
+   * @param id - Id of the job.
+   * @param version - Version of its row.
+   * @param now - Current time in milliseconds.
+   */
+  forget(id: string, version: number, now: number): void {
+    const key = fleetKeys.job(id);
+    this._deferred.push({
+      dueMs: now + DEFER_MS,
+      part: partOf(id),
+      write: {
+        conditions: [{ key, version }],
+        writes: [{ key, value: null }],
+        proofKey: key,
+        onDone: () => undefined,
+      },
+    });
+  }
+
+  /**
+   * Hands deferred writes on that are due.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pump(now: number): void {
+    const due = this._deferred.filter((write) => write.dueMs <= now);
+    if (due.length > 0) {
+      this._deferred = this._deferred.filter((write) => write.dueMs > now);
+      for (const { part, write } of due) {
+        this._send(part, write);
+      }
+    }
+  }
+
+  private _writeOwner(part: number): void {
+    const key = fleetKeys.owner(this._options.incarnation);
+    this._options.stores.writer(partName(part)).submit({
+      conditions: [{ key, version: 0 }],
+      writes: [{ key, value: this._options.incarnation }],
+      proofKey: key,
+      onDone: (outcome) => {
+        if (outcome.kind !== 'committed') {
+          this._options.onFenced();
+          return;
+        }
+        this._ownerVersions.set(part, outcome.version);
+        const ready = this._waiting.filter((entry) => entry.part === part);
+        this._waiting = this._waiting.filter((entry) => entry.part !== part);
+        for (const entry of ready) {
+          entry.start();
+        }
+      },
+    });
+  }
+
+  /** Sends a write at once, and what has waited for the same part with it. */
+  private _submit(part: number, write: ConditionalWrite): void {
+    this._send(part, write);
+    const ready = this._deferred.filter((other) => other.part === part);
+    if (ready.length > 0) {
+      this._deferred = this._deferred.filter((other) => other.part !== part);
+      for (const other of ready) {
+        this._send(part, other.write);
+      }
+    }
+  }
+
+  private _send(part: number, write: ConditionalWrite): void {
+    const ownerKey = fleetKeys.owner(this._options.incarnation);
+    const start = (): void => {
+      const version = this._ownerVersions.get(part) ?? 0;
+      this._options.stores.writer(partName(part)).submit({
+        ...write,
+        conditions: [{ key: ownerKey, version }, ...write.conditions],
+        onDone: (outcome, now) => {
+          write.onDone(outcome, now);
+          if (outcome.kind === 'conflict' && outcome.keys.includes(ownerKey)) {
+            this._options.onFenced();
+          }
+        },
+      });
+    };
+    if (this._ownerVersions.has(part)) {
+      start();
+    } else {
+      this._waiting.push({ part, start });
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/part-stores.ts
@@ -0,0 +1,108 @@
+import type { StoreReply, StoreRequest } from '../store.js';
+import { JOB_PARTS, partName } from './fleet-rows.js';
+import type { StoreCaller, StoreReplyHandler } from './store-client.js';
+import { StoreWriter } from './store-writer.js';
+
+/** Emits a call about one part of the tables. */
+export type PartEmitter = (
+  opId: number,
+  part: string,
+  req: StoreRequest,
+) => void;
+
+/** Options of {@link PartStores}. */
+export interface PartStoresOptions {
+  readonly emit: PartEmitter;
+  readonly random: () => number;
+  /** Most transactions a second of this process in one part. */
+  readonly writesPerSecond?: number;
+}
+
+/** Part of the rows about the processes themselves. */
+export const MEMBER_PART = '';
+
+const DEFAULT_WRITES_PER_SECOND = 60;
+const MAX_BACKOFF_MS = 250;
+/** Entries of one transaction are bounded; a write has up to three. */
+const BATCH_SIZE = 20;
+
+/** The parts of the store: a writer and a reader for each. */
+export class PartStores {
+  private readonly _emit: PartEmitter;
+  private readonly _waiting = new Map<number, StoreReplyHandler>();
+  private readonly _writers = new Map<string, StoreWriter>();
+  private _nextOpId = 1;
+
+  /**
+   * @param options - Emitter, random numbers and limits.
+   * @param now - Current time in milliseconds.
+   */
+  constructor(options: PartStoresOptions, now: number) {
+    this._emit = options.emit;
+    const parts = Array.from({ length: JOB_PARTS }, (_, i) => partName(i));
+    for (const part of [MEMBER_PART, ...parts]) {
+      const writer = new StoreWriter(
+        {
+          store: this.caller(part),
+          random: options.random,
+          writesPerSecond: options.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND,
+          batchSize: BATCH_SIZE,
+          maxBackoffMs: MAX_BACKOFF_MS,
+        },
+        now,
+      );
+      this._writers.set(part, writer);
+    }
+  }
+
+  /** @returns Sends calls about one part. */
+  caller(part: string): StoreCaller {
+    return {
+      call: (req, onReply) => {
+        const opId = this._nextOpId++;
+        this._waiting.set(opId, onReply);
+        this._emit(opId, part, req);
+      },
+    };
+  }
+
+  /** @returns The writer of a part. */
+  writer(part: string): StoreWriter {
+    const writer = this._writers.get(part);
+    if (!writer) {
+      throw new Error(`no part "${part}"`);
+    }
+    return writer;
+  }
+
+  /**
+   * @param opId - Operation id of the call.
+   * @param reply - What became of it.
+   * @param now - Current time in milliseconds.
+   */
+  onReply(opId: number, reply: StoreReply, now: number): void {
+    const handler = this._waiting.get(opId);
+    this._waiting.delete(opId);
+    handler?.(reply, now);
+  }
+
+  /** Writes without an outcome. */
+  get pending(): number {
+    let sum = 0;
+    for (const writer of this._writers.values()) {
+      sum += writer.pending;
+    }
+    return sum;
+  }
+
+  /**
+   * Starts the transactions that are due.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pump(now: number): void {
+    for (const writer of this._writers.values()) {
+      writer.pump(now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/succession.ts
@@ -0,0 +1,260 @@
+import type { BatchProgress } from '../request/batch-job.js';
+import type { Row, StoreReply } from '../store.js';
+import type { LogFields } from './batch-events.js';
+import { JOB_PARTS, decodeRow, fleetKeys, partName } from './fleet-rows.js';
+import type { EntryRow, OpenJobRow } from './fleet-rows.js';
+import type { JobRecorder, RecordedJob } from './job-recorder.js';
+import { MEMBER_PART } from './part-stores.js';
+import type { PartStores } from './part-stores.js';
+import { TENURE_MS } from './peer-watch.js';
+import { LOST_AFTER_MS } from './worker-view.js';
+
+/** A job that has been taken over. */
+export interface AdoptedJob {
+  readonly record: RecordedJob;
+  readonly row: OpenJobRow;
+  readonly progress: BatchProgress;
+}
+
+/** Options of {@link Succession}. */
+export interface SuccessionOptions {
+  readonly stores: PartStores;
+  readonly recorder: JobRecorder;
+  /** Incarnation of the successor. */
+  readonly incarnation: string;
+  readonly victim: {
+    readonly incarnation: string;
+    readonly row: EntryRow;
+    readonly version: number;
+    /** Its process is known to be gone. */
+    readonly isGone: boolean;
+  };
+  readonly onAdopted: (job: AdoptedJob, now: number) => void;
+  /** All jobs are adopted; the workers may be asked now. */
+  readonly onLoaded: (now: number) => void;
+  /** Somebody else takes over. */
+  readonly onLost: () => void;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+/** Rows of one page of the list of open jobs. */
+const PAGE_SIZE = 200;
+/** Pause before a call to the store is repeated. */
+const RETRY_MS = 150;
+
+/**
+ * Takes over the jobs of an entry that is gone or cut off.
+ *
+ * The victim's member row is marked first, so that only one successor goes on
+ * and the victim learns of it. Then its owner rows are deleted, which ends
+ * whatever it may still write, and its open jobs are adopted one by one.
+ */
+export class Succession {
+  private readonly _options: SuccessionOptions;
+  private _version: number;
+  private _retries: { atMs: number; run: (now: number) => void }[] = [];
+  private _openSteps = 0;
+  private _adopted = 0;
+  private _fencedAtMs = Number.POSITIVE_INFINITY;
+  private _isDone = false;
+
+  /** @param options - The victim and receivers of what is found. */
+  constructor(options: SuccessionOptions) {
+    this._options = options;
+    this._version = options.victim.version;
+  }
+
+  /**
+   * Time after which no run of the victim is active at a worker that has not
+   * answered.
+   */
+  get provenAtMs(): number {
+    const tenureMs = this._options.victim.isGone ? 0 : TENURE_MS;
+    return this._fencedAtMs + tenureMs + LOST_AFTER_MS;
+  }
+
+  /**
+   * Starts with marking the victim's row.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  start(now: number): void {
+    const { stores, incarnation, victim } = this._options;
+    if (victim.row.fencedBy === incarnation) {
+      this._onFenced(now);
+      return;
+    }
+    const key = fleetKeys.entry(victim.incarnation);
+    const row: EntryRow = { ...victim.row, fencedBy: incarnation };
+    stores.writer(MEMBER_PART).submit({
+      conditions: [{ key, version: this._version }],
+      writes: [{ key, value: JSON.stringify(row) }],
+      proofKey: key,
+      giveUpAtMs: now + TENURE_MS,
+      onDone: (outcome, doneAtMs) => {
+        if (outcome.kind === 'committed') {
+          this._version = outcome.version;
+          this._onFenced(doneAtMs);
+        } else {
+          this._options.onLost();
+        }
+      },
+    });
+  }
+
+  /**
+   * Repeats calls whose pause is over.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pump(now: number): void {
+    const due = this._retries.filter((retry) => retry.atMs <= now);
+    this._retries = this._retries.filter((retry) => retry.atMs > now);
+    for (const retry of due) {
+      retry.run(now);
+    }
+  }
+
+  /** Drops the victim's row once nothing of it is left. */
+  finish(): void {
+    const key = fleetKeys.entry(this._options.victim.incarnation);
+    this._options.stores.writer(MEMBER_PART).submit({
+      conditions: [{ key, version: this._version }],
+      writes: [{ key, value: null }],
+      proofKey: key,
+      onDone: () => undefined,
+    });
+  }
+
+  private _onFenced(now: number): void {
+    this._fencedAtMs = now;
+    this._options.log('takeover begun', {
+      victim: this._options.victim.incarnation,
+      name: this._options.victim.row.name,
+      isGone: this._options.victim.isGone,
+    });
+    for (let part = 0; part < JOB_PARTS; part += 1) {
+      this._step();
+      this._dropOwner(part);
+    }
+  }
+
+  private _dropOwner(part: number): void {
+    const { stores, victim } = this._options;
+    const key = fleetKeys.owner(victim.incarnation);
+    const req = { kind: 'read', keys: [key] } as const;
+    stores.caller(partName(part)).call(req, (reply, now) => {
+      if (reply.kind !== 'rows') {
+        this._again(now, () => {
+          this._dropOwner(part);
+        });
+        return;
+      }
+      const row = reply.rows[0];
+      if (!row) {
+        this._list(part, '');
+        return;
+      }
+      stores.writer(partName(part)).submit({
+        conditions: [{ key, version: row.version }],
+        writes: [{ key, value: null }],
+        proofKey: key,
+        onDone: () => {
+          // Read again: it must be seen to be gone before the list is read.
+          this._dropOwner(part);
+        },
+      });
+    });
+  }
+
+  private _list(part: number, after: string): void {
+    const { stores, victim } = this._options;
+    const prefix = fleetKeys.openPrefix(victim.incarnation);
+    const req = { kind: 'scan', prefix, after, limit: PAGE_SIZE } as const;
+    stores.caller(partName(part)).call(req, (reply, now) => {
+      if (reply.kind !== 'rows') {
+        this._again(now, () => {
+          this._list(part, after);
+        });
+        return;
+      }
+      for (const row of reply.rows) {
+        this._step();
+        this._load(part, row.key.slice(prefix.length), row);
+      }
+      const last = reply.rows.at(-1);
+      if (last && reply.rows.length === PAGE_SIZE) {
+        this._list(part, last.key);
+      } else {
+        this._stepDone(now);
+      }
+    });
+  }
+
+  private _load(part: number, id: string, openRow: Row): void {
+    const keys = [fleetKeys.job(id), fleetKeys.progress(id)];
+    const caller = this._options.stores.caller(partName(part));
+    caller.call({ kind: 'read', keys }, (reply: StoreReply, now) => {
+      if (reply.kind !== 'rows') {
+        this._again(now, () => {
+          this._load(part, id, openRow);
+        });
+        return;
+      }
+      const found = reply.rows.find((row) => row.key === fleetKeys.job(id));
+      const row = found && decodeRow<OpenJobRow>(found.value);
+      if (row?.owner !== this._options.victim.incarnation || !found) {
+        this._stepDone(now);
+        return;
+      }
+      const saved = reply.rows.find((r) => r.key === fleetKeys.progress(id));
+      const progress = saved && decodeRow<BatchProgress>(saved.value);
+      this._adopt({
+        record: {
+          id,
+          version: found.version,
+          hasProgressRow: saved !== undefined,
+        },
+        row: {
+          ...row,
+          owner: this._options.incarnation,
+          epoch: row.epoch + 1,
+        },
+        progress: progress ?? { done: [], failures: {} },
+      });
+    });
+  }
+
+  private _adopt(job: AdoptedJob): void {
+    const { recorder, victim, onAdopted } = this._options;
+    recorder.adopt(job.record, victim.incarnation, job.row, (outcome, now) => {
+      if (outcome.kind === 'committed') {
+        job.record.version = outcome.version;
+        this._adopted += 1;
+        onAdopted(job, now);
+      }
+      this._stepDone(now);
+    });
+  }
+
+  private _again(now: number, run: (now: number) => void): void {
+    this._retries.push({ atMs: now + RETRY_MS, run });
+  }
+
+  private _step(): void {
+    this._openSteps += 1;
+  }
+
+  private _stepDone(now: number): void {
+    this._openSteps -= 1;
+    if (this._openSteps === 0 && !this._isDone) {
+      this._isDone = true;
+      this._options.log('jobs taken over', {
+        victim: this._options.victim.incarnation,
+        jobs: this._adopted,
+        afterMs: Math.round(now - this._fencedAtMs),
+      });
+      this._options.onLoaded(now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/table-follower.ts
@@ -0,0 +1,135 @@
+import type { ChangedRow, FollowReply, FollowRequest } from '../store.js';
+
+/** Options of {@link TableFollower}. */
+export interface TableFollowerOptions {
+  readonly table: string;
+  /** Longest wait of one call for changes; bounds how old the view may be. */
+  readonly waitMs: number;
+  readonly onChange: (row: ChangedRow, now: number) => void;
+}
+
+const FIRST_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 400;
+
+/**
+ * Follows a table of the store: reads it whole, then waits for changes.
+ *
+ * When the history is lost, the table is read again and rows that are no
+ * longer there are reported as deleted.
+ */
+export class TableFollower {
+  private readonly _options: TableFollowerOptions;
+  private readonly _versions = new Map<string, number>();
+  private _version: number | undefined;
+  private _confirmedAtMs = Number.NEGATIVE_INFINITY;
+  private _sentAtMs = 0;
+  private _isWaiting = false;
+  private _retryAtMs = 0;
+  private _failures = 0;
+
+  /** @param options - Table and receiver of the changes. */
+  constructor(options: TableFollowerOptions) {
+    this._options = options;
+  }
+
+  /**
+   * Time at which the last answered call was sent: everything that was written
+   * before it has been reported.
+   */
+  get confirmedAtMs(): number {
+    return this._confirmedAtMs;
+  }
+
+  /** Whether the table has been read once. */
+  get isLoaded(): boolean {
+    return this._version !== undefined;
+  }
+
+  /** Calls that failed in a row. */
+  get failures(): number {
+    return this._failures;
+  }
+
+  /** Forgets all confirmation, as after a pause of unknown length. */
+  distrust(): void {
+    this._confirmedAtMs = Number.NEGATIVE_INFINITY;
+    this._sentAtMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns The next call, when one is due.
+   */
+  next(now: number): FollowRequest | undefined {
+    if (this._isWaiting || now < this._retryAtMs) {
+      return undefined;
+    }
+    this._isWaiting = true;
+    this._sentAtMs = now;
+    const { table, waitMs } = this._options;
+    return this._version === undefined
+      ? { kind: 'table', table }
+      : { kind: 'changes', table, afterVersion: this._version, waitMs };
+  }
+
+  /**
+   * @param reply - What became of the call.
+   * @param now - Current time in milliseconds.
+   */
+  onReply(reply: FollowReply, now: number): void {
+    this._isWaiting = false;
+    switch (reply.kind) {
+      case 'table':
+        this._replace(reply.rows, now);
+        this._confirm(reply.version);
+        return;
+      case 'changes':
+        for (const row of reply.rows) {
+          this._report(row, now);
+        }
+        this._confirm(reply.version);
+        return;
+      case 'history-lost':
+        this._version = undefined;
+        return;
+      case 'failed': {
+        const pauseMs = FIRST_BACKOFF_MS * 2 ** this._failures;
+        this._failures += 1;
+        this._retryAtMs = now + Math.min(MAX_BACKOFF_MS, pauseMs);
+      }
+    }
+  }
+
+  private _confirm(version: number): void {
+    this._version = Math.max(this._version ?? 0, version);
+    this._confirmedAtMs = Math.max(this._confirmedAtMs, this._sentAtMs);
+    this._failures = 0;
+  }
+
+  private _replace(
+    rows: readonly { key: string; value: string; version: number }[],
+    now: number,
+  ): void {
+    const present = new Set(rows.map((row) => row.key));
+    for (const key of [...this._versions.keys()]) {
+      if (!present.has(key)) {
+        this._report({ key, value: null, version: 0 }, now);
+      }
+    }
+    for (const row of rows) {
+      this._report(row, now);
+    }
+  }
+
+  private _report(row: ChangedRow, now: number): void {
+    const known = this._versions.get(row.key);
+    if (row.value === null) {
+      this._versions.delete(row.key);
+    } else if (known !== undefined && row.version <= known) {
+      return;
+    } else {
+      this._versions.set(row.key, row.version);
+    }
+    this._options.onChange(row, now);
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -0,0 +1,963 @@
+import { EndKind, StartRefusal } from '../messages.js';
+import type {
+  ActiveRun,
+  Room,
+  RunEnd,
+  StartGroup,
+  WorkerOrder,
+  WorkerReport,
+} from '../messages.js';
+import { NO_ROOM, addRoom, fits, subtractRoom } from '../request/room.js';
+import { EndList } from './end-list.js';
+import { WorkerClock } from './worker-clock.js';
+import { WorkerRejection } from './worker-events.js';
+import type {
+  ListedEnd,
+  ListedRun,
+  WorkerAction,
+  WorkerHeartbeat,
+  WorkerCall,
+  WorkerEvent,
+  WorkerReply,
+} from './worker-events.js';
+
+/** Options of {@link WorkerDriver}. */
+export interface WorkerDriverOptions {
+  /** Name of the VM. */
+  readonly name: string;
+  readonly incarnation: string;
+  /** First fencing token; higher than any of an earlier process, usually. */
+  readonly token: number;
+  /** Longest lease that the worker grants, in milliseconds. */
+  readonly maxLeaseMs?: number;
+  /** How long a stop takes at most. */
+  readonly stopMs?: number;
+}
+
+const DEFAULT_MAX_LEASE_MS = 1000;
+const DEFAULT_STOP_MS = 50;
+/** Wait of one look at the worker; three of them fit into a lease. */
+const HOLD_WAIT_MS = 250;
+/** Added to the wait before a look counts as unanswered. */
+const HOLD_SLACK_MS = 150;
+/** Least time between two looks, so that ends share one answer. */
+const HOLD_GAP_MS = 8;
+/** A start or stop without an answer by then is sent again. */
+const CALL_TIMEOUT_MS = 200;
+/** Sends of one start before it is stopped instead. */
+const START_ATTEMPTS = 2;
+/** Time an owner's expired runs get to stop before the lease is let go. */
+export const EXPIRY_GRACE_MS = 400;
+/** How long a run found without an owner is kept for one to claim it. */
+const CLAIM_GRACE_MS = 1500;
+/** Pause between reports that say nothing but how much room is free. */
+const ROOM_REPORT_MS = 20;
+/** Ends that nobody recorded are offered to all entries this often. */
+const ORPHAN_PERIOD_MS = 2000;
+/** Raised by this when the worker has seen a higher token. */
+const TOKEN_STEP = 100_000;
+/** Longest time that a planned stop waits for runs to end. */
+const DRAIN_LIMIT_MS = 4500;
+
+enum Phase {
+  /** The start is on its way; it may or may not have begun. */
+  Starting,
+  Active,
+  /** A stop is on its way. */
+  Stopping,
+}
+
+interface RunRecord {
+  readonly task: string;
+  readonly run: number;
+  readonly spec: string;
+  readonly checkpoint: string;
+  needs: Room;
+  /** Incarnation of the entry; empty while unknown. */
+  owner: string;
+  phase: Phase;
+  starts: number;
+  percent: number;
+  saved: string;
+  readonly sinceMs: number;
+  /** Number of the last look that was sent when the stop was confirmed. */
+  stoppedAtLook: number | undefined;
+}
+
+interface Link {
+  readonly id: number;
+  incarnation: string;
+  report: MutableReport;
+  isDirty: boolean;
+  isGreeted: boolean;
+  /** Adopted incarnations to confirm with the next snapshot. */
+  adopted: string[];
+  /** A snapshot is owed once the worker has been looked at. */
+  wantsSnapshot: boolean;
+  roomSentAtMs: number;
+}
+
+type MutableReport = {
+  -readonly [K in keyof WorkerReport]: WorkerReport[K];
+};
+
+interface PendingCall {
+  readonly call: WorkerCall;
+  readonly life: string;
+  readonly look: number;
+}
+
+const runKey = (task: string, run: number): string => `${task}#${String(run)}`;
+
+/**
+ * Drives one worker: the only process that gives it orders.
+ *
+ * Runs are kept under a lease that this driver renews. Each entry bounds, on
+ * the worker's clock, how long its runs may go on without a word from it; past
+ * that they are stopped, and where a stop is not confirmed the lease of the
+ * whole worker is let go. An entry that has lost touch can therefore tell from
+ * the passing of time alone that its runs have ended.
+ */
+export class WorkerDriver {
+  private readonly _options: Required<WorkerDriverOptions>;
+  private readonly _clock = new WorkerClock();
+  private readonly _ends = new EndList();
+  private readonly _runs = new Map<string, RunRecord>();
+  private readonly _links = new Map<number, Link>();
+  private readonly _calls = new Map<number, PendingCall>();
+  /** Until when runs of an incarnation may go on, on the worker's clock. */
+  private readonly _holdUntil = new Map<string, number>();
+  private readonly _fenced = new Map<string, string>();
+  private _actions: WorkerAction[] = [];
+  private _worker: WorkerHeartbeat | undefined;
+  /** Incarnation of the worker, as its lists of runs state it. */
+  private _bornMs: number | undefined;
+  private _token: number;
+  private _nextCallId = 1;
+  private _holdCallId: number | undefined;
+  private _holdAtMs = 0;
+  private _looks = 0;
+  /** Latest end of the lease that any call has asked for. */
+  private _leaseEndMs = 0;
+  private _leaseSuspended = false;
+  private _needsLapse = false;
+  private _unansweredSinceMs: number | undefined;
+  private _orphansAtMs = 0;
+  private _stoppingSinceMs: number | undefined;
+  private _isStopped = false;
+
+  /** @param options - Names, token and the bounds of the worker. */
+  constructor(options: WorkerDriverOptions) {
+    this._options = {
+      maxLeaseMs: DEFAULT_MAX_LEASE_MS,
+      stopMs: DEFAULT_STOP_MS,
+      ...options,
+    };
+    this._token = options.token;
+  }
+
+  /** Runs that may be active. */
+  get activeRuns(): number {
+    return this._runs.size;
+  }
+
+  /** When the next look at the worker is due; absent while one is under way. */
+  get nextLookAtMs(): number | undefined {
+    return this._holdCallId === undefined ? this._holdAtMs : undefined;
+  }
+
+  /**
+   * @param event - What happened.
+   * @param now - Current time in milliseconds.
+   * @returns What has to be done.
+   */
+  handle(event: WorkerEvent, now: number): WorkerAction[] {
+    switch (event.kind) {
+      case 'announce':
+        this._onAnnounce(event.worker, now);
+        break;
+      case 'leave':
+        if (this._worker?.id === event.id) {
+          this._loseLife('left', now);
+          this._worker = undefined;
+        }
+        break;
+      case 'link-open':
+        this._links.set(event.linkId, {
+          id: event.linkId,
+          incarnation: '',
+          report: emptyReport(),
+          isDirty: false,
+          isGreeted: false,
+          adopted: [],
+          wantsSnapshot: false,
+          roomSentAtMs: 0,
+        });
+        break;
+      case 'order':
+        this._onOrder(event.linkId, event.order, now);
+        break;
+      case 'link-closed':
+        this._links.delete(event.linkId);
+        break;
+      case 'reply':
+        this._onReply(event.callId, event.reply, now);
+        break;
+      case 'tick':
+        this._onTick(now);
+        break;
+      case 'stop':
+        this._stoppingSinceMs ??= now;
+        this._touchAll();
+        break;
+      case 'flush':
+        this._flush(now);
+    }
+    if (event.kind !== 'flush') {
+      this._look(now);
+    }
+    const actions = this._actions;
+    this._actions = [];
+    return actions;
+  }
+
+  private get _lifeId(): string {
+    return this._bornMs === undefined ? '' : String(this._bornMs);
+  }
+
+  private get _isAccepting(): boolean {
+    return (
+      this._worker?.accepting === true &&
+      this._worker.bornMs === this._bornMs &&
+      this._clock.reading !== undefined &&
+      this._unansweredSinceMs === undefined &&
+      !this._leaseSuspended &&
+      this._stoppingSinceMs === undefined
+    );
+  }
+
+  private _free(): Room {
+    if (!this._worker) {
+      return NO_ROOM;
+    }
+    let used = NO_ROOM;
+    for (const run of this._runs.values()) {
+      if (run.owner === '') {
+        // Its needs are unknown until its owner claims it.
+        return NO_ROOM;
+      }
+      used = addRoom(used, run.needs);
+    }
+    return subtractRoom(this._worker.capacity, used);
+  }
+
+  private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
+    const known = this._worker;
+    if (worker.bornMs < Math.max(known?.bornMs ?? 0, this._bornMs ?? 0)) {
+      this._log('announcement of an earlier incarnation ignored', {
+        worker: worker.id,
+        bornMs: worker.bornMs,
+      });
+      return;
+    }
+    if (
+      known?.bornMs === worker.bornMs &&
+      known.id === worker.id &&
+      worker.sequence < known.sequence
+    ) {
+      return;
+    }
+    const isNew = known?.id !== worker.id || known.bornMs !== worker.bornMs;
+    if (isNew && this._bornMs !== undefined && this._bornMs !== worker.bornMs) {
+      this._loseLife('replaced', now);
+    }
+    this._worker = worker;
+    if (isNew) {
+      this._bornMs = worker.bornMs;
+      this._log('worker announced', {
+        worker: worker.id,
+        bornMs: worker.bornMs,
+        service: worker.service,
+      });
+      for (const link of this._links.values()) {
+        link.isGreeted = false;
+      }
+      this._touchAll();
+    } else if (known.accepting !== worker.accepting) {
+      this._log('worker changed state', {
+        worker: worker.id,
+        accepting: worker.accepting,
+        sequence: worker.sequence,
+      });
+      this._touchAll();
+    }
+  }
+
+  /** The incarnation is gone, and all its runs with it. */
+  private _loseLife(why: string, now: number): void {
+    this._log('worker incarnation gone', {
+      why,
+      life: this._lifeId,
+      runs: this._runs.size,
+    });
+    for (const run of [...this._runs.values()]) {
+      this._endRun(run, EndKind.LOST, run.saved, 0);
+    }
+    this._ends.reset();
+    this._clock.reset();
+    this._bornMs = undefined;
+    this._leaseEndMs = 0;
+    this._leaseSuspended = false;
+    this._needsLapse = false;
+    this._unansweredSinceMs = undefined;
+    this._holdCallId = undefined;
+    this._holdAtMs = now;
+    this._touchAll();
+  }
+
+  private _onOrder(linkId: number, order: WorkerOrder, now: number): void {
+    const link = this._links.get(linkId);
+    if (!link) {
+      return;
+    }
+    const isFirst = link.incarnation === '';
+    link.incarnation = order.incarnation;
+    link.isDirty = true;
+    for (const owner of order.adopt) {
+      this._adopt(link, owner);
+    }
+    if (this._fenced.has(order.incarnation)) {
+      this._log('order of a fenced entry refused', {
+        entry: order.incarnation,
+        successor: this._fenced.get(order.incarnation) ?? '',
+      });
+      link.report.fenced = true;
+      this._refuseAll(link, order.starts, StartRefusal.FENCED);
+      return;
+    }
+    const held = this._holdUntil.get(order.incarnation) ?? 0;
+    this._holdUntil.set(
+      order.incarnation,
+      Math.max(held, order.holdUntilMs),
+    );
+    for (const end of order.recorded) {
+      if (end.life === this._lifeId) {
+        this._needsLapse ||= end.superseded;
+        this._ends.record(end.number);
+      }
+    }
+    for (const group of order.claims) {
+      this._claim(order.incarnation, group);
+    }
+    for (const group of order.starts) {
+      this._startGroup(link, group, now);
+    }
+    for (const { task, run } of order.stops) {
+      this._stopRun(task, run, order.incarnation, now);
+    }
+    link.wantsSnapshot ||= isFirst || order.adopt.length > 0;
+  }
+
+  private _adopt(link: Link, owner: string): void {
+    const successor = this._fenced.get(owner);
+    if (successor !== link.incarnation) {
+      this._log('entry fenced', {
+        entry: owner,
+        successor: link.incarnation,
+        earlier: successor ?? '',
+      });
+      this._fenced.set(owner, link.incarnation);
+    }
+    for (const run of this._runs.values()) {
+      if (run.owner === owner) {
+        run.owner = link.incarnation;
+      }
+    }
+    link.adopted.push(owner);
+  }
+
+  private _claim(owner: string, group: StartGroup): void {
+    for (const { task, run } of group.runs) {
+      const record = this._runs.get(runKey(task, run));
+      if (record?.owner === '') {
+        record.owner = owner;
+        record.needs = group.needs ?? NO_ROOM;
+      }
+    }
+  }
+
+  private _snapshot(link: Link): void {
+    link.report.snapshot = true;
+    link.report.adopted = link.adopted;
+    link.adopted = [];
+    link.report.active = [...this._runs.values()].map(toActive);
+    link.report.ends = this._ends.unrecorded;
+  }
+
+  private _refuseAll(
+    link: Link,
+    groups: readonly StartGroup[],
+    reason: StartRefusal,
+  ): void {
+    for (const { task, run } of groups.flatMap((group) => group.runs)) {
+      link.report.refused = [...link.report.refused, { task, run, reason }];
+    }
+  }
+
+  private _startGroup(link: Link, group: StartGroup, now: number): void {
+    const needs = group.needs ?? NO_ROOM;
+    for (const { task, run, checkpoint } of group.runs) {
+      const known = this._runs.get(runKey(task, run));
+      if (known) {
+        continue;
+      }
+      const refuse = (reason: StartRefusal): void => {
+        link.report.refused = [...link.report.refused, { task, run, reason }];
+      };
+      if (!this._isAccepting) {
+        refuse(StartRefusal.NOT_READY);
+        continue;
+      }
+      if (!fits(needs, this._free())) {
+        refuse(StartRefusal.NO_ROOM);
+        continue;
+      }
+      const record: RunRecord = {
+        task,
+        run,
+        spec: group.spec,
+        checkpoint,
+        needs,
+        owner: link.incarnation,
+        phase: Phase.Starting,
+        starts: 0,
+        percent: 100,
+        saved: checkpoint,
+        sinceMs: now,
+        stoppedAtLook: undefined,
+      };
+      this._runs.set(runKey(task, run), record);
+      this._sendStart(record, now);
+    }
+  }
+
+  private _sendStart(record: RunRecord, now: number): void {
+    const held = this._holdUntil.get(record.owner) ?? 0;
+    // A start that is carried out late must not begin once its owner may
+    // have given the run up.
+    const untilMs = Math.min(
+      this._clock.atLeast(now) + this._options.maxLeaseMs,
+      held + EXPIRY_GRACE_MS,
+    );
+    record.starts += 1;
+    this._leaseEndMs = Math.max(this._leaseEndMs, untilMs);
+    this._call({
+      kind: 'start',
+      id: this._worker?.id,
+      token: this._token,
+      task: record.task,
+      run: record.run,
+      spec: record.spec,
+      checkpoint: record.checkpoint,
+      untilMs: Math.floor(untilMs),
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
+  private _stopRun(
+    task: string,
+    run: number,
+    owner: string,
+    now: number,
+  ): void {
+    const key = runKey(task, run);
+    const record: RunRecord = this._runs.get(key) ?? {
+      task,
+      run,
+      spec: '',
+      checkpoint: '',
+      needs: NO_ROOM,
+      owner,
+      phase: Phase.Stopping,
+      starts: 0,
+      percent: 0,
+      saved: '',
+      sinceMs: now,
+      stoppedAtLook: undefined,
+    };
+    this._runs.set(key, record);
+    this._sendStop(record);
+  }
+
+  private _sendStop(record: RunRecord): void {
+    record.phase = Phase.Stopping;
+    this._call({
+      kind: 'stop',
+      id: this._worker?.id,
+      token: this._token,
+      task: record.task,
+      run: record.run,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
+  private _call(call: WorkerCall): number {
+    const callId = this._nextCallId++;
+    this._calls.set(callId, { call, life: this._lifeId, look: this._looks });
+    this._actions.push({ kind: 'call', callId, call });
+    return callId;
+  }
+
+  /** Starts the next look at the worker when it is due. */
+  private _look(now: number): void {
+    if (
+      this._isStopped ||
+      this._holdCallId !== undefined ||
+      now < this._holdAtMs
+    ) {
+      return;
+    }
+    // Nobody is to be called after a worker that has left until one comes.
+    if (!this._worker && this._bornMs === undefined && this._looks > 0) {
+      if (this._unansweredSinceMs !== undefined) {
+        return;
+      }
+    }
+    const clockMs = this._clock.reading;
+    const renews =
+      clockMs !== undefined && !this._leaseSuspended && !this._isLapsing(now);
+    const untilMs = renews
+      ? Math.floor(this._clock.atLeast(now) + this._options.maxLeaseMs)
+      : undefined;
+    if (untilMs !== undefined) {
+      this._leaseEndMs = Math.max(this._leaseEndMs, untilMs);
+    }
+    this._looks += 1;
+    this._holdCallId = this._call({
+      kind: 'hold',
+      id: this._worker?.id,
+      token: this._token,
+      untilMs,
+      ackedThrough: this._ends.ackedThrough,
+      waitMs: clockMs === undefined ? 0 : HOLD_WAIT_MS,
+      timeoutMs: HOLD_WAIT_MS + HOLD_SLACK_MS,
+    });
+  }
+
+  private _isLapsing(now: number): boolean {
+    if (!this._needsLapse || this._runs.size > 0) {
+      return false;
+    }
+    if (this._clock.atLeast(now) > this._leaseEndMs + this._options.stopMs) {
+      this._needsLapse = false;
+      return false;
+    }
+    return true;
+  }
+
+  private _onReply(callId: number, reply: WorkerReply, now: number): void {
+    const pending = this._calls.get(callId);
+    this._calls.delete(callId);
+    if (!pending) {
+      return;
+    }
+    if (callId === this._holdCallId) {
+      this._holdCallId = undefined;
+      this._holdAtMs = now + HOLD_GAP_MS;
+    }
+    if (pending.life !== this._lifeId && pending.life !== '') {
+      return;
+    }
+    if (reply.kind === 'rejected' && reply.reason === WorkerRejection.Fenced) {
+      this._token += TOKEN_STEP;
+      this._log('fencing token raised', { token: this._token });
+    }
+    switch (pending.call.kind) {
+      case 'hold':
+        this._onHeld(pending, reply, now);
+        return;
+      case 'start':
+        this._onStarted(pending.call, reply, now);
+        return;
+      case 'stop':
+        this._onStopReply(pending.call, reply);
+    }
+  }
+
+  private _onHeld(pending: PendingCall, reply: WorkerReply, now: number): void {
+    if (reply.kind !== 'held') {
+      this._onHoldFailed(reply, now);
+      return;
+    }
+    if (this._bornMs !== reply.bornMs) {
+      if (this._bornMs !== undefined) {
+        this._loseLife('reborn', now);
+        this._worker = undefined;
+      }
+      this._bornMs = reply.bornMs;
+    }
+    if (this._unansweredSinceMs !== undefined) {
+      this._log('worker answers again', {
+        afterMs: Math.round(now - this._unansweredSinceMs),
+      });
+      this._unansweredSinceMs = undefined;
+      this._touchAll();
+    }
+    if (this._clock.reading === undefined) {
+      this._touchAll();
+    }
+    this._clock.observe(reply.clockMs, now);
+    this._noteEnds(reply.ends, now);
+    this._noteActive(reply.active, pending.look, now);
+    this._expireOwners(reply.clockMs, now);
+  }
+
+  private _onHoldFailed(reply: WorkerReply, now: number): void {
+    if (this._unansweredSinceMs === undefined) {
+      this._unansweredSinceMs = now;
+      this._log('worker does not answer', {
+        why: reply.kind === 'rejected' ? reply.reason : reply.kind,
+      });
+      this._touchAll();
+    }
+    if (
+      reply.kind === 'rejected' &&
+      reply.reason === WorkerRejection.OtherLife
+    ) {
+      this._loseLife('other incarnation answers', now);
+      this._worker = undefined;
+    }
+    this._holdAtMs = now + HOLD_SLACK_MS;
+  }
+
+  private _noteEnds(ends: readonly ListedEnd[], now: number): void {
+    for (const listed of ends) {
+      const end: RunEnd = { ...listed, life: this._lifeId };
+      if (!this._ends.add(end, now)) {
+        continue;
+      }
+      const record = this._runs.get(runKey(listed.task, listed.run));
+      if (record) {
+        this._runs.delete(runKey(listed.task, listed.run));
+      }
+      this._reportEnd(end, record?.owner ?? '');
+    }
+  }
+
+  private _noteActive(
+    active: readonly ListedRun[],
+    look: number,
+    now: number,
+  ): void {
+    const seen = new Set<string>();
+    for (const listed of active) {
+      const key = runKey(listed.task, listed.run);
+      seen.add(key);
+      const record = this._runs.get(key);
+      if (record) {
+        record.percent = listed.percent;
+        record.saved = listed.checkpoint;
+        continue;
+      }
+      this._log('run found at the worker', {
+        task: listed.task,
+        run: listed.run,
+      });
+      this._runs.set(key, {
+        task: listed.task,
+        run: listed.run,
+        spec: '',
+        checkpoint: listed.checkpoint,
+        needs: NO_ROOM,
+        owner: '',
+        phase: Phase.Active,
+        starts: 1,
+        percent: listed.percent,
+        saved: listed.checkpoint,
+        sinceMs: now,
+        stoppedAtLook: undefined,
+      });
+      for (const link of this._links.values()) {
+        link.wantsSnapshot = true;
+        link.isDirty = true;
+      }
+    }
+    for (const record of [...this._runs.values()]) {
+      const { stoppedAtLook } = record;
+      const wasLookedAt = stoppedAtLook !== undefined && look > stoppedAtLook;
+      if (wasLookedAt && !seen.has(runKey(record.task, record.run))) {
+        // Stopped before it began: it is neither active nor among the ends.
+        this._refuse(record, StartRefusal.NO_ANSWER);
+      }
+    }
+  }
+
+  /** Stops what its owner no longer holds. */
+  private _expireOwners(clockMs: number, now: number): void {
+    let isOverdue = false;
+    for (const record of this._runs.values()) {
+      const untilMs =
+        record.owner === ''
+          ? clockMs - (now - record.sinceMs) + CLAIM_GRACE_MS
+          : (this._holdUntil.get(record.owner) ?? 0);
+      if (clockMs <= untilMs) {
+        continue;
+      }
+      if (record.phase !== Phase.Stopping) {
+        this._log('run stopped, its owner is silent', {
+          task: record.task,
+          run: record.run,
+          owner: record.owner,
+          overdueMs: Math.round(clockMs - untilMs),
+        });
+        this._sendStop(record);
+      }
+      isOverdue ||= clockMs > untilMs + EXPIRY_GRACE_MS;
+    }
+    if (isOverdue !== this._leaseSuspended) {
+      this._leaseSuspended = isOverdue;
+      this._log(isOverdue ? 'lease let go' : 'lease renewed again', {
+        runs: this._runs.size,
+      });
+      this._touchAll();
+    }
+  }
+
+  private _onStarted(
+    call: Extract<WorkerCall, { kind: 'start' }>,
+    reply: WorkerReply,
+    now: number,
+  ): void {
+    const record = this._runs.get(runKey(call.task, call.run));
+    if (record?.phase !== Phase.Starting) {
+      return;
+    }
+    switch (reply.kind) {
+      case 'done':
+      case 'held':
+        record.phase = Phase.Active;
+        this._withOwner(record.owner, (link) => {
+          link.report.started = [
+            ...link.report.started,
+            { task: record.task, run: record.run },
+          ];
+        });
+        return;
+      case 'rejected':
+        this._onStartRejected(record, reply.reason, now);
+        return;
+      case 'no-answer':
+        this._log('start without an answer', {
+          task: record.task,
+          run: record.run,
+          attempt: record.starts,
+        });
+        if (record.starts < START_ATTEMPTS) {
+          this._sendStart(record, now);
+        } else {
+          this._sendStop(record);
+        }
+    }
+  }
+
+  private _onStartRejected(
+    record: RunRecord,
+    reason: WorkerRejection,
+    now: number,
+  ): void {
+    if (reason === WorkerRejection.Fenced) {
+      this._sendStart(record, now);
+      return;
+    }
+    if (record.starts > 1) {
+      // An earlier send may still be under way.
+      this._sendStop(record);
+      return;
+    }
+    this._refuse(record, REFUSALS[reason]);
+  }
+
+  private _onStopReply(
+    call: Extract<WorkerCall, { kind: 'stop' }>,
+    reply: WorkerReply,
+  ): void {
+    const record = this._runs.get(runKey(call.task, call.run));
+    if (!record) {
+      return;
+    }
+    switch (reply.kind) {
+      case 'done':
+      case 'held':
+        record.stoppedAtLook = this._looks;
+        return;
+      case 'no-answer':
+      case 'rejected':
+        this._sendStop(record);
+    }
+  }
+
+  private _refuse(record: RunRecord, reason: StartRefusal): void {
+    this._runs.delete(runKey(record.task, record.run));
+    const { task, run } = record;
+    this._log('start refused', { task, run, reason: StartRefusal[reason] });
+    this._withOwner(record.owner, (link) => {
+      link.report.refused = [...link.report.refused, { task, run, reason }];
+    });
+  }
+
+  private _endRun(
+    record: RunRecord,
+    kind: EndKind,
+    checkpoint: string,
+    number: number,
+  ): void {
+    const { task, run } = record;
+    this._runs.delete(runKey(task, run));
+    this._reportEnd(
+      { task, run, kind, checkpoint, life: this._lifeId, number },
+      record.owner,
+    );
+  }
+
+  private _reportEnd(end: RunEnd, owner: string): void {
+    this._withOwner(owner, (link) => {
+      link.report.ends = [...link.report.ends, end];
+    });
+  }
+
+  /** Adds to the report of an owner, or of all entries while it is unknown. */
+  private _withOwner(owner: string, add: (link: Link) => void): void {
+    for (const link of this._links.values()) {
+      if (owner === '' || link.incarnation === owner) {
+        add(link);
+        link.isDirty = true;
+      }
+    }
+  }
+
+  private _touchAll(): void {
+    for (const link of this._links.values()) {
+      link.isDirty = true;
+    }
+  }
+
+  private _onTick(now: number): void {
+    this._declareLapsed(now);
+    if (now - this._orphansAtMs >= ORPHAN_PERIOD_MS) {
+      this._orphansAtMs = now;
+      for (const end of this._ends.waitingSince(now - ORPHAN_PERIOD_MS)) {
+        this._reportEnd(end, '');
+      }
+    }
+    if (this._stoppingSinceMs !== undefined && !this._isStopped) {
+      const isLate = now - this._stoppingSinceMs > DRAIN_LIMIT_MS;
+      if (this._runs.size === 0 || isLate) {
+        this._isStopped = true;
+        this._actions.push({ kind: 'stopped' });
+      }
+    }
+  }
+
+  /** All runs have lapsed at a worker that has not answered for long enough. */
+  private _declareLapsed(now: number): void {
+    if (this._unansweredSinceMs === undefined || this._runs.size === 0) {
+      return;
+    }
+    const latestMs = this._leaseEndMs + this._options.stopMs;
+    if (this._clock.atLeast(now) > latestMs) {
+      this._log('runs lapsed at a silent worker', { runs: this._runs.size });
+      for (const record of [...this._runs.values()]) {
+        this._endRun(record, EndKind.LOST, record.saved, 0);
+      }
+    }
+  }
+
+  private _flush(now: number): void {
+    const free = this._free();
+    for (const link of this._links.values()) {
+      if (link.incarnation === '') {
+        continue;
+      }
+      const isRoomDue = now - link.roomSentAtMs >= ROOM_REPORT_MS;
+      if (!link.isDirty && !(this._roomChanged(link, free) && isRoomDue)) {
+        continue;
+      }
+      if (link.wantsSnapshot && this._clock.reading !== undefined) {
+        link.wantsSnapshot = false;
+        this._snapshot(link);
+      }
+      const report = link.report;
+      report.clockMs = this._clock.atLeast(now);
+      report.accepting = this._isAccepting;
+      report.free = free;
+      if (!link.isGreeted && this._worker) {
+        link.isGreeted = true;
+        report.hello = this._hello(this._worker);
+      }
+      link.report = emptyReport();
+      link.report.free = free;
+      link.isDirty = false;
+      link.roomSentAtMs = now;
+      this._actions.push({ kind: 'report', linkId: link.id, report });
+    }
+  }
+
+  private _roomChanged(link: Link, free: Room): boolean {
+    const sent = link.report.free;
+    return (
+      sent?.cpuMilli !== free.cpuMilli ||
+      sent.memoryMb !== free.memoryMb ||
+      sent.accelerators !== free.accelerators
+    );
+  }
+
+  private _hello(worker: WorkerHeartbeat): WorkerReport['hello'] {
+    return {
+      worker: this._options.name,
+      incarnation: this._options.incarnation,
+      dataCentre: worker.dataCentre,
+      service: worker.service,
+      life: this._lifeId,
+      labels: [...worker.labels],
+      capacity: worker.capacity,
+    };
+  }
+
+  private _log(
+    message: string,
+    fields: Readonly<Record<string, string | number | boolean>>,
+  ): void {
+    this._actions.push({ kind: 'log', message, fields });
+  }
+}
+
+const REFUSALS: Readonly<Record<WorkerRejection, StartRefusal>> = {
+  [WorkerRejection.Fenced]: StartRefusal.NOT_READY,
+  [WorkerRejection.StaleRun]: StartRefusal.STALE_RUN,
+  [WorkerRejection.Expired]: StartRefusal.NOT_READY,
+  [WorkerRejection.NoRoom]: StartRefusal.NO_ROOM,
+  [WorkerRejection.Invalid]: StartRefusal.INVALID,
+  [WorkerRejection.Unhealthy]: StartRefusal.UNHEALTHY,
+  [WorkerRejection.OtherLife]: StartRefusal.NOT_READY,
+};
+
+const toActive = (record: RunRecord): ActiveRun => ({
+  task: record.task,
+  run: record.run,
+  owner: record.owner,
+  checkpoint: record.saved,
+  percent: record.percent,
+});
+
+const emptyReport = (): MutableReport => ({
+  clockMs: 0,
+  accepting: false,
+  free: undefined,
+  ends: [],
+  refused: [],
+  started: [],
+  active: [],
+  snapshot: false,
+  adopted: [],
+  fenced: false,
+});
--- /dev/null
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -0,0 +1,153 @@
+import type {
+  Room,
+  RunRef,
+  WorkerHello,
+  WorkerOrder,
+  WorkerReport,
+} from '../messages.js';
+import { NO_ROOM, subtractRoom } from '../request/room.js';
+import { WORKER_CLOCK_MIN_RATE } from './worker-clock.js';
+import { EXPIRY_GRACE_MS } from './worker-driver.js';
+
+/** How long runs may go on after the last word of their entry. */
+export const HOLD_MS = 1200;
+/** Longest lease of a worker plus the time that a stop takes. */
+const LAPSE_MS = 1100;
+/** Bound for the answers of the worker that are still under way. */
+const REPLY_SLACK_MS = 150;
+/** After this silence all runs at a worker have ended. */
+export const LOST_AFTER_MS =
+  (HOLD_MS + EXPIRY_GRACE_MS + LAPSE_MS) / WORKER_CLOCK_MIN_RATE +
+  REPLY_SLACK_MS;
+/** Silence after which nothing new is placed there and the link is replaced. */
+const SILENCE_MS = 900;
+
+/** A run that has been sent to a worker. */
+export interface PlacedRun {
+  readonly job: string;
+  readonly task: string;
+  readonly run: number;
+  readonly needs: Room;
+  /** Whether the worker's reports of its free room count it already. */
+  isCounted: boolean;
+}
+
+type MutableOrder = { -readonly [K in keyof WorkerOrder]: WorkerOrder[K] };
+
+const emptyOrder = (): MutableOrder => ({
+  entry: '',
+  incarnation: '',
+  holdUntilMs: 0,
+  adopt: [],
+  starts: [],
+  stops: [],
+  recorded: [],
+  claims: [],
+});
+
+/** @returns Name of a run in tables keyed by run. */
+export const runName = (ref: RunRef): string =>
+  `${ref.task}#${String(ref.run)}`;
+
+/** What an entry knows of one worker, over all of its links. */
+export class WorkerView {
+  readonly name: string;
+  address: string;
+  hello: WorkerHello | undefined;
+  /** Open link, if any. */
+  linkId: number | undefined;
+  linkedAtMs = 0;
+  reopenAtMs = 0;
+  /** Whether this link has brought a whole picture of the worker. */
+  isKnown = false;
+  lastReportAtMs = Number.NEGATIVE_INFINITY;
+  clockMs = 0;
+  isAccepting = false;
+  /** Runs that have been sent and have not ended. */
+  readonly placed = new Map<string, PlacedRun>();
+  /** Fenced incarnations that this worker has confirmed. */
+  readonly adopted = new Set<string>();
+  order = emptyOrder();
+  isDirty = false;
+  sentAtMs = 0;
+  private _free: Room = NO_ROOM;
+
+  /**
+   * @param name - Name of the VM.
+   * @param address - Where the process beside the worker listens.
+   */
+  constructor(name: string, address: string) {
+    this.name = name;
+    this.address = address;
+  }
+
+  /** Room as reported, less what has been sent since. */
+  get free(): Room {
+    let free = this._free;
+    for (const run of this.placed.values()) {
+      if (!run.isCounted) {
+        free = subtractRoom(free, run.needs);
+      }
+    }
+    return free;
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether starts may be sent.
+   */
+  isUsable(now: number): boolean {
+    return (
+      this.isKnown &&
+      this.isAccepting &&
+      this.linkId !== undefined &&
+      now - this.lastReportAtMs < SILENCE_MS
+    );
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether the open link should be replaced.
+   */
+  isSilent(now: number): boolean {
+    const since = Math.max(this.lastReportAtMs, this.linkedAtMs);
+    return this.linkId !== undefined && now - since > SILENCE_MS;
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether all runs there have provably ended.
+   */
+  isLost(now: number): boolean {
+    return now - this.lastReportAtMs > LOST_AFTER_MS;
+  }
+
+  /**
+   * @param report - A report on the open link.
+   * @param now - Current time in milliseconds.
+   */
+  observe(report: WorkerReport, now: number): void {
+    this.lastReportAtMs = now;
+    this.clockMs = report.clockMs;
+    this.isAccepting = report.accepting;
+    this._free = report.free ?? NO_ROOM;
+    this.hello = report.hello ?? this.hello;
+    for (const ref of report.started) {
+      const run = this.placed.get(runName(ref));
+      if (run) {
+        run.isCounted = true;
+      }
+    }
+    for (const owner of report.adopted) {
+      this.adopted.add(owner);
+    }
+  }
+
+  /** @returns The gathered order; a new one is begun. */
+  takeOrder(): MutableOrder {
+    const { order } = this;
+    this.order = emptyOrder();
+    this.isDirty = false;
+    return order;
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/request/room.ts
@@ -0,0 +1,24 @@
+import type { Room } from '../messages.js';
+
+/** No room at all. */
+export const NO_ROOM: Room = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
+
+/** @returns The sum of both. */
+export const addRoom = (a: Room, b: Room): Room => ({
+  cpuMilli: a.cpuMilli + b.cpuMilli,
+  memoryMb: a.memoryMb + b.memoryMb,
+  accelerators: a.accelerators + b.accelerators,
+});
+
+/** @returns What is left of `a`, never below zero. */
+export const subtractRoom = (a: Room, b: Room): Room => ({
+  cpuMilli: Math.max(0, a.cpuMilli - b.cpuMilli),
+  memoryMb: Math.max(0, a.memoryMb - b.memoryMb),
+  accelerators: Math.max(0, a.accelerators - b.accelerators),
+});
+
+/** @returns Whether `needs` fits into `free`. */
+export const fits = (needs: Room, free: Room): boolean =>
+  needs.cpuMilli <= free.cpuMilli &&
+  needs.memoryMb <= free.memoryMb &&
+  needs.accelerators <= free.accelerators;
--- a/packages/core/src/lib/store.ts
+++ b/packages/core/src/lib/store.ts
@@ -70,3 +70,38 @@
   outcome: (id: string, owner: string, epoch: number): string =>
     `outcome/${id}/${owner}/${String(epoch)}`,
 } as const;
+
+/** A row that was written or, with a value of `null`, deleted. */
+export interface ChangedRow {
+  readonly key: string;
+  readonly value: string | null;
+  readonly version: number;
+}
+
+/** A call that follows a whole table. */
+export type FollowRequest =
+  /** All rows of a table as of one moment. */
+  | { readonly kind: 'table'; readonly table: string }
+  /** Waits for rows that change after a version. */
+  | {
+      readonly kind: 'changes';
+      readonly table: string;
+      readonly afterVersion: number;
+      readonly waitMs: number;
+    };
+
+/** What became of a {@link FollowRequest}. */
+export type FollowReply =
+  | {
+      readonly kind: 'table';
+      readonly rows: readonly Row[];
+      readonly version: number;
+    }
+  | {
+      readonly kind: 'changes';
+      readonly rows: readonly ChangedRow[];
+      readonly version: number;
+    }
+  /** The store no longer knows what has changed since then. */
+  | { readonly kind: 'history-lost' }
+  | { readonly kind: 'failed' };
--- a/packages/daemon/src/lib/connection/entry-clients.ts
+++ b/packages/daemon/src/lib/connection/rpc-clients.ts
@@ -1,23 +1,17 @@
-import type { Client } from '@connectrpc/connect';
-import type { EntryService } from '@sapphiremux/wire';
-import { connectEntry } from './rpc.js';
 import type { RpcClient } from './rpc.js';
-import type { TlsContext } from './tls.js';
 
-type EntryClient = Client<typeof EntryService>;
+/** Unary calls to other processes, over one connection to each. */
+export class RpcClients<C> {
+  private readonly _connect: (address: string) => RpcClient<C>;
+  private readonly _clients = new Map<string, RpcClient<C>>();
 
-/** Unary calls to entries, over one connection to each. */
-export class EntryClients {
-  private readonly _tls: TlsContext | undefined;
-  private readonly _clients = new Map<string, RpcClient<EntryClient>>();
-
-  /** @param tls - Certificates, if encryption is set up. */
-  constructor(tls: TlsContext | undefined) {
-    this._tls = tls;
+  /** @param connect - Makes a client of the process at an address. */
+  constructor(connect: (address: string) => RpcClient<C>) {
+    this._connect = connect;
   }
 
   /**
-   * Calls an entry. After a failure the connection is dropped, so that the
+   * Calls a process. After a failure the connection is dropped, so that the
    * next call opens a new one.
    *
    * @param address - Host and port.
@@ -28,11 +22,11 @@
   async call<T>(
     address: string,
     timeoutMs: number,
-    call: (client: EntryClient, options: { timeoutMs: number }) => Promise<T>,
+    call: (client: C, options: { timeoutMs: number }) => Promise<T>,
   ): Promise<T | undefined> {
     let entry = this._clients.get(address);
     if (!entry) {
-      entry = connectEntry({ address, tls: this._tls });
+      entry = this._connect(address);
       this._clients.set(address, entry);
     }
     try {
@@ -50,7 +44,7 @@
     }
   }
 
-  private _drop(address: string, entry: RpcClient<EntryClient>): void {
+  private _drop(address: string, entry: RpcClient<C>): void {
     entry.close();
     if (this._clients.get(address) === entry) {
       this._clients.delete(address);
--- a/packages/daemon/src/lib/connection/rpc.ts
+++ b/packages/daemon/src/lib/connection/rpc.ts
@@ -7,7 +7,12 @@
   connectNodeAdapter,
   createConnectTransport,
 } from '@connectrpc/connect-node';
-import { EntryService, RunnerService } from '@sapphiremux/wire';
+import {
+  EntryPeerService,
+  EntryService,
+  RunnerService,
+  WorkerService,
+} from '@sapphiremux/wire';
 import type { TlsContext } from './tls.js';
 
 /** A server for the other processes of the system. */
@@ -91,6 +96,22 @@
   return { client: createClient(EntryService, transport), close };
 };
 
+/** @returns A client of the process beside a worker. */
+export const connectWorker = (
+  options: RpcClientOptions,
+): RpcClient<Client<typeof WorkerService>> => {
+  const { transport, close } = connect(options);
+  return { client: createClient(WorkerService, transport), close };
+};
+
+/** @returns A client of another entry on the platform. */
+export const connectPeer = (
+  options: RpcClientOptions,
+): RpcClient<Client<typeof EntryPeerService>> => {
+  const { transport, close } = connect(options);
+  return { client: createClient(EntryPeerService, transport), close };
+};
+
 const connect = (options: RpcClientOptions) => {
   const baseUrl = `${options.tls ? 'https' : 'http'}://${options.address}`;
   const nodeOptions = options.tls ?? {};
--- /dev/null
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -0,0 +1,283 @@
+import { create } from '@bufbuild/protobuf';
+import type { Client, ConnectRouter } from '@connectrpc/connect';
+import { BatchEntry } from '@sapphiremux/core';
+import type {
+  BatchAction,
+  BatchEntryOptions,
+  BatchEvent,
+  BatchReply,
+} from '@sapphiremux/core';
+import {
+  CancelJobReplySchema,
+  EntryPeerService,
+  ProbeReplySchema,
+} from '@sapphiremux/wire';
+import { RpcClients } from '../connection/rpc-clients.js';
+import { connectPeer, startRpcServer } from '../connection/rpc.js';
+import type { RpcServer } from '../connection/rpc.js';
+import { WorkerLinks } from '../connection/worker-links.js';
+import { now } from './clock.js';
+import { BatchEntryMetrics } from './fleet-metrics.js';
+import type { FleetStore } from './fleet-ports.js';
+import type { Log } from './logger.js';
+import { PauseDetector } from './pause-detector.js';
+
+/** Options of {@link BatchHost}. */
+export interface BatchHostOptions {
+  /** Settings of the decisions; the incarnation is drawn anew when needed. */
+  readonly entry: Omit<BatchEntryOptions, 'incarnation' | 'random'>;
+  /** @returns A name that no run of any process has had. */
+  readonly newIncarnation: () => string;
+  /** Address for the other processes. */
+  readonly listen: { readonly host: string; readonly port: number };
+  readonly openStore: (metrics: BatchEntryMetrics) => FleetStore;
+  readonly log: Log;
+  /** Called when a planned stop has ended. */
+  readonly onStopped: () => void;
+}
+
+type Action<K extends BatchAction['kind']> = Extract<BatchAction, { kind: K }>;
+
+interface WaitingCaller {
+  readonly call: BatchEvent['kind'];
+  readonly startedAtMs: number;
+  readonly resolve: (reply: BatchReply) => void;
+}
+
+const TICK_MS = 50;
+const PROBE_TIMEOUT_MS = 400;
+const FORWARD_TIMEOUT_MS = 600;
+/** Wait of a forwarded cancel at its owner. */
+const FORWARDED_WAIT_MS = 550;
+
+/** Runs the decisions of an entry on the platform. */
+export class BatchHost {
+  readonly metrics = new BatchEntryMetrics();
+  private readonly _options: BatchHostOptions;
+  private readonly _store: FleetStore;
+  private readonly _links: WorkerLinks;
+  private readonly _peers = new RpcClients<Client<typeof EntryPeerService>>(
+    (address) => connectPeer({ address }),
+  );
+  private readonly _pauses = new PauseDetector();
+  private readonly _callers = new Map<number, WaitingCaller>();
+  private _core: BatchEntry;
+  /** Names the core that asked for something; late replies are dropped. */
+  private _generation = 1;
+  private _server: RpcServer | undefined;
+  private _timer: NodeJS.Timeout | undefined;
+  private _flushPlanned = false;
+  private _nextReplyId = 1;
+
+  /** @param options - Settings, store and receivers. */
+  constructor(options: BatchHostOptions) {
+    this._options = options;
+    this._store = options.openStore(this.metrics);
+    this._links = new WorkerLinks({
+      onReport: (linkId, report) => {
+        this.dispatch({ kind: 'report', linkId, report });
+      },
+      onClosed: (linkId, detail) => {
+        options.log.info('link to worker closed', { linkId, detail });
+        this.dispatch({ kind: 'link-closed', linkId });
+      },
+    });
+    this._core = this._createCore();
+  }
+
+  /** The decisions that are in force now. */
+  get core(): BatchEntry {
+    return this._core;
+  }
+
+  /** Starts to listen and to tick. */
+  async start(): Promise<void> {
+    this._server = await startRpcServer({
+      ...this._options.listen,
+      routes: (router) => {
+        this._addRoutes(router);
+      },
+    });
+    this._tick();
+  }
+
+  /**
+   * Hands a call to the decisions.
+   *
+   * @param toEvent - Makes the event from the id of the answer.
+   * @returns The answer.
+   */
+  ask(toEvent: (replyId: number) => BatchEvent): Promise<BatchReply> {
+    const replyId = this._nextReplyId++;
+    const event = toEvent(replyId);
+    return new Promise((resolve) => {
+      const startedAtMs = now();
+      this._callers.set(replyId, { call: event.kind, startedAtMs, resolve });
+      this.dispatch(event);
+    });
+  }
+
+  /** @param event - Something that happened to the entry. */
+  dispatch(event: BatchEvent): void {
+    const jumpMs = this._pauses.check(performance.now(), Date.now());
+    if (jumpMs !== undefined) {
+      this._handle({ kind: 'paused', jumpMs });
+    }
+    this._handle(event);
+    if (!this._flushPlanned && event.kind !== 'flush') {
+      this._flushPlanned = true;
+      // Everything that happens in one turn of the loop shares one batch.
+      setImmediate(() => {
+        this._flushPlanned = false;
+        this.dispatch({ kind: 'flush' });
+      });
+    }
+  }
+
+  /** Ends all connections and timers. */
+  async close(): Promise<void> {
+    clearTimeout(this._timer);
+    this._links.closeAll();
+    this._peers.close();
+    await this._server?.close();
+    await this._store.close();
+  }
+
+  private _handle(event: BatchEvent): void {
+    for (const action of this._core.handle(event, now())) {
+      this._run(action);
+    }
+  }
+
+  private _createCore(): BatchEntry {
+    const { entry, newIncarnation, log } = this._options;
+    const incarnation = newIncarnation();
+    log.info('incarnation begun', { incarnation });
+    return new BatchEntry({ ...entry, incarnation, random: Math.random }, now());
+  }
+
+  private _tick(): void {
+    this.dispatch({ kind: 'tick' });
+    this.metrics.openJobs.set(this._core.openJobs);
+    this.metrics.waitingJobs.set(this._core.waitingJobs);
+    this.metrics.configVersion.set(this._core.routes.version ?? 0);
+    this._timer = setTimeout(() => {
+      this._tick();
+    }, TICK_MS);
+  }
+
+  private _addRoutes(router: ConnectRouter): void {
+    router.service(EntryPeerService, {
+      probe: () => create(ProbeReplySchema, this._core.statusOf(now())),
+      cancelJob: async ({ job }) => {
+        if (!this._core.owns(job)) {
+          return create(CancelJobReplySchema, { handled: false });
+        }
+        const reply = await this.ask((replyId) => ({
+          kind: 'cancel',
+          replyId,
+          id: job,
+          deadlineMs: now() + FORWARDED_WAIT_MS,
+        }));
+        const handled = reply.kind === 'cancelled';
+        return create(CancelJobReplySchema, { handled });
+      },
+    });
+  }
+
+  private _run(action: BatchAction): void {
+    switch (action.kind) {
+      case 'reply':
+        this._onReply(action);
+        return;
+      case 'store':
+        void this._callStore(action);
+        return;
+      case 'follow':
+        void this._follow(action);
+        return;
+      case 'open-link':
+        this._links.open(action.linkId, action.address);
+        return;
+      case 'close-link':
+        this._links.close(action.linkId);
+        return;
+      case 'order':
+        this._links.send(action.linkId, action.order);
+        return;
+      case 'probe':
+        void this._probe(action);
+        return;
+      case 'forward-cancel':
+        void this._forwardCancel(action);
+        return;
+      case 'log':
+        this.metrics.decisions.inc({ decision: action.message });
+        this._options.log.info(action.message, action.fields);
+        return;
+      case 'stand-down':
+        this._links.closeAll();
+        this._generation += 1;
+        this._core = this._createCore();
+        return;
+      case 'stopped':
+        this._options.onStopped();
+    }
+  }
+
+  private _onReply({ replyId, reply }: Action<'reply'>): void {
+    const caller = this._callers.get(replyId);
+    this._callers.delete(replyId);
+    if (caller) {
+      const { call, startedAtMs } = caller;
+      this.metrics.replies.inc({ call, reply: reply.kind });
+      this.metrics.replyMs.observe({ call }, now() - startedAtMs);
+      caller.resolve(reply);
+    }
+  }
+
+  private async _callStore(action: Action<'store'>): Promise<void> {
+    const generation = this._generation;
+    const reply = await this._store.call(action.part, action.req);
+    if (generation === this._generation) {
+      this.dispatch({ kind: 'store-reply', opId: action.opId, reply });
+    }
+  }
+
+  private async _follow({ req }: Action<'follow'>): Promise<void> {
+    const generation = this._generation;
+    const reply = await this._store.follow(req);
+    if (generation === this._generation) {
+      this.dispatch({ kind: 'follow-reply', table: req.table, reply });
+    }
+  }
+
+  private async _probe(action: Action<'probe'>): Promise<void> {
+    const generation = this._generation;
+    const { incarnation, address } = action;
+    const status = await this._peers.call(
+      address,
+      PROBE_TIMEOUT_MS,
+      (client, options) => client.probe({ incarnation }, options),
+    );
+    if (generation === this._generation) {
+      this.dispatch({ kind: 'probe-reply', incarnation, status });
+    }
+  }
+
+  private async _forwardCancel(
+    action: Action<'forward-cancel'>,
+  ): Promise<void> {
+    const generation = this._generation;
+    const { callId, address, id } = action;
+    const answer = await this._peers.call(
+      address,
+      FORWARD_TIMEOUT_MS,
+      (client, options) => client.cancelJob({ job: id }, options),
+    );
+    if (generation === this._generation) {
+      const handled = answer?.handled ?? false;
+      this.dispatch({ kind: 'forward-reply', callId, handled });
+    }
+  }
+}
--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import type { ConnectRouter } from '@connectrpc/connect';
+import type { Client, ConnectRouter } from '@connectrpc/connect';
 import { ConnectError, Code } from '@connectrpc/connect';
 import { EntryCore, ErrorCode, JobStep, RunState } from '@sapphiremux/core';
 import type {
@@ -18,8 +18,12 @@
   JobReplySchema,
   PollReplySchema,
 } from '@sapphiremux/wire';
-import { EntryClients } from '../connection/entry-clients.js';
-import { connectRunner, startRpcServer } from '../connection/rpc.js';
+import { RpcClients } from '../connection/rpc-clients.js';
+import {
+  connectEntry,
+  connectRunner,
+  startRpcServer,
+} from '../connection/rpc.js';
 import type { RpcServer } from '../connection/rpc.js';
 import { RunnerLinks } from '../connection/runner-links.js';
 import { loadTls } from '../connection/tls.js';
@@ -64,7 +68,7 @@
   private readonly _tls: TlsContext | undefined;
   private readonly _store: StoreHttp;
   private readonly _links: RunnerLinks;
-  private readonly _peers: EntryClients;
+  private readonly _peers: RpcClients<Client<typeof EntryService>>;
   private readonly _callers = new Map<number, WaitingCaller>();
   private readonly _polls = new Map<number, (reply: PollReply) => void>();
   private _core: EntryCore;
@@ -81,7 +85,9 @@
     this._options = options;
     this._address = advertisedAddress(settings);
     this._tls = loadTls(settings.tls);
-    this._peers = new EntryClients(this._tls);
+    this._peers = new RpcClients((address) =>
+      connectEntry({ address, tls: this._tls }),
+    );
     this._store = new StoreHttp({
       url: settings.store.url,
       timeoutMs: settings.store.timeout,
--- /dev/null
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -0,0 +1,78 @@
+import { Counter, Gauge, Histogram } from 'prom-client';
+import { createRegistry } from './metrics.js';
+
+const MS_BUCKETS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000];
+
+/** Metrics of an entry on the platform. */
+export class BatchEntryMetrics {
+  readonly registry = createRegistry();
+  readonly storeCalls = new Counter({
+    name: 'sapphiremux_store_calls_total',
+    help: 'Calls to the platform store.',
+    labelNames: ['kind', 'outcome'] as const,
+    registers: [this.registry],
+  });
+  readonly replies = new Counter({
+    name: 'sapphiremux_replies_total',
+    help: 'Answers to callers by what they asked and got.',
+    labelNames: ['call', 'reply'] as const,
+    registers: [this.registry],
+  });
+  readonly replyMs = new Histogram({
+    name: 'sapphiremux_reply_milliseconds',
+    help: 'Time from a call to its answer.',
+    labelNames: ['call'] as const,
+    buckets: MS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly decisions = new Counter({
+    name: 'sapphiremux_decisions_total',
+    help: 'Decisions by kind, as in the log.',
+    labelNames: ['decision'] as const,
+    registers: [this.registry],
+  });
+  readonly openJobs = new Gauge({
+    name: 'sapphiremux_open_jobs',
+    help: 'Jobs without a recorded outcome.',
+    registers: [this.registry],
+  });
+  readonly waitingJobs = new Gauge({
+    name: 'sapphiremux_waiting_jobs',
+    help: 'Jobs with tasks that wait for room.',
+    registers: [this.registry],
+  });
+  readonly configVersion = new Gauge({
+    name: 'sapphiremux_config_version',
+    help: 'Version of the configuration in force.',
+    registers: [this.registry],
+  });
+}
+
+/** Metrics of the process beside a worker. */
+export class WorkerMetrics {
+  readonly registry = createRegistry();
+  readonly calls = new Counter({
+    name: 'sapphiremux_worker_calls_total',
+    help: 'Calls to the worker by kind and what became of them.',
+    labelNames: ['kind', 'reply'] as const,
+    registers: [this.registry],
+  });
+  readonly callMs = new Histogram({
+    name: 'sapphiremux_worker_call_milliseconds',
+    help: 'Time of a call to the worker.',
+    labelNames: ['kind'] as const,
+    buckets: MS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly activeRuns = new Gauge({
+    name: 'sapphiremux_active_runs',
+    help: 'Runs that may be active.',
+    registers: [this.registry],
+  });
+  readonly decisions = new Counter({
+    name: 'sapphiremux_decisions_total',
+    help: 'Decisions by kind, as in the log.',
+    labelNames: ['decision'] as const,
+    registers: [this.registry],
+  });
+}
--- a/packages/daemon/src/lib/process/logger.ts
+++ b/packages/daemon/src/lib/process/logger.ts
@@ -6,6 +6,8 @@
   readonly format: 'json' | 'pretty';
   /** Name of the process in each line. */
   readonly name: string;
+  /** Receives each line; standard error when not given. */
+  readonly write?: (line: string) => void;
 }
 
 /** What a log line carries besides its message. */
@@ -18,7 +20,7 @@
 
 /**
  * @param options - Level, format and name.
- * @returns A log that writes to standard error.
+ * @returns A log.
  */
 export const createLogger = (options: LogOptions): Log => {
   const logger = new Logger<unknown>({
@@ -27,10 +29,15 @@
     minLevel: MIN_LEVEL[options.level],
     hideLogPositionForProduction: true,
   });
+  const write =
+    options.write ??
+    ((text: string): void => {
+      process.stderr.write(text);
+    });
   logger.attachTransport((line) => {
     const text =
       options.format === 'json' ? toJson(line) : toPretty(options.name, line);
-    process.stderr.write(`${text}\n`);
+    write(`${text}\n`);
   });
   return logger;
 };
--- a/packages/daemon/src/lib/process/runner-host.ts
+++ b/packages/daemon/src/lib/process/runner-host.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import type { ConnectRouter } from '@connectrpc/connect';
+import type { Client, ConnectRouter } from '@connectrpc/connect';
 import { RefusalReason, RunnerCore, storeKeys } from '@sapphiremux/core';
 import type {
   FenceReply,
@@ -14,11 +14,15 @@
   RunnerMessageSchema,
   RunnerService,
 } from '@sapphiremux/wire';
-import type { EntryMessage, RunnerMessage } from '@sapphiremux/wire';
+import type {
+  EntryMessage,
+  EntryService,
+  RunnerMessage,
+} from '@sapphiremux/wire';
 import { EndpointClient } from '../connection/endpoint-client.js';
-import { EntryClients } from '../connection/entry-clients.js';
+import { RpcClients } from '../connection/rpc-clients.js';
 import { MessageQueue } from '../connection/message-queue.js';
-import { startRpcServer } from '../connection/rpc.js';
+import { connectEntry, startRpcServer } from '../connection/rpc.js';
 import type { RpcServer } from '../connection/rpc.js';
 import { loadTls } from '../connection/tls.js';
 import type { TlsContext } from '../connection/tls.js';
@@ -51,7 +55,7 @@
   private readonly _tls: TlsContext | undefined;
   private readonly _store: StoreHttp;
   private readonly _endpoint = new EndpointClient();
-  private readonly _entryClients: EntryClients;
+  private readonly _entryClients: RpcClients<Client<typeof EntryService>>;
   private readonly _queues = new Map<string, MessageQueue<RunnerMessage>>();
   private readonly _fences = new Map<number, (reply: FenceReply) => void>();
   private _entries: string[] = [];
@@ -66,7 +70,9 @@
     const { settings, incarnation } = options;
     this._options = options;
     this._tls = loadTls(settings.tls);
-    this._entryClients = new EntryClients(this._tls);
+    this._entryClients = new RpcClients((address) =>
+      connectEntry({ address, tls: this._tls }),
+    );
     this._store = new StoreHttp({
       url: settings.store.url,
       timeoutMs: settings.store.timeout,
--- /dev/null
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -0,0 +1,177 @@
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { WorkerDriver } from '@sapphiremux/core';
+import type {
+  WorkerAction,
+  WorkerDriverOptions,
+  WorkerEvent,
+} from '@sapphiremux/core';
+import { WorkerReportSchema, WorkerService } from '@sapphiremux/wire';
+import type {
+  WorkerOrder,
+  WorkerReport as WireWorkerReport,
+} from '@sapphiremux/wire';
+import { MessageQueue } from '../connection/message-queue.js';
+import { startRpcServer } from '../connection/rpc.js';
+import type { RpcServer } from '../connection/rpc.js';
+import { now } from './clock.js';
+import { WorkerMetrics } from './fleet-metrics.js';
+import type { WorkerPort } from './fleet-ports.js';
+import type { Log } from './logger.js';
+
+/** Options of {@link WorkerHost}. */
+export interface WorkerHostOptions {
+  readonly driver: WorkerDriverOptions;
+  readonly worker: WorkerPort;
+  /** Address for the entries. */
+  readonly listen: { readonly host: string; readonly port: number };
+  readonly log: Log;
+  /** Called when a planned stop has ended. */
+  readonly onStopped: () => void;
+}
+
+const TICK_MS = 100;
+
+/** Runs the decisions of the process beside a worker. */
+export class WorkerHost {
+  readonly metrics = new WorkerMetrics();
+  private readonly _options: WorkerHostOptions;
+  private readonly _driver: WorkerDriver;
+  private readonly _links = new Map<number, MessageQueue<WireWorkerReport>>();
+  private _server: RpcServer | undefined;
+  private _timer: NodeJS.Timeout | undefined;
+  private _lookTimer: NodeJS.Timeout | undefined;
+  private _flushPlanned = false;
+  private _nextLinkId = 1;
+
+  /** @param options - The worker, addresses and receivers. */
+  constructor(options: WorkerHostOptions) {
+    this._options = options;
+    this._driver = new WorkerDriver(options.driver);
+  }
+
+  /** Starts to listen and to look after the worker. */
+  async start(): Promise<void> {
+    this._tick();
+    this._server = await startRpcServer({
+      ...this._options.listen,
+      routes: (router) => {
+        this._addRoutes(router);
+      },
+    });
+  }
+
+  /** @param event - Something that happened. */
+  dispatch(event: WorkerEvent): void {
+    for (const action of this._driver.handle(event, now())) {
+      this._run(action);
+    }
+    if (!this._flushPlanned && event.kind !== 'flush') {
+      this._flushPlanned = true;
+      setImmediate(() => {
+        this._flushPlanned = false;
+        this.dispatch({ kind: 'flush' });
+        this._planLook();
+      });
+    }
+  }
+
+  /** Ends all connections and timers. */
+  async close(): Promise<void> {
+    clearTimeout(this._timer);
+    clearTimeout(this._lookTimer);
+    for (const queue of this._links.values()) {
+      queue.close();
+    }
+    await this._server?.close();
+    await this._options.worker.close();
+  }
+
+  private _tick(): void {
+    this.dispatch({ kind: 'tick' });
+    this.metrics.activeRuns.set(this._driver.activeRuns);
+    this._timer = setTimeout(() => {
+      this._tick();
+    }, TICK_MS);
+  }
+
+  private _planLook(): void {
+    const dueMs = this._driver.nextLookAtMs;
+    if (dueMs === undefined || this._lookTimer !== undefined) {
+      return;
+    }
+    this._lookTimer = setTimeout(
+      () => {
+        this._lookTimer = undefined;
+        this.dispatch({ kind: 'tick' });
+      },
+      Math.max(1, dueMs - now()),
+    );
+  }
+
+  private _addRoutes(router: ConnectRouter): void {
+    router.service(WorkerService, {
+      drive: (orders) => this._drive(orders),
+    });
+  }
+
+  private _drive(
+    orders: AsyncIterable<WorkerOrder>,
+  ): MessageQueue<WireWorkerReport> {
+    const linkId = this._nextLinkId++;
+    const queue = new MessageQueue<WireWorkerReport>();
+    this._links.set(linkId, queue);
+    this.dispatch({ kind: 'link-open', linkId });
+    void this._receive(linkId, orders, queue);
+    return queue;
+  }
+
+  private async _receive(
+    linkId: number,
+    orders: AsyncIterable<WorkerOrder>,
+    queue: MessageQueue<WireWorkerReport>,
+  ): Promise<void> {
+    let detail = 'ended by the entry';
+    try {
+      for await (const order of orders) {
+        this.dispatch({ kind: 'order', linkId, order });
+      }
+    } catch (err) {
+      detail = (err as Error).message;
+    }
+    this._options.log.info('link from entry closed', { linkId, detail });
+    this._links.delete(linkId);
+    queue.close();
+    this.dispatch({ kind: 'link-closed', linkId });
+  }
+
+  private _run(action: WorkerAction): void {
+    switch (action.kind) {
+      case 'call':
+        void this._call(action);
+        return;
+      case 'report':
+        this._links
+          .get(action.linkId)
+          ?.push(create(WorkerReportSchema, action.report));
+        return;
+      case 'log':
+        this.metrics.decisions.inc({ decision: action.message });
+        this._options.log.info(action.message, action.fields);
+        return;
+      case 'stopped':
+        this._options.onStopped();
+    }
+  }
+
+  private async _call({
+    callId,
+    call,
+  }: Extract<WorkerAction, { kind: 'call' }>): Promise<void> {
+    const startedAtMs = now();
+    const reply = await this._options.worker.call(call);
+    this.metrics.calls.inc({ kind: call.kind, reply: reply.kind });
+    this.metrics.callMs.observe({ kind: call.kind }, now() - startedAtMs);
+    this.dispatch({ kind: 'reply', callId, reply });
+  }
+}
