--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -73,10 +73,12 @@
 const MEMBER_WAIT_MS = 600;
 /** Longest wait of a call for changes by operators. */
 const OPERATOR_WAIT_MS = 1000;
-/** Pause between two words to a worker that has nothing to do. */
-const GRANT_PERIOD_MS = 300;
+/** Pause between two words to a worker that has runs of this entry. */
+const GRANT_PERIOD_MS = 200;
+/** Pause between two words to a worker that has none. */
+const IDLE_GRANT_PERIOD_MS = 450;
 /** Pause before a link to a worker is opened again. */
-const REOPEN_MS = 250;
+const REOPEN_MS = 100;
 /** Ends of a job that goes on are recorded after this time. */
 const PROGRESS_AFTER_MS = 500;
 /** Pause between two tries of a lookup. */
@@ -102,6 +104,8 @@
   readonly life: string;
   readonly number: number;
   readonly superseded: boolean;
+  /** Whether this entry has sent the run. */
+  readonly isOwnRun: boolean;
 }
 
 interface OwnJob extends RecordedJob {
@@ -112,6 +116,10 @@
   isFinishing: boolean;
   /** Callers that wait for the final row. */
   cancelReplies: number[];
+  /** Callers that wait for the end of a job that is not recorded. */
+  endReplies: number[];
+  /** When the callers of a volatile job stop waiting. */
+  readonly deadlineMs: number;
   /** Incarnation whose runs of this job are not all known yet. */
   heirOf: string | undefined;
 }
@@ -304,7 +312,7 @@
         );
         return;
       case 'caller-gone':
-        this._asks.delete(event.replyId);
+        this._onCallerGone(event.replyId, now);
         return;
       case 'link-closed':
         this._onLinkClosed(event.linkId, now);
@@ -330,6 +338,8 @@
       case 'paused':
         this._log('pause suspected', { jumpMs: Math.round(event.jumpMs) });
         this._members.distrust();
+        // Callers may have given up meanwhile and asked another entry.
+        this._abandonVolatile('this process was paused', now);
         return;
       case 'tick':
         this._onTick(now);
@@ -486,6 +496,7 @@
       ...[...this._submissions.values()].flatMap((s) => s.replies),
       ...this._asks.keys(),
       ...[...this._jobs.values()].flatMap((own) => own.cancelReplies),
+      ...[...this._jobs.values()].flatMap((own) => own.endReplies),
     ];
   }
 
@@ -496,6 +507,10 @@
     now: number,
   ): void {
     const { id, replyId, content } = event;
+    if (content.isVolatile) {
+      this._onVolatile(event, now);
+      return;
+    }
     if (this._jobs.has(id) || this._ended.has(id)) {
       this._reply(replyId, { kind: 'accepted' });
       return;
@@ -554,6 +569,86 @@
     });
   }
 
+  /** A job that is not recorded and ends with its caller. */
+  private _onVolatile(
+    event: Extract<BatchEvent, { kind: 'submit' }>,
+    now: number,
+  ): void {
+    const { id, replyId, content, deadlineMs } = event;
+    const known = this._jobs.get(id);
+    if (known) {
+      known.endReplies.push(replyId);
+      return;
+    }
+    const refusal = this._isLeaving
+      ? SubmitRefusal.Stopping
+      : this._hasTenure
+        ? undefined
+        : SubmitRefusal.NoTenure;
+    if (refusal) {
+      this._log('job refused', { job: id, reason: refusal });
+      this._reply(replyId, {
+        kind: 'refused',
+        reason: refusal,
+        retryAfterMs: STORE_RETRY_AFTER_MS,
+      });
+      return;
+    }
+    const own = this._addJob(
+      new BatchJob({ id, content, epoch: 0, acceptedAtMs: now }),
+      { id, version: 0, hasProgressRow: false },
+      deadlineMs - REPLY_RESERVE_MS,
+    );
+    own.endReplies.push(replyId);
+    this._log('job accepted', {
+      job: id,
+      queue: content.queue,
+      config: this.routes.version ?? 0,
+      tasks: own.job.tasks.length,
+      waitMs: Math.round(deadlineMs - now),
+    });
+  }
+
+  private _onCallerGone(replyId: number, now: number): void {
+    this._asks.delete(replyId);
+    for (const own of this._jobs.values()) {
+      if (own.endReplies.includes(replyId)) {
+        own.endReplies = own.endReplies.filter((other) => other !== replyId);
+        if (own.endReplies.length === 0) {
+          this._abandon(own, 'caller gone', now);
+        }
+        return;
+      }
+    }
+  }
+
+  /** Ends a volatile job whose caller no longer waits or may ask elsewhere. */
+  private _abandon(own: OwnJob, reason: string, now: number): void {
+    this._log('job abandoned', {
+      job: own.id,
+      reason,
+      ageMs: Math.round(now - own.job.acceptedAtMs),
+      callers: own.endReplies.length,
+    });
+    this._stopRuns(own);
+    this._drop(own);
+    this._replyAll(own.endReplies, { kind: 'in-doubt', detail: reason });
+  }
+
+  private _abandonVolatile(reason: string, now: number): void {
+    for (const own of [...this._jobs.values()]) {
+      if (own.job.content.isVolatile) {
+        this._abandon(own, reason, now);
+      }
+    }
+  }
+
+  private _drop(own: OwnJob): void {
+    this._jobs.delete(own.id);
+    this._waiting.delete(own);
+    this._acknowledge(own.owed);
+  }
+
   private _refusalOf(): SubmitRefusal | undefined {
     if (this._isLeaving) {
       return SubmitRefusal.Stopping;
@@ -564,7 +659,11 @@
     return this._hasTenure ? undefined : SubmitRefusal.NoTenure;
   }
 
-  private _addJob(job: BatchJob, record: RecordedJob): OwnJob {
+  private _addJob(
+    job: BatchJob,
+    record: RecordedJob,
+    deadlineMs = Number.POSITIVE_INFINITY,
+  ): OwnJob {
     const own: OwnJob = {
       ...record,
       job,
@@ -573,6 +672,8 @@
       isSaving: false,
       isFinishing: false,
       cancelReplies: [],
+      endReplies: [],
+      deadlineMs,
       heirOf: undefined,
     };
     this._jobs.set(job.id, own);
@@ -783,7 +884,7 @@
 
   private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
     const name = runName(end);
-    view.placed.delete(name);
+    const isOwnRun = view.placed.delete(name);
     const superseded =
       end.kind === EndKind.DONE && this._superseded.has(name);
     const owed: OwedRecord = {
@@ -791,13 +892,16 @@
       life: end.life,
       number: end.number,
       superseded,
+      isOwnRun,
     };
     const own = this._jobOf(end.task);
     if (!own) {
       this._onForeignEnd(owed, end, now);
       return;
     }
-    if (end.number > 0) {
+    if (own.job.content.isVolatile) {
+      this._acknowledge([owed]);
+    } else if (end.number > 0) {
       this._owe(own, owed, now);
     }
     const task = own.job.task(end.task);
@@ -863,7 +967,7 @@
       return;
     }
     const id = end.task.slice(0, end.task.indexOf('.'));
-    if (this._ended.has(id)) {
+    if (this._ended.has(id) || owed.isOwnRun) {
       this._acknowledge([owed]);
       return;
     }
@@ -1044,13 +1148,16 @@
     own.isFinishing = true;
     this._waiting.delete(own);
     const { job } = own;
-    for (const task of job.tasks) {
-      if (task.phase === TaskPhase.Placed) {
-        const view = this._workers.get(task.worker);
-        if (view) {
-          this._stopAt(view, task.name, task.run);
-        }
-      }
+    this._stopRuns(own);
+    if (job.content.isVolatile) {
+      this._log('job ended', {
+        job: own.id,
+        state: job.state,
+        tookMs: Math.round(now - job.acceptedAtMs),
+      });
+      this._drop(own);
+      this._replyAll(own.endReplies, { kind: 'ended', state: job.state });
+      return;
     }
     const isUrgent = own.cancelReplies.length > 0;
     this._recorder.finish(own, job.state, isUrgent, now, (outcome, at) => {
@@ -1079,6 +1186,17 @@
     });
   }
 
+  private _stopRuns(own: OwnJob): void {
+    for (const task of own.job.tasks) {
+      if (task.phase === TaskPhase.Placed) {
+        const view = this._workers.get(task.worker);
+        if (view) {
+          this._stopAt(view, task.name, task.run);
+        }
+      }
+    }
+  }
+
   private _saveProgress(now: number): void {
     for (const own of this._jobs.values()) {
       const isDue =
@@ -1284,6 +1402,11 @@
         submission.replies = [];
       }
     }
+    for (const own of [...this._jobs.values()]) {
+      if (now > own.deadlineMs) {
+        this._abandon(own, 'deadline passed', now);
+      }
+    }
     for (const ask of [...this._asks.values()]) {
       if (now > ask.deadlineMs - REPLY_RESERVE_MS) {
         this._answer(ask, {
@@ -1349,7 +1472,9 @@
       if (linkId === undefined) {
         continue;
       }
-      if (!view.isDirty && now - view.sentAtMs < GRANT_PERIOD_MS) {
+      const periodMs =
+        view.placed.size > 0 ? GRANT_PERIOD_MS : IDLE_GRANT_PERIOD_MS;
+      if (!view.isDirty && now - view.sentAtMs < periodMs) {
         continue;
       }
       const order = view.takeOrder();
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -25,6 +25,8 @@
 /** Answer to a desk. */
 export type BatchReply =
   | { readonly kind: 'accepted' }
+  /** A job whose caller has waited for its end. */
+  | { readonly kind: 'ended'; readonly state: BatchState }
   | {
       readonly kind: 'refused';
       readonly reason: SubmitRefusal;
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -48,6 +48,8 @@
 const START_ATTEMPTS = 2;
 /** Time an owner's expired runs get to stop before the lease is let go. */
 export const EXPIRY_GRACE_MS = 400;
+/** Time in which an entry may come back over a new link. */
+const RELINK_MS = 450;
 /** How long a run found without an owner is kept for one to claim it. */
 const CLAIM_GRACE_MS = 1500;
 /** Pause between reports that say nothing but how much room is free. */
@@ -198,7 +200,7 @@
         this._onOrder(event.linkId, event.order, now);
         break;
       case 'link-closed':
-        this._links.delete(event.linkId);
+        this._onLinkClosed(event.linkId, now);
         break;
       case 'reply':
         this._onReply(event.callId, event.reply, now);
@@ -315,6 +317,19 @@
     this._touchAll();
   }
 
+  private _onLinkClosed(linkId: number, now: number): void {
+    const owner = this._links.get(linkId)?.incarnation ?? '';
+    this._links.delete(linkId);
+    const isLinked = [...this._links.values()].some(
+      (link) => link.incarnation === owner,
+    );
+    const held = this._holdUntil.get(owner);
+    if (!isLinked && held !== undefined) {
+      const untilMs = this._clock.atLeast(now) + RELINK_MS;
+      this._holdUntil.set(owner, Math.min(held, untilMs));
+    }
+  }
+
   private _onOrder(linkId: number, order: WorkerOrder, now: number): void {
     const link = this._links.get(linkId);
     if (!link) {
@@ -407,13 +422,21 @@
   private _startGroup(link: Link, group: StartGroup, now: number): void {
     const needs = group.needs ?? NO_ROOM;
     for (const { task, run, checkpoint } of group.runs) {
-      const known = this._runs.get(runKey(task, run));
-      if (known) {
-        continue;
-      }
       const refuse = (reason: StartRefusal): void => {
         link.report.refused = [...link.report.refused, { task, run, reason }];
       };
+      const known = this._activeRunOf(task);
+      if (known?.run === run && known.owner === link.incarnation) {
+        continue;
+      }
+      if (known) {
+        // Left by an entry whose caller has come back elsewhere.
+        if (known.phase !== Phase.Stopping) {
+          this._sendStop(known);
+        }
+        refuse(StartRefusal.STALE_RUN);
+        continue;
+      }
       if (!this._isAccepting) {
         refuse(StartRefusal.NOT_READY);
         continue;
@@ -441,6 +464,15 @@
     }
   }
 
+  private _activeRunOf(task: string): RunRecord | undefined {
+    for (const record of this._runs.values()) {
+      if (record.task === task) {
+        return record;
+      }
+    }
+    return undefined;
+  }
+
   private _sendStart(record: RunRecord, now: number): void {
     const held = this._holdUntil.get(record.owner) ?? 0;
     // A start that is carried out late must not begin once its owner may
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -10,7 +10,7 @@
 import { EXPIRY_GRACE_MS } from './worker-driver.js';
 
 /** How long runs may go on after the last word of their entry. */
-export const HOLD_MS = 1200;
+export const HOLD_MS = 700;
 /** Longest lease of a worker plus the time that a stop takes. */
 const LAPSE_MS = 1100;
 /** Bound for the answers of the worker that are still under way. */
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -26,6 +26,8 @@
   readonly steps: readonly JobStepContent[];
   /** Failed runs of one task after which the job has failed. */
   readonly attempts: number;
+  /** It is not recorded: its caller waits for the end, and may send it again. */
+  readonly isVolatile: boolean;
   /** 0 comes first. */
   readonly priority: number;
   /** The objective is `stretch` times the longest chain plus `slackMs`. */
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -105,14 +105,23 @@
    * Hands a call to the decisions.
    *
    * @param toEvent - Makes the event from the id of the answer.
+   * @param onGone - Tells how to learn that the caller no longer waits.
    * @returns The answer.
    */
-  ask(toEvent: (replyId: number) => BatchEvent): Promise<BatchReply> {
+  ask(
+    toEvent: (replyId: number) => BatchEvent,
+    onGone?: (listener: () => void) => void,
+  ): Promise<BatchReply> {
     const replyId = this._nextReplyId++;
     const event = toEvent(replyId);
     return new Promise((resolve) => {
       const startedAtMs = now();
       this._callers.set(replyId, { call: event.kind, startedAtMs, resolve });
+      onGone?.(() => {
+        if (this._callers.delete(replyId)) {
+          this.dispatch({ kind: 'caller-gone', replyId });
+        }
+      });
       this.dispatch(event);
     });
   }
