--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -53,7 +53,11 @@
 /** How long a run found without an owner is kept for one to claim it. */
 const CLAIM_GRACE_MS = 1500;
 /** Pause between reports that say nothing but how much room is free. */
-const ROOM_REPORT_MS = 20;
+const ROOM_REPORT_MS = 250;
+/** The same pause while room is scarce, so that waiting work learns of it. */
+const SCARCE_REPORT_MS = 25;
+/** Share of the worker's processor time below which room is scarce. */
+const SCARCE_SHARE = 0.25;
 /** Ends that nobody recorded are offered to all entries this often. */
 const ORPHAN_PERIOD_MS = 2000;
 /** Raised by this when the worker has seen a higher token. */
@@ -910,7 +914,8 @@
       if (link.incarnation === '') {
         continue;
       }
-      const isRoomDue = now - link.roomSentAtMs >= ROOM_REPORT_MS;
+      const isRoomDue =
+        now - link.roomSentAtMs >= this._roomPeriodMs(link, free);
       if (!link.isDirty && !(this._roomChanged(link, free) && isRoomDue)) {
         continue;
       }
@@ -934,6 +939,14 @@
     }
   }
 
+  private _roomPeriodMs(link: Link, free: Room): number {
+    const scarce = SCARCE_SHARE * (this._worker?.capacity.cpuMilli ?? 0);
+    const sent = link.report.free?.cpuMilli ?? 0;
+    return Math.min(free.cpuMilli, sent) < scarce
+      ? SCARCE_REPORT_MS
+      : ROOM_REPORT_MS;
+  }
+
   private _roomChanged(link: Link, free: Room): boolean {
     const sent = link.report.free;
     return (
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,17 +1,25 @@
-// Bundles the roles that run on the users' platform into target/.
-import { rmSync, writeFileSync } from 'node:fs';
+// Bundles the roles that run on the users' platform into target/, each with
+// its compiled code, so that a process does not compile it at every start.
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, readFileSync, rmSync } from 'node:fs';
 import { build } from 'esbuild';
+import { parse } from 'smol-toml';
 
 const OUT = 'target';
+const ROLES = ['entry', 'worker'];
 const sources = (name) => `./packages/${name}/src/index.ts`;
 
 rmSync(OUT, { recursive: true, force: true });
 await build({
-  entryPoints: { platform: 'platform/src/main.ts' },
+  entryPoints: Object.fromEntries(
+    ROLES.map((role) => [role, `platform/src/run-${role}.ts`]),
+  ),
   outdir: OUT,
+  outExtension: { '.js': '.cjs' },
   bundle: true,
-  splitting: true,
-  format: 'esm',
+  minify: true,
+  keepNames: true,
+  format: 'cjs',
   platform: 'node',
   target: 'node20',
   // Bundled from source, so that no compiled package has to be there first.
@@ -20,10 +28,16 @@
     '@sapphiremux/wire': sources('wire'),
     '@sapphiremux/daemon/fleet': './packages/daemon/src/fleet.ts',
   },
-  // CommonJS packages inside the bundle load Node's modules by require.
-  banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
-  },
   logLevel: 'warning',
 });
-writeFileSync(`${OUT}/package.json`, '{"type":"module"}\n');
+copyFileSync('platform/launch.cjs', `${OUT}/sapphiremux.cjs`);
+const { roles } = parse(readFileSync('deploy/system.toml', 'utf8'));
+for (const role of ROLES) {
+  // Compiled code is only accepted under the flags that it was made with.
+  const [, ...words] = roles[role].run.split(' ');
+  const args = [...words, '--compile'];
+  const { status } = spawnSync(process.execPath, args, { stdio: 'inherit' });
+  if (status !== 0) {
+    process.exit(status ?? 1);
+  }
+}
