Fewer messages, log lines and looks a task; stand-ins of the platform

A worker answers a look at once while ends are listed, so each end was seen about ten times until its acknowledgement came back.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -814,11 +814,7 @@
       }
       if (view.linkId === undefined && now >= view.reopenAtMs) {
         const linkId = this._nextLinkId++;
-        view.linkId = linkId;
-        view.linkedAtMs = now;
-        view.isKnown = false;
-        view.isDirty = true;
-        view.adopted.clear();
+        view.relink(linkId, now);
         view.order.adopt = [...this._fenced.keys()];
         this._links.set(linkId, view);
         this._actions.push({ kind: 'open-link', linkId, address: view.address });
@@ -853,9 +849,6 @@
     if (before?.life !== view.hello?.life) {
       this._health.reset(view.name);
     }
-    for (const ref of report.started) {
-      this._onStarted(view, ref.task);
-    }
     for (const end of report.ends) {
       this._onEnd(view, end, now);
     }
@@ -872,16 +865,6 @@
     return this._jobs.get(dot < 0 ? task : task.slice(0, dot));
   }
 
-  private _onStarted(view: WorkerView, name: string): void {
-    const own = this._jobOf(name);
-    const task = own?.job.task(name);
-    if (own && task?.worker === view.name) {
-      if (own.job.state === BatchState.Queued) {
-        own.job.state = BatchState.Running;
-      }
-    }
-  }
-
   private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
     const name = runName(end);
     const isOwnRun = view.placed.delete(name);
@@ -910,13 +893,15 @@
     }
     this._noteHealth(own, task, end, view, now);
     own.job.applyEnd(task, end, view.name, now);
-    this._log('run ended', {
-      task: end.task,
-      run: end.run,
-      worker: view.name,
-      how: EndKind[end.kind],
-      failures: task.failures,
-    });
+    if (end.kind !== EndKind.DONE) {
+      this._log('run ended early', {
+        task: end.task,
+        run: end.run,
+        worker: view.name,
+        how: EndKind[end.kind],
+        failures: task.failures,
+      });
+    }
     if (isFinal(own.job.state)) {
       this._finish(own, now);
     } else if (task.phase !== TaskPhase.Done) {
@@ -990,8 +975,8 @@
     for (const { worker, life, number, superseded } of owed) {
       const view = this._workers.get(worker);
       if (view && number > 0) {
+        // Rides with the next order; nobody waits for it.
         view.order.recorded.push({ life, number, superseded });
-        view.isDirty = true;
       }
     }
   }
@@ -1100,13 +1085,14 @@
       task: name,
       run,
       needs,
-      isCounted: true,
+      sequence: 0,
     });
     if (owner === '') {
       view.order.claims.push({
         spec: '',
         needs,
         runs: [{ task: name, run, checkpoint: '' }],
+        volatile: own.job.content.isVolatile,
       });
       view.isDirty = true;
     }
@@ -1501,14 +1487,25 @@
         continue;
       }
       const ready = own.job.ready;
-      let left = ready.length;
+      const placed: string[] = [];
       for (const task of ready) {
-        if (!this._placeTask(own, task, candidates, now)) {
+        const at = this._placeTask(own, task, candidates, now);
+        if (at === undefined) {
           break;
         }
-        left -= 1;
+        placed.push(at);
+      }
+      if (placed.length > 0) {
+        own.job.state = BatchState.Running;
+        this._log('runs placed', {
+          job: own.id,
+          runs: placed.join(' '),
+          left: ready.length - placed.length,
+          waitedMs: Math.round(now - own.job.acceptedAtMs),
+          config: this.routes.version ?? 0,
+        });
       }
-      if (left === 0) {
+      if (placed.length === ready.length) {
         this._waiting.delete(own);
       }
     }
@@ -1545,7 +1542,7 @@
     task: BatchTask,
     candidates: readonly PlacementCandidate[],
     now: number,
-  ): boolean {
+  ): string | undefined {
     const { job } = own;
     const step = job.stepOf(task);
     const chosen = chooseWorker(
@@ -1565,7 +1562,7 @@
       this._options.random,
     );
     if (!chosen) {
-      return false;
+      return undefined;
     }
     const { view } = chosen;
     const run = job.place(task, view.name, now);
@@ -1574,7 +1571,7 @@
       task: task.name,
       run,
       needs: step.needs,
-      isCounted: false,
+      sequence: view.nextSequence,
     });
     chosen.free = subtractRoom(chosen.free, step.needs);
     const runs = { task: task.name, run, checkpoint: task.checkpoint };
@@ -1589,18 +1586,11 @@
         spec: job.content.spec,
         needs: step.needs,
         runs: [runs],
+        volatile: job.content.isVolatile,
       });
     }
     view.isDirty = true;
-    this._log('run placed', {
-      task: task.name,
-      run,
-      worker: view.name,
-      config: this.routes.version ?? 0,
-      reportAgeMs: Math.round(now - view.lastReportAtMs),
-      freeCpu: chosen.free.cpuMilli,
-    });
-    return true;
+    return `${task.name.slice(own.id.length)}#${String(run)}@${view.name}`;
   }
 
   private _log(message: string, fields: LogFields): void {
--- a/packages/core/src/lib/process/end-list.ts
+++ b/packages/core/src/lib/process/end-list.ts
@@ -22,6 +22,11 @@
     return this._ackedThrough;
   }
 
+  /** Whether any end waits for its record. */
+  get hasUnrecorded(): boolean {
+    return this._entries.size > 0;
+  }
+
   /** Ends that no owner has recorded. */
   get unrecorded(): RunEnd[] {
     return [...this._entries.values()]
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -42,12 +42,16 @@
 const HOLD_SLACK_MS = 150;
 /** Least time between two looks, so that ends share one answer. */
 const HOLD_GAP_MS = 8;
+/** The same while ends wait for their record: the worker answers at once. */
+const LISTED_GAP_MS = 30;
 /** A start or stop without an answer by then is sent again. */
 const CALL_TIMEOUT_MS = 200;
 /** Sends of one start before it is stopped instead. */
 const START_ATTEMPTS = 2;
 /** Time an owner's expired runs get to stop before the lease is let go. */
 export const EXPIRY_GRACE_MS = 400;
+/** Longest time without a word to an entry that gives orders. */
+const WORD_MS = 150;
 /** Time in which an entry may come back over a new link. */
 const RELINK_MS = 450;
 /** How long a run found without an owner is kept for one to claim it. */
@@ -79,6 +83,8 @@
   readonly spec: string;
   readonly checkpoint: string;
   needs: Room;
+  /** Its end is acknowledged without a record of its owner. */
+  isVolatile: boolean;
   /** Incarnation of the entry; empty while unknown. */
   owner: string;
   phase: Phase;
@@ -100,7 +106,7 @@
   adopted: string[];
   /** A snapshot is owed once the worker has been looked at. */
   wantsSnapshot: boolean;
-  roomSentAtMs: number;
+  sentAtMs: number;
 }
 
 type MutableReport = {
@@ -143,6 +149,7 @@
   private _holdCallId: number | undefined;
   private _holdAtMs = 0;
   private _looks = 0;
+  private _lookedAtMs = 0;
   /** Latest end of the lease that any call has asked for. */
   private _leaseEndMs = 0;
   private _leaseSuspended = false;
@@ -197,7 +204,7 @@
           isGreeted: false,
           adopted: [],
           wantsSnapshot: false,
-          roomSentAtMs: 0,
+          sentAtMs: 0,
         });
         break;
       case 'order':
@@ -341,7 +348,11 @@
     }
     const isFirst = link.incarnation === '';
     link.incarnation = order.incarnation;
-    link.isDirty = true;
+    link.report.sequence = order.sequence;
+    // Starts and acknowledgements are answered by what comes of them; an
+    // order that only keeps the link alive wants a word at once.
+    const isWord = order.starts.length === 0 && order.recorded.length === 0;
+    link.isDirty ||= isFirst || isWord || now - link.sentAtMs >= WORD_MS;
     for (const owner of order.adopt) {
       this._adopt(link, owner);
     }
@@ -351,6 +362,7 @@
         successor: this._fenced.get(order.incarnation) ?? '',
       });
       link.report.fenced = true;
+      link.isDirty = true;
       this._refuseAll(link, order.starts, StartRefusal.FENCED);
       return;
     }
@@ -401,6 +413,7 @@
       if (record?.owner === '') {
         record.owner = owner;
         record.needs = group.needs ?? NO_ROOM;
+        record.isVolatile = group.volatile;
       }
     }
   }
@@ -427,6 +440,7 @@
     const needs = group.needs ?? NO_ROOM;
     for (const { task, run, checkpoint } of group.runs) {
       const refuse = (reason: StartRefusal): void => {
+        link.isDirty = true;
         link.report.refused = [...link.report.refused, { task, run, reason }];
       };
       const known = this._activeRunOf(task);
@@ -455,6 +469,7 @@
         spec: group.spec,
         checkpoint,
         needs,
+        isVolatile: group.volatile,
         owner: link.incarnation,
         phase: Phase.Starting,
         starts: 0,
@@ -513,6 +528,7 @@
       spec: '',
       checkpoint: '',
       needs: NO_ROOM,
+      isVolatile: false,
       owner,
       phase: Phase.Stopping,
       starts: 0,
@@ -569,6 +585,7 @@
       this._leaseEndMs = Math.max(this._leaseEndMs, untilMs);
     }
     this._looks += 1;
+    this._lookedAtMs = now;
     this._holdCallId = this._call({
       kind: 'hold',
       id: this._worker?.id,
@@ -599,7 +616,7 @@
     }
     if (callId === this._holdCallId) {
       this._holdCallId = undefined;
-      this._holdAtMs = now + HOLD_GAP_MS;
+      this._holdAtMs = now;
     }
     if (pending.life !== this._lifeId && pending.life !== '') {
       return;
@@ -611,6 +628,7 @@
     switch (pending.call.kind) {
       case 'hold':
         this._onHeld(pending, reply, now);
+        this._planLook(reply, now);
         return;
       case 'start':
         this._onStarted(pending.call, reply, now);
@@ -663,7 +681,15 @@
       this._loseLife('other incarnation answers', now);
       this._worker = undefined;
     }
-    this._holdAtMs = now + HOLD_SLACK_MS;
+  }
+
+  private _planLook(reply: WorkerReply, now: number): void {
+    if (reply.kind !== 'held') {
+      this._holdAtMs = now + HOLD_SLACK_MS;
+      return;
+    }
+    const gapMs = this._ends.hasUnrecorded ? LISTED_GAP_MS : HOLD_GAP_MS;
+    this._holdAtMs = this._lookedAtMs + gapMs;
   }
 
   private _noteEnds(ends: readonly ListedEnd[], now: number): void {
@@ -675,6 +701,9 @@
       const record = this._runs.get(runKey(listed.task, listed.run));
       if (record) {
         this._runs.delete(runKey(listed.task, listed.run));
+        if (record.isVolatile) {
+          this._ends.record(end.number);
+        }
       }
       this._reportEnd(end, record?.owner ?? '');
     }
@@ -705,6 +734,7 @@
         spec: '',
         checkpoint: listed.checkpoint,
         needs: NO_ROOM,
+        isVolatile: false,
         owner: '',
         phase: Phase.Active,
         starts: 1,
@@ -772,12 +802,6 @@
       case 'done':
       case 'held':
         record.phase = Phase.Active;
-        this._withOwner(record.owner, (link) => {
-          link.report.started = [
-            ...link.report.started,
-            { task: record.task, run: record.run },
-          ];
-        });
         return;
       case 'rejected':
         this._onStartRejected(record, reply.reason, now);
@@ -915,7 +939,7 @@
         continue;
       }
       const isRoomDue =
-        now - link.roomSentAtMs >= this._roomPeriodMs(link, free);
+        now - link.sentAtMs >= this._roomPeriodMs(link, free);
       if (!link.isDirty && !(this._roomChanged(link, free) && isRoomDue)) {
         continue;
       }
@@ -933,8 +957,9 @@
       }
       link.report = emptyReport();
       link.report.free = free;
+      link.report.sequence = report.sequence;
       link.isDirty = false;
-      link.roomSentAtMs = now;
+      link.sentAtMs = now;
       this._actions.push({ kind: 'report', linkId: link.id, report });
     }
   }
@@ -1000,7 +1025,7 @@
   free: undefined,
   ends: [],
   refused: [],
-  started: [],
+  sequence: 0,
   active: [],
   snapshot: false,
   adopted: [],
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -28,8 +28,11 @@
   readonly task: string;
   readonly run: number;
   readonly needs: Room;
-  /** Whether the worker's reports of its free room count it already. */
-  isCounted: boolean;
+  /**
+   * Order that carries its start; 0 when the worker has told of it. Reports
+   * that take this order into account count its needs as used.
+   */
+  readonly sequence: number;
 }
 
 type MutableOrder = { -readonly [K in keyof WorkerOrder]: WorkerOrder[K] };
@@ -43,6 +46,7 @@
   stops: [],
   recorded: [],
   claims: [],
+  sequence: 0,
 });
 
 /** @returns Name of a run in tables keyed by run. */
@@ -70,6 +74,9 @@
   order = emptyOrder();
   isDirty = false;
   sentAtMs = 0;
+  /** Number of the order that is being gathered. */
+  nextSequence = 1;
+  private _reportedSequence = 0;
   private _free: Room = NO_ROOM;
 
   /**
@@ -85,7 +92,7 @@
   get free(): Room {
     let free = this._free;
     for (const run of this.placed.values()) {
-      if (!run.isCounted) {
+      if (run.sequence > this._reportedSequence) {
         free = subtractRoom(free, run.needs);
       }
     }
@@ -132,22 +139,36 @@
     this.isAccepting = report.accepting;
     this._free = report.free ?? NO_ROOM;
     this.hello = report.hello ?? this.hello;
-    for (const ref of report.started) {
-      const run = this.placed.get(runName(ref));
-      if (run) {
-        run.isCounted = true;
-      }
-    }
+    this._reportedSequence = report.sequence;
     for (const owner of report.adopted) {
       this.adopted.add(owner);
     }
   }
 
+  /**
+   * Begins a new link.
+   *
+   * @param linkId - Names the link.
+   * @param now - Current time in milliseconds.
+   */
+  relink(linkId: number, now: number): void {
+    this.linkId = linkId;
+    this.linkedAtMs = now;
+    this.isKnown = false;
+    this.isDirty = true;
+    this.adopted.clear();
+    this.order = emptyOrder();
+    this.nextSequence = 1;
+    this._reportedSequence = 0;
+  }
+
   /** @returns The gathered order; a new one is begun. */
   takeOrder(): MutableOrder {
     const { order } = this;
     this.order = emptyOrder();
     this.isDirty = false;
+    order.sequence = this.nextSequence;
+    this.nextSequence += 1;
     return order;
   }
 }
--- /dev/null
+++ b/packages/standins/src/lib/platform/fleet-estate.ts
@@ -0,0 +1,224 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { FleetWorker } from './fleet-worker.js';
+import { TableStore } from './table-store.js';
+
+/** Options of {@link FleetEstate}. */
+export interface FleetEstateOptions {
+  readonly entries: number;
+  readonly workers: number;
+  /** Arguments of Node before the program. */
+  readonly nodeArgs?: readonly string[];
+  readonly onLine?: (name: string, line: string) => void;
+}
+
+/** A process of the system in the estate. */
+export interface FleetProcess {
+  readonly name: string;
+  readonly role: 'entry' | 'worker';
+  readonly host: string;
+  child: ChildProcess;
+}
+
+/** Host name and paths of the queues. */
+export const FLEET_HOST = 'desk.example';
+export const FLEET_SERVICE = 'svc';
+
+const PEER_PORT = 7710;
+const FRONT_PORT = 8161;
+const READY_PORT = 8167;
+const CONTROL_PORT = 8166;
+const APP_PORT = 8165;
+const READY_TIMEOUT_MS = 15_000;
+const POLL_MS = 50;
+const PROGRAM = fileURLToPath(
+  new URL('../../../../../target/sapphiremux.cjs', import.meta.url),
+);
+
+/**
+ * The real programs on loopback addresses, with stand-ins of the platform.
+ *
+ * Each process has an address of its own, so that ports are the same
+ * everywhere, as on the platform.
+ */
+export class FleetEstate {
+  readonly store = new TableStore();
+  readonly workers: FleetWorker[] = [];
+  readonly processes: FleetProcess[] = [];
+  private readonly _options: FleetEstateOptions;
+  private readonly _folder = mkdtempSync(join(tmpdir(), 'sapphiremux-'));
+  private readonly _network = `127.${String(20 + (process.pid % 200))}`;
+  private _isClosing = false;
+
+  /** @param options - Sizes and receivers. */
+  constructor(options: FleetEstateOptions) {
+    this._options = options;
+  }
+
+  /** Starts everything and waits until the entries are ready. */
+  async start(): Promise<void> {
+    await this.store.start(`${this._network}.0.1`);
+    this.configure(1);
+    for (let i = 0; i < this._options.entries; i += 1) {
+      this._launch('entry', i);
+    }
+    for (let i = 0; i < this._options.workers; i += 1) {
+      const { host } = this._launch('worker', i);
+      const worker = new FleetWorker({
+        id: `i-${String(i)}`,
+        service: FLEET_SERVICE,
+        dataCentre: dataCentreOf(i),
+        control: `${host}:${String(CONTROL_PORT)}`,
+        listen: { host, port: APP_PORT },
+      });
+      this.workers.push(worker);
+      await worker.start();
+    }
+    await Promise.all(
+      this.processes
+        .filter(({ role }) => role === 'entry')
+        .map((entry) => this._untilReady(entry)),
+    );
+  }
+
+  /**
+   * Writes a configuration as an operator does.
+   *
+   * @param version - Its version.
+   */
+  configure(version: number): void {
+    const route = (name: string, priority: number): object => ({
+      name,
+      host: FLEET_HOST,
+      path_prefix: `/${name}/`,
+      kind: 'non_idempotent',
+      timeout_ms: 1500,
+      slo_ms: 60,
+      priority,
+      service: FLEET_SERVICE,
+      attempts: 3,
+      stretch: 1.6,
+    });
+    this.store.put('op', 'config', {
+      version,
+      routes: [route('short', 0), route('long', 2), route('middle', 1)],
+      services: [{ name: FLEET_SERVICE }],
+      limits: { max_body_bytes: 262_144 },
+    });
+  }
+
+  /** @returns Where desks reach an entry. */
+  frontOf(index: number): string {
+    const entry = this._processOf('entry', index);
+    return `http://${entry.host}:${String(FRONT_PORT)}`;
+  }
+
+  /**
+   * Sends a signal to a process of the system.
+   *
+   * @param role - Its role.
+   * @param index - Its number in the role.
+   * @param signal - The signal.
+   */
+  signal(
+    role: 'entry' | 'worker',
+    index: number,
+    signal: NodeJS.Signals,
+  ): void {
+    this._processOf(role, index).child.kill(signal);
+  }
+
+  /** Starts a process again that has ended. */
+  restart(role: 'entry' | 'worker', index: number): void {
+    const process = this._processOf(role, index);
+    process.child = this._spawn(process, index);
+  }
+
+  /** Ends all processes and stand-ins that this estate started. */
+  async close(): Promise<void> {
+    this._isClosing = true;
+    for (const { child } of this.processes) {
+      child.kill('SIGKILL');
+    }
+    await Promise.all(this.workers.map((worker) => worker.close()));
+    await this.store.close();
+    rmSync(this._folder, { recursive: true, force: true });
+  }
+
+  private _processOf(role: 'entry' | 'worker', index: number): FleetProcess {
+    const found = this.processes.filter((p) => p.role === role)[index];
+    if (!found) {
+      throw new Error(`no ${role} ${String(index)}`);
+    }
+    return found;
+  }
+
+  private _launch(role: 'entry' | 'worker', index: number): FleetProcess {
+    const net = role === 'entry' ? 1 : 2;
+    const host = `${this._network}.${String(net)}.${String(index + 1)}`;
+    const name = `${role}-${String(index)}`;
+    const process = { name, role, host } as FleetProcess;
+    process.child = this._spawn(process, index);
+    this.processes.push(process);
+    return process;
+  }
+
+  private _spawn(target: FleetProcess, index: number): ChildProcess {
+    const { name, role, host } = target;
+    const file = join(this._folder, `${name}.toml`);
+    writeFileSync(file, this._settings(name, host, index));
+    const args = [...(this._options.nodeArgs ?? []), PROGRAM, role];
+    const child = spawn(process.execPath, args, {
+      env: { ...process.env, SAPPHIREMUX_CONFIG: file },
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    let rest = '';
+    child.stdout.on('data', (chunk: Buffer) => {
+      const lines = (rest + chunk.toString('utf8')).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) {
+        this._options.onLine?.(name, line);
+      }
+    });
+    return child;
+  }
+
+  private _settings(name: string, host: string, index: number): string {
+    return [
+      `node_name = "${name}"`,
+      `ip = "${host}"`,
+      `zone = "${dataCentreOf(index)}"`,
+      `port_range = [${String(PEER_PORT)}, ${String(PEER_PORT + 15)}]`,
+      `app = "${host}:${String(APP_PORT)}"`,
+      '[listen]',
+      `front = "${host}:${String(FRONT_PORT)}"`,
+      `ready = "${host}:${String(READY_PORT)}"`,
+      `control = "${host}:${String(CONTROL_PORT)}"`,
+      '[bounds]',
+      'max_hold_ms = 1000',
+      'stop_ms = 50',
+      '[platform]',
+      `address = "${this.store.address}"`,
+    ].join('\n');
+  }
+
+  private async _untilReady({ host, name }: FleetProcess): Promise<void> {
+    const endsAt = Date.now() + READY_TIMEOUT_MS;
+    while (!this._isClosing && Date.now() < endsAt) {
+      const res = await fetch(`http://${host}:${String(READY_PORT)}/ready`).catch(
+        () => undefined,
+      );
+      if (res?.status === 200) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error(`${name} did not become ready`);
+  }
+}
+
+const dataCentreOf = (index: number): string => `dc-${String(index % 4)}`;
--- /dev/null
+++ b/packages/standins/src/lib/platform/table-store.ts
@@ -0,0 +1,225 @@
+import { startJsonServer } from './json-server.js';
+import type { JsonAnswer, JsonCall, JsonServer } from './json-server.js';
+
+interface StoredRow {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  readonly value: string;
+  readonly row_version: number;
+}
+
+interface RowKey {
+  readonly table: string;
+  readonly part?: string;
+  readonly key: string;
+}
+
+interface Transaction {
+  readonly expected_rev: readonly (RowKey & { row_version: number })[];
+  readonly writes: readonly (RowKey & { value: string })[];
+  readonly remove: readonly RowKey[];
+}
+
+interface Change extends StoredRow {
+  readonly tombstone?: boolean;
+}
+
+/** Longest wait for changes that the stand-in grants, in milliseconds. */
+const MAX_WAIT_MS = 30_000;
+
+/** What the stand-in does with calls. */
+export enum StoreMode {
+  Serving = 'serving',
+  /** Answers that nothing was done. */
+  Busy = 'busy',
+  /** Does not answer and does nothing. */
+  Silent = 'silent',
+  /** Does what it is asked and loses the answer. */
+  Mute = 'mute',
+}
+
+/** Stand-in of the platform's table service. */
+export class TableStore {
+  mode = StoreMode.Serving;
+  private readonly _rows = new Map<string, StoredRow>();
+  private _log: Change[] = [];
+  private _forgottenTo = 0;
+  private _version = 1;
+  private _waiting = new Set<() => void>();
+  private _server: JsonServer | undefined;
+
+  /** @returns Host and port. */
+  get address(): string {
+    const { host, port } = this._server ?? { host: '', port: 0 };
+    return `${host}:${String(port)}`;
+  }
+
+  /** @param host - Address to listen at; the port is a free one. */
+  async start(host: string): Promise<void> {
+    this._server = await startJsonServer((call) => this._serve(call), {
+      host,
+      port: 0,
+    });
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    for (const wake of this._waiting) {
+      wake();
+    }
+    await this._server?.close();
+  }
+
+  /** Drops the history: followers have to read their tables again. */
+  compact(): void {
+    this._log = [];
+    this._forgottenTo = this._version;
+  }
+
+  /**
+   * Writes a row as an operator does.
+   *
+   * @param table - Table of the row.
+   * @param key - Its key.
+   * @param value - Its content; `undefined` drops the row.
+   */
+  put(table: string, key: string, value: object | undefined): void {
+    const row = { table, part: '', key };
+    const text = Buffer.from(JSON.stringify(value ?? {})).toString('base64');
+    this._commit({
+      expected_rev: [],
+      writes: value ? [{ ...row, value: text }] : [],
+      remove: value ? [] : [row],
+    });
+  }
+
+  /** @returns Decoded rows of a table, over all parts. */
+  rows(table: string): { key: string; value: string }[] {
+    return [...this._rows.values()]
+      .filter((row) => row.table === table)
+      .map(({ key, value }) => ({
+        key,
+        value: Buffer.from(value, 'base64').toString('utf8'),
+      }));
+  }
+
+  private async _serve(call: JsonCall): Promise<JsonAnswer | undefined> {
+    switch (this.mode) {
+      case StoreMode.Busy:
+        return { status: 503 };
+      case StoreMode.Silent:
+        return undefined;
+      case StoreMode.Serving:
+        return this._answer(call);
+      case StoreMode.Mute:
+        await this._answer(call);
+        return undefined;
+    }
+  }
+
+  private async _answer(call: JsonCall): Promise<JsonAnswer> {
+    switch (call.path) {
+      case '/rows-tx':
+        return this._transact(call.body as Transaction);
+      case '/rows-get':
+        return this._get(call.query);
+      case '/rows-feed':
+        return this._feed(call.query);
+      default:
+        return { status: 404 };
+    }
+  }
+
+  private _transact(tx: Transaction): JsonAnswer {
+    const failed = tx.expected_rev.some(
+      (row) => (this._rows.get(idOf(row))?.row_version ?? 0) !== row.row_version,
+    );
+    if (failed) {
+      const rows = tx.expected_rev.flatMap(
+        (row) => this._rows.get(idOf(row)) ?? [],
+      );
+      return { status: 412, body: { rows, row_version: this._version } };
+    }
+    this._commit(tx);
+    return { status: 200, body: { row_version: this._version } };
+  }
+
+  private _commit(tx: Transaction): void {
+    this._version += 1;
+    for (const write of tx.writes) {
+      const { table, part = '', key, value } = write;
+      const row = { table, part, key, value, row_version: this._version };
+      this._rows.set(idOf(write), row);
+      this._log.push(row);
+    }
+    for (const key of tx.remove) {
+      this._rows.delete(idOf(key));
+      this._log.push({
+        ...key,
+        part: key.part ?? '',
+        value: '',
+        row_version: this._version,
+        tombstone: true,
+      });
+    }
+    const waiting = this._waiting;
+    this._waiting = new Set();
+    for (const wake of waiting) {
+      wake();
+    }
+  }
+
+  private _get(query: URLSearchParams): JsonAnswer {
+    const table = query.get('table');
+    const part = query.get('part') ?? '';
+    const from = query.get('from') ?? '';
+    const target = query.get('target');
+    const limit = Number(query.get('limit') ?? 500);
+    const found = [...this._rows.values()]
+      .filter(
+        (row) =>
+          row.table === table &&
+          row.part === part &&
+          row.key >= from &&
+          (target === null || row.key < target),
+      )
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return {
+      status: 200,
+      body: {
+        rows: found.slice(0, limit),
+        has_more: found.length > limit,
+        row_version: this._version,
+      },
+    };
+  }
+
+  private async _feed(query: URLSearchParams): Promise<JsonAnswer> {
+    const table = query.get('table');
+    const after = Number(query.get('after'));
+    const endsAt = Date.now() + Math.min(MAX_WAIT_MS, Number(query.get('wait_ms')));
+    for (;;) {
+      if (after < this._forgottenTo) {
+        return { status: 410 };
+      }
+      const rows = this._log.filter(
+        (row) => row.table === table && row.row_version > after,
+      );
+      const leftMs = endsAt - Date.now();
+      if (rows.length > 0 || leftMs <= 0) {
+        return { status: 200, body: { rows, row_version: this._version } };
+      }
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, leftMs);
+        this._waiting.add(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      });
+    }
+  }
+}
+
+const idOf = (row: RowKey): string =>
+  [row.table, row.part ?? '', row.key].join('\0');
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -18,7 +18,6 @@
   outExtension: { '.js': '.cjs' },
   bundle: true,
   minify: true,
-  keepNames: true,
   format: 'cjs',
   platform: 'node',
   target: 'node20',
