--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -4,9 +4,10 @@
   BatchJob,
   BatchState,
   TaskPhase,
+  chainEstimateMs,
   isFinal,
 } from '../request/batch-job.js';
-import type { BatchTask } from '../request/batch-job.js';
+import type { BatchContent, BatchTask } from '../request/batch-job.js';
 import { addRoom, subtractRoom } from '../request/room.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
@@ -46,7 +47,7 @@
 import { chooseWorker } from './worker-choice.js';
 import type { Candidate } from './worker-choice.js';
 import { WorkerHealth } from './worker-health.js';
-import { HOLD_MS, WorkerView, runName } from './worker-view.js';
+import { WorkerView, runName } from './worker-view.js';
 
 /** Options of {@link BatchEntry}. */
 export interface BatchEntryOptions {
@@ -76,7 +77,7 @@
 /** Pause between two words to a worker that has runs of this entry. */
 const GRANT_PERIOD_MS = 200;
 /** Pause between two words to a worker that has none. */
-const IDLE_GRANT_PERIOD_MS = 450;
+const IDLE_GRANT_PERIOD_MS = 1000;
 /** Pause before a link to a worker is opened again. */
 const REOPEN_MS = 100;
 /** Ends of a job that goes on are recorded after this time. */
@@ -93,8 +94,12 @@
 const RANK_DELAY_MS = 400;
 /** Time that callers get to notice a planned stop. */
 const STOP_QUIET_MS = 2500;
-/** When open jobs are left to the other entries. */
-const STOP_LIMIT_MS = 4300;
+/** When open jobs are left to the other entries, or answered as in doubt. */
+const STOP_LIMIT_MS = 5500;
+/** A job taken during a planned stop has to end by then. */
+const STOP_ACCEPT_MS = 5000;
+/** Factor on the estimate of a job's length that is taken during a stop. */
+const STOP_ESTIMATE_FACTOR = 1.6;
 /** How long fenced incarnations are named to workers that connect. */
 const FENCE_MEMORY_MS = 60_000;
 
@@ -233,6 +238,11 @@
     this._recorder.start();
   }
 
+  /** Whether a planned stop has begun. */
+  get isStopping(): boolean {
+    return this._stoppingSinceMs !== undefined;
+  }
+
   /** Whether jobs are taken. */
   get isReady(): boolean {
     return (
@@ -580,11 +590,7 @@
       known.endReplies.push(replyId);
       return;
     }
-    const refusal = this._isLeaving
-      ? SubmitRefusal.Stopping
-      : this._hasTenure
-        ? undefined
-        : SubmitRefusal.NoTenure;
+    const refusal = this._refusalOfVolatile(content, now);
     if (refusal) {
       this._log('job refused', { job: id, reason: refusal });
       this._reply(replyId, {
@@ -609,6 +615,29 @@
     });
   }
 
+  private _refusalOfVolatile(
+    content: BatchContent,
+    now: number,
+  ): SubmitRefusal | undefined {
+    if (this._isLeaving || this._endsAfterStop(content, now)) {
+      return SubmitRefusal.Stopping;
+    }
+    return this._hasTenure ? undefined : SubmitRefusal.NoTenure;
+  }
+
+  /** Whether the job would outlast a planned stop that has begun. */
+  private _endsAfterStop(content: BatchContent, now: number): boolean {
+    if (this._stoppingSinceMs === undefined) {
+      return false;
+    }
+    const expectedMs = this._health.expectedMs(
+      content.queue,
+      chainEstimateMs(content),
+    );
+    const endsMs = now + STOP_ESTIMATE_FACTOR * expectedMs;
+    return endsMs > this._stoppingSinceMs + STOP_ACCEPT_MS;
+  }
+
   private _onCallerGone(replyId: number, now: number): void {
     this._asks.delete(replyId);
     for (const own of this._jobs.values()) {
@@ -1422,6 +1451,7 @@
       return;
     }
     this._isLeaving = true;
+    this._abandonVolatile('this entry has stopped', now);
     const { incarnation, name, address, dataCentre } = this._options;
     const key = fleetKeys.entry(incarnation);
     const row: EntryRow = { name, address, dataCentre, hasLeft: true };
@@ -1466,8 +1496,7 @@
       const order = view.takeOrder();
       order.entry = this._options.name;
       order.incarnation = this._options.incarnation;
-      order.holdUntilMs =
-        this._hasTenure && view.clockMs > 0 ? view.clockMs + HOLD_MS : 0;
+      order.holdUntilMs = this._hasTenure ? view.grant(now) : 0;
       view.sentAtMs = now;
       this._actions.push({ kind: 'order', linkId, order });
     }
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -6,7 +6,7 @@
   WorkerReport,
 } from '../messages.js';
 import { NO_ROOM, subtractRoom } from '../request/room.js';
-import { WORKER_CLOCK_MIN_RATE } from './worker-clock.js';
+import { WORKER_CLOCK_MIN_RATE, WorkerClock } from './worker-clock.js';
 import { EXPIRY_GRACE_MS } from './worker-driver.js';
 
 /** How long runs may go on after the last word of their entry. */
@@ -15,12 +15,14 @@
 const LAPSE_MS = 1100;
 /** Bound for the answers of the worker that are still under way. */
 const REPLY_SLACK_MS = 150;
-/** After this silence all runs at a worker have ended. */
+/** After this silence of its entry all runs at a worker have ended. */
 export const LOST_AFTER_MS =
   (HOLD_MS + EXPIRY_GRACE_MS + LAPSE_MS) / WORKER_CLOCK_MIN_RATE +
   REPLY_SLACK_MS;
-/** Silence after which nothing new is placed there and the link is replaced. */
+/** Silence of a worker with runs after which its link is replaced. */
 const SILENCE_MS = 900;
+/** The same for a worker without runs, which has less to say. */
+const IDLE_SILENCE_MS = 2200;
 
 /** A run that has been sent to a worker. */
 export interface PlacedRun {
@@ -65,7 +67,9 @@
   /** Whether this link has brought a whole picture of the worker. */
   isKnown = false;
   lastReportAtMs = Number.NEGATIVE_INFINITY;
-  clockMs = 0;
+  /** Latest time, on the worker's clock, until which runs may go on. */
+  private _grantedUntilMs = 0;
+  private readonly _clock = new WorkerClock();
   isAccepting = false;
   /** Runs that have been sent and have not ended. */
   readonly placed = new Map<string, PlacedRun>();
@@ -108,7 +112,7 @@
       this.isKnown &&
       this.isAccepting &&
       this.linkId !== undefined &&
-      now - this.lastReportAtMs < SILENCE_MS
+      now - this.lastReportAtMs < this._silenceMs
     );
   }
 
@@ -118,7 +122,26 @@
    */
   isSilent(now: number): boolean {
     const since = Math.max(this.lastReportAtMs, this.linkedAtMs);
-    return this.linkId !== undefined && now - since > SILENCE_MS;
+    return this.linkId !== undefined && now - since > this._silenceMs;
+  }
+
+  private get _silenceMs(): number {
+    return this.placed.size > 0 ? SILENCE_MS : IDLE_SILENCE_MS;
+  }
+
+  /**
+   * Lets runs go on for a while from now.
+   *
+   * @param now - Current time in milliseconds.
+   * @returns Until when, on the worker's clock.
+   */
+  grant(now: number): number {
+    if (this._clock.reading === undefined) {
+      return 0;
+    }
+    const untilMs = this._clock.atLeast(now) + HOLD_MS;
+    this._grantedUntilMs = Math.max(this._grantedUntilMs, untilMs);
+    return untilMs;
   }
 
   /**
@@ -126,7 +149,11 @@
    * @returns Whether all runs there have provably ended.
    */
   isLost(now: number): boolean {
-    return now - this.lastReportAtMs > LOST_AFTER_MS;
+    const endsMs = this._grantedUntilMs + EXPIRY_GRACE_MS + LAPSE_MS;
+    return (
+      now - this.lastReportAtMs > SILENCE_MS &&
+      this._clock.atLeast(now) > endsMs
+    );
   }
 
   /**
@@ -135,7 +162,13 @@
    */
   observe(report: WorkerReport, now: number): void {
     this.lastReportAtMs = now;
-    this.clockMs = report.clockMs;
+    if (report.hello !== undefined && report.hello.life !== this.hello?.life) {
+      this._clock.reset();
+      this._grantedUntilMs = 0;
+    }
+    if (report.clockMs > 0) {
+      this._clock.observe(report.clockMs, now);
+    }
     this.isAccepting = report.accepting;
     this._free = report.free ?? NO_ROOM;
     this.hello = report.hello ?? this.hello;
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -35,6 +35,19 @@
   readonly slackMs: number;
 }
 
+/**
+ * @param content - What was submitted.
+ * @returns Estimated run time of the longest chain of steps.
+ */
+export const chainEstimateMs = (content: BatchContent): number => {
+  const ends: number[] = [];
+  for (const step of content.steps) {
+    const begins = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
+    ends.push(begins + step.estimateMs);
+  }
+  return Math.max(0, ...ends);
+};
+
 /** State of a job as its desk sees it. */
 export enum BatchState {
   Queued = 'queued',
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -45,6 +45,8 @@
 }
 
 const TICK_MS = 50;
+/** Period of the ticks while the entry has no jobs. */
+const IDLE_TICK_MS = 100;
 const PROBE_TIMEOUT_MS = 400;
 const FORWARD_TIMEOUT_MS = 600;
 /** Wait of a forwarded cancel at its owner. */
@@ -170,9 +172,12 @@
     this.metrics.openJobs.set(this._core.openJobs);
     this.metrics.waitingJobs.set(this._core.waitingJobs);
     this.metrics.configVersion.set(this._core.routes.version ?? 0);
-    this._timer = setTimeout(() => {
-      this._tick();
-    }, TICK_MS);
+    this._timer = setTimeout(
+      () => {
+        this._tick();
+      },
+      this._core.openJobs > 0 ? TICK_MS : IDLE_TICK_MS,
+    );
   }
 
   private _addRoutes(router: ConnectRouter): void {
