--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,7 +24,11 @@
 export { BatchEntry } from './lib/process/batch-entry.js';
 export type { BatchEntryOptions } from './lib/process/batch-entry.js';
 export * from './lib/process/batch-events.js';
-export { MEMBER_TABLE, fleetKeys } from './lib/process/fleet-rows.js';
+export {
+  MEMBER_TABLE,
+  decodeRow,
+  fleetKeys,
+} from './lib/process/fleet-rows.js';
 export type { EntryRow, WorkerRow } from './lib/process/fleet-rows.js';
 export { MEMBER_PART } from './lib/process/part-stores.js';
 export { WorkerDriver } from './lib/process/worker-driver.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -20,7 +20,8 @@
   LogFields,
   PeerStatus,
 } from './batch-events.js';
-import { orderJobs } from './batch-order.js';
+import { Prospect, hasBegun, orderJobs, prospectOf } from './batch-order.js';
+import type { RankedJob } from './batch-order.js';
 import {
   ENTRY_PREFIX,
   MEMBER_TABLE,
@@ -88,6 +89,8 @@
 const REPLY_RESERVE_MS = 100;
 /** When a caller may come back after a refusal for want of the store. */
 const STORE_RETRY_AFTER_MS = 1000;
+/** When a caller may come back after a refusal for want of room. */
+const OVERLOAD_RETRY_AFTER_MS = 2000;
 /** Failed calls in a row after which the store counts as away. */
 const STORE_AWAY_FAILURES = 3;
 /** Delay of each further entry before it takes over a silent one. */
@@ -187,6 +190,7 @@
   private _nextLinkId = 1;
   private _nextCallId = 1;
   private _hasTenure = false;
+  private _recordedJobs = 0;
   private _isStoreAway = false;
   private _isRegistered = false;
   private _ownVersion = 0;
@@ -246,9 +250,7 @@
   /** Whether jobs are taken. */
   get isReady(): boolean {
     return (
-      this._hasTenure &&
-      this.routes.version !== undefined &&
-      this._stoppingSinceMs === undefined
+      this.routes.version !== undefined && this._stoppingSinceMs === undefined
     );
   }
 
@@ -447,9 +449,7 @@
     this._applyOperatorChange(this._options.decodeOperatorRow(row));
   }
 
-  private _applyOperatorChange(
-    change: OperatorChange,
-  ): void {
+  private _applyOperatorChange(change: OperatorChange): void {
     if (change.kind === 'other') {
       this._log('operator row ignored', {
         key: change.key,
@@ -474,7 +474,10 @@
     if (has !== this._hasTenure) {
       this._hasTenure = has;
       this._log(has ? 'tenure gained' : 'tenure lost', {
-        storeAgeMs: Math.min(1e9, Math.round(now - this._members.confirmedAtMs)),
+        storeAgeMs: Math.min(
+          1e9,
+          Math.round(now - this._members.confirmedAtMs),
+        ),
       });
     }
     const isAway = this._members.failures >= STORE_AWAY_FAILURES;
@@ -622,7 +625,15 @@
     if (this._isLeaving || this._endsAfterStop(content, now)) {
       return SubmitRefusal.Stopping;
     }
-    return this._hasTenure ? undefined : SubmitRefusal.NoTenure;
+    return undefined;
+  }
+
+  /**
+   * Whether this entry may place runs and keep them going. Only recorded jobs
+   * can be taken over, so without any there is nobody to make way for.
+   */
+  private get _mayAct(): boolean {
+    return this._hasTenure || this._recordedJobs === 0;
   }
 
   /** Whether the job would outlast a planned stop that has begun. */
@@ -673,11 +684,17 @@
   }
 
   private _drop(own: OwnJob): void {
-    this._jobs.delete(own.id);
-    this._waiting.delete(own);
+    this._remove(own);
     this._acknowledge(own.owed);
   }
 
+  private _remove(own: OwnJob): void {
+    this._waiting.delete(own);
+    if (this._jobs.delete(own.id) && !own.job.content.isVolatile) {
+      this._recordedJobs -= 1;
+    }
+  }
+
   private _refusalOf(): SubmitRefusal | undefined {
     if (this._isLeaving) {
       return SubmitRefusal.Stopping;
@@ -707,6 +724,7 @@
     };
     this._jobs.set(job.id, own);
     this._waiting.add(own);
+    this._recordedJobs += job.content.isVolatile ? 0 : 1;
     return own;
   }
 
@@ -836,7 +854,9 @@
       if (view.isSilent(now) && view.linkId !== undefined) {
         this._log('worker silent, link replaced', {
           worker: view.name,
-          silentMs: Math.round(now - Math.max(view.lastReportAtMs, view.linkedAtMs)),
+          silentMs: Math.round(
+            now - Math.max(view.lastReportAtMs, view.linkedAtMs),
+          ),
         });
         this._actions.push({ kind: 'close-link', linkId: view.linkId });
         this._onLinkClosed(view.linkId, now);
@@ -846,7 +866,11 @@
         view.relink(linkId, now);
         view.order.adopt = [...this._fenced.keys()];
         this._links.set(linkId, view);
-        this._actions.push({ kind: 'open-link', linkId, address: view.address });
+        this._actions.push({
+          kind: 'open-link',
+          linkId,
+          address: view.address,
+        });
       }
     }
   }
@@ -897,8 +921,7 @@
   private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
     const name = runName(end);
     const isOwnRun = view.placed.delete(name);
-    const superseded =
-      end.kind === EndKind.DONE && this._superseded.has(name);
+    const superseded = end.kind === EndKind.DONE && this._superseded.has(name);
     const owed: OwedRecord = {
       worker: view.name,
       life: end.life,
@@ -1176,7 +1199,7 @@
     }
     const isUrgent = own.cancelReplies.length > 0;
     this._recorder.finish(own, job.state, isUrgent, now, (outcome, at) => {
-      this._jobs.delete(own.id);
+      this._remove(own);
       if (outcome.kind !== 'committed') {
         this._log('job lost to another owner', { job: own.id });
         this._replyAll(own.cancelReplies, {
@@ -1389,6 +1412,7 @@
         }
       }
     }
+    this._refuseUseless(now);
     this._saveProgress(now);
     this._expire(now);
     this._checkDeadlines(now);
@@ -1496,25 +1520,21 @@
       const order = view.takeOrder();
       order.entry = this._options.name;
       order.incarnation = this._options.incarnation;
-      order.holdUntilMs = this._hasTenure ? view.grant(now) : 0;
+      order.holdUntilMs = this._mayAct ? view.grant(now) : 0;
       view.sentAtMs = now;
       this._actions.push({ kind: 'order', linkId, order });
     }
   }
 
   private _place(now: number): void {
-    if (!this._hasTenure || this._waiting.size === 0 || this._isLeaving) {
+    if (!this._mayAct || this._waiting.size === 0 || this._isLeaving) {
       return;
     }
     const candidates = this._candidates(now);
     if (candidates.length === 0) {
       return;
     }
-    for (const own of this._inOrder()) {
-      if (isFinal(own.job.state)) {
-        this._waiting.delete(own);
-        continue;
-      }
+    for (const { job: own } of this._inOrder(now)) {
       const ready = own.job.ready;
       const placed: string[] = [];
       for (const task of ready) {
@@ -1540,16 +1560,74 @@
     }
   }
 
-  private _inOrder(): OwnJob[] {
-    const owners = new Map([...this._waiting].map((own) => [own.job, own]));
-    return orderJobs(owners.keys()).flatMap((job) => owners.get(job) ?? []);
+  private _inOrder(now: number): RankedJob<OwnJob>[] {
+    const ranked: RankedJob<OwnJob>[] = [];
+    for (const own of this._waiting) {
+      if (isFinal(own.job.state) || own.job.ready.length === 0) {
+        this._waiting.delete(own);
+        continue;
+      }
+      ranked.push({ job: own, ...this._prospectOf(own.job, now) });
+    }
+    return orderJobs(ranked);
+  }
+
+  private _prospectOf(
+    job: BatchJob,
+    now: number,
+  ): { readonly prospect: Prospect; readonly latestStartMs: number } {
+    const { content } = job;
+    const chainMs = this._health.expectedMs(
+      content.queue,
+      chainEstimateMs(content),
+    );
+    return prospectOf(
+      {
+        acceptedAtMs: job.acceptedAtMs,
+        chainMs,
+        leftMs: chainMs,
+        stretch: content.stretch,
+        slackMs: content.slackMs,
+      },
+      now,
+    );
+  }
+
+  /** Refuses volatile jobs that have waited too long to be of any use. */
+  private _refuseUseless(now: number): void {
+    for (const own of [...this._waiting]) {
+      const { job } = own;
+      const isRefused =
+        job.content.isVolatile &&
+        !hasBegun(job) &&
+        this._prospectOf(job, now).prospect === Prospect.Useless;
+      if (!isRefused) {
+        continue;
+      }
+      this._log('job refused', {
+        job: own.id,
+        reason: SubmitRefusal.Overload,
+        waitedMs: Math.round(now - job.acceptedAtMs),
+        waitingJobs: this._waiting.size,
+      });
+      this._drop(own);
+      this._replyAll(own.endReplies, {
+        kind: 'refused',
+        reason: SubmitRefusal.Overload,
+        retryAfterMs: OVERLOAD_RETRY_AFTER_MS,
+      });
+    }
   }
 
   private _candidates(now: number): PlacementCandidate[] {
     const candidates: PlacementCandidate[] = [];
     for (const view of this._workers.values()) {
       const { hello } = view;
-      if (!hello || !view.isUsable(now) || this.routes.isOut(hello.dataCentre)) {
+      if (
+        !hello ||
+        !view.isUsable(now) ||
+        this.routes.isOut(hello.dataCentre)
+      ) {
         continue;
       }
       candidates.push({
@@ -1605,8 +1683,7 @@
     chosen.free = subtractRoom(chosen.free, step.needs);
     const runs = { task: task.name, run, checkpoint: task.checkpoint };
     const group = view.order.starts.find(
-      (other) =>
-        other.spec === job.content.spec && other.needs === step.needs,
+      (other) => other.spec === job.content.spec && other.needs === step.needs,
     );
     if (group) {
       group.runs.push(runs);
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -1,17 +1,79 @@
+import { RUNS_PER_EPOCH } from '../request/batch-job.js';
 import type { BatchJob } from '../request/batch-job.js';
 
+/** What a waiting job can still reach. */
+export enum Prospect {
+  /** It can end within its objective. */
+  InAim,
+  /** It can end late, but while its caller still has some use for it. */
+  Late,
+  /** Its caller has no use for it any longer. */
+  Useless,
+}
+
+/** A waiting job with what the order goes by. */
+export interface RankedJob<J> {
+  readonly job: J;
+  readonly prospect: Prospect;
+  /** Latest start that still meets the bound of its prospect. */
+  readonly latestStartMs: number;
+}
+
+/** A job is of some use up to this many times its objective. */
+const USEFUL_FACTOR = 3;
+
+/** Times that bound the use of a job, from its acceptance. */
+export interface JobBounds {
+  readonly acceptedAtMs: number;
+  /** Expected run time of its longest chain, from its start. */
+  readonly chainMs: number;
+  /** Expected run time of what is left of that chain. */
+  readonly leftMs: number;
+  readonly stretch: number;
+  readonly slackMs: number;
+}
+
+/**
+ * @param bounds - Times of the job.
+ * @param now - Current time in milliseconds.
+ * @returns What it can reach if it starts now, and how long it may wait.
+ */
+export const prospectOf = (
+  bounds: JobBounds,
+  now: number,
+): { readonly prospect: Prospect; readonly latestStartMs: number } => {
+  const objectiveMs = bounds.stretch * bounds.chainMs + bounds.slackMs;
+  const aimMs = bounds.acceptedAtMs + objectiveMs - bounds.leftMs;
+  if (now <= aimMs) {
+    return { prospect: Prospect.InAim, latestStartMs: aimMs };
+  }
+  const lateMs =
+    bounds.acceptedAtMs + USEFUL_FACTOR * objectiveMs - bounds.leftMs;
+  return {
+    prospect: now <= lateMs ? Prospect.Late : Prospect.Useless,
+    latestStartMs: lateMs,
+  };
+};
+
 /**
  * Order in which waiting jobs are placed.
  *
- * Load pattern: bursts that leave more work than room for some seconds. Work
- * of a higher priority goes first; within one, the older job.
+ * Load pattern: bursts, lost workers and restarts that leave more work than
+ * room for seconds. First come, first served would make every job late once
+ * there is a backlog. Here what can still meet its objective goes first, the
+ * most pressing one ahead, and what can't takes the room that is left.
  *
- * @param jobs - Jobs with tasks to place.
+ * @param jobs - Waiting jobs.
  * @returns The same jobs, first one first.
  */
-export const orderJobs = (jobs: Iterable<BatchJob>): BatchJob[] =>
+export const orderJobs = <J>(jobs: readonly RankedJob<J>[]): RankedJob<J>[] =>
   [...jobs].sort(
-    (a, b) =>
-      a.content.priority - b.content.priority ||
-      a.acceptedAtMs - b.acceptedAtMs,
+    (a, b) => a.prospect - b.prospect || a.latestStartMs - b.latestStartMs,
   );
+
+/**
+ * @param job - A job.
+ * @returns Whether any of its tasks has been sent to a worker.
+ */
+export const hasBegun = (job: BatchJob): boolean =>
+  job.tasks.some((task) => task.run % RUNS_PER_EPOCH > 0);
--- a/packages/core/src/lib/process/fleet-rows.ts
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -1,5 +1,6 @@
 import type { BatchContent, BatchProgress } from '../request/batch-job.js';
 import { BatchState } from '../request/batch-job.js';
+import type { WorkerHeartbeat } from './worker-events.js';
 
 /** Parts that jobs are spread over; the same in all processes. */
 export const JOB_PARTS = 4;
@@ -67,6 +68,8 @@
 export interface WorkerRow {
   readonly address: string;
   readonly dataCentre: string;
+  /** What the worker said of itself when its state last changed. */
+  readonly worker?: WorkerHeartbeat;
 }
 
 /**
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -367,10 +367,7 @@
       return;
     }
     const held = this._holdUntil.get(order.incarnation) ?? 0;
-    this._holdUntil.set(
-      order.incarnation,
-      Math.max(held, order.holdUntilMs),
-    );
+    this._holdUntil.set(order.incarnation, Math.max(held, order.holdUntilMs));
     for (const end of order.recorded) {
       if (end.life === this._lifeId) {
         this._needsLapse ||= end.superseded;
@@ -938,8 +935,7 @@
       if (link.incarnation === '') {
         continue;
       }
-      const isRoomDue =
-        now - link.sentAtMs >= this._roomPeriodMs(link, free);
+      const isRoomDue = now - link.sentAtMs >= this._roomPeriodMs(link, free);
       if (!link.isDirty && !(this._roomChanged(link, free) && isRoomDue)) {
         continue;
       }
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -42,7 +42,10 @@
 export const chainEstimateMs = (content: BatchContent): number => {
   const ends: number[] = [];
   for (const step of content.steps) {
-    const begins = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
+    const begins = Math.max(
+      0,
+      ...step.after.map((number) => ends[number] ?? 0),
+    );
     ends.push(begins + step.estimateMs);
   }
   return Math.max(0, ...ends);
--- a/packages/core/src/lib/version/route-table.ts
+++ b/packages/core/src/lib/version/route-table.ts
@@ -95,7 +95,10 @@
     let best: QueueRoute | undefined;
     for (const route of this._config?.routes ?? []) {
       const isMatch = route.host === host && path.startsWith(route.pathPrefix);
-      if (isMatch && route.pathPrefix.length > (best?.pathPrefix.length ?? -1)) {
+      if (
+        isMatch &&
+        route.pathPrefix.length > (best?.pathPrefix.length ?? -1)
+      ) {
         best = route;
       }
     }
--- a/packages/daemon/src/lib/connection/worker-links.ts
+++ b/packages/daemon/src/lib/connection/worker-links.ts
@@ -36,7 +36,10 @@
    * @param address - Host and port.
    */
   open(linkId: number, address: string): void {
-    const link = { queue: new MessageQueue<WireWorkerOrder>(), rpc: connectWorker({ address }) };
+    const link = {
+      queue: new MessageQueue<WireWorkerOrder>(),
+      rpc: connectWorker({ address }),
+    };
     this._links.set(linkId, link);
     void this._receive(linkId, link);
   }
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -164,7 +164,10 @@
     const { entry, newIncarnation, log } = this._options;
     const incarnation = newIncarnation();
     log.info('incarnation begun', { incarnation });
-    return new BatchEntry({ ...entry, incarnation, random: Math.random }, now());
+    return new BatchEntry(
+      { ...entry, incarnation, random: Math.random },
+      now(),
+    );
   }
 
   private _tick(): void {
--- a/packages/standins/src/bin/fleet-load.ts
+++ b/packages/standins/src/bin/fleet-load.ts
@@ -20,7 +20,11 @@
   { queue: 'middle', share: 0.72, width: 2, runMs: 286 },
 ];
 
-const estate = new FleetEstate({ entries: ENTRIES, workers: WORKERS, nodeArgs });
+const estate = new FleetEstate({
+  entries: ENTRIES,
+  workers: WORKERS,
+  nodeArgs,
+});
 const took: number[] = [];
 const statuses = new Map<number, number>();
 
@@ -79,8 +83,11 @@
   console.log(`${role}: ${(mean * 100).toFixed(2)}% of a core each`);
 }
 took.sort((a, b) => a - b);
-const at = (q: number): string => (took[Math.floor(took.length * q)] ?? 0).toFixed(1);
-console.log(`jobs ${String(took.length)}, statuses ${JSON.stringify([...statuses])}`);
+const at = (q: number): string =>
+  (took[Math.floor(took.length * q)] ?? 0).toFixed(1);
+console.log(
+  `jobs ${String(took.length)}, statuses ${JSON.stringify([...statuses])}`,
+);
 console.log(`beyond the run time: p50 ${at(0.5)} ms, p99 ${at(0.99)} ms`);
 if (nodeArgs.length > 0) {
   for (const { child } of estate.processes) {
--- a/packages/standins/src/lib/platform/fleet-estate.ts
+++ b/packages/standins/src/lib/platform/fleet-estate.ts
@@ -209,9 +209,9 @@
   private async _untilReady({ host, name }: FleetProcess): Promise<void> {
     const endsAt = Date.now() + READY_TIMEOUT_MS;
     while (!this._isClosing && Date.now() < endsAt) {
-      const res = await fetch(`http://${host}:${String(READY_PORT)}/ready`).catch(
-        () => undefined,
-      );
+      const res = await fetch(
+        `http://${host}:${String(READY_PORT)}/ready`,
+      ).catch(() => undefined);
       if (res?.status === 200) {
         return;
       }
--- a/packages/standins/src/lib/platform/table-store.ts
+++ b/packages/standins/src/lib/platform/table-store.ts
@@ -133,7 +133,8 @@
 
   private _transact(tx: Transaction): JsonAnswer {
     const failed = tx.expected_rev.some(
-      (row) => (this._rows.get(idOf(row))?.row_version ?? 0) !== row.row_version,
+      (row) =>
+        (this._rows.get(idOf(row))?.row_version ?? 0) !== row.row_version,
     );
     if (failed) {
       const rows = tx.expected_rev.flatMap(
@@ -198,7 +199,8 @@
   private async _feed(query: URLSearchParams): Promise<JsonAnswer> {
     const table = query.get('table');
     const after = Number(query.get('after'));
-    const endsAt = Date.now() + Math.min(MAX_WAIT_MS, Number(query.get('wait_ms')));
+    const endsAt =
+      Date.now() + Math.min(MAX_WAIT_MS, Number(query.get('wait_ms')));
     for (;;) {
       if (after < this._forgottenTo) {
         return { status: 410 };
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,6 +23,7 @@
   target: 'node20',
   // Bundled from source, so that no compiled package has to be there first.
   alias: {
+    undici: './platform/undici-pool.cjs',
     '@sapphiremux/core': sources('core'),
     '@sapphiremux/wire': sources('wire'),
     '@sapphiremux/daemon/fleet': './packages/daemon/src/fleet.ts',
