--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,11 +3,16 @@
 
 export default tseslint.config(
   {
-    ignores: ['**/dist/**', '**/node_modules/**', 'packages/wire/src/gen/**'],
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'packages/wire/src/gen/**',
+      'target/**',
+    ],
   },
   js.configs.recommended,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     extends: [
       ...tseslint.configs.strictTypeChecked,
       ...tseslint.configs.stylisticTypeChecked,
@@ -29,6 +34,18 @@
       '@typescript-eslint/no-extraneous-class': 'off',
     },
   },
+  {
+    files: ['platform/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: {
+        __dirname: 'readonly',
+        module: 'writable',
+        process: 'readonly',
+        require: 'readonly',
+      },
+    },
+  },
   {
     files: ['scripts/**/*.mjs', '*.js'],
     languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,7 +26,7 @@
 export * from './lib/process/batch-events.js';
 export {
   MEMBER_TABLE,
-  decodeRow,
+  decodeWorkerRow,
   fleetKeys,
 } from './lib/process/fleet-rows.js';
 export type { EntryRow, WorkerRow } from './lib/process/fleet-rows.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -26,17 +26,14 @@
   ENTRY_PREFIX,
   MEMBER_TABLE,
   WORKER_PREFIX,
-  decodeRow,
+  decodeEntryRow,
+  decodeJobRow,
+  decodeWorkerRow,
   fleetKeys,
   partName,
   partOf,
 } from './fleet-rows.js';
-import type {
-  EndedJobRow,
-  EntryRow,
-  OpenJobRow,
-  WorkerRow,
-} from './fleet-rows.js';
+import type { EndedJobRow, EntryRow, OpenJobRow } from './fleet-rows.js';
 import { JobRecorder } from './job-recorder.js';
 import type { RecordedJob } from './job-recorder.js';
 import { MEMBER_PART, PartStores } from './part-stores.js';
@@ -410,8 +407,7 @@
   }
 
   private _onEntryRow(incarnation: string, row: ChangedRow, now: number): void {
-    const data =
-      row.value === null ? undefined : decodeRow<EntryRow>(row.value);
+    const data = row.value === null ? undefined : decodeEntryRow(row.value);
     if (incarnation === this._options.incarnation) {
       const isReplaced = data?.fencedBy !== undefined || row.value === null;
       if (isReplaced && this._isRegistered) {
@@ -429,8 +425,7 @@
   }
 
   private _onWorkerRow(name: string, row: ChangedRow): void {
-    const data =
-      row.value === null ? undefined : decodeRow<WorkerRow>(row.value);
+    const data = row.value === null ? undefined : decodeWorkerRow(row.value);
     const view = this._workers.get(name);
     if (!data) {
       if (view && view.linkId === undefined) {
@@ -733,7 +728,7 @@
   private _onAsk(ask: Ask, now: number): void {
     if (!this._answerHere(ask, now)) {
       this._asks.set(ask.replyId, ask);
-      this._tryAsk(ask, now);
+      this._tryAsk(ask);
     }
   }
 
@@ -757,7 +752,7 @@
     return true;
   }
 
-  private _tryAsk(ask: Ask, now: number): void {
+  private _tryAsk(ask: Ask): void {
     ask.isWaiting = true;
     const key = fleetKeys.job(ask.id);
     const caller = this._stores.caller(partName(partOf(ask.id)));
@@ -772,7 +767,7 @@
         return;
       }
       const row = reply.rows[0];
-      const data = row && decodeRow<OpenJobRow | EndedJobRow>(row.value);
+      const data = row && decodeJobRow(row.value);
       if (!data) {
         if (!this._submissions.has(ask.id)) {
           this._answer(ask, { kind: 'unknown-job' });
@@ -781,7 +776,6 @@
       }
       this._answerFromRow(ask, data);
     });
-    void now;
   }
 
   private _answerFromRow(ask: Ask, row: OpenJobRow | EndedJobRow): void {
@@ -931,7 +925,7 @@
     };
     const own = this._jobOf(end.task);
     if (!own) {
-      this._onForeignEnd(owed, end, now);
+      this._onForeignEnd(owed, end);
       return;
     }
     if (own.job.content.isVolatile) {
@@ -999,7 +993,7 @@
   }
 
   /** An end of a job that is not open here. */
-  private _onForeignEnd(owed: OwedRecord, end: RunEnd, now: number): void {
+  private _onForeignEnd(owed: OwedRecord, end: RunEnd): void {
     if (owed.number === 0) {
       return;
     }
@@ -1015,12 +1009,11 @@
         return;
       }
       const row = reply.rows[0];
-      const data = row && decodeRow<OpenJobRow | EndedJobRow>(row.value);
+      const data = row && decodeJobRow(row.value);
       if (data?.kind !== 'open') {
         this._acknowledge([owed]);
       }
     });
-    void now;
   }
 
   private _acknowledge(owed: readonly OwedRecord[]): void {
@@ -1456,7 +1449,7 @@
         if (this._answerHere(ask, now)) {
           this._asks.delete(ask.replyId);
         } else {
-          this._tryAsk(ask, now);
+          this._tryAsk(ask);
         }
       }
     }
--- a/packages/core/src/lib/process/fleet-rows.ts
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -72,16 +72,46 @@
   readonly worker?: WorkerHeartbeat;
 }
 
-/**
- * Reads a row that this system wrote.
- *
- * @param value - Text of the row.
- * @returns Its content, or `undefined` when it isn't readable.
- */
-export const decodeRow = <T extends object>(value: string): T | undefined => {
+/** @returns The row of a job, or `undefined` when it isn't readable. */
+export const decodeJobRow = (
+  value: string,
+): OpenJobRow | EndedJobRow | undefined => {
+  const data = parseObject(value);
+  return data?.kind === 'open' || data?.kind === 'ended'
+    ? (data as unknown as OpenJobRow | EndedJobRow)
+    : undefined;
+};
+
+/** @returns The row of an entry, or `undefined` when it isn't readable. */
+export const decodeEntryRow = (value: string): EntryRow | undefined => {
+  const data = parseObject(value);
+  return typeof data?.address === 'string' && typeof data.name === 'string'
+    ? (data as unknown as EntryRow)
+    : undefined;
+};
+
+/** @returns The row of a worker, or `undefined` when it isn't readable. */
+export const decodeWorkerRow = (value: string): WorkerRow | undefined => {
+  const data = parseObject(value);
+  return typeof data?.address === 'string'
+    ? (data as unknown as WorkerRow)
+    : undefined;
+};
+
+/** @returns A progress row, or `undefined` when it isn't readable. */
+export const decodeProgress = (value: string): BatchProgress | undefined => {
+  const data = parseObject(value);
+  return Array.isArray(data?.done) && typeof data.failures === 'object'
+    ? (data as unknown as BatchProgress)
+    : undefined;
+};
+
+const parseObject = (value: string): Record<string, unknown> | undefined => {
   try {
     const data: unknown = JSON.parse(value);
-    return typeof data === 'object' && data !== null ? (data as T) : undefined;
+    return typeof data === 'object' && data !== null
+      ? (data as Record<string, unknown>)
+      : undefined;
   } catch {
     return undefined;
   }
--- a/packages/core/src/lib/process/succession.ts
+++ b/packages/core/src/lib/process/succession.ts
@@ -1,7 +1,13 @@
 import type { BatchProgress } from '../request/batch-job.js';
 import type { Row, StoreReply } from '../store.js';
 import type { LogFields } from './batch-events.js';
-import { JOB_PARTS, decodeRow, fleetKeys, partName } from './fleet-rows.js';
+import {
+  JOB_PARTS,
+  decodeJobRow,
+  decodeProgress,
+  fleetKeys,
+  partName,
+} from './fleet-rows.js';
 import type { EntryRow, OpenJobRow } from './fleet-rows.js';
 import type { JobRecorder, RecordedJob } from './job-recorder.js';
 import { MEMBER_PART } from './part-stores.js';
@@ -202,13 +208,17 @@
         return;
       }
       const found = reply.rows.find((row) => row.key === fleetKeys.job(id));
-      const row = found && decodeRow<OpenJobRow>(found.value);
-      if (row?.owner !== this._options.victim.incarnation || !found) {
+      const row = found && decodeJobRow(found.value);
+      if (
+        row?.kind !== 'open' ||
+        row.owner !== this._options.victim.incarnation ||
+        !found
+      ) {
         this._stepDone(now);
         return;
       }
       const saved = reply.rows.find((r) => r.key === fleetKeys.progress(id));
-      const progress = saved && decodeRow<BatchProgress>(saved.value);
+      const progress = saved && decodeProgress(saved.value);
       this._adopt({
         record: {
           id,
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -38,8 +38,15 @@
 const DEFAULT_STOP_MS = 50;
 /** Wait of one look at the worker; three of them fit into a lease. */
 const HOLD_WAIT_MS = 250;
+/** Pause after a look without an answer. */
+const LOOK_RETRY_MS = 50;
 /** Added to the wait before a look counts as unanswered. */
 const HOLD_SLACK_MS = 150;
+/**
+ * Age of the last answer up to which the lease is renewed. A silent worker may
+ * still carry the renewals out, so its runs could never be given up.
+ */
+const RENEW_LIMIT_MS = 700;
 /** Least time between two looks, so that ends share one answer. */
 const HOLD_GAP_MS = 8;
 /** The same while ends wait for their record: the worker answers at once. */
@@ -574,7 +581,10 @@
     }
     const clockMs = this._clock.reading;
     const renews =
-      clockMs !== undefined && !this._leaseSuspended && !this._isLapsing(now);
+      clockMs !== undefined &&
+      now - this._clock.readAtMs < RENEW_LIMIT_MS &&
+      !this._leaseSuspended &&
+      !this._isLapsing(now);
     const untilMs = renews
       ? Math.floor(this._clock.atLeast(now) + this._options.maxLeaseMs)
       : undefined;
@@ -682,7 +692,7 @@
 
   private _planLook(reply: WorkerReply, now: number): void {
     if (reply.kind !== 'held') {
-      this._holdAtMs = now + HOLD_SLACK_MS;
+      this._holdAtMs = now + LOOK_RETRY_MS;
       return;
     }
     const gapMs = this._ends.hasUnrecorded ? LISTED_GAP_MS : HOLD_GAP_MS;
--- /dev/null
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -0,0 +1,200 @@
+import { expect } from 'earl';
+import { PeerWatch } from '../lib/process/peer-watch.js';
+import { TableFollower } from '../lib/process/table-follower.js';
+import { chooseWorker } from '../lib/process/worker-choice.js';
+import type { Candidate } from '../lib/process/worker-choice.js';
+import { WorkerClock } from '../lib/process/worker-clock.js';
+import { WorkerHealth } from '../lib/process/worker-health.js';
+import { EndList } from '../lib/process/end-list.js';
+import { EndKind } from '../lib/messages.js';
+import { RouteTable } from '../lib/version/route-table.js';
+import type { QueueRoute } from '../lib/version/route-table.js';
+
+const route = (name: string, pathPrefix: string): QueueRoute => ({
+  name,
+  host: 'h',
+  pathPrefix,
+  service: 's',
+  priority: 0,
+  attempts: 1,
+  stretch: 1,
+  slackMs: 0,
+  timeoutMs: 1000,
+  hasAdvice: false,
+});
+
+it('the longest matching prefix selects the queue', () => {
+  const table = new RouteTable();
+  const routes = [route('a', '/x/'), route('b', '/x/y/')];
+  table.apply({
+    kind: 'config',
+    config: { version: 3, routes, maxBodyBytes: 0 },
+  });
+  expect(table.match('h', '/x/y/1')?.name).toEqual('b');
+  expect(table.match('other', '/x/y/1')).toEqual(undefined);
+});
+
+it('an older configuration never comes back', () => {
+  const table = new RouteTable();
+  const apply = (version: number): boolean =>
+    table.apply({
+      kind: 'config',
+      config: { version, routes: [], maxBodyBytes: 0 },
+    });
+  expect([apply(5), apply(4), table.version]).toEqual([true, false, 5]);
+});
+
+it('rows that went with the lost history are reported as deleted', () => {
+  const seen: string[] = [];
+  const follower = new TableFollower({
+    table: 't',
+    waitMs: 10,
+    onChange: (row) => seen.push(`${row.key}=${row.value ?? 'gone'}`),
+  });
+  const rows = (...keys: string[]) =>
+    keys.map((key) => ({ key, value: key, version: 1 }));
+  expect(follower.next(0)?.kind).toEqual('table');
+  follower.onReply({ kind: 'table', rows: rows('a', 'b'), version: 1 }, 1);
+  expect(follower.next(2)?.kind).toEqual('changes');
+  follower.onReply({ kind: 'history-lost' }, 3);
+  expect(follower.next(4)?.kind).toEqual('table');
+  follower.onReply({ kind: 'table', rows: rows('b'), version: 9 }, 5);
+  expect(seen).toEqual(['a=a', 'b=b', 'a=gone']);
+});
+
+it('a confirmation counts from when its call was sent', () => {
+  const follower = new TableFollower({
+    table: 't',
+    waitMs: 600,
+    onChange: () => undefined,
+  });
+  follower.next(100);
+  follower.onReply({ kind: 'table', rows: [], version: 1 }, 900);
+  expect(follower.confirmedAtMs).toEqual(100);
+});
+
+it('a pause voids the confirmation that is under way', () => {
+  const follower = new TableFollower({
+    table: 't',
+    waitMs: 600,
+    onChange: () => undefined,
+  });
+  follower.next(100);
+  follower.distrust();
+  follower.onReply({ kind: 'table', rows: [], version: 1 }, 900);
+  expect(follower.confirmedAtMs).toEqual(Number.NEGATIVE_INFINITY);
+});
+
+const peer = (watch: PeerWatch, name: string, at: number): void => {
+  const row = { name, address: name, dataCentre: 'dc' };
+  watch.set(name, row, 1, at);
+};
+
+it('without the store work goes on while most entries agree on its outage', () => {
+  const watch = new PeerWatch();
+  ['b', 'c', 'd'].forEach((name) => {
+    peer(watch, name, 0);
+  });
+  const status = (incarnation: string, storeReachable: boolean) => ({
+    incarnation,
+    storeReachable,
+    pending: {},
+  });
+  watch.onProbed('b', status('b', false), 100);
+  expect(watch.agreesOnOutage(200)).toEqual(false);
+  watch.onProbed('c', status('c', false), 100);
+  expect(watch.agreesOnOutage(200)).toEqual(true);
+  watch.onProbed('c', status('c', true), 300);
+  watch.onProbed('b', status('b', false), 1350);
+  watch.onProbed('c', status('c', true), 1350);
+  expect(watch.agreesOnOutage(1400)).toEqual(false);
+});
+
+it('a peer whose address answers for another incarnation is gone', () => {
+  const watch = new PeerWatch();
+  peer(watch, 'b', 0);
+  const status = { incarnation: 'b2', storeReachable: true, pending: {} };
+  watch.onProbed('b', status, 10);
+  expect(watch.suspects(11).map((p) => p.incarnation)).toEqual(['b']);
+});
+
+const candidate = (
+  name: string,
+  more: Partial<Candidate> = {},
+): Candidate => ({
+  name,
+  dataCentre: 'dc',
+  free: { cpuMilli: 8000, memoryMb: 1000, accelerators: 0 },
+  labels: [],
+  slowness: 1,
+  isSetAside: false,
+  ...more,
+});
+
+const wanted = (avoid: string[] = []) => ({
+  needs: { cpuMilli: 1600, memoryMb: 64, accelerators: 0 },
+  requires: undefined,
+  affinity: undefined,
+  farFactor: 1.5,
+  avoid: new Set(avoid),
+  dataCentre: 'dc',
+});
+
+it('a slow worker, one set aside and one that failed the task come last', () => {
+  const pick = (candidates: Candidate[], avoid: string[] = []) =>
+    chooseWorker(wanted(avoid), candidates, () => 0.5)?.name;
+  const slow = candidate('slow', { slowness: 2 });
+  expect(pick([slow, candidate('a')])).toEqual('a');
+  const aside = candidate('aside', { isSetAside: true });
+  expect(pick([aside, slow])).toEqual('slow');
+  expect(pick([candidate('a'), slow], ['a'])).toEqual('slow');
+  expect(pick([aside])).toEqual('aside');
+});
+
+it('a worker that fails what the others finish is set aside', () => {
+  const health = new WorkerHealth();
+  for (let i = 0; i < 30; i += 1) {
+    health.onDone({ queue: 'q', worker: 'good' }, 100, 100);
+  }
+  const asides = [1, 2, 3, 4].map(() => health.onFailed('bad', 0));
+  expect(asides.includes(true)).toEqual(true);
+  expect(health.isSetAside('bad', 100)).toEqual(true);
+  expect(health.isSetAside('bad', 5000)).toEqual(false);
+});
+
+it('a slow worker and a queue with short estimates are told apart', () => {
+  const health = new WorkerHealth();
+  for (let i = 0; i < 300; i += 1) {
+    health.onDone({ queue: 'q', worker: `w${String(i % 5)}` }, 100, 140);
+  }
+  for (let i = 0; i < 20; i += 1) {
+    health.onDone({ queue: 'q', worker: 'slow' }, 100, 560);
+  }
+  const expectedMs = health.expectedMs('q', 100);
+  expect(expectedMs > 126 && expectedMs < 154).toEqual(true);
+  expect(health.slowness('slow') > 2.5).toEqual(true);
+  expect(health.slowness('w1') < 1.3).toEqual(true);
+});
+
+it('a reading of the clock gives a lower bound later on', () => {
+  const clock = new WorkerClock();
+  clock.observe(1000, 50);
+  expect(clock.atLeast(150)).toEqual(1098);
+});
+
+it('ends are acknowledged up to the first one without a record', () => {
+  const list = new EndList();
+  const end = (number: number) => ({
+    task: `t${String(number)}`,
+    run: 1,
+    kind: EndKind.DONE,
+    checkpoint: '',
+    life: 'l',
+    number,
+  });
+  [1, 2, 3].forEach((number) => list.add(end(number), 0));
+  list.record(2);
+  expect(list.ackedThrough).toEqual(0);
+  list.record(1);
+  expect(list.ackedThrough).toEqual(2);
+});
