--- a/packages/core/src/test/batch-order.test.ts
+++ b/packages/core/src/test/batch-order.test.ts
@@ -49,10 +49,7 @@
 
 const firstCome = (waiting: ReplayJob[]): ReplayJob | undefined => waiting[0];
 
-const byProspect = (
-  waiting: ReplayJob[],
-  now: number,
-): ReplayJob | undefined =>
+const byProspect = (waiting: ReplayJob[], now: number): ReplayJob | undefined =>
   orderJobs(
     waiting.map((job) => ({ job, ...prospectOf(bounds(job), now) })),
   ).find(({ prospect }) => prospect !== Prospect.Useless)?.job;
--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -118,10 +118,7 @@
   expect(watch.suspects(11).map((p) => p.incarnation)).toEqual(['b']);
 });
 
-const candidate = (
-  name: string,
-  more: Partial<Candidate> = {},
-): Candidate => ({
+const candidate = (name: string, more: Partial<Candidate> = {}): Candidate => ({
   name,
   dataCentre: 'dc',
   free: { cpuMilli: 8000, memoryMb: 1000, accelerators: 0 },
