Runs at a silent worker are given up: grants end with its last word

Cause, found by 'runs at a worker that is silent for long enough start elsewhere' (red before): an entry went on granting time to a worker that it no longer heard, so the bound after which its runs are proven to have ended never came.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -75,7 +75,7 @@
 /** Pause between two words to a worker that has runs of this entry. */
 const GRANT_PERIOD_MS = 200;
 /** Pause between two words to a worker that has none. */
-const IDLE_GRANT_PERIOD_MS = 1000;
+const IDLE_GRANT_PERIOD_MS = 500;
 /** Pause before a link to a worker is opened again. */
 const REOPEN_MS = 100;
 /** Ends of a job that goes on are recorded after this time. */
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -21,7 +21,12 @@
   REPLY_SLACK_MS;
 /** Silence of a worker with runs after which its link is replaced. */
 const SILENCE_MS = 900;
-/** The same for a worker without runs, which has less to say. */
+/**
+ * Age of a worker's last word up to which its runs are allowed to go on. A
+ * silent worker may still hear us, so its runs could never be given up.
+ */
+const GRANT_LIMIT_MS = 700;
+/** The silence of a worker without runs, which has less to say. */
 const IDLE_SILENCE_MS = 2200;
 
 /** A run that has been sent to a worker. */
@@ -112,7 +117,7 @@
       this.isKnown &&
       this.isAccepting &&
       this.linkId !== undefined &&
-      now - this.lastReportAtMs < this._silenceMs
+      now - this.lastReportAtMs < GRANT_LIMIT_MS
     );
   }
 
@@ -136,7 +141,10 @@
    * @returns Until when, on the worker's clock.
    */
   grant(now: number): number {
-    if (this._clock.reading === undefined) {
+    if (
+      this._clock.reading === undefined ||
+      now - this.lastReportAtMs > GRANT_LIMIT_MS
+    ) {
       return 0;
     }
     const untilMs = this._clock.atLeast(now) + HOLD_MS;
