--- a/packages/standins/src/lib/platform/desk-client.ts
+++ b/packages/standins/src/lib/platform/desk-client.ts
@@ -47,3 +47,34 @@
     });
     req.end(body === undefined ? undefined : JSON.stringify(body));
   });
+
+/**
+ * Reads a JSON body as a desk does.
+ *
+ * @param url - Address and path.
+ * @param host - Name of the host that selects the queue.
+ * @returns Status and body; {@link BROKEN} without a body when it broke.
+ */
+export const getJson = (
+  url: string,
+  host: string,
+): Promise<{ readonly status: number; readonly body: unknown }> =>
+  new Promise((resolve) => {
+    const fail = (): void => {
+      resolve({ status: BROKEN, body: undefined });
+    };
+    const req = request(url, { agent, headers: { host } }, (res) => {
+      const chunks: Buffer[] = [];
+      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      res.on('end', () => {
+        const text = Buffer.concat(chunks).toString('utf8');
+        resolve({
+          status: res.statusCode ?? BROKEN,
+          body: text === '' ? undefined : (JSON.parse(text) as unknown),
+        });
+      });
+      res.on('error', fail);
+    });
+    req.on('error', fail);
+    req.end();
+  });
--- a/packages/standins/src/lib/platform/fleet-estate.ts
+++ b/packages/standins/src/lib/platform/fleet-estate.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { getJson } from './desk-client.js';
 import { FleetWorker } from './fleet-worker.js';
 import { TableStore } from './table-store.js';
 
@@ -117,6 +118,19 @@
     return `http://${entry.host}:${String(FRONT_PORT)}`;
   }
 
+  /**
+   * Asks for the state of a job as a desk does.
+   *
+   * @param index - Number of the entry.
+   * @param path - Path of the job.
+   * @returns The state; empty when there is none.
+   */
+  async readState(index: number, path: string): Promise<{ state: string }> {
+    const { body } = await getJson(this.frontOf(index) + path, FLEET_HOST);
+    const { state = '' } = (body ?? {}) as { state?: string };
+    return { state };
+  }
+
   /**
    * Sends a signal to a process of the system.
    *
