--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -20,8 +20,13 @@
   LogFields,
   PeerStatus,
 } from './batch-events.js';
-import { Prospect, hasBegun, orderJobs, prospectOf } from './batch-order.js';
-import type { RankedJob } from './batch-order.js';
+import {
+  hasBegun,
+  isHopeless,
+  orderJobs,
+  prospectOf,
+} from './batch-order.js';
+import type { Prospect, RankedJob } from './batch-order.js';
 import {
   ENTRY_PREFIX,
   MEMBER_TABLE,
@@ -1405,7 +1410,7 @@
         }
       }
     }
-    this._refuseUseless(now);
+    this._refuseHopeless(now);
     this._saveProgress(now);
     this._expire(now);
     this._checkDeadlines(now);
@@ -1586,14 +1591,18 @@
     );
   }
 
-  /** Refuses volatile jobs that have waited too long to be of any use. */
-  private _refuseUseless(now: number): void {
+  /** Refuses volatile jobs that are not worth their callers' wait. */
+  private _refuseHopeless(now: number): void {
     for (const own of [...this._waiting]) {
       const { job } = own;
+      const { prospect } = this._prospectOf(job, now);
       const isRefused =
         job.content.isVolatile &&
         !hasBegun(job) &&
-        this._prospectOf(job, now).prospect === Prospect.Useless;
+        isHopeless(prospect, {
+          waitedMs: now - job.acceptedAtMs,
+          patienceMs: own.deadlineMs - job.acceptedAtMs,
+        });
       if (!isRefused) {
         continue;
       }
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -71,6 +71,33 @@
     (a, b) => a.prospect - b.prospect || a.latestStartMs - b.latestStartMs,
   );
 
+/** Share of its caller's patience after which a late job is given up. */
+const HELD_SHARE = 0.4;
+
+/**
+ * Tells whether a job that has not begun is to be refused.
+ *
+ * Load pattern: an overload that lasts. A job that is late already gets only
+ * the room that others leave; its caller is better off with an answer while
+ * there is still time to ask again than with a wait that ends in nothing.
+ *
+ * @param prospect - What the job can still reach.
+ * @param wait - How long it has waited, and how long its caller waits at all.
+ */
+export const isHopeless = (
+  prospect: Prospect,
+  wait: { readonly waitedMs: number; readonly patienceMs: number },
+): boolean => {
+  switch (prospect) {
+    case Prospect.InAim:
+      return false;
+    case Prospect.Late:
+      return wait.waitedMs > HELD_SHARE * wait.patienceMs;
+    case Prospect.Useless:
+      return true;
+  }
+};
+
 /**
  * @param job - A job.
  * @returns Whether any of its tasks has been sent to a worker.
--- a/packages/core/src/test/batch-order.test.ts
+++ b/packages/core/src/test/batch-order.test.ts
@@ -1,5 +1,10 @@
 import { expect } from 'earl';
-import { Prospect, orderJobs, prospectOf } from '../lib/process/batch-order.js';
+import {
+  Prospect,
+  isHopeless,
+  orderJobs,
+  prospectOf,
+} from '../lib/process/batch-order.js';
 
 /** Jobs of one kind that come faster than the room can take for a while. */
 interface ReplayJob {
@@ -80,3 +85,12 @@
     Prospect.Useless,
   ]);
 });
+
+it('a late job is refused while its caller has time to ask again', () => {
+  const at = (prospect: Prospect, waitedMs: number): boolean =>
+    isHopeless(prospect, { waitedMs, patienceMs: 1000 });
+  expect(at(Prospect.InAim, 900)).toEqual(false);
+  expect(at(Prospect.Late, 300)).toEqual(false);
+  expect(at(Prospect.Late, 450)).toEqual(true);
+  expect(at(Prospect.Useless, 10)).toEqual(true);
+});
