--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -4,11 +4,9 @@
   BatchJob,
   BatchState,
   TaskPhase,
-  chainEstimateMs,
   isFinal,
 } from '../request/batch-job.js';
 import type { BatchContent, BatchTask } from '../request/batch-job.js';
-import { addRoom, subtractRoom } from '../request/room.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
 import type { ChangedRow } from '../store.js';
@@ -20,37 +18,32 @@
   LogFields,
   PeerStatus,
 } from './batch-events.js';
-import {
-  hasBegun,
-  isHopeless,
-  orderJobs,
-  prospectOf,
-} from './batch-order.js';
-import type { Prospect, RankedJob } from './batch-order.js';
+import { EntryTakeovers } from './entry-takeovers.js';
 import {
   ENTRY_PREFIX,
   MEMBER_TABLE,
   WORKER_PREFIX,
   decodeEntryRow,
   decodeJobRow,
-  decodeWorkerRow,
   fleetKeys,
   partName,
   partOf,
 } from './fleet-rows.js';
-import type { EndedJobRow, EntryRow, OpenJobRow } from './fleet-rows.js';
+import type { EntryRow } from './fleet-rows.js';
+import { JobLookups } from './job-lookups.js';
+import type { JobLookup } from './job-lookups.js';
+import { JobPlacer } from './job-placer.js';
 import { JobRecorder } from './job-recorder.js';
 import type { RecordedJob } from './job-recorder.js';
+import type { EndedJob, OwedRecord, OwnJob } from './own-job.js';
 import { MEMBER_PART, PartStores } from './part-stores.js';
 import { PeerWatch, TENURE_MS } from './peer-watch.js';
-import type { Peer } from './peer-watch.js';
-import { Succession } from './succession.js';
 import type { AdoptedJob } from './succession.js';
 import { TableFollower } from './table-follower.js';
-import { chooseWorker } from './worker-choice.js';
-import type { Candidate } from './worker-choice.js';
+import { WorkerFleet } from './worker-fleet.js';
 import { WorkerHealth } from './worker-health.js';
-import { WorkerView, runName } from './worker-view.js';
+import { runName } from './worker-view.js';
+import type { WorkerView } from './worker-view.js';
 
 /** Options of {@link BatchEntry}. */
 export interface BatchEntryOptions {
@@ -77,16 +70,8 @@
 const MEMBER_WAIT_MS = 600;
 /** Longest wait of a call for changes by operators. */
 const OPERATOR_WAIT_MS = 1000;
-/** Pause between two words to a worker that has runs of this entry. */
-const GRANT_PERIOD_MS = 200;
-/** Pause between two words to a worker that has none. */
-const IDLE_GRANT_PERIOD_MS = 500;
-/** Pause before a link to a worker is opened again. */
-const REOPEN_MS = 100;
 /** Ends of a job that goes on are recorded after this time. */
 const PROGRESS_AFTER_MS = 500;
-/** Pause between two tries of a lookup. */
-const ASK_RETRY_MS = 60;
 /** Kept back from a caller's deadline for the answer to reach it. */
 const REPLY_RESERVE_MS = 100;
 /** When a caller may come back after a refusal for want of the store. */
@@ -95,8 +80,6 @@
 const OVERLOAD_RETRY_AFTER_MS = 2000;
 /** Failed calls in a row after which the store counts as away. */
 const STORE_AWAY_FAILURES = 3;
-/** Delay of each further entry before it takes over a silent one. */
-const RANK_DELAY_MS = 400;
 /** Time that callers get to notice a planned stop. */
 const STOP_QUIET_MS = 2500;
 /** When open jobs are left to the other entries, or answered as in doubt. */
@@ -105,63 +88,12 @@
 const STOP_ACCEPT_MS = 5000;
 /** Factor on the estimate of a job's length that is taken during a stop. */
 const STOP_ESTIMATE_FACTOR = 1.6;
-/** How long fenced incarnations are named to workers that connect. */
-const FENCE_MEMORY_MS = 60_000;
-
-/** An end that is acknowledged once its job's row covers it. */
-interface OwedRecord {
-  readonly worker: string;
-  readonly life: string;
-  readonly number: number;
-  readonly superseded: boolean;
-  /** Whether this entry has sent the run. */
-  readonly isOwnRun: boolean;
-}
-
-interface OwnJob extends RecordedJob {
-  readonly job: BatchJob;
-  owed: OwedRecord[];
-  owedSinceMs: number;
-  isSaving: boolean;
-  isFinishing: boolean;
-  /** Callers that wait for the final row. */
-  cancelReplies: number[];
-  /** Callers that wait for the end of a job that is not recorded. */
-  endReplies: number[];
-  /** When the callers of a volatile job stop waiting. */
-  readonly deadlineMs: number;
-  /** Incarnation whose runs of this job are not all known yet. */
-  heirOf: string | undefined;
-}
-
-interface EndedJob {
-  readonly state: BatchState;
-  readonly version: number;
-  readonly endedAtMs: number;
-}
 
 interface Submission {
   replies: number[];
   readonly deadlineMs: number;
 }
 
-interface Ask {
-  readonly replyId: number;
-  readonly kind: 'status' | 'cancel';
-  readonly id: string;
-  readonly deadlineMs: number;
-  nextTryAtMs: number;
-  isWaiting: boolean;
-}
-
-interface Heir {
-  readonly succession: Succession;
-  readonly victim: string;
-  isLoaded: boolean;
-  isSettled: boolean;
-  readonly startedAtMs: number;
-}
-
 /**
  * An entry on the platform: takes jobs, records them, places their tasks on
  * workers, and takes over from entries that are gone.
@@ -175,22 +107,17 @@
   private readonly _operators: TableFollower;
   private readonly _peers = new PeerWatch();
   private readonly _health = new WorkerHealth();
-  private readonly _workers = new Map<string, WorkerView>();
-  private readonly _links = new Map<number, WorkerView>();
+  private readonly _fleet: WorkerFleet;
+  private readonly _placer: JobPlacer;
+  private readonly _lookups: JobLookups;
+  private readonly _takeovers: EntryTakeovers;
   private readonly _jobs = new Map<string, OwnJob>();
   private readonly _ended = new Map<string, EndedJob>();
   private readonly _submissions = new Map<string, Submission>();
-  private readonly _asks = new Map<number, Ask>();
-  private readonly _forwards = new Map<number, Ask>();
-  private readonly _heirs = new Map<string, Heir>();
-  private readonly _fenced = new Map<string, number>();
   /** Runs that were given up although their end may still be listed. */
   private readonly _superseded = new Map<string, number>();
-  /** Jobs that may have tasks to place. */
-  private readonly _waiting = new Set<OwnJob>();
   private _actions: BatchAction[] = [];
-  private _nextLinkId = 1;
-  private _nextCallId = 1;
+  private _nowMs: number;
   private _hasTenure = false;
   private _recordedJobs = 0;
   private _isStoreAway = false;
@@ -210,6 +137,7 @@
       farFactor: DEFAULT_FAR_FACTOR,
       ...options,
     };
+    this._nowMs = now;
     this._stores = new PartStores(
       {
         emit: (opId, part, req) => {
@@ -226,6 +154,50 @@
         this._standDown('owner row is gone');
       },
     });
+    const { name, incarnation, dataCentre, random } = options;
+    const log = (message: string, fields: LogFields): void => {
+      this._log(message, fields);
+    };
+    this._fleet = new WorkerFleet({
+      name,
+      incarnation,
+      emit: (action) => {
+        this._actions.push(action);
+      },
+    });
+    this._placer = new JobPlacer({
+      fleet: this._fleet,
+      health: this._health,
+      routes: this.routes,
+      dataCentre,
+      farFactor: this._options.farFactor,
+      random,
+      log,
+    });
+    this._lookups = new JobLookups({
+      stores: this._stores,
+      answerHere: (lookup) => this._answerHere(lookup, this._nowMs),
+      isSubmitting: (id) => this._submissions.has(id),
+      reply: (replyId, reply) => {
+        this._reply(replyId, reply);
+      },
+      forward: (callId, owner, id) => this._forwardCancel(callId, owner, id),
+    });
+    this._takeovers = new EntryTakeovers({
+      name,
+      incarnation,
+      stores: this._stores,
+      recorder: this._recorder,
+      peers: this._peers,
+      fleet: this._fleet,
+      onAdopted: (victim, job, at) => {
+        this._onAdopted(victim, job, at);
+      },
+      onSettled: (victim, at) => {
+        this._onSettled(victim, at);
+      },
+      log,
+    });
     this._members = new TableFollower({
       table: MEMBER_TABLE,
       waitMs: MEMBER_WAIT_MS,
@@ -263,7 +235,7 @@
 
   /** Jobs with tasks that wait for room. */
   get waitingJobs(): number {
-    return this._waiting.size;
+    return this._placer.size;
   }
 
   /** @returns Whether this entry runs the job or knows how it ended. */
@@ -298,6 +270,7 @@
    * @returns What has to be done.
    */
   handle(event: BatchEvent, now: number): BatchAction[] {
+    this._nowMs = now;
     if (!this._isDown) {
       this._handle(event, now);
     }
@@ -313,23 +286,13 @@
         return;
       case 'status':
       case 'cancel':
-        this._onAsk(
-          {
-            replyId: event.replyId,
-            kind: event.kind,
-            id: event.id,
-            deadlineMs: event.deadlineMs,
-            nextTryAtMs: now,
-            isWaiting: false,
-          },
-          now,
-        );
+        this._lookups.begin(event, now);
         return;
       case 'caller-gone':
         this._onCallerGone(event.replyId, now);
         return;
       case 'link-closed':
-        this._onLinkClosed(event.linkId, now);
+        this._fleet.onLinkClosed(event.linkId, now);
         return;
       case 'report':
         this._onReport(event.linkId, event.report, now);
@@ -347,7 +310,7 @@
         this._peers.onProbed(event.incarnation, event.status, now);
         return;
       case 'forward-reply':
-        this._onForwarded(event.callId, event.handled, now);
+        this._lookups.onForwarded(event.callId, event.handled, now);
         return;
       case 'paused':
         this._log('pause suspected', { jumpMs: Math.round(event.jumpMs) });
@@ -407,7 +370,7 @@
     if (row.key.startsWith(ENTRY_PREFIX)) {
       this._onEntryRow(row.key.slice(ENTRY_PREFIX.length), row, now);
     } else if (row.key.startsWith(WORKER_PREFIX)) {
-      this._onWorkerRow(row.key.slice(WORKER_PREFIX.length), row);
+      this._fleet.onRow(row.key.slice(WORKER_PREFIX.length), row.value);
     }
   }
 
@@ -429,22 +392,6 @@
     peer.isGone ||= data.name === this._options.name;
   }
 
-  private _onWorkerRow(name: string, row: ChangedRow): void {
-    const data = row.value === null ? undefined : decodeWorkerRow(row.value);
-    const view = this._workers.get(name);
-    if (!data) {
-      if (view && view.linkId === undefined) {
-        this._workers.delete(name);
-      }
-      return;
-    }
-    if (view) {
-      view.address = data.address;
-    } else {
-      this._workers.set(name, new WorkerView(name, data.address));
-    }
-  }
-
   private _onOperatorRow(row: ChangedRow): void {
     this._applyOperatorChange(this._options.decodeOperatorRow(row));
   }
@@ -507,7 +454,7 @@
   private _openReplies(): number[] {
     return [
       ...[...this._submissions.values()].flatMap((s) => s.replies),
-      ...this._asks.keys(),
+      ...this._lookups.replyIds,
       ...[...this._jobs.values()].flatMap((own) => own.cancelReplies),
       ...[...this._jobs.values()].flatMap((own) => own.endReplies),
     ];
@@ -641,16 +588,13 @@
     if (this._stoppingSinceMs === undefined) {
       return false;
     }
-    const expectedMs = this._health.expectedMs(
-      content.queue,
-      chainEstimateMs(content),
-    );
+    const expectedMs = this._placer.expectedMs(content);
     const endsMs = now + STOP_ESTIMATE_FACTOR * expectedMs;
     return endsMs > this._stoppingSinceMs + STOP_ACCEPT_MS;
   }
 
   private _onCallerGone(replyId: number, now: number): void {
-    this._asks.delete(replyId);
+    this._lookups.drop(replyId);
     for (const own of this._jobs.values()) {
       if (own.endReplies.includes(replyId)) {
         own.endReplies = own.endReplies.filter((other) => other !== replyId);
@@ -685,11 +629,11 @@
 
   private _drop(own: OwnJob): void {
     this._remove(own);
-    this._acknowledge(own.owed);
+    this._fleet.acknowledge(own.owed);
   }
 
   private _remove(own: OwnJob): void {
-    this._waiting.delete(own);
+    this._placer.delete(own);
     if (this._jobs.delete(own.id) && !own.job.content.isVolatile) {
       this._recordedJobs -= 1;
     }
@@ -723,21 +667,14 @@
       heirOf: undefined,
     };
     this._jobs.set(job.id, own);
-    this._waiting.add(own);
+    this._placer.add(own);
     this._recordedJobs += job.content.isVolatile ? 0 : 1;
     return own;
   }
 
   // States and cancels
 
-  private _onAsk(ask: Ask, now: number): void {
-    if (!this._answerHere(ask, now)) {
-      this._asks.set(ask.replyId, ask);
-      this._tryAsk(ask);
-    }
-  }
-
-  private _answerHere(ask: Ask, now: number): boolean {
+  private _answerHere(ask: JobLookup, now: number): boolean {
     const own = this._jobs.get(ask.id);
     const state = own?.job.state ?? this._ended.get(ask.id)?.state;
     if (state === undefined) {
@@ -757,83 +694,14 @@
     return true;
   }
 
-  private _tryAsk(ask: Ask): void {
-    ask.isWaiting = true;
-    const key = fleetKeys.job(ask.id);
-    const caller = this._stores.caller(partName(partOf(ask.id)));
-    caller.call({ kind: 'read', keys: [key] }, (reply, at) => {
-      ask.isWaiting = false;
-      ask.nextTryAtMs = at + ASK_RETRY_MS;
-      if (!this._asks.has(ask.replyId) || reply.kind !== 'rows') {
-        return;
-      }
-      if (this._answerHere(ask, at)) {
-        this._asks.delete(ask.replyId);
-        return;
-      }
-      const row = reply.rows[0];
-      const data = row && decodeJobRow(row.value);
-      if (!data) {
-        if (!this._submissions.has(ask.id)) {
-          this._answer(ask, { kind: 'unknown-job' });
-        }
-        return;
-      }
-      this._answerFromRow(ask, data);
-    });
-  }
-
-  private _answerFromRow(ask: Ask, row: OpenJobRow | EndedJobRow): void {
-    switch (row.kind) {
-      case 'ended':
-        this._answer(
-          ask,
-          ask.kind === 'status'
-            ? { kind: 'state', state: row.state }
-            : { kind: 'cancelled' },
-        );
-        return;
-      case 'open':
-        if (ask.kind === 'status') {
-          this._answer(ask, { kind: 'state', state: BatchState.Running });
-          return;
-        }
-        this._forward(ask, row.owner);
-    }
-  }
-
-  private _forward(ask: Ask, owner: string): void {
+  private _forwardCancel(callId: number, owner: string, id: string): boolean {
     const peer = this._peers.get(owner);
     if (!peer) {
-      return;
-    }
-    const callId = this._nextCallId++;
-    ask.isWaiting = true;
-    this._forwards.set(callId, ask);
-    this._actions.push({
-      kind: 'forward-cancel',
-      callId,
-      address: peer.row.address,
-      id: ask.id,
-    });
-  }
-
-  private _onForwarded(callId: number, handled: boolean, now: number): void {
-    const ask = this._forwards.get(callId);
-    this._forwards.delete(callId);
-    if (!ask) {
-      return;
-    }
-    ask.isWaiting = false;
-    ask.nextTryAtMs = now + ASK_RETRY_MS;
-    if (handled && this._asks.has(ask.replyId)) {
-      this._answer(ask, { kind: 'cancelled' });
+      return false;
     }
-  }
-
-  private _answer(ask: Ask, reply: BatchReply): void {
-    this._asks.delete(ask.replyId);
-    this._reply(ask.replyId, reply);
+    const { address } = peer.row;
+    this._actions.push({ kind: 'forward-cancel', callId, address, id });
+    return true;
   }
 
   private _reply(replyId: number, reply: BatchReply): void {
@@ -848,45 +716,8 @@
 
   // Workers
 
-  private _openLinks(now: number): void {
-    for (const view of this._workers.values()) {
-      if (view.isSilent(now) && view.linkId !== undefined) {
-        this._log('worker silent, link replaced', {
-          worker: view.name,
-          silentMs: Math.round(
-            now - Math.max(view.lastReportAtMs, view.linkedAtMs),
-          ),
-        });
-        this._actions.push({ kind: 'close-link', linkId: view.linkId });
-        this._onLinkClosed(view.linkId, now);
-      }
-      if (view.linkId === undefined && now >= view.reopenAtMs) {
-        const linkId = this._nextLinkId++;
-        view.relink(linkId, now);
-        view.order.adopt = [...this._fenced.keys()];
-        this._links.set(linkId, view);
-        this._actions.push({
-          kind: 'open-link',
-          linkId,
-          address: view.address,
-        });
-      }
-    }
-  }
-
-  private _onLinkClosed(linkId: number, now: number): void {
-    const view = this._links.get(linkId);
-    this._links.delete(linkId);
-    if (view?.linkId === linkId) {
-      view.linkId = undefined;
-      view.isKnown = false;
-      view.reopenAtMs = now + REOPEN_MS;
-      view.takeOrder();
-    }
-  }
-
   private _onReport(linkId: number, report: WorkerReport, now: number): void {
-    const view = this._links.get(linkId);
+    const view = this._fleet.atLink(linkId);
     if (!view) {
       return;
     }
@@ -934,7 +765,7 @@
       return;
     }
     if (own.job.content.isVolatile) {
-      this._acknowledge([owed]);
+      this._fleet.acknowledge([owed]);
     } else if (end.number > 0) {
       this._owe(own, owed, now);
     }
@@ -956,7 +787,7 @@
     if (isFinal(own.job.state)) {
       this._finish(own, now);
     } else if (task.phase !== TaskPhase.Done) {
-      this._waiting.add(own);
+      this._placer.add(own);
     }
   }
 
@@ -1004,7 +835,7 @@
     }
     const id = end.task.slice(0, end.task.indexOf('.'));
     if (this._ended.has(id) || owed.isOwnRun) {
-      this._acknowledge([owed]);
+      this._fleet.acknowledge([owed]);
       return;
     }
     const key = fleetKeys.job(id);
@@ -1016,21 +847,11 @@
       const row = reply.rows[0];
       const data = row && decodeJobRow(row.value);
       if (data?.kind !== 'open') {
-        this._acknowledge([owed]);
+        this._fleet.acknowledge([owed]);
       }
     });
   }
 
-  private _acknowledge(owed: readonly OwedRecord[]): void {
-    for (const { worker, life, number, superseded } of owed) {
-      const view = this._workers.get(worker);
-      if (view && number > 0) {
-        // Rides with the next order; nobody waits for it.
-        view.order.recorded.push({ life, number, superseded });
-      }
-    }
-  }
-
   private _onRefused(
     view: WorkerView,
     name: string,
@@ -1065,7 +886,7 @@
         break;
     }
     own.job.requeue(task, now);
-    this._waiting.add(own);
+    this._placer.add(own);
   }
 
   private _onSnapshot(
@@ -1109,7 +930,7 @@
     const id = name.slice(0, name.indexOf('.'));
     if (!own || !task) {
       if (owner === this._options.incarnation || this._ended.has(id)) {
-        this._stopAt(view, name, run);
+        this._fleet.stop(view, name, run);
       }
       return;
     }
@@ -1126,7 +947,7 @@
       task.worker === view.name &&
       !isFinal(own.job.state);
     if (!isCurrent) {
-      this._stopAt(view, name, run);
+      this._fleet.stop(view, name, run);
       return;
     }
     const { needs } = own.job.stepOf(task);
@@ -1148,11 +969,6 @@
     }
   }
 
-  private _stopAt(view: WorkerView, task: string, run: number): void {
-    view.order.stops.push({ task, run });
-    view.isDirty = true;
-  }
-
   /** The run has provably ended or never began; the task may run again. */
   private _giveUp(view: WorkerView, name: string, now: number): void {
     const placed = view.placed.get(name);
@@ -1171,7 +987,7 @@
         silentMs: Math.round(now - view.lastReportAtMs),
       });
       own.job.requeue(task, now);
-      this._waiting.add(own);
+      this._placer.add(own);
     }
   }
 
@@ -1182,7 +998,7 @@
       return;
     }
     own.isFinishing = true;
-    this._waiting.delete(own);
+    this._placer.delete(own);
     const { job } = own;
     this._stopRuns(own);
     if (job.content.isVolatile) {
@@ -1217,7 +1033,7 @@
         tookMs: Math.round(at - job.acceptedAtMs),
         recordMs: Math.round(at - now),
       });
-      this._acknowledge(own.owed);
+      this._fleet.acknowledge(own.owed);
       this._replyAll(own.cancelReplies, { kind: 'cancelled' });
     });
   }
@@ -1225,9 +1041,9 @@
   private _stopRuns(own: OwnJob): void {
     for (const task of own.job.tasks) {
       if (task.phase === TaskPhase.Placed) {
-        const view = this._workers.get(task.worker);
+        const view = this._fleet.get(task.worker);
         if (view) {
-          this._stopAt(view, task.name, task.run);
+          this._fleet.stop(view, task.name, task.run);
         }
       }
     }
@@ -1249,7 +1065,7 @@
       this._recorder.saveProgress(own, own.job.progress, now, (outcome) => {
         own.isSaving = false;
         if (outcome.kind === 'committed') {
-          this._acknowledge(owed);
+          this._fleet.acknowledge(owed);
         }
       });
     }
@@ -1268,72 +1084,7 @@
     if (!this._hasTenure || this._isStoreAway || this._isLeaving) {
       return;
     }
-    for (const peer of this._peers.suspects(now)) {
-      if (!this._heirs.has(peer.incarnation) && this._isHeir(peer, now)) {
-        this._takeOver(peer, now);
-      }
-    }
-    for (const heir of this._heirs.values()) {
-      heir.succession.pump(now);
-      this._settle(heir, now);
-    }
-  }
-
-  private _isHeir(peer: Peer, now: number): boolean {
-    const { fencedBy, name } = peer.row;
-    if (name === this._options.name) {
-      return true;
-    }
-    if (fencedBy !== undefined && fencedBy !== this._options.incarnation) {
-      const other = this._peers.get(fencedBy);
-      if (other && !this._peers.suspects(now).includes(other)) {
-        return false;
-      }
-    }
-    const live = this._peers.peers
-      .filter((other) => !this._peers.suspects(now).includes(other))
-      .map((other) => other.incarnation);
-    const rank = live.filter((other) => other < this._options.incarnation);
-    const sinceMs = peer.silentSinceMs ?? now;
-    return (
-      rank.length === 0 ||
-      now - sinceMs > TENURE_MS + rank.length * RANK_DELAY_MS
-    );
-  }
-
-  private _takeOver(peer: Peer, now: number): void {
-    const { incarnation, row, version } = peer;
-    const succession = new Succession({
-      stores: this._stores,
-      recorder: this._recorder,
-      incarnation: this._options.incarnation,
-      victim: {
-        incarnation,
-        row,
-        version,
-        isGone: peer.isGone || row.hasLeft === true,
-      },
-      onAdopted: (job, at) => {
-        this._onAdopted(incarnation, job, at);
-      },
-      onLoaded: (at) => {
-        this._onLoaded(incarnation, at);
-      },
-      onLost: () => {
-        this._heirs.delete(incarnation);
-      },
-      log: (message, fields) => {
-        this._log(message, fields);
-      },
-    });
-    this._heirs.set(incarnation, {
-      succession,
-      victim: incarnation,
-      isLoaded: false,
-      isSettled: false,
-      startedAtMs: now,
-    });
-    succession.start(now);
+    this._takeovers.pump(now);
   }
 
   private _onAdopted(victim: string, adopted: AdoptedJob, now: number): void {
@@ -1352,38 +1103,9 @@
     }
   }
 
-  private _onLoaded(victim: string, now: number): void {
-    const heir = this._heirs.get(victim);
-    if (heir) {
-      heir.isLoaded = true;
-      this._fenced.set(victim, now);
-      for (const view of this._workers.values()) {
-        view.order.adopt.push(victim);
-        view.isDirty = true;
-      }
-    }
-  }
-
-  /** Ends a takeover once every worker has told what it has of the victim. */
-  private _settle(heir: Heir, now: number): void {
-    if (!heir.isLoaded || heir.isSettled) {
-      return;
-    }
-    const isProven = now > heir.succession.provenAtMs;
-    const missing = [...this._workers.values()].filter(
-      (view) => !view.adopted.has(heir.victim),
-    );
-    if (missing.length > 0 && !isProven) {
-      return;
-    }
-    heir.isSettled = true;
-    this._log('takeover settled', {
-      victim: heir.victim,
-      silentWorkers: missing.length,
-      afterMs: Math.round(now - heir.startedAtMs),
-    });
+  private _onSettled(victim: string, now: number): void {
     for (const own of this._jobs.values()) {
-      if (own.heirOf !== heir.victim) {
+      if (own.heirOf !== victim) {
         continue;
       }
       own.heirOf = undefined;
@@ -1392,18 +1114,17 @@
           own.job.requeue(task, now);
         }
       }
-      this._waiting.add(own);
+      this._placer.add(own);
     }
-    heir.succession.finish();
   }
 
   // Turns of the loop
 
   private _onTick(now: number): void {
     this._updateTenure(now);
-    this._openLinks(now);
+    this._fleet.openLinks(this._takeovers.fenced, now);
     this._watchPeers(now);
-    for (const view of this._workers.values()) {
+    for (const view of this._fleet.views) {
       if (view.placed.size > 0 && view.isLost(now)) {
         for (const name of [...view.placed.keys()]) {
           this._giveUp(view, name, now);
@@ -1419,7 +1140,6 @@
 
   private _expire(now: number): void {
     forgetOld(this._superseded, now, this._options.keepStateMs);
-    forgetOld(this._fenced, now, FENCE_MEMORY_MS);
     for (const [id, ended] of this._ended) {
       if (now - ended.endedAtMs < this._options.keepStateMs) {
         break;
@@ -1444,20 +1164,7 @@
         this._abandon(own, 'deadline passed', now);
       }
     }
-    for (const ask of [...this._asks.values()]) {
-      if (now > ask.deadlineMs - REPLY_RESERVE_MS) {
-        this._answer(ask, {
-          kind: 'unavailable',
-          retryAfterMs: STORE_RETRY_AFTER_MS,
-        });
-      } else if (!ask.isWaiting && now >= ask.nextTryAtMs) {
-        if (this._answerHere(ask, now)) {
-          this._asks.delete(ask.replyId);
-        } else {
-          this._tryAsk(ask);
-        }
-      }
-    }
+    this._lookups.pump(now);
   }
 
   private _checkStop(now: number): void {
@@ -1468,7 +1175,7 @@
     const isQuiet =
       this._jobs.size === 0 &&
       this._submissions.size === 0 &&
-      this._asks.size === 0;
+      this._lookups.replyIds.length === 0;
     if (sinceMs < STOP_QUIET_MS || (!isQuiet && sinceMs < STOP_LIMIT_MS)) {
       return;
     }
@@ -1492,7 +1199,9 @@
 
   private _flush(now: number): void {
     this._updateTenure(now);
-    this._place(now);
+    if (this._mayAct && !this._isLeaving) {
+      this._placer.place(now);
+    }
     this._recorder.pump(now);
     this._stores.pump(now);
     for (const follower of [this._members, this._operators]) {
@@ -1501,116 +1210,17 @@
         this._actions.push({ kind: 'follow', req });
       }
     }
-    this._sendOrders(now);
-  }
-
-  private _sendOrders(now: number): void {
-    for (const view of this._workers.values()) {
-      const { linkId } = view;
-      if (linkId === undefined) {
-        continue;
-      }
-      const periodMs =
-        view.placed.size > 0 ? GRANT_PERIOD_MS : IDLE_GRANT_PERIOD_MS;
-      if (!view.isDirty && now - view.sentAtMs < periodMs) {
-        continue;
-      }
-      const order = view.takeOrder();
-      order.entry = this._options.name;
-      order.incarnation = this._options.incarnation;
-      order.holdUntilMs = this._mayAct ? view.grant(now) : 0;
-      view.sentAtMs = now;
-      this._actions.push({ kind: 'order', linkId, order });
-    }
-  }
-
-  private _place(now: number): void {
-    if (!this._mayAct || this._waiting.size === 0 || this._isLeaving) {
-      return;
-    }
-    const candidates = this._candidates(now);
-    if (candidates.length === 0) {
-      return;
-    }
-    for (const { job: own } of this._inOrder(now)) {
-      const ready = own.job.ready;
-      const placed: string[] = [];
-      for (const task of ready) {
-        const at = this._placeTask(own, task, candidates, now);
-        if (at === undefined) {
-          break;
-        }
-        placed.push(at);
-      }
-      if (placed.length > 0) {
-        own.job.state = BatchState.Running;
-        this._log('runs placed', {
-          job: own.id,
-          runs: placed.join(' '),
-          left: ready.length - placed.length,
-          waitedMs: Math.round(now - own.job.acceptedAtMs),
-          config: this.routes.version ?? 0,
-        });
-      }
-      if (placed.length === ready.length) {
-        this._waiting.delete(own);
-      }
-    }
-  }
-
-  private _inOrder(now: number): RankedJob<OwnJob>[] {
-    const ranked: RankedJob<OwnJob>[] = [];
-    for (const own of this._waiting) {
-      if (isFinal(own.job.state) || own.job.ready.length === 0) {
-        this._waiting.delete(own);
-        continue;
-      }
-      ranked.push({ job: own, ...this._prospectOf(own.job, now) });
-    }
-    return orderJobs(ranked);
-  }
-
-  private _prospectOf(
-    job: BatchJob,
-    now: number,
-  ): { readonly prospect: Prospect; readonly latestStartMs: number } {
-    const { content } = job;
-    const chainMs = this._health.expectedMs(
-      content.queue,
-      chainEstimateMs(content),
-    );
-    return prospectOf(
-      {
-        acceptedAtMs: job.acceptedAtMs,
-        chainMs,
-        leftMs: chainMs,
-        stretch: content.stretch,
-        slackMs: content.slackMs,
-      },
-      now,
-    );
+    this._fleet.sendOrders(this._mayAct, now);
   }
 
   /** Refuses volatile jobs that are not worth their callers' wait. */
   private _refuseHopeless(now: number): void {
-    for (const own of [...this._waiting]) {
-      const { job } = own;
-      const { prospect } = this._prospectOf(job, now);
-      const isRefused =
-        job.content.isVolatile &&
-        !hasBegun(job) &&
-        isHopeless(prospect, {
-          waitedMs: now - job.acceptedAtMs,
-          patienceMs: own.deadlineMs - job.acceptedAtMs,
-        });
-      if (!isRefused) {
-        continue;
-      }
+    for (const own of this._placer.hopeless(now)) {
       this._log('job refused', {
         job: own.id,
         reason: SubmitRefusal.Overload,
-        waitedMs: Math.round(now - job.acceptedAtMs),
-        waitingJobs: this._waiting.size,
+        waitedMs: Math.round(now - own.job.acceptedAtMs),
+        waitingJobs: this._placer.size,
       });
       this._drop(own);
       this._replyAll(own.endReplies, {
@@ -1621,116 +1231,11 @@
     }
   }
 
-  private _candidates(now: number): PlacementCandidate[] {
-    const candidates: PlacementCandidate[] = [];
-    for (const view of this._workers.values()) {
-      const { hello } = view;
-      if (
-        !hello ||
-        !view.isUsable(now) ||
-        this.routes.isOut(hello.dataCentre)
-      ) {
-        continue;
-      }
-      candidates.push({
-        name: view.name,
-        view,
-        service: hello.service,
-        dataCentre: hello.dataCentre,
-        labels: hello.labels,
-        free: view.free,
-        slowness: this._health.slowness(view.name),
-        isSetAside: this._health.isSetAside(view.name, now),
-      });
-    }
-    return candidates;
-  }
-
-  private _placeTask(
-    own: OwnJob,
-    task: BatchTask,
-    candidates: readonly PlacementCandidate[],
-    now: number,
-  ): string | undefined {
-    const { job } = own;
-    const step = job.stepOf(task);
-    const chosen = chooseWorker(
-      {
-        needs: step.needs,
-        requires: step.requires,
-        affinity: step.affinity,
-        farFactor: this._options.farFactor,
-        avoid: task.avoid,
-        dataCentre: this._options.dataCentre,
-      },
-      candidates.filter(
-        (candidate) =>
-          candidate.service === job.content.service &&
-          hasRoomForStep(job, task, candidate.name),
-      ),
-      this._options.random,
-    );
-    if (!chosen) {
-      return undefined;
-    }
-    const { view } = chosen;
-    const run = job.place(task, view.name, now);
-    view.placed.set(runName({ task: task.name, run }), {
-      job: own.id,
-      task: task.name,
-      run,
-      needs: step.needs,
-      sequence: view.nextSequence,
-    });
-    chosen.free = subtractRoom(chosen.free, step.needs);
-    const runs = { task: task.name, run, checkpoint: task.checkpoint };
-    const group = view.order.starts.find(
-      (other) => other.spec === job.content.spec && other.needs === step.needs,
-    );
-    if (group) {
-      group.runs.push(runs);
-    } else {
-      view.order.starts.push({
-        spec: job.content.spec,
-        needs: step.needs,
-        runs: [runs],
-        volatile: job.content.isVolatile,
-      });
-    }
-    view.isDirty = true;
-    return `${task.name.slice(own.id.length)}#${String(run)}@${view.name}`;
-  }
-
   private _log(message: string, fields: LogFields): void {
     this._actions.push({ kind: 'log', message, fields });
   }
 }
 
-interface PlacementCandidate extends Candidate {
-  readonly view: WorkerView;
-  readonly service: string;
-  free: ReturnType<typeof addRoom>;
-}
-
-/** Whether the worker may take one more task of the step. */
-const hasRoomForStep = (
-  job: BatchJob,
-  task: BatchTask,
-  worker: string,
-): boolean => {
-  const { antiAffinity } = job.stepOf(task);
-  if (antiAffinity === undefined) {
-    return true;
-  }
-  const there = job.tasks.filter(
-    (other) =>
-      other.step === task.step &&
-      other.phase === TaskPhase.Placed &&
-      other.worker === worker,
-  );
-  return there.length < antiAffinity;
-};
-
 const forgetOld = (
   map: Map<string, number>,
   now: number,
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -11,14 +11,18 @@
   Useless,
 }
 
-/** A waiting job with what the order goes by. */
-export interface RankedJob<J> {
-  readonly job: J;
+/** What the order of a job goes by. */
+export interface JobProspect {
   readonly prospect: Prospect;
-  /** Latest start that still meets the bound of its prospect. */
+  /** Latest start that still meets the bound of the prospect. */
   readonly latestStartMs: number;
 }
 
+/** A waiting job with its prospect. */
+export interface RankedJob<J> extends JobProspect {
+  readonly job: J;
+}
+
 /** A job is of some use up to this many times its objective. */
 const USEFUL_FACTOR = 3;
 
@@ -38,10 +42,7 @@
  * @param now - Current time in milliseconds.
  * @returns What it can reach if it starts now, and how long it may wait.
  */
-export const prospectOf = (
-  bounds: JobBounds,
-  now: number,
-): { readonly prospect: Prospect; readonly latestStartMs: number } => {
+export const prospectOf = (bounds: JobBounds, now: number): JobProspect => {
   const objectiveMs = bounds.stretch * bounds.chainMs + bounds.slackMs;
   const aimMs = bounds.acceptedAtMs + objectiveMs - bounds.leftMs;
   if (now <= aimMs) {
--- /dev/null
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -0,0 +1,269 @@
+import type { Room } from '../messages.js';
+import {
+  BatchState,
+  TaskPhase,
+  chainEstimateMs,
+  isFinal,
+} from '../request/batch-job.js';
+import type {
+  BatchContent,
+  BatchJob,
+  BatchTask,
+} from '../request/batch-job.js';
+import { subtractRoom } from '../request/room.js';
+import type { RouteTable } from '../version/route-table.js';
+import type { LogFields } from './batch-events.js';
+import { hasBegun, isHopeless, orderJobs, prospectOf } from './batch-order.js';
+import type { JobProspect, RankedJob } from './batch-order.js';
+import type { OwnJob } from './own-job.js';
+import { chooseWorker } from './worker-choice.js';
+import type { Candidate } from './worker-choice.js';
+import type { WorkerFleet } from './worker-fleet.js';
+import type { WorkerHealth } from './worker-health.js';
+import { runName } from './worker-view.js';
+import type { WorkerView } from './worker-view.js';
+
+/** Options of {@link JobPlacer}. */
+export interface JobPlacerOptions {
+  readonly fleet: WorkerFleet;
+  readonly health: WorkerHealth;
+  readonly routes: RouteTable;
+  /** Data centre of the entry. */
+  readonly dataCentre: string;
+  /** Run time away from a task's data against the time near it. */
+  readonly farFactor: number;
+  /** Uniform random numbers from 0 to 1. */
+  readonly random: () => number;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+interface PlacementCandidate extends Candidate {
+  readonly view: WorkerView;
+  readonly service: string;
+  free: Room;
+}
+
+/** The jobs that wait for room, and their way to the workers. */
+export class JobPlacer {
+  private readonly _options: JobPlacerOptions;
+  private readonly _waiting = new Set<OwnJob>();
+
+  /** @param options - Workers, what is known of them, and chance. */
+  constructor(options: JobPlacerOptions) {
+    this._options = options;
+  }
+
+  /** Jobs that may have tasks to place. */
+  get size(): number {
+    return this._waiting.size;
+  }
+
+  /** @param own - A job that may have tasks to place. */
+  add(own: OwnJob): void {
+    this._waiting.add(own);
+  }
+
+  /** @param own - A job that has none. */
+  delete(own: OwnJob): void {
+    this._waiting.delete(own);
+  }
+
+  /** @returns Expected run time of the longest chain of a job. */
+  expectedMs(content: BatchContent): number {
+    return this._options.health.expectedMs(
+      content.queue,
+      chainEstimateMs(content),
+    );
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Volatile jobs that are not worth their callers' wait.
+   */
+  hopeless(now: number): OwnJob[] {
+    return [...this._waiting].filter(({ job, deadlineMs }) => {
+      const { prospect } = this._prospectOf(job, now);
+      return (
+        job.content.isVolatile &&
+        !hasBegun(job) &&
+        isHopeless(prospect, {
+          waitedMs: now - job.acceptedAtMs,
+          patienceMs: deadlineMs - job.acceptedAtMs,
+        })
+      );
+    });
+  }
+
+  /**
+   * Places what there is room for.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  place(now: number): void {
+    const candidates = this._waiting.size > 0 ? this._candidates(now) : [];
+    if (candidates.length === 0) {
+      return;
+    }
+    for (const { job: own } of this._inOrder(now)) {
+      this._placeJob(own, candidates, now);
+    }
+  }
+
+  private _placeJob(
+    own: OwnJob,
+    candidates: readonly PlacementCandidate[],
+    now: number,
+  ): void {
+    const { ready } = own.job;
+    const placed: string[] = [];
+    for (const task of ready) {
+      const at = this._placeTask(own, task, candidates, now);
+      if (at === undefined) {
+        break;
+      }
+      placed.push(at);
+    }
+    if (placed.length > 0) {
+      own.job.state = BatchState.Running;
+      this._options.log('runs placed', {
+        job: own.id,
+        runs: placed.join(' '),
+        left: ready.length - placed.length,
+        waitedMs: Math.round(now - own.job.acceptedAtMs),
+        config: this._options.routes.version ?? 0,
+      });
+    }
+    if (placed.length === ready.length) {
+      this._waiting.delete(own);
+    }
+  }
+
+  private _inOrder(now: number): RankedJob<OwnJob>[] {
+    const ranked: RankedJob<OwnJob>[] = [];
+    for (const own of this._waiting) {
+      if (isFinal(own.job.state) || own.job.ready.length === 0) {
+        this._waiting.delete(own);
+        continue;
+      }
+      ranked.push({ job: own, ...this._prospectOf(own.job, now) });
+    }
+    return orderJobs(ranked);
+  }
+
+  private _prospectOf(job: BatchJob, now: number): JobProspect {
+    const { content, acceptedAtMs } = job;
+    const chainMs = this.expectedMs(content);
+    const { stretch, slackMs } = content;
+    const bounds = { acceptedAtMs, chainMs, leftMs: chainMs, stretch, slackMs };
+    return prospectOf(bounds, now);
+  }
+
+  private _candidates(now: number): PlacementCandidate[] {
+    const { fleet, health, routes } = this._options;
+    return fleet.views.flatMap((view): PlacementCandidate[] => {
+      const { hello, name } = view;
+      const isUsable =
+        hello && view.isUsable(now) && !routes.isOut(hello.dataCentre);
+      return isUsable
+        ? [
+            {
+              name,
+              view,
+              service: hello.service,
+              dataCentre: hello.dataCentre,
+              labels: hello.labels,
+              free: view.free,
+              slowness: health.slowness(name),
+              isSetAside: health.isSetAside(name, now),
+            },
+          ]
+        : [];
+    });
+  }
+
+  private _placeTask(
+    own: OwnJob,
+    task: BatchTask,
+    candidates: readonly PlacementCandidate[],
+    now: number,
+  ): string | undefined {
+    const { job } = own;
+    const step = job.stepOf(task);
+    const { farFactor, dataCentre, random } = this._options;
+    const chosen = chooseWorker(
+      {
+        needs: step.needs,
+        requires: step.requires,
+        affinity: step.affinity,
+        farFactor,
+        avoid: task.avoid,
+        dataCentre,
+      },
+      candidates.filter(
+        (candidate) =>
+          candidate.service === job.content.service &&
+          hasRoomForStep(job, task, candidate.name),
+      ),
+      random,
+    );
+    if (!chosen) {
+      return undefined;
+    }
+    chosen.free = subtractRoom(chosen.free, step.needs);
+    const { view } = chosen;
+    const run = job.place(task, view.name, now);
+    sendStart(view, job, task, run);
+    return `${task.name.slice(own.id.length)}#${String(run)}@${view.name}`;
+  }
+}
+
+const sendStart = (
+  view: WorkerView,
+  job: BatchJob,
+  task: BatchTask,
+  run: number,
+): void => {
+  const { needs } = job.stepOf(task);
+  const { spec, isVolatile } = job.content;
+  view.placed.set(runName({ task: task.name, run }), {
+    job: job.id,
+    task: task.name,
+    run,
+    needs,
+    sequence: view.nextSequence,
+  });
+  const start = { task: task.name, run, checkpoint: task.checkpoint };
+  const group = view.order.starts.find(
+    (other) => other.spec === spec && other.needs === needs,
+  );
+  if (group) {
+    group.runs.push(start);
+  } else {
+    view.order.starts.push({
+      spec,
+      needs,
+      runs: [start],
+      volatile: isVolatile,
+    });
+  }
+  view.isDirty = true;
+};
+
+/** Whether the worker may take one more task of the step. */
+const hasRoomForStep = (
+  job: BatchJob,
+  task: BatchTask,
+  worker: string,
+): boolean => {
+  const { antiAffinity } = job.stepOf(task);
+  if (antiAffinity === undefined) {
+    return true;
+  }
+  const there = job.tasks.filter(
+    (other) =>
+      other.step === task.step &&
+      other.phase === TaskPhase.Placed &&
+      other.worker === worker,
+  );
+  return there.length < antiAffinity;
+};
