--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -1,12 +1,10 @@
-import { EndKind, StartRefusal } from '../messages.js';
-import type { RunEnd, WorkerReport } from '../messages.js';
 import {
   BatchJob,
   BatchState,
   TaskPhase,
   isFinal,
 } from '../request/batch-job.js';
-import type { BatchContent, BatchTask } from '../request/batch-job.js';
+import type { BatchContent } from '../request/batch-job.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
 import type { ChangedRow } from '../store.js';
@@ -18,32 +16,21 @@
   LogFields,
   PeerStatus,
 } from './batch-events.js';
+import { EntryTenure } from './entry-tenure.js';
 import { EntryTakeovers } from './entry-takeovers.js';
-import {
-  ENTRY_PREFIX,
-  MEMBER_TABLE,
-  WORKER_PREFIX,
-  decodeEntryRow,
-  decodeJobRow,
-  fleetKeys,
-  partName,
-  partOf,
-} from './fleet-rows.js';
-import type { EntryRow } from './fleet-rows.js';
+import { fleetKeys } from './fleet-rows.js';
 import { JobLookups } from './job-lookups.js';
 import type { JobLookup } from './job-lookups.js';
 import { JobPlacer } from './job-placer.js';
 import { JobRecorder } from './job-recorder.js';
 import type { RecordedJob } from './job-recorder.js';
-import type { EndedJob, OwedRecord, OwnJob } from './own-job.js';
-import { MEMBER_PART, PartStores } from './part-stores.js';
-import { PeerWatch, TENURE_MS } from './peer-watch.js';
+import type { EndedJob, OwnJob } from './own-job.js';
+import { PartStores } from './part-stores.js';
+import { PeerWatch } from './peer-watch.js';
 import type { AdoptedJob } from './succession.js';
-import { TableFollower } from './table-follower.js';
+import { RunReports } from './run-reports.js';
 import { WorkerFleet } from './worker-fleet.js';
 import { WorkerHealth } from './worker-health.js';
-import { runName } from './worker-view.js';
-import type { WorkerView } from './worker-view.js';
 
 /** Options of {@link BatchEntry}. */
 export interface BatchEntryOptions {
@@ -66,10 +53,6 @@
 
 const DEFAULT_KEEP_STATE_MS = 120_000;
 const DEFAULT_FAR_FACTOR = 1.5;
-/** Longest wait of a call for changes of the members. */
-const MEMBER_WAIT_MS = 600;
-/** Longest wait of a call for changes by operators. */
-const OPERATOR_WAIT_MS = 1000;
 /** Ends of a job that goes on are recorded after this time. */
 const PROGRESS_AFTER_MS = 500;
 /** Kept back from a caller's deadline for the answer to reach it. */
@@ -78,8 +61,6 @@
 const STORE_RETRY_AFTER_MS = 1000;
 /** When a caller may come back after a refusal for want of room. */
 const OVERLOAD_RETRY_AFTER_MS = 2000;
-/** Failed calls in a row after which the store counts as away. */
-const STORE_AWAY_FAILURES = 3;
 /** Time that callers get to notice a planned stop. */
 const STOP_QUIET_MS = 2500;
 /** When open jobs are left to the other entries, or answered as in doubt. */
@@ -103,26 +84,20 @@
   private readonly _options: Required<BatchEntryOptions>;
   private readonly _stores: PartStores;
   private readonly _recorder: JobRecorder;
-  private readonly _members: TableFollower;
-  private readonly _operators: TableFollower;
+  private readonly _tenure: EntryTenure;
   private readonly _peers = new PeerWatch();
   private readonly _health = new WorkerHealth();
   private readonly _fleet: WorkerFleet;
   private readonly _placer: JobPlacer;
   private readonly _lookups: JobLookups;
+  private readonly _reports: RunReports;
   private readonly _takeovers: EntryTakeovers;
   private readonly _jobs = new Map<string, OwnJob>();
   private readonly _ended = new Map<string, EndedJob>();
   private readonly _submissions = new Map<string, Submission>();
-  /** Runs that were given up although their end may still be listed. */
-  private readonly _superseded = new Map<string, number>();
   private _actions: BatchAction[] = [];
   private _nowMs: number;
-  private _hasTenure = false;
   private _recordedJobs = 0;
-  private _isStoreAway = false;
-  private _isRegistered = false;
-  private _ownVersion = 0;
   private _isDown = false;
   private _stoppingSinceMs: number | undefined;
   private _isLeaving = false;
@@ -183,6 +158,22 @@
       },
       forward: (callId, owner, id) => this._forwardCancel(callId, owner, id),
     });
+    this._reports = new RunReports({
+      incarnation,
+      stores: this._stores,
+      fleet: this._fleet,
+      placer: this._placer,
+      health: this._health,
+      jobs: this._jobs,
+      isEnded: (id) => this._ended.has(id),
+      onFinal: (own, at) => {
+        this._finish(own, at);
+      },
+      onFenced: (worker) => {
+        this._standDown(`fenced at ${worker}`);
+      },
+      log,
+    });
     this._takeovers = new EntryTakeovers({
       name,
       incarnation,
@@ -198,21 +189,21 @@
       },
       log,
     });
-    this._members = new TableFollower({
-      table: MEMBER_TABLE,
-      waitMs: MEMBER_WAIT_MS,
-      onChange: (row, at) => {
-        this._onMember(row, at);
-      },
-    });
-    this._operators = new TableFollower({
-      table: options.operatorTable,
-      waitMs: OPERATOR_WAIT_MS,
-      onChange: (row) => {
-        this._onOperatorRow(row);
+    this._tenure = new EntryTenure({
+      incarnation,
+      row: { name, address: options.address, dataCentre },
+      stores: this._stores,
+      peers: this._peers,
+      fleet: this._fleet,
+      routes: this.routes,
+      operatorTable: options.operatorTable,
+      decodeOperatorRow: options.decodeOperatorRow,
+      onFenced: (reason) => {
+        this._standDown(reason);
       },
+      log,
     });
-    this._register();
+    this._tenure.register();
     this._recorder.start();
   }
 
@@ -247,7 +238,7 @@
   statusOf(now: number): PeerStatus {
     return {
       incarnation: this._options.incarnation,
-      storeReachable: now - this._members.confirmedAtMs < TENURE_MS,
+      storeReachable: this._tenure.hearsStore(now),
       pending: this._pendingHere(),
     };
   }
@@ -295,16 +286,16 @@
         this._fleet.onLinkClosed(event.linkId, now);
         return;
       case 'report':
-        this._onReport(event.linkId, event.report, now);
+        this._reports.onReport(event.linkId, event.report, now);
         return;
       case 'store-reply':
         this._stores.onReply(event.opId, event.reply, now);
         return;
       case 'follow-reply':
-        this._follower(event.table)?.onReply(event.reply, now);
+        this._tenure.onReply(event.table, event.reply, now);
         return;
       case 'operator-change':
-        this._applyOperatorChange(event.change);
+        this._tenure.applyChange(event.change);
         return;
       case 'probe-reply':
         this._peers.onProbed(event.incarnation, event.status, now);
@@ -314,7 +305,7 @@
         return;
       case 'paused':
         this._log('pause suspected', { jumpMs: Math.round(event.jumpMs) });
-        this._members.distrust();
+        this._tenure.distrust();
         // Callers may have given up meanwhile and asked another entry.
         this._abandonVolatile('this process was paused', now);
         return;
@@ -329,13 +320,6 @@
     }
   }
 
-  private _follower(table: string): TableFollower | undefined {
-    if (table === MEMBER_TABLE) {
-      return this._members;
-    }
-    return table === this._options.operatorTable ? this._operators : undefined;
-  }
-
   private _pendingHere(): Record<string, number> {
     const pending: Record<string, number> = {};
     for (const { job } of this._jobs.values()) {
@@ -347,95 +331,6 @@
     return pending;
   }
 
-  // Members and tenure
-
-  private _register(): void {
-    const { incarnation, name, address, dataCentre } = this._options;
-    const key = fleetKeys.entry(incarnation);
-    const row: EntryRow = { name, address, dataCentre };
-    this._stores.writer(MEMBER_PART).submit({
-      conditions: [{ key, version: 0 }],
-      writes: [{ key, value: JSON.stringify(row) }],
-      proofKey: key,
-      onDone: (outcome) => {
-        if (outcome.kind === 'committed') {
-          this._isRegistered = true;
-          this._ownVersion = outcome.version;
-        }
-      },
-    });
-  }
-
-  private _onMember(row: ChangedRow, now: number): void {
-    if (row.key.startsWith(ENTRY_PREFIX)) {
-      this._onEntryRow(row.key.slice(ENTRY_PREFIX.length), row, now);
-    } else if (row.key.startsWith(WORKER_PREFIX)) {
-      this._fleet.onRow(row.key.slice(WORKER_PREFIX.length), row.value);
-    }
-  }
-
-  private _onEntryRow(incarnation: string, row: ChangedRow, now: number): void {
-    const data = row.value === null ? undefined : decodeEntryRow(row.value);
-    if (incarnation === this._options.incarnation) {
-      const isReplaced = data?.fencedBy !== undefined || row.value === null;
-      if (isReplaced && this._isRegistered) {
-        this._standDown(`fenced by ${data?.fencedBy ?? 'a successor'}`);
-      }
-      return;
-    }
-    if (!data) {
-      this._peers.delete(incarnation);
-      return;
-    }
-    const peer = this._peers.set(incarnation, data, row.version, now);
-    // One process a VM and role: an earlier incarnation of this name is gone.
-    peer.isGone ||= data.name === this._options.name;
-  }
-
-  private _onOperatorRow(row: ChangedRow): void {
-    this._applyOperatorChange(this._options.decodeOperatorRow(row));
-  }
-
-  private _applyOperatorChange(change: OperatorChange): void {
-    if (change.kind === 'other') {
-      this._log('operator row ignored', {
-        key: change.key,
-        detail: change.detail,
-      });
-      return;
-    }
-    if (this.routes.apply(change)) {
-      this._log('configuration in force', {
-        version: this.routes.version ?? 0,
-        dataCentresOut: this.routes.out.join(','),
-      });
-    }
-  }
-
-  private _updateTenure(now: number): void {
-    const isConfirmed = now - this._members.confirmedAtMs <= TENURE_MS;
-    const has =
-      this._isRegistered &&
-      (isConfirmed ||
-        (this._members.isLoaded && this._peers.agreesOnOutage(now)));
-    if (has !== this._hasTenure) {
-      this._hasTenure = has;
-      this._log(has ? 'tenure gained' : 'tenure lost', {
-        storeAgeMs: Math.min(
-          1e9,
-          Math.round(now - this._members.confirmedAtMs),
-        ),
-      });
-    }
-    const isAway = this._members.failures >= STORE_AWAY_FAILURES;
-    if (isAway !== this._isStoreAway) {
-      this._isStoreAway = isAway;
-      this._log(isAway ? 'store lost' : 'store regained', {
-        failures: this._members.failures,
-      });
-    }
-  }
-
   private _standDown(reason: string): void {
     if (this._isDown) {
       return;
@@ -580,7 +475,7 @@
    * can be taken over, so without any there is nobody to make way for.
    */
   private get _mayAct(): boolean {
-    return this._hasTenure || this._recordedJobs === 0;
+    return this._tenure.isHeld || this._recordedJobs === 0;
   }
 
   /** Whether the job would outlast a planned stop that has begun. */
@@ -643,10 +538,10 @@
     if (this._isLeaving) {
       return SubmitRefusal.Stopping;
     }
-    if (this._isStoreAway) {
+    if (this._tenure.isStoreAway) {
       return SubmitRefusal.StoreUnavailable;
     }
-    return this._hasTenure ? undefined : SubmitRefusal.NoTenure;
+    return this._tenure.isHeld ? undefined : SubmitRefusal.NoTenure;
   }
 
   private _addJob(
@@ -716,281 +611,6 @@
 
   // Workers
 
-  private _onReport(linkId: number, report: WorkerReport, now: number): void {
-    const view = this._fleet.atLink(linkId);
-    if (!view) {
-      return;
-    }
-    if (report.fenced) {
-      this._standDown(`fenced at ${view.name}`);
-      return;
-    }
-    const before = view.hello;
-    view.observe(report, now);
-    const isReborn =
-      before !== undefined && before.incarnation !== view.hello?.incarnation;
-    if (before?.life !== view.hello?.life) {
-      this._health.reset(view.name);
-    }
-    for (const end of report.ends) {
-      this._onEnd(view, end, now);
-    }
-    for (const { task, run, reason } of report.refused) {
-      this._onRefused(view, task, run, reason, now);
-    }
-    if (report.snapshot) {
-      this._onSnapshot(view, report, isReborn, now);
-    }
-  }
-
-  private _jobOf(task: string): OwnJob | undefined {
-    const dot = task.indexOf('.');
-    return this._jobs.get(dot < 0 ? task : task.slice(0, dot));
-  }
-
-  private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
-    const name = runName(end);
-    const isOwnRun = view.placed.delete(name);
-    const superseded = end.kind === EndKind.DONE && this._superseded.has(name);
-    const owed: OwedRecord = {
-      worker: view.name,
-      life: end.life,
-      number: end.number,
-      superseded,
-      isOwnRun,
-    };
-    const own = this._jobOf(end.task);
-    if (!own) {
-      this._onForeignEnd(owed, end);
-      return;
-    }
-    if (own.job.content.isVolatile) {
-      this._fleet.acknowledge([owed]);
-    } else if (end.number > 0) {
-      this._owe(own, owed, now);
-    }
-    const task = own.job.task(end.task);
-    if (!task || isFinal(own.job.state) || superseded) {
-      return;
-    }
-    this._noteHealth(own, task, end, view, now);
-    own.job.applyEnd(task, end, view.name, now);
-    if (end.kind !== EndKind.DONE) {
-      this._log('run ended early', {
-        task: end.task,
-        run: end.run,
-        worker: view.name,
-        how: EndKind[end.kind],
-        failures: task.failures,
-      });
-    }
-    if (isFinal(own.job.state)) {
-      this._finish(own, now);
-    } else if (task.phase !== TaskPhase.Done) {
-      this._placer.add(own);
-    }
-  }
-
-  private _noteHealth(
-    own: OwnJob,
-    task: BatchTask,
-    end: RunEnd,
-    view: WorkerView,
-    now: number,
-  ): void {
-    const isCurrent = task.phase === TaskPhase.Placed && task.run === end.run;
-    if (!isCurrent) {
-      return;
-    }
-    if (end.kind === EndKind.DONE) {
-      this._health.onDone(
-        { queue: own.job.content.queue, worker: view.name },
-        own.job.stepOf(task).estimateMs,
-        now - task.sinceMs,
-      );
-    } else if (end.kind === EndKind.FAILED) {
-      if (this._health.onFailed(view.name, now)) {
-        this._log('worker set aside', { worker: view.name });
-      }
-    }
-  }
-
-  private _owe(own: OwnJob, owed: OwedRecord, now: number): void {
-    const isKnown = own.owed.some(
-      (other) => other.number === owed.number && other.life === owed.life,
-    );
-    if (isKnown) {
-      return;
-    }
-    if (own.owed.length === 0) {
-      own.owedSinceMs = now;
-    }
-    own.owed.push(owed);
-  }
-
-  /** An end of a job that is not open here. */
-  private _onForeignEnd(owed: OwedRecord, end: RunEnd): void {
-    if (owed.number === 0) {
-      return;
-    }
-    const id = end.task.slice(0, end.task.indexOf('.'));
-    if (this._ended.has(id) || owed.isOwnRun) {
-      this._fleet.acknowledge([owed]);
-      return;
-    }
-    const key = fleetKeys.job(id);
-    const caller = this._stores.caller(partName(partOf(id)));
-    caller.call({ kind: 'read', keys: [key] }, (reply) => {
-      if (reply.kind !== 'rows' || this._jobs.has(id)) {
-        return;
-      }
-      const row = reply.rows[0];
-      const data = row && decodeJobRow(row.value);
-      if (data?.kind !== 'open') {
-        this._fleet.acknowledge([owed]);
-      }
-    });
-  }
-
-  private _onRefused(
-    view: WorkerView,
-    name: string,
-    run: number,
-    reason: StartRefusal,
-    now: number,
-  ): void {
-    view.placed.delete(runName({ task: name, run }));
-    const own = this._jobOf(name);
-    const task = own?.job.task(name);
-    this._log('start refused', {
-      task: name,
-      run,
-      worker: view.name,
-      reason: StartRefusal[reason],
-    });
-    if (!own || task?.run !== run || task.phase !== TaskPhase.Placed) {
-      return;
-    }
-    switch (reason) {
-      case StartRefusal.UNHEALTHY:
-      case StartRefusal.NO_ANSWER:
-      case StartRefusal.INVALID:
-        this._health.onFailed(view.name, now);
-        task.avoid.add(view.name);
-        break;
-      case StartRefusal.NO_ROOM:
-      case StartRefusal.NOT_READY:
-      case StartRefusal.FENCED:
-      case StartRefusal.STALE_RUN:
-      case StartRefusal.UNSPECIFIED:
-        break;
-    }
-    own.job.requeue(task, now);
-    this._placer.add(own);
-  }
-
-  private _onSnapshot(
-    view: WorkerView,
-    report: WorkerReport,
-    isReborn: boolean,
-    now: number,
-  ): void {
-    const active = new Set<string>();
-    for (const run of report.active) {
-      active.add(runName(run));
-      this._onActive(view, run.task, run.run, run.owner, now);
-    }
-    if (view.isKnown) {
-      return;
-    }
-    view.isKnown = true;
-    for (const [name, placed] of [...view.placed]) {
-      if (active.has(name)) {
-        continue;
-      }
-      if (isReborn) {
-        this._giveUp(view, name, now);
-      } else {
-        // Its start may still arrive over the earlier link.
-        view.order.stops.push({ task: placed.task, run: placed.run });
-        view.isDirty = true;
-      }
-    }
-  }
-
-  private _onActive(
-    view: WorkerView,
-    name: string,
-    run: number,
-    owner: string,
-    now: number,
-  ): void {
-    const own = this._jobOf(name);
-    const task = own?.job.task(name);
-    const id = name.slice(0, name.indexOf('.'));
-    if (!own || !task) {
-      if (owner === this._options.incarnation || this._ended.has(id)) {
-        this._fleet.stop(view, name, run);
-      }
-      return;
-    }
-    if (task.phase === TaskPhase.Unknown && !isFinal(own.job.state)) {
-      task.phase = TaskPhase.Placed;
-      task.run = run;
-      task.worker = view.name;
-      task.sinceMs = now;
-      own.job.state = BatchState.Running;
-    }
-    const isCurrent =
-      task.phase === TaskPhase.Placed &&
-      task.run === run &&
-      task.worker === view.name &&
-      !isFinal(own.job.state);
-    if (!isCurrent) {
-      this._fleet.stop(view, name, run);
-      return;
-    }
-    const { needs } = own.job.stepOf(task);
-    view.placed.set(runName({ task: name, run }), {
-      job: own.id,
-      task: name,
-      run,
-      needs,
-      sequence: 0,
-    });
-    if (owner === '') {
-      view.order.claims.push({
-        spec: '',
-        needs,
-        runs: [{ task: name, run, checkpoint: '' }],
-        volatile: own.job.content.isVolatile,
-      });
-      view.isDirty = true;
-    }
-  }
-
-  /** The run has provably ended or never began; the task may run again. */
-  private _giveUp(view: WorkerView, name: string, now: number): void {
-    const placed = view.placed.get(name);
-    view.placed.delete(name);
-    if (!placed) {
-      return;
-    }
-    this._superseded.set(name, now);
-    const own = this._jobs.get(placed.job);
-    const task = own?.job.task(placed.task);
-    if (own && task?.phase === TaskPhase.Placed && task.run === placed.run) {
-      this._log('run given up', {
-        task: placed.task,
-        run: placed.run,
-        worker: view.name,
-        silentMs: Math.round(now - view.lastReportAtMs),
-      });
-      own.job.requeue(task, now);
-      this._placer.add(own);
-    }
-  }
-
   // Ends of jobs
 
   private _finish(own: OwnJob, now: number): void {
@@ -1081,7 +701,7 @@
         address: peer.row.address,
       });
     }
-    if (!this._hasTenure || this._isStoreAway || this._isLeaving) {
+    if (!this._tenure.isHeld || this._tenure.isStoreAway || this._isLeaving) {
       return;
     }
     this._takeovers.pump(now);
@@ -1121,16 +741,10 @@
   // Turns of the loop
 
   private _onTick(now: number): void {
-    this._updateTenure(now);
+    this._tenure.update(now);
     this._fleet.openLinks(this._takeovers.fenced, now);
     this._watchPeers(now);
-    for (const view of this._fleet.views) {
-      if (view.placed.size > 0 && view.isLost(now)) {
-        for (const name of [...view.placed.keys()]) {
-          this._giveUp(view, name, now);
-        }
-      }
-    }
+    this._reports.pump(now);
     this._refuseHopeless(now);
     this._saveProgress(now);
     this._expire(now);
@@ -1139,7 +753,6 @@
   }
 
   private _expire(now: number): void {
-    forgetOld(this._superseded, now, this._options.keepStateMs);
     for (const [id, ended] of this._ended) {
       if (now - ended.endedAtMs < this._options.keepStateMs) {
         break;
@@ -1181,34 +794,22 @@
     }
     this._isLeaving = true;
     this._abandonVolatile('this entry has stopped', now);
-    const { incarnation, name, address, dataCentre } = this._options;
-    const key = fleetKeys.entry(incarnation);
-    const row: EntryRow = { name, address, dataCentre, hasLeft: true };
     this._log('leaving', { jobs: this._jobs.size });
-    this._stores.writer(MEMBER_PART).submit({
-      conditions: [{ key, version: this._ownVersion }],
-      writes: [{ key, value: JSON.stringify(row) }],
-      proofKey: key,
-      giveUpAtMs: now + TENURE_MS,
-      onDone: () => {
-        this._isDown = true;
-        this._actions.push({ kind: 'stopped' });
-      },
-    });
+    this._tenure.leave(() => {
+      this._isDown = true;
+      this._actions.push({ kind: 'stopped' });
+    }, now);
   }
 
   private _flush(now: number): void {
-    this._updateTenure(now);
+    this._tenure.update(now);
     if (this._mayAct && !this._isLeaving) {
       this._placer.place(now);
     }
     this._recorder.pump(now);
     this._stores.pump(now);
-    for (const follower of [this._members, this._operators]) {
-      const req = follower.next(now);
-      if (req) {
-        this._actions.push({ kind: 'follow', req });
-      }
+    for (const req of this._tenure.next(now)) {
+      this._actions.push({ kind: 'follow', req });
     }
     this._fleet.sendOrders(this._mayAct, now);
   }
@@ -1235,16 +836,3 @@
     this._actions.push({ kind: 'log', message, fields });
   }
 }
-
-const forgetOld = (
-  map: Map<string, number>,
-  now: number,
-  keepMs: number,
-): void => {
-  for (const [key, atMs] of map) {
-    if (now - atMs < keepMs) {
-      return;
-    }
-    map.delete(key);
-  }
-};
--- /dev/null
+++ b/packages/core/src/lib/process/entry-tenure.ts
@@ -0,0 +1,222 @@
+import type { ChangedRow, FollowReply, FollowRequest } from '../store.js';
+import type { OperatorChange, RouteTable } from '../version/route-table.js';
+import type { LogFields } from './batch-events.js';
+import {
+  ENTRY_PREFIX,
+  MEMBER_TABLE,
+  WORKER_PREFIX,
+  decodeEntryRow,
+  fleetKeys,
+} from './fleet-rows.js';
+import type { EntryRow } from './fleet-rows.js';
+import { MEMBER_PART } from './part-stores.js';
+import type { PartStores } from './part-stores.js';
+import { TENURE_MS } from './peer-watch.js';
+import type { PeerWatch } from './peer-watch.js';
+import { TableFollower } from './table-follower.js';
+import type { WorkerFleet } from './worker-fleet.js';
+
+/** Options of {@link EntryTenure}. */
+export interface EntryTenureOptions {
+  readonly incarnation: string;
+  /** Row of this entry. */
+  readonly row: EntryRow;
+  readonly stores: PartStores;
+  readonly peers: PeerWatch;
+  readonly fleet: WorkerFleet;
+  readonly routes: RouteTable;
+  /** Table in which operators write. */
+  readonly operatorTable: string;
+  readonly decodeOperatorRow: (row: ChangedRow) => OperatorChange;
+  /** This incarnation has been replaced. */
+  readonly onFenced: (reason: string) => void;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+/** Longest wait of a call for changes of the members. */
+const MEMBER_WAIT_MS = 600;
+/** Longest wait of a call for changes by operators. */
+const OPERATOR_WAIT_MS = 1000;
+/** Failed calls in a row after which the store counts as away. */
+const STORE_AWAY_FAILURES = 3;
+/** Bound of an age in the log: the store was never heard. */
+const MAX_LOGGED_AGE_MS = 1_000_000_000;
+
+/**
+ * The place of an entry among the others: its row, the tables it follows, and
+ * whether it may still speak for the jobs it has recorded.
+ */
+export class EntryTenure {
+  private readonly _options: EntryTenureOptions;
+  private readonly _members: TableFollower;
+  private readonly _operators: TableFollower;
+  private _hasTenure = false;
+  private _isStoreAway = false;
+  private _isRegistered = false;
+  private _version = 0;
+
+  /** @param options - Row, tables and receivers. */
+  constructor(options: EntryTenureOptions) {
+    this._options = options;
+    this._members = new TableFollower({
+      table: MEMBER_TABLE,
+      waitMs: MEMBER_WAIT_MS,
+      onChange: (row, now) => {
+        this._onMember(row, now);
+      },
+    });
+    this._operators = new TableFollower({
+      table: options.operatorTable,
+      waitMs: OPERATOR_WAIT_MS,
+      onChange: (row) => {
+        this.applyChange(options.decodeOperatorRow(row));
+      },
+    });
+  }
+
+  /** Whether this entry may speak for recorded jobs. */
+  get isHeld(): boolean {
+    return this._hasTenure;
+  }
+
+  /** Whether calls to the store fail. */
+  get isStoreAway(): boolean {
+    return this._isStoreAway;
+  }
+
+  /** @returns Whether the store has answered lately. */
+  hearsStore(now: number): boolean {
+    return now - this._members.confirmedAtMs <= TENURE_MS;
+  }
+
+  /** Writes the row of this entry. */
+  register(): void {
+    const { incarnation, row, stores } = this._options;
+    const key = fleetKeys.entry(incarnation);
+    stores.writer(MEMBER_PART).submit({
+      conditions: [{ key, version: 0 }],
+      writes: [{ key, value: JSON.stringify(row) }],
+      proofKey: key,
+      onDone: (outcome) => {
+        if (outcome.kind === 'committed') {
+          this._isRegistered = true;
+          this._version = outcome.version;
+        }
+      },
+    });
+  }
+
+  /**
+   * Marks the row: the others may take over at once.
+   *
+   * @param onDone - Called when it is marked, or can't be.
+   * @param now - Current time in milliseconds.
+   */
+  leave(onDone: () => void, now: number): void {
+    const { incarnation, stores } = this._options;
+    const key = fleetKeys.entry(incarnation);
+    const row: EntryRow = { ...this._options.row, hasLeft: true };
+    stores.writer(MEMBER_PART).submit({
+      conditions: [{ key, version: this._version }],
+      writes: [{ key, value: JSON.stringify(row) }],
+      proofKey: key,
+      giveUpAtMs: now + TENURE_MS,
+      onDone,
+    });
+  }
+
+  /** Forgets what was confirmed before a pause of unknown length. */
+  distrust(): void {
+    this._members.distrust();
+  }
+
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Calls that are due.
+   */
+  next(now: number): FollowRequest[] {
+    return [this._members, this._operators].flatMap(
+      (follower) => follower.next(now) ?? [],
+    );
+  }
+
+  /**
+   * @param table - Table that was followed.
+   * @param reply - What became of the call.
+   * @param now - Current time in milliseconds.
+   */
+  onReply(table: string, reply: FollowReply, now: number): void {
+    const isMembers = table === MEMBER_TABLE;
+    (isMembers ? this._members : this._operators).onReply(reply, now);
+  }
+
+  /** @param change - A change that operators made. */
+  applyChange(change: OperatorChange): void {
+    const { routes, log } = this._options;
+    if (change.kind === 'other') {
+      const { key, detail } = change;
+      log('operator row ignored', { key, detail });
+      return;
+    }
+    if (routes.apply(change)) {
+      log('configuration in force', {
+        version: routes.version ?? 0,
+        dataCentresOut: routes.out.join(','),
+      });
+    }
+  }
+
+  /**
+   * Notes what has been gained or lost.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  update(now: number): void {
+    const { peers, log } = this._options;
+    const has =
+      this._isRegistered &&
+      (this.hearsStore(now) ||
+        (this._members.isLoaded && peers.agreesOnOutage(now)));
+    if (has !== this._hasTenure) {
+      this._hasTenure = has;
+      const ageMs = Math.round(now - this._members.confirmedAtMs);
+      log(has ? 'tenure gained' : 'tenure lost', {
+        storeAgeMs: Math.min(MAX_LOGGED_AGE_MS, ageMs),
+      });
+    }
+    const { failures } = this._members;
+    const isAway = failures >= STORE_AWAY_FAILURES;
+    if (isAway !== this._isStoreAway) {
+      this._isStoreAway = isAway;
+      log(isAway ? 'store lost' : 'store regained', { failures });
+    }
+  }
+
+  private _onMember(row: ChangedRow, now: number): void {
+    if (row.key.startsWith(ENTRY_PREFIX)) {
+      this._onEntry(row.key.slice(ENTRY_PREFIX.length), row, now);
+    } else if (row.key.startsWith(WORKER_PREFIX)) {
+      const name = row.key.slice(WORKER_PREFIX.length);
+      this._options.fleet.onRow(name, row.value);
+    }
+  }
+
+  private _onEntry(incarnation: string, row: ChangedRow, now: number): void {
+    const { peers, onFenced } = this._options;
+    const data = row.value === null ? undefined : decodeEntryRow(row.value);
+    if (incarnation === this._options.incarnation) {
+      const isReplaced = row.value === null || data?.fencedBy !== undefined;
+      if (isReplaced && this._isRegistered) {
+        onFenced(`fenced by ${data?.fencedBy ?? 'a successor'}`);
+      }
+      return;
+    }
+    if (!data) {
+      peers.delete(incarnation);
+      return;
+    }
+    const peer = peers.set(incarnation, data, row.version, now);
+    // One process a VM and role: an earlier incarnation of this name is gone.
+    peer.isGone ||= data.name === this._options.row.name;
+  }
+}
--- /dev/null
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -0,0 +1,348 @@
+import { EndKind, StartRefusal } from '../messages.js';
+import type { RunEnd, WorkerReport } from '../messages.js';
+import { BatchState, TaskPhase, isFinal } from '../request/batch-job.js';
+import type { BatchTask } from '../request/batch-job.js';
+import type { LogFields } from './batch-events.js';
+import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
+import type { JobPlacer } from './job-placer.js';
+import type { OwedRecord, OwnJob } from './own-job.js';
+import type { PartStores } from './part-stores.js';
+import type { WorkerFleet } from './worker-fleet.js';
+import type { WorkerHealth } from './worker-health.js';
+import { runName } from './worker-view.js';
+import type { WorkerView } from './worker-view.js';
+
+/** Options of {@link RunReports}. */
+export interface RunReportsOptions {
+  /** Incarnation of the entry. */
+  readonly incarnation: string;
+  readonly stores: PartStores;
+  readonly fleet: WorkerFleet;
+  readonly placer: JobPlacer;
+  readonly health: WorkerHealth;
+  /** Jobs that the entry runs, by id. */
+  readonly jobs: ReadonlyMap<string, OwnJob>;
+  /** Whether the entry knows that the job has ended. */
+  readonly isEnded: (id: string) => boolean;
+  /** A job has come to its final state. */
+  readonly onFinal: (own: OwnJob, now: number) => void;
+  /** A worker refuses this incarnation: it has been replaced. */
+  readonly onFenced: (worker: string) => void;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+/** How long it is known that a run was given up, in milliseconds. */
+const SUPERSEDED_MEMORY_MS = 120_000;
+
+/** What the workers tell of runs, and what follows for their jobs. */
+export class RunReports {
+  private readonly _options: RunReportsOptions;
+  /** Runs that were given up although their end may still be listed. */
+  private readonly _superseded = new Map<string, number>();
+
+  /** @param options - Jobs, workers and receivers. */
+  constructor(options: RunReportsOptions) {
+    this._options = options;
+  }
+
+  /**
+   * Gives up runs at workers that have been silent for long enough.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  pump(now: number): void {
+    for (const view of this._options.fleet.views) {
+      if (view.placed.size > 0 && view.isLost(now)) {
+        for (const name of [...view.placed.keys()]) {
+          this._giveUp(view, name, now);
+        }
+      }
+    }
+    for (const [name, atMs] of this._superseded) {
+      if (now - atMs < SUPERSEDED_MEMORY_MS) {
+        break;
+      }
+      this._superseded.delete(name);
+    }
+  }
+
+  /**
+   * @param linkId - Link that brought the report.
+   * @param report - What the worker tells.
+   * @param now - Current time in milliseconds.
+   */
+  onReport(linkId: number, report: WorkerReport, now: number): void {
+    const view = this._options.fleet.atLink(linkId);
+    if (!view) {
+      return;
+    }
+    if (report.fenced) {
+      this._options.onFenced(view.name);
+      return;
+    }
+    const before = view.hello;
+    view.observe(report, now);
+    const isReborn =
+      before !== undefined && before.incarnation !== view.hello?.incarnation;
+    if (before?.life !== view.hello?.life) {
+      this._options.health.reset(view.name);
+    }
+    for (const end of report.ends) {
+      this._onEnd(view, end, now);
+    }
+    for (const { task, run, reason } of report.refused) {
+      this._onRefused(view, task, run, reason, now);
+    }
+    if (report.snapshot) {
+      this._onSnapshot(view, report, isReborn, now);
+    }
+  }
+
+  private _jobOf(task: string): OwnJob | undefined {
+    const dot = task.indexOf('.');
+    return this._options.jobs.get(dot < 0 ? task : task.slice(0, dot));
+  }
+
+  private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
+    const name = runName(end);
+    const isOwnRun = view.placed.delete(name);
+    const superseded = end.kind === EndKind.DONE && this._superseded.has(name);
+    const owed: OwedRecord = {
+      worker: view.name,
+      life: end.life,
+      number: end.number,
+      superseded,
+      isOwnRun,
+    };
+    const own = this._jobOf(end.task);
+    if (!own) {
+      this._onForeignEnd(owed, end);
+      return;
+    }
+    if (own.job.content.isVolatile) {
+      this._options.fleet.acknowledge([owed]);
+    } else if (end.number > 0) {
+      this._owe(own, owed, now);
+    }
+    const task = own.job.task(end.task);
+    if (!task || isFinal(own.job.state) || superseded) {
+      return;
+    }
+    this._noteHealth(own, task, end, view, now);
+    own.job.applyEnd(task, end, view.name, now);
+    if (end.kind !== EndKind.DONE) {
+      this._options.log('run ended early', {
+        task: end.task,
+        run: end.run,
+        worker: view.name,
+        how: EndKind[end.kind],
+        failures: task.failures,
+      });
+    }
+    if (isFinal(own.job.state)) {
+      this._options.onFinal(own, now);
+    } else if (task.phase !== TaskPhase.Done) {
+      this._options.placer.add(own);
+    }
+  }
+
+  private _noteHealth(
+    own: OwnJob,
+    task: BatchTask,
+    end: RunEnd,
+    view: WorkerView,
+    now: number,
+  ): void {
+    const isCurrent = task.phase === TaskPhase.Placed && task.run === end.run;
+    if (!isCurrent) {
+      return;
+    }
+    if (end.kind === EndKind.DONE) {
+      this._options.health.onDone(
+        { queue: own.job.content.queue, worker: view.name },
+        own.job.stepOf(task).estimateMs,
+        now - task.sinceMs,
+      );
+    } else if (end.kind === EndKind.FAILED) {
+      if (this._options.health.onFailed(view.name, now)) {
+        this._options.log('worker set aside', { worker: view.name });
+      }
+    }
+  }
+
+  private _owe(own: OwnJob, owed: OwedRecord, now: number): void {
+    const isKnown = own.owed.some(
+      (other) => other.number === owed.number && other.life === owed.life,
+    );
+    if (isKnown) {
+      return;
+    }
+    if (own.owed.length === 0) {
+      own.owedSinceMs = now;
+    }
+    own.owed.push(owed);
+  }
+
+  /** An end of a job that is not open here. */
+  private _onForeignEnd(owed: OwedRecord, end: RunEnd): void {
+    if (owed.number === 0) {
+      return;
+    }
+    const id = end.task.slice(0, end.task.indexOf('.'));
+    if (this._options.isEnded(id) || owed.isOwnRun) {
+      this._options.fleet.acknowledge([owed]);
+      return;
+    }
+    const key = fleetKeys.job(id);
+    const caller = this._options.stores.caller(partName(partOf(id)));
+    caller.call({ kind: 'read', keys: [key] }, (reply) => {
+      if (reply.kind !== 'rows' || this._options.jobs.has(id)) {
+        return;
+      }
+      const row = reply.rows[0];
+      const data = row && decodeJobRow(row.value);
+      if (data?.kind !== 'open') {
+        this._options.fleet.acknowledge([owed]);
+      }
+    });
+  }
+
+  private _onRefused(
+    view: WorkerView,
+    name: string,
+    run: number,
+    reason: StartRefusal,
+    now: number,
+  ): void {
+    view.placed.delete(runName({ task: name, run }));
+    const own = this._jobOf(name);
+    const task = own?.job.task(name);
+    this._options.log('start refused', {
+      task: name,
+      run,
+      worker: view.name,
+      reason: StartRefusal[reason],
+    });
+    if (!own || task?.run !== run || task.phase !== TaskPhase.Placed) {
+      return;
+    }
+    switch (reason) {
+      case StartRefusal.UNHEALTHY:
+      case StartRefusal.NO_ANSWER:
+      case StartRefusal.INVALID:
+        this._options.health.onFailed(view.name, now);
+        task.avoid.add(view.name);
+        break;
+      case StartRefusal.NO_ROOM:
+      case StartRefusal.NOT_READY:
+      case StartRefusal.FENCED:
+      case StartRefusal.STALE_RUN:
+      case StartRefusal.UNSPECIFIED:
+        break;
+    }
+    own.job.requeue(task, now);
+    this._options.placer.add(own);
+  }
+
+  private _onSnapshot(
+    view: WorkerView,
+    report: WorkerReport,
+    isReborn: boolean,
+    now: number,
+  ): void {
+    const active = new Set<string>();
+    for (const run of report.active) {
+      active.add(runName(run));
+      this._onActive(view, run.task, run.run, run.owner, now);
+    }
+    if (view.isKnown) {
+      return;
+    }
+    view.isKnown = true;
+    for (const [name, placed] of [...view.placed]) {
+      if (active.has(name)) {
+        continue;
+      }
+      if (isReborn) {
+        this._giveUp(view, name, now);
+      } else {
+        // Its start may still arrive over the earlier link.
+        view.order.stops.push({ task: placed.task, run: placed.run });
+        view.isDirty = true;
+      }
+    }
+  }
+
+  private _onActive(
+    view: WorkerView,
+    name: string,
+    run: number,
+    owner: string,
+    now: number,
+  ): void {
+    const own = this._jobOf(name);
+    const task = own?.job.task(name);
+    const id = name.slice(0, name.indexOf('.'));
+    if (!own || !task) {
+      if (owner === this._options.incarnation || this._options.isEnded(id)) {
+        this._options.fleet.stop(view, name, run);
+      }
+      return;
+    }
+    if (task.phase === TaskPhase.Unknown && !isFinal(own.job.state)) {
+      task.phase = TaskPhase.Placed;
+      task.run = run;
+      task.worker = view.name;
+      task.sinceMs = now;
+      own.job.state = BatchState.Running;
+    }
+    const isCurrent =
+      task.phase === TaskPhase.Placed &&
+      task.run === run &&
+      task.worker === view.name &&
+      !isFinal(own.job.state);
+    if (!isCurrent) {
+      this._options.fleet.stop(view, name, run);
+      return;
+    }
+    const { needs } = own.job.stepOf(task);
+    view.placed.set(runName({ task: name, run }), {
+      job: own.id,
+      task: name,
+      run,
+      needs,
+      sequence: 0,
+    });
+    if (owner === '') {
+      view.order.claims.push({
+        spec: '',
+        needs,
+        runs: [{ task: name, run, checkpoint: '' }],
+        volatile: own.job.content.isVolatile,
+      });
+      view.isDirty = true;
+    }
+  }
+
+  /** The run has provably ended or never began; the task may run again. */
+  private _giveUp(view: WorkerView, name: string, now: number): void {
+    const placed = view.placed.get(name);
+    view.placed.delete(name);
+    if (!placed) {
+      return;
+    }
+    this._superseded.set(name, now);
+    const own = this._options.jobs.get(placed.job);
+    const task = own?.job.task(placed.task);
+    if (own && task?.phase === TaskPhase.Placed && task.run === placed.run) {
+      this._options.log('run given up', {
+        task: placed.task,
+        run: placed.run,
+        worker: view.name,
+        silentMs: Math.round(now - view.lastReportAtMs),
+      });
+      own.job.requeue(task, now);
+      this._options.placer.add(own);
+    }
+  }
+}
