A step back of the time of day is not taken for a pause

Cause: each step of the clock ended all volatile jobs of an entry; a step back can't be a pause, since the time of day goes on during one. Tests of the detector and of the bounded output.

--- a/packages/daemon/src/lib/process/pause-detector.ts
+++ b/packages/daemon/src/lib/process/pause-detector.ts
@@ -5,7 +5,8 @@
  * Notices that the process may have been paused.
  *
  * The steady clock stands still while a VM is suspended; the time of day goes
- * on. A step of the time of day looks the same and is treated alike.
+ * on. A step of the time of day ahead looks the same and is treated alike; a
+ * step back can't be a pause.
  */
 export class PauseDetector {
   private _offsetMs: number | undefined;
@@ -13,7 +14,7 @@
   /**
    * @param steadyMs - Steady clock in milliseconds.
    * @param wallMs - Time of day in milliseconds.
-   * @returns The jump since the last call, when it is large.
+   * @returns The jump ahead since the last call, when it is large.
    */
   check(steadyMs: number, wallMs: number): number | undefined {
     const offsetMs = wallMs - steadyMs;
@@ -23,6 +24,6 @@
       return undefined;
     }
     this._offsetMs = offsetMs;
-    return jumpMs;
+    return jumpMs > 0 ? jumpMs : undefined;
   }
 }
--- /dev/null
+++ b/packages/daemon/src/test/fleet-parts.test.ts
@@ -0,0 +1,40 @@
+import { Writable } from 'node:stream';
+import { expect } from 'earl';
+import { BoundedOutput } from '../lib/process/bounded-output.js';
+import { PauseDetector } from '../lib/process/pause-detector.js';
+
+it('a pause is a jump of the time of day against the steady clock', () => {
+  const detector = new PauseDetector();
+  expect(detector.check(1000, 50_000)).toEqual(undefined);
+  expect(detector.check(1100, 50_110)).toEqual(undefined);
+  expect(detector.check(1200, 54_200)).toEqual(4000);
+  expect(detector.check(1300, 54_300)).toEqual(undefined);
+});
+
+it('a step back of the time of day is no pause', () => {
+  const detector = new PauseDetector();
+  detector.check(1000, 50_000);
+  expect(detector.check(1100, 48_100)).toEqual(undefined);
+  // The way forward from there is measured from the stepped time.
+  expect(detector.check(1200, 48_200)).toEqual(undefined);
+  expect(detector.check(1300, 50_300)).toEqual(2000);
+});
+
+it('lines for a reader that does not read are dropped and counted', () => {
+  const lines: string[] = [];
+  const release: (() => void)[] = [];
+  const stuck = new Writable({
+    highWaterMark: 1,
+    write: (chunk: Buffer, _encoding, done) => {
+      lines.push(chunk.toString('utf8'));
+      release.push(done);
+    },
+  });
+  const output = new BoundedOutput(stuck);
+  const line = `${'x'.repeat(1000)}\n`;
+  for (let i = 0; i < 2000; i += 1) {
+    output.write(line);
+  }
+  expect(output.dropped > 900).toEqual(true);
+  expect(stuck.writableLength < 1_100_000).toEqual(true);
+});
