--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -4,11 +4,13 @@
   Room,
   RunEnd,
   StartGroup,
+  WorkerHello,
   WorkerOrder,
-  WorkerReport,
 } from '../messages.js';
 import { NO_ROOM, addRoom, fits, subtractRoom } from '../request/room.js';
 import { EndList } from './end-list.js';
+import { ReportLinks } from './report-links.js';
+import type { ReportLink, WorkerPicture } from './report-links.js';
 import { WorkerClock } from './worker-clock.js';
 import { WorkerRejection } from './worker-events.js';
 import type {
@@ -63,12 +65,6 @@
 const RELINK_MS = 450;
 /** How long a run found without an owner is kept for one to claim it. */
 const CLAIM_GRACE_MS = 1500;
-/** Pause between reports that say nothing but how much room is free. */
-const ROOM_REPORT_MS = 250;
-/** The same pause while room is scarce, so that waiting work learns of it. */
-const SCARCE_REPORT_MS = 25;
-/** Share of the worker's processor time below which room is scarce. */
-const SCARCE_SHARE = 0.25;
 /** Ends that nobody recorded are offered to all entries this often. */
 const ORPHAN_PERIOD_MS = 2000;
 /** Raised by this when the worker has seen a higher token. */
@@ -103,23 +99,6 @@
   stoppedAtLook: number | undefined;
 }
 
-interface Link {
-  readonly id: number;
-  incarnation: string;
-  report: MutableReport;
-  isDirty: boolean;
-  isGreeted: boolean;
-  /** Adopted incarnations to confirm with the next snapshot. */
-  adopted: string[];
-  /** A snapshot is owed once the worker has been looked at. */
-  wantsSnapshot: boolean;
-  sentAtMs: number;
-}
-
-type MutableReport = {
-  -readonly [K in keyof WorkerReport]: WorkerReport[K];
-};
-
 interface PendingCall {
   readonly call: WorkerCall;
   readonly life: string;
@@ -142,7 +121,7 @@
   private readonly _clock = new WorkerClock();
   private readonly _ends = new EndList();
   private readonly _runs = new Map<string, RunRecord>();
-  private readonly _links = new Map<number, Link>();
+  private readonly _links = new ReportLinks();
   private readonly _calls = new Map<number, PendingCall>();
   /** Until when runs of an incarnation may go on, on the worker's clock. */
   private readonly _holdUntil = new Map<string, number>();
@@ -203,16 +182,7 @@
         }
         break;
       case 'link-open':
-        this._links.set(event.linkId, {
-          id: event.linkId,
-          incarnation: '',
-          report: emptyReport(),
-          isDirty: false,
-          isGreeted: false,
-          adopted: [],
-          wantsSnapshot: false,
-          sentAtMs: 0,
-        });
+        this._links.open(event.linkId);
         break;
       case 'order':
         this._onOrder(event.linkId, event.order, now);
@@ -228,7 +198,7 @@
         break;
       case 'stop':
         this._stoppingSinceMs ??= now;
-        this._touchAll();
+        this._links.touchAll();
         break;
       case 'flush':
         this._flush(now);
@@ -299,17 +269,14 @@
         bornMs: worker.bornMs,
         service: worker.service,
       });
-      for (const link of this._links.values()) {
-        link.isGreeted = false;
-      }
-      this._touchAll();
+      this._links.greetAgain();
     } else if (known.accepting !== worker.accepting) {
       this._log('worker changed state', {
         worker: worker.id,
         accepting: worker.accepting,
         sequence: worker.sequence,
       });
-      this._touchAll();
+      this._links.touchAll();
     }
   }
 
@@ -332,17 +299,13 @@
     this._unansweredSinceMs = undefined;
     this._holdCallId = undefined;
     this._holdAtMs = now;
-    this._touchAll();
+    this._links.touchAll();
   }
 
   private _onLinkClosed(linkId: number, now: number): void {
-    const owner = this._links.get(linkId)?.incarnation ?? '';
-    this._links.delete(linkId);
-    const isLinked = [...this._links.values()].some(
-      (link) => link.incarnation === owner,
-    );
-    const held = this._holdUntil.get(owner);
-    if (!isLinked && held !== undefined) {
+    const owner = this._links.close(linkId);
+    const held = owner === undefined ? undefined : this._holdUntil.get(owner);
+    if (owner !== undefined && held !== undefined) {
       const untilMs = this._clock.atLeast(now) + RELINK_MS;
       this._holdUntil.set(owner, Math.min(held, untilMs));
     }
@@ -370,7 +333,14 @@
       });
       link.report.fenced = true;
       link.isDirty = true;
-      this._refuseAll(link, order.starts, StartRefusal.FENCED);
+      for (const { task, run } of order.starts.flatMap((g) => g.runs)) {
+        this._links.addRefusal(
+          order.incarnation,
+          task,
+          run,
+          StartRefusal.FENCED,
+        );
+      }
       return;
     }
     const held = this._holdUntil.get(order.incarnation) ?? 0;
@@ -393,7 +363,7 @@
     link.wantsSnapshot ||= isFirst || order.adopt.length > 0;
   }
 
-  private _adopt(link: Link, owner: string): void {
+  private _adopt(link: ReportLink, owner: string): void {
     const successor = this._fenced.get(owner);
     if (successor !== link.incarnation) {
       this._log('entry fenced', {
@@ -422,30 +392,11 @@
     }
   }
 
-  private _snapshot(link: Link): void {
-    link.report.snapshot = true;
-    link.report.adopted = link.adopted;
-    link.adopted = [];
-    link.report.active = [...this._runs.values()].map(toActive);
-    link.report.ends = this._ends.unrecorded;
-  }
-
-  private _refuseAll(
-    link: Link,
-    groups: readonly StartGroup[],
-    reason: StartRefusal,
-  ): void {
-    for (const { task, run } of groups.flatMap((group) => group.runs)) {
-      link.report.refused = [...link.report.refused, { task, run, reason }];
-    }
-  }
-
-  private _startGroup(link: Link, group: StartGroup, now: number): void {
+  private _startGroup(link: ReportLink, group: StartGroup, now: number): void {
     const needs = group.needs ?? NO_ROOM;
     for (const { task, run, checkpoint } of group.runs) {
       const refuse = (reason: StartRefusal): void => {
-        link.isDirty = true;
-        link.report.refused = [...link.report.refused, { task, run, reason }];
+        this._links.addRefusal(link.incarnation, task, run, reason);
       };
       const known = this._activeRunOf(task);
       if (known?.run === run && known.owner === link.incarnation) {
@@ -662,10 +613,10 @@
         afterMs: Math.round(now - this._unansweredSinceMs),
       });
       this._unansweredSinceMs = undefined;
-      this._touchAll();
+      this._links.touchAll();
     }
     if (this._clock.reading === undefined) {
-      this._touchAll();
+      this._links.touchAll();
     }
     this._clock.observe(reply.clockMs, now);
     this._noteEnds(reply.ends, now);
@@ -679,7 +630,7 @@
       this._log('worker does not answer', {
         why: reply.kind === 'rejected' ? reply.reason : reply.kind,
       });
-      this._touchAll();
+      this._links.touchAll();
     }
     if (
       reply.kind === 'rejected' &&
@@ -708,11 +659,11 @@
       const record = this._runs.get(runKey(listed.task, listed.run));
       if (record) {
         this._runs.delete(runKey(listed.task, listed.run));
-        if (record.isVolatile) {
+        if (record.isVolatile && this._links.has(record.owner)) {
           this._ends.record(end.number);
         }
       }
-      this._reportEnd(end, record?.owner ?? '');
+      this._links.addEnd(record?.owner ?? '', end);
     }
   }
 
@@ -750,10 +701,7 @@
         sinceMs: now,
         stoppedAtLook: undefined,
       });
-      for (const link of this._links.values()) {
-        link.wantsSnapshot = true;
-        link.isDirty = true;
-      }
+      this._links.wantSnapshots();
     }
     for (const record of [...this._runs.values()]) {
       const { stoppedAtLook } = record;
@@ -792,7 +740,7 @@
       this._log(isOverdue ? 'lease let go' : 'lease renewed again', {
         runs: this._runs.size,
       });
-      this._touchAll();
+      this._links.touchAll();
     }
   }
 
@@ -867,9 +815,7 @@
     this._runs.delete(runKey(record.task, record.run));
     const { task, run } = record;
     this._log('start refused', { task, run, reason: StartRefusal[reason] });
-    this._withOwner(record.owner, (link) => {
-      link.report.refused = [...link.report.refused, { task, run, reason }];
-    });
+    this._links.addRefusal(record.owner, task, run, reason);
   }
 
   private _endRun(
@@ -880,40 +826,23 @@
   ): void {
     const { task, run } = record;
     this._runs.delete(runKey(task, run));
-    this._reportEnd(
-      { task, run, kind, checkpoint, life: this._lifeId, number },
-      record.owner,
-    );
-  }
-
-  private _reportEnd(end: RunEnd, owner: string): void {
-    this._withOwner(owner, (link) => {
-      link.report.ends = [...link.report.ends, end];
+    const life = this._lifeId;
+    this._links.addEnd(record.owner, {
+      task,
+      run,
+      kind,
+      checkpoint,
+      life,
+      number,
     });
   }
 
-  /** Adds to the report of an owner, or of all entries while it is unknown. */
-  private _withOwner(owner: string, add: (link: Link) => void): void {
-    for (const link of this._links.values()) {
-      if (owner === '' || link.incarnation === owner) {
-        add(link);
-        link.isDirty = true;
-      }
-    }
-  }
-
-  private _touchAll(): void {
-    for (const link of this._links.values()) {
-      link.isDirty = true;
-    }
-  }
-
   private _onTick(now: number): void {
     this._declareLapsed(now);
     if (now - this._orphansAtMs >= ORPHAN_PERIOD_MS) {
       this._orphansAtMs = now;
       for (const end of this._ends.waitingSince(now - ORPHAN_PERIOD_MS)) {
-        this._reportEnd(end, '');
+        this._links.addEnd('', end);
       }
     }
     if (this._stoppingSinceMs !== undefined && !this._isStopped) {
@@ -940,54 +869,26 @@
   }
 
   private _flush(now: number): void {
-    const free = this._free();
-    for (const link of this._links.values()) {
-      if (link.incarnation === '') {
-        continue;
-      }
-      const isRoomDue = now - link.sentAtMs >= this._roomPeriodMs(link, free);
-      if (!link.isDirty && !(this._roomChanged(link, free) && isRoomDue)) {
-        continue;
-      }
-      if (link.wantsSnapshot && this._clock.reading !== undefined) {
-        link.wantsSnapshot = false;
-        this._snapshot(link);
-      }
-      const report = link.report;
-      report.clockMs = this._clock.atLeast(now);
-      report.accepting = this._isAccepting;
-      report.free = free;
-      if (!link.isGreeted && this._worker) {
-        link.isGreeted = true;
-        report.hello = this._hello(this._worker);
-      }
-      link.report = emptyReport();
-      link.report.free = free;
-      link.report.sequence = report.sequence;
-      link.isDirty = false;
-      link.sentAtMs = now;
-      this._actions.push({ kind: 'report', linkId: link.id, report });
+    const picture: WorkerPicture = {
+      clockMs: this._clock.atLeast(now),
+      accepting: this._isAccepting,
+      free: this._free(),
+      capacity: this._worker?.capacity ?? NO_ROOM,
+      hello: this._worker && this._hello(this._worker),
+      snapshot:
+        this._clock.reading === undefined
+          ? undefined
+          : () => ({
+              active: [...this._runs.values()].map(toActive),
+              ends: this._ends.unrecorded,
+            }),
+    };
+    for (const { linkId, report } of this._links.flush(picture, now)) {
+      this._actions.push({ kind: 'report', linkId, report });
     }
   }
 
-  private _roomPeriodMs(link: Link, free: Room): number {
-    const scarce = SCARCE_SHARE * (this._worker?.capacity.cpuMilli ?? 0);
-    const sent = link.report.free?.cpuMilli ?? 0;
-    return Math.min(free.cpuMilli, sent) < scarce
-      ? SCARCE_REPORT_MS
-      : ROOM_REPORT_MS;
-  }
-
-  private _roomChanged(link: Link, free: Room): boolean {
-    const sent = link.report.free;
-    return (
-      sent?.cpuMilli !== free.cpuMilli ||
-      sent.memoryMb !== free.memoryMb ||
-      sent.accelerators !== free.accelerators
-    );
-  }
-
-  private _hello(worker: WorkerHeartbeat): WorkerReport['hello'] {
+  private _hello(worker: WorkerHeartbeat): WorkerHello {
     return {
       worker: this._options.name,
       incarnation: this._options.incarnation,
@@ -1024,16 +925,3 @@
   checkpoint: record.saved,
   percent: record.percent,
 });
-
-const emptyReport = (): MutableReport => ({
-  clockMs: 0,
-  accepting: false,
-  free: undefined,
-  ends: [],
-  refused: [],
-  sequence: 0,
-  active: [],
-  snapshot: false,
-  adopted: [],
-  fenced: false,
-});
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -353,3 +353,46 @@
   bench.order({ holdUntilMs: 5700 });
   expect(bench.reports.at(-1)?.free?.cpuMilli).toEqual(2400);
 });
+
+const doneEnd = (task: string, number: number): ListedEnd => ({
+  number,
+  task,
+  run: 1,
+  kind: EndKind.DONE,
+  checkpoint: '',
+});
+
+it('an end that is seen in the turn of a snapshot is reported', () => {
+  const bench = ready();
+  bench.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  bench.answer('start');
+  bench.pass(10);
+  bench.ends = [doneEnd('j.0.0.0', 1)];
+  const { callId } = bench.take('hold');
+  bench.handle({
+    kind: 'reply',
+    callId,
+    reply: {
+      kind: 'held',
+      clockMs: bench.clock,
+      bornMs: BORN_MS,
+      active: [],
+      ends: bench.ends,
+    },
+  });
+  bench.order({ holdUntilMs: 5700, adopt: ['old'] });
+  expect(endKinds(bench)).toEqual([EndKind.DONE]);
+});
+
+it('an end that comes while its entry is not linked waits for it', () => {
+  const bench = ready();
+  bench.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  bench.answer('start');
+  bench.handle({ kind: 'link-closed', linkId: 1 });
+  bench.pass(10);
+  bench.ends = [doneEnd('j.0.0.0', 1)];
+  bench.answerHold();
+  bench.pass(50);
+  bench.link(2);
+  expect(endKinds(bench)).toEqual([EndKind.DONE]);
+});
