--- a/packages/core/src/lib/process/worker-health.ts
+++ b/packages/core/src/lib/process/worker-health.ts
@@ -4,7 +4,7 @@
 const QUEUE_WEIGHT = 0.03;
 /** Share of failed runs at which a worker is set aside. */
 const SET_ASIDE_SHARE = 0.4;
-/** A worker is set aside only if it fails this many times as often as all. */
+/** A worker is set aside only if it fails this many times as often as others. */
 const SET_ASIDE_RATIO = 3;
 /** How long a worker stays set aside before it is tried again. */
 const SET_ASIDE_MS = 2000;
@@ -30,7 +30,6 @@
 export class WorkerHealth {
   private readonly _workers = new Map<string, WorkerRecord>();
   private readonly _factors = new Map<string, number>();
-  private _failureShare = 0;
 
   /**
    * @param queue - Queue of the job.
@@ -69,7 +68,6 @@
   ): void {
     const record = this._record(run.worker);
     record.failureShare *= 1 - WORKER_WEIGHT;
-    this._failureShare *= 1 - QUEUE_WEIGHT;
     if (estimateMs <= 0) {
       return;
     }
@@ -92,10 +90,9 @@
   onFailed(worker: string, now: number): boolean {
     const record = this._record(worker);
     record.failureShare += WORKER_WEIGHT * (1 - record.failureShare);
-    this._failureShare += QUEUE_WEIGHT * (1 - this._failureShare);
     const isBad =
       record.failureShare >= SET_ASIDE_SHARE &&
-      record.failureShare >= SET_ASIDE_RATIO * this._failureShare;
+      record.failureShare >= SET_ASIDE_RATIO * this._shareOfOthers(worker);
     if (!isBad) {
       return false;
     }
@@ -108,6 +105,17 @@
     this._workers.delete(worker);
   }
 
+  /**
+   * Mean share of failures of the other workers. A worker that fails at once
+   * is given more runs than any other, so a share of all ends would mostly be
+   * its own.
+   */
+  private _shareOfOthers(worker: string): number {
+    const others = [...this._workers].filter(([name]) => name !== worker);
+    const sum = others.reduce((total, [, o]) => total + o.failureShare, 0);
+    return others.length === 0 ? 0 : sum / others.length;
+  }
+
   private _record(worker: string): WorkerRecord {
     let record = this._workers.get(worker);
     if (!record) {
--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -159,6 +159,27 @@
   expect(health.isSetAside('bad', 5000)).toEqual(false);
 });
 
+it('a worker is set aside though its failures are most of all ends', () => {
+  const health = new WorkerHealth();
+  // Runs that fail at once make room at once, and so draw the next ones.
+  for (let i = 0; i < 40; i += 1) {
+    health.onFailed('bad', i * 100);
+    if (i % 4 === 0) {
+      health.onDone({ queue: 'q', worker: `w${String(i % 3)}` }, 100, 100);
+    }
+  }
+  expect(health.isSetAside('bad', 4000)).toEqual(true);
+  expect(health.isSetAside('w0', 4000)).toEqual(false);
+});
+
+it('hopeless jobs that fail everywhere set no worker aside', () => {
+  const health = new WorkerHealth();
+  const asides = Array.from({ length: 40 }, (_, i) =>
+    health.onFailed(`w${String(i % 8)}`, i),
+  );
+  expect(asides.slice(8).includes(true)).toEqual(false);
+});
+
 it('a slow worker and a queue with short estimates are told apart', () => {
   const health = new WorkerHealth();
   for (let i = 0; i < 300; i += 1) {
