--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -11,11 +11,17 @@
   CancelJobReplySchema,
   EntryPeerService,
   ProbeReplySchema,
+  WorkerOrderSchema,
 } from '@sapphiremux/wire';
+import type { WorkerOrder, WorkerReport } from '@sapphiremux/wire';
 import { RpcClients } from '../connection/rpc-clients.js';
-import { connectPeer, startRpcServer } from '../connection/rpc.js';
+import {
+  connectPeer,
+  connectWorker,
+  startRpcServer,
+} from '../connection/rpc.js';
 import type { RpcServer } from '../connection/rpc.js';
-import { WorkerLinks } from '../connection/worker-links.js';
+import { StreamLinks } from '../connection/stream-links.js';
 import { now } from './clock.js';
 import { BatchEntryMetrics } from './fleet-metrics.js';
 import type { FleetStore } from './fleet-ports.js';
@@ -57,7 +63,7 @@
   readonly metrics = new BatchEntryMetrics();
   private readonly _options: BatchHostOptions;
   private readonly _store: FleetStore;
-  private readonly _links: WorkerLinks;
+  private readonly _links: StreamLinks<number, WorkerOrder, WorkerReport>;
   private readonly _peers = new RpcClients<Client<typeof EntryPeerService>>(
     (address) => connectPeer({ address }),
   );
@@ -75,8 +81,12 @@
   constructor(options: BatchHostOptions) {
     this._options = options;
     this._store = options.openStore(this.metrics);
-    this._links = new WorkerLinks({
-      onReport: (linkId, report) => {
+    this._links = new StreamLinks({
+      connect: (address) => {
+        const { client, close } = connectWorker({ address });
+        return { open: (orders) => client.drive(orders), close };
+      },
+      onMessage: (linkId, report) => {
         this.dispatch({ kind: 'report', linkId, report });
       },
       onClosed: (linkId, detail) => {
@@ -220,7 +230,10 @@
         this._links.close(action.linkId);
         return;
       case 'order':
-        this._links.send(action.linkId, action.order);
+        this._links.send(
+          action.linkId,
+          create(WorkerOrderSchema, action.order),
+        );
         return;
       case 'probe':
         void this._probe(action);
--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -14,10 +14,15 @@
 import type { EntrySettings } from '@sapphiremux/settings';
 import {
   AnnounceReplySchema,
+  EntryMessageSchema,
   EntryService,
   JobReplySchema,
   PollReplySchema,
 } from '@sapphiremux/wire';
+import type {
+  EntryMessage as WireEntryMessage,
+  RunnerMessage,
+} from '@sapphiremux/wire';
 import { RpcClients } from '../connection/rpc-clients.js';
 import {
   connectEntry,
@@ -25,7 +30,7 @@
   startRpcServer,
 } from '../connection/rpc.js';
 import type { RpcServer } from '../connection/rpc.js';
-import { RunnerLinks } from '../connection/runner-links.js';
+import { StreamLinks } from '../connection/stream-links.js';
 import { loadTls } from '../connection/tls.js';
 import type { TlsContext } from '../connection/tls.js';
 import { now } from './clock.js';
@@ -67,7 +72,7 @@
   private readonly _address: string;
   private readonly _tls: TlsContext | undefined;
   private readonly _store: StoreHttp;
-  private readonly _links: RunnerLinks;
+  private readonly _links: StreamLinks<string, WireEntryMessage, RunnerMessage>;
   private readonly _peers: RpcClients<Client<typeof EntryService>>;
   private readonly _callers = new Map<number, WaitingCaller>();
   private readonly _polls = new Map<number, (reply: PollReply) => void>();
@@ -93,8 +98,11 @@
       timeoutMs: settings.store.timeout,
       calls: this.metrics.storeCalls,
     });
-    this._links = new RunnerLinks({
-      tls: this._tls,
+    this._links = new StreamLinks({
+      connect: (address) => {
+        const { client, close } = connectRunner({ address, tls: this._tls });
+        return { open: (outgoing) => client.dispatch(outgoing), close };
+      },
       onMessage: (linkId, msg) => {
         this.dispatch({ kind: 'link-message', linkId, msg });
       },
@@ -355,7 +363,7 @@
     if (isHeartbeat(action.msg)) {
       this.metrics.wasted.inc({ kind: 'heartbeat' });
     }
-    this._links.send(action.linkId, action.msg);
+    this._links.send(action.linkId, create(EntryMessageSchema, action.msg));
   }
 
   private async _fence(action: Action<'fence'>): Promise<void> {
