--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -298,7 +298,7 @@
         this._tenure.applyChange(event.change);
         return;
       case 'probe-reply':
-        this._peers.onProbed(event.incarnation, event.status, now);
+        this._onProbed(event.incarnation, event.status, now);
         return;
       case 'forward-reply':
         this._lookups.onForwarded(event.callId, event.handled, now);
@@ -320,6 +320,18 @@
     }
   }
 
+  private _onProbed(
+    incarnation: string,
+    status: PeerStatus | undefined,
+    now: number,
+  ): void {
+    const change = this._peers.onProbed(incarnation, status, now);
+    if (change) {
+      const name = this._peers.get(incarnation)?.row.name ?? '';
+      this._log(`entry ${change}`, { entry: incarnation, name });
+    }
+  }
+
   private _pendingHere(): Record<string, number> {
     const pending: Record<string, number> = {};
     for (const { job } of this._jobs.values()) {
--- a/packages/core/src/lib/process/peer-watch.ts
+++ b/packages/core/src/lib/process/peer-watch.ts
@@ -97,20 +97,31 @@
    * @param incarnation - The peer that was asked.
    * @param status - Its answer, if any.
    * @param now - Current time in milliseconds.
+   * @returns Whether it was lost or regained by this, if anything changed.
    */
   onProbed(
     incarnation: string,
     status: PeerStatus | undefined,
     now: number,
-  ): void {
+  ): 'lost' | 'regained' | undefined {
     const peer = this._peers.get(incarnation);
     if (!peer) {
-      return;
+      return undefined;
     }
+    const wasSilent = peer.silentSinceMs !== undefined;
+    this._note(peer, status, now);
+    const isSilent = peer.silentSinceMs !== undefined;
+    if (wasSilent === isSilent) {
+      return undefined;
+    }
+    return isSilent ? 'lost' : 'regained';
+  }
+
+  private _note(peer: Peer, status: PeerStatus | undefined, now: number): void {
     peer.isProbing = false;
     if (!status) {
       peer.silentSinceMs ??= now;
-    } else if (status.incarnation === incarnation) {
+    } else if (status.incarnation === peer.incarnation) {
       peer.status = status;
       peer.storeSinceMs = status.storeReachable
         ? (peer.storeSinceMs ?? now)
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -628,7 +628,7 @@
     if (this._unansweredSinceMs === undefined) {
       this._unansweredSinceMs = now;
       this._log('worker does not answer', {
-        why: reply.kind === 'rejected' ? reply.reason : reply.kind,
+        why: reasonOf(reply),
       });
       this._links.touchAll();
     }
@@ -766,6 +766,7 @@
           task: record.task,
           run: record.run,
           attempt: record.starts,
+          why: reply.detail,
         });
         if (record.starts < START_ATTEMPTS) {
           this._sendStart(record, now);
@@ -918,6 +919,18 @@
   [WorkerRejection.OtherLife]: StartRefusal.NOT_READY,
 };
 
+const reasonOf = (reply: WorkerReply): string => {
+  switch (reply.kind) {
+    case 'rejected':
+      return reply.reason;
+    case 'no-answer':
+      return reply.detail;
+    case 'held':
+    case 'done':
+      return '';
+  }
+};
+
 const toActive = (record: RunRecord): ActiveRun => ({
   task: record.task,
   run: record.run,
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -100,7 +100,7 @@
       readonly clockMs: number | undefined;
     }
   /** It may have been carried out, or may still be. */
-  | { readonly kind: 'no-answer' };
+  | { readonly kind: 'no-answer'; readonly detail: string };
 
 /** Something that happens to the process beside a worker. */
 export type WorkerEvent =
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -163,8 +163,8 @@
 it('a start without an answer is sent again, then stopped', () => {
   const bench = ready();
   bench.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
-  bench.answer('start', { kind: 'no-answer' });
-  bench.answer('start', { kind: 'no-answer' });
+  bench.answer('start', { kind: 'no-answer', detail: 'timed out' });
+  bench.answer('start', { kind: 'no-answer', detail: 'timed out' });
   expect(bench.count('start')).toEqual(0);
   bench.answer('stop');
   // The look that was under way may be older than the stop.
@@ -269,7 +269,7 @@
   const bench = ready();
   bench.order({ holdUntilMs: 9000, starts: starts('j.0.0.0') });
   bench.answer('start');
-  bench.answer('hold', { kind: 'no-answer' });
+  bench.answer('hold', { kind: 'no-answer', detail: 'timed out' });
   bench.pass(900);
   expect(endKinds(bench)).toEqual([]);
   bench.pass(400);
