--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -83,8 +83,13 @@
     this._store = options.openStore(this.metrics);
     this._links = new StreamLinks({
       connect: (address) => {
-        const { client, close } = connectWorker({ address });
-        return { open: (orders) => client.drive(orders), close };
+        const rpc = connectWorker({ address });
+        return {
+          open: (orders) => rpc.client.drive(orders),
+          close: () => {
+            rpc.close();
+          },
+        };
       },
       onMessage: (linkId, report) => {
         this.dispatch({ kind: 'report', linkId, report });
--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -100,8 +100,13 @@
     });
     this._links = new StreamLinks({
       connect: (address) => {
-        const { client, close } = connectRunner({ address, tls: this._tls });
-        return { open: (outgoing) => client.dispatch(outgoing), close };
+        const rpc = connectRunner({ address, tls: this._tls });
+        return {
+          open: (outgoing) => rpc.client.dispatch(outgoing),
+          close: () => {
+            rpc.close();
+          },
+        };
       },
       onMessage: (linkId, msg) => {
         this.dispatch({ kind: 'link-message', linkId, msg });
