--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -294,9 +294,6 @@
       case 'follow-reply':
         this._tenure.onReply(event.table, event.reply, now);
         return;
-      case 'operator-change':
-        this._tenure.applyChange(event.change);
-        return;
       case 'probe-reply':
         this._onProbed(event.incarnation, event.status, now);
         return;
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -6,7 +6,6 @@
   StoreReply,
   StoreRequest,
 } from '../store.js';
-import type { OperatorChange } from '../version/route-table.js';
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
@@ -82,7 +81,6 @@
       readonly table: string;
       readonly reply: FollowReply;
     }
-  | { readonly kind: 'operator-change'; readonly change: OperatorChange }
   | {
       readonly kind: 'probe-reply';
       readonly incarnation: string;
--- a/packages/core/src/lib/process/entry-tenure.ts
+++ b/packages/core/src/lib/process/entry-tenure.ts
@@ -69,7 +69,7 @@
       table: options.operatorTable,
       waitMs: OPERATOR_WAIT_MS,
       onChange: (row) => {
-        this.applyChange(options.decodeOperatorRow(row));
+        this._applyChange(options.decodeOperatorRow(row));
       },
     });
   }
@@ -150,8 +150,7 @@
     (isMembers ? this._members : this._operators).onReply(reply, now);
   }
 
-  /** @param change - A change that operators made. */
-  applyChange(change: OperatorChange): void {
+  private _applyChange(change: OperatorChange): void {
     const { routes, log } = this._options;
     if (change.kind === 'other') {
       const { key, detail } = change;
