Entries keep links to a subset of the workers; lost links back off

Ruled out: the looks at the worker (one every 250 ms when idle) and start-up (the mean of an entry was 0.22 of a core after start).

Change: WorkerSubset ranks the workers of a service by a hash of both names, the own data centre first, and keeps 16 links; work that waits for room doubles that, work that no linked worker can run reaches all. A takeover with adopted jobs still hears every worker; one without adopted jobs asks nobody. Links that fail are tried again after 100 ms to 1 s and logged once; a new process beside a worker has a new row and is connected to at once; the row of a worker that has left is dropped.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -136,6 +136,7 @@
     this._fleet = new WorkerFleet({
       name,
       incarnation,
+      dataCentre,
       emit: (action) => {
         this._actions.push(action);
       },
@@ -283,7 +284,7 @@
         this._onCallerGone(event.replyId, now);
         return;
       case 'link-closed':
-        this._fleet.onLinkClosed(event.linkId, now);
+        this._fleet.onLinkClosed(event.linkId, event.detail, now);
         return;
       case 'report':
         this._reports.onReport(event.linkId, event.report, now);
@@ -751,7 +752,14 @@
 
   private _onTick(now: number): void {
     this._tenure.update(now);
-    this._fleet.openLinks(this._takeovers.fenced, now);
+    this._fleet.updateLinks(
+      {
+        fenced: this._takeovers.fenced,
+        all: this._takeovers.areOpen,
+        shortage: this._placer.shortage,
+      },
+      now,
+    );
     this._watchPeers(now);
     this._reports.pump(now);
     this._refuseHopeless(now);
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -65,7 +65,12 @@
       readonly deadlineMs: number;
     }
   | { readonly kind: 'caller-gone'; readonly replyId: number }
-  | { readonly kind: 'link-closed'; readonly linkId: number }
+  | {
+      readonly kind: 'link-closed';
+      readonly linkId: number;
+      /** Why, for the log. */
+      readonly detail: string;
+    }
   | {
       readonly kind: 'report';
       readonly linkId: number;
--- a/packages/core/src/lib/process/entry-takeovers.ts
+++ b/packages/core/src/lib/process/entry-takeovers.ts
@@ -46,6 +46,13 @@
     this._options = options;
   }
 
+  /** Whether workers are still to tell what they have of a victim. */
+  get areOpen(): boolean {
+    return [...this._heirs.values()].some(
+      (heir) => heir.isLoaded && !heir.isSettled,
+    );
+  }
+
   /** Incarnations that workers must refuse. */
   get fenced(): readonly string[] {
     return [...this._fenced.keys()];
@@ -109,8 +116,8 @@
       onAdopted: (job, at) => {
         onAdopted(incarnation, job, at);
       },
-      onLoaded: (at) => {
-        this._onLoaded(incarnation, at);
+      onLoaded: (jobs, at) => {
+        this._onLoaded(incarnation, jobs, at);
       },
       onLost: () => {
         this._heirs.delete(incarnation);
@@ -127,13 +134,19 @@
     succession.start(now);
   }
 
-  private _onLoaded(victim: string, now: number): void {
+  private _onLoaded(victim: string, jobs: number, now: number): void {
     const heir = this._heirs.get(victim);
-    if (heir) {
-      heir.isLoaded = true;
-      this._fenced.set(victim, now);
-      this._options.fleet.adopt(victim);
+    if (!heir) {
+      return;
     }
+    heir.isLoaded = true;
+    if (jobs === 0) {
+      // None of its runs has a successor, so no worker has to be asked.
+      this._finish(heir, 0, now);
+      return;
+    }
+    this._fenced.set(victim, now);
+    this._options.fleet.adopt(victim);
   }
 
   private _settle(heir: Heir, now: number): void {
@@ -147,10 +160,14 @@
     if (missing.length > 0 && !isProven) {
       return;
     }
+    this._finish(heir, missing.length, now);
+  }
+
+  private _finish(heir: Heir, silentWorkers: number, now: number): void {
     heir.isSettled = true;
     this._options.log('takeover settled', {
       victim: heir.victim,
-      silentWorkers: missing.length,
+      silentWorkers,
       afterMs: Math.round(now - heir.startedAtMs),
     });
     this._options.onSettled(heir.victim, now);
--- a/packages/core/src/lib/process/fleet-rows.ts
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -67,6 +67,8 @@
 /** Row of a process beside a worker. */
 export interface WorkerRow {
   readonly address: string;
+  /** Changes with each process, so that entries connect to it at once. */
+  readonly incarnation?: string;
   readonly dataCentre: string;
   /** What the worker said of itself when its state last changed. */
   readonly worker?: WorkerHeartbeat;
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -22,6 +22,7 @@
 import type { WorkerHealth } from './worker-health.js';
 import { runName } from './worker-view.js';
 import type { WorkerView } from './worker-view.js';
+import { Shortage } from './worker-subset.js';
 
 /** Options of {@link JobPlacer}. */
 export interface JobPlacerOptions {
@@ -47,6 +48,7 @@
 export class JobPlacer {
   private readonly _options: JobPlacerOptions;
   private readonly _waiting = new Set<OwnJob>();
+  private _shortage = Shortage.None;
 
   /** @param options - Workers, what is known of them, and chance. */
   constructor(options: JobPlacerOptions) {
@@ -58,6 +60,11 @@
     return this._waiting.size;
   }
 
+  /** What the jobs lacked that waited after the last placement. */
+  get shortage(): Shortage {
+    return this._waiting.size > 0 ? this._shortage : Shortage.None;
+  }
+
   /** @param own - A job that may have tasks to place. */
   add(own: OwnJob): void {
     this._waiting.add(own);
@@ -100,8 +107,13 @@
    * @param now - Current time in milliseconds.
    */
   place(now: number): void {
-    const candidates = this._waiting.size > 0 ? this._candidates(now) : [];
+    this._shortage = Shortage.None;
+    if (this._waiting.size === 0) {
+      return;
+    }
+    const candidates = this._candidates(now);
     if (candidates.length === 0) {
+      this._shortage = Shortage.Workers;
       return;
     }
     for (const { job: own } of this._inOrder(now)) {
@@ -119,6 +131,7 @@
     for (const task of ready) {
       const at = this._placeTask(own, task, candidates, now);
       if (at === undefined) {
+        this._noteShortage(own.job, task, candidates);
         break;
       }
       placed.push(at);
@@ -138,6 +151,24 @@
     }
   }
 
+  private _noteShortage(
+    job: BatchJob,
+    task: BatchTask,
+    candidates: readonly PlacementCandidate[],
+  ): void {
+    const { requires } = job.stepOf(task);
+    const isAble = candidates.some(
+      ({ service, labels }) =>
+        service === job.content.service &&
+        (requires === undefined || labels.includes(requires)),
+    );
+    if (!isAble) {
+      this._shortage = Shortage.Workers;
+    } else if (this._shortage === Shortage.None) {
+      this._shortage = Shortage.Room;
+    }
+  }
+
   private _inOrder(now: number): RankedJob<OwnJob>[] {
     const ranked: RankedJob<OwnJob>[] = [];
     for (const own of this._waiting) {
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -258,7 +258,7 @@
     if (view.isKnown) {
       return;
     }
-    view.isKnown = true;
+    this._options.fleet.onLinked(view, now);
     for (const [name, placed] of [...view.placed]) {
       if (active.has(name)) {
         continue;
--- a/packages/core/src/lib/process/succession.ts
+++ b/packages/core/src/lib/process/succession.ts
@@ -37,7 +37,7 @@
   };
   readonly onAdopted: (job: AdoptedJob, now: number) => void;
   /** All jobs are adopted; the workers may be asked now. */
-  readonly onLoaded: (now: number) => void;
+  readonly onLoaded: (jobs: number, now: number) => void;
   /** Somebody else takes over. */
   readonly onLost: () => void;
   readonly log: (message: string, fields: LogFields) => void;
@@ -264,7 +264,7 @@
         jobs: this._adopted,
         afterMs: Math.round(now - this._fencedAtMs),
       });
-      this._options.onLoaded(now);
+      this._options.onLoaded(this._adopted, now);
     }
   }
 }
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -1,6 +1,8 @@
-import type { BatchAction } from './batch-events.js';
+import type { BatchAction, LogFields } from './batch-events.js';
 import { decodeWorkerRow } from './fleet-rows.js';
 import type { OwedRecord } from './own-job.js';
+import { WorkerSubset } from './worker-subset.js';
+import type { Shortage } from './worker-subset.js';
 import { WorkerView } from './worker-view.js';
 
 /** Options of {@link WorkerFleet}. */
@@ -8,6 +10,7 @@
   /** Name and incarnation of the entry. */
   readonly name: string;
   readonly incarnation: string;
+  readonly dataCentre: string;
   readonly emit: (action: BatchAction) => void;
 }
 
@@ -17,17 +20,26 @@
 const IDLE_GRANT_PERIOD_MS = 500;
 /** Pause before a link to a worker is opened again. */
 const REOPEN_MS = 100;
+/** Longest pause; it doubles with each link that fails. */
+const MAX_REOPEN_MS = 1000;
+/** A link that is no longer needed is kept this long after its last run. */
+const RELEASE_AFTER_MS = 2000;
 
 /** All workers as an entry sees them, and its links to them. */
 export class WorkerFleet {
   private readonly _options: WorkerFleetOptions;
   private readonly _views = new Map<string, WorkerView>();
   private readonly _links = new Map<number, WorkerView>();
+  private readonly _subset: WorkerSubset;
+  /** All workers, preferred ones first; renewed when rows change. */
+  private _ordered: readonly WorkerView[] | undefined;
   private _nextLinkId = 1;
 
   /** @param options - Names and receiver of actions. */
   constructor(options: WorkerFleetOptions) {
     this._options = options;
+    const { name, dataCentre } = options;
+    this._subset = new WorkerSubset({ entry: name, dataCentre });
   }
 
   /** Every worker that has a row. */
@@ -52,59 +64,88 @@
   onRow(name: string, value: string | null): void {
     const row = value === null ? undefined : decodeWorkerRow(value);
     const view = this._views.get(name);
+    this._ordered = undefined;
     if (!row) {
-      if (view && view.linkId === undefined) {
-        this._views.delete(name);
+      if (view) {
+        view.isRemoved = true;
+        this._forget(view);
       }
       return;
     }
-    if (view) {
-      view.address = row.address;
-    } else {
-      this._views.set(name, new WorkerView(name, row.address));
+    if (!view) {
+      this._views.set(name, new WorkerView(name, row));
+      return;
+    }
+    if (view.row.incarnation !== row.incarnation) {
+      view.reopenAtMs = 0;
     }
+    view.row = row;
+    view.isRemoved = false;
   }
 
   /**
-   * Opens missing links and replaces silent ones.
+   * Opens missing links, replaces silent ones and gives back those that are
+   * not needed.
    *
-   * @param fenced - Incarnations to name on a new link.
+   * @param need - What decides on the links.
+   * @param need.fenced - Incarnations to name on a new link.
+   * @param need.all - Whether every worker has to be heard.
+   * @param need.shortage - What waiting jobs lack.
    * @param now - Current time in milliseconds.
    */
-  openLinks(fenced: readonly string[], now: number): void {
-    for (const view of this._views.values()) {
-      const { linkId } = view;
-      if (linkId !== undefined && view.isSilent(now)) {
-        const heardAtMs = Math.max(view.lastReportAtMs, view.linkedAtMs);
-        this._options.emit({
-          kind: 'log',
-          message: 'worker silent, link replaced',
-          fields: {
-            worker: view.name,
-            silentMs: Math.round(now - heardAtMs),
-          },
-        });
-        this._options.emit({ kind: 'close-link', linkId });
-        this.onLinkClosed(linkId, now);
-      }
-      if (view.linkId === undefined && now >= view.reopenAtMs) {
-        this._open(view, fenced, now);
+  updateLinks(
+    need: {
+      readonly fenced: readonly string[];
+      readonly all: boolean;
+      readonly shortage: Shortage;
+    },
+    now: number,
+  ): void {
+    this._subset.note(need.shortage, now);
+    this._ordered ??= this._subset.order(this.views);
+    const chosen = this._subset.choose(this._ordered);
+    for (const view of this._ordered) {
+      const isNeeded = !view.isRemoved && (need.all || chosen.has(view.name));
+      this._replaceSilent(view, now);
+      if (view.linkId === undefined) {
+        if (isNeeded && now >= view.reopenAtMs) {
+          this._open(view, need.fenced, now);
+        }
+      } else if (!isNeeded) {
+        this._release(view, view.linkId, now);
       }
     }
   }
 
   /**
    * @param linkId - A link that has ended.
+   * @param detail - Why.
    * @param now - Current time in milliseconds.
    */
-  onLinkClosed(linkId: number, now: number): void {
+  onLinkClosed(linkId: number, detail: string, now: number): void {
     const view = this._links.get(linkId);
-    this._links.delete(linkId);
-    if (view?.linkId === linkId) {
-      view.linkId = undefined;
-      view.isKnown = false;
-      view.reopenAtMs = now + REOPEN_MS;
-      view.takeOrder();
+    if (view && !view.isKnown) {
+      view.failedLinks += 1;
+    }
+    if (view && view.failedLinks <= 1) {
+      this._log('link to worker lost', { worker: view.name, detail });
+    }
+    this._close(linkId, now);
+  }
+
+  /**
+   * @param view - A worker whose link has brought a whole picture.
+   * @param now - Current time in milliseconds.
+   */
+  onLinked(view: WorkerView, now: number): void {
+    view.isKnown = true;
+    if (view.failedLinks > 0) {
+      this._log('link to worker regained', {
+        worker: view.name,
+        failedLinks: view.failedLinks,
+        afterMs: Math.round(now - view.lastReportAtMs),
+      });
+      view.failedLinks = 0;
     }
   }
 
@@ -152,6 +193,9 @@
       const periodMs =
         view.placed.size > 0 ? GRANT_PERIOD_MS : IDLE_GRANT_PERIOD_MS;
       const isDue = view.isDirty || now - view.sentAtMs >= periodMs;
+      if (view.placed.size > 0) {
+        view.busyAtMs = now;
+      }
       if (linkId === undefined || !isDue) {
         continue;
       }
@@ -164,6 +208,61 @@
     }
   }
 
+  private _replaceSilent(view: WorkerView, now: number): void {
+    const { linkId } = view;
+    if (linkId === undefined || !view.isSilent(now)) {
+      return;
+    }
+    const heardAtMs = Math.max(view.lastReportAtMs, view.linkedAtMs);
+    this._log('worker silent, link replaced', {
+      worker: view.name,
+      silentMs: Math.round(now - heardAtMs),
+    });
+    this._options.emit({ kind: 'close-link', linkId });
+    this._close(linkId, now);
+  }
+
+  private _release(view: WorkerView, linkId: number, now: number): void {
+    const isIdle =
+      view.placed.size === 0 &&
+      !view.isDirty &&
+      view.order.recorded.length === 0 &&
+      now - view.busyAtMs > RELEASE_AFTER_MS;
+    if (isIdle) {
+      this._log('link to worker given back', { worker: view.name });
+      this._options.emit({ kind: 'close-link', linkId });
+      this._close(linkId, now);
+    }
+  }
+
+  private _close(linkId: number, now: number): void {
+    const view = this._links.get(linkId);
+    this._links.delete(linkId);
+    if (view?.linkId !== linkId) {
+      return;
+    }
+    view.linkId = undefined;
+    view.isKnown = false;
+    const doublings = Math.max(0, view.failedLinks - 1);
+    const pauseMs = Math.min(MAX_REOPEN_MS, REOPEN_MS * 2 ** doublings);
+    view.reopenAtMs = now + pauseMs;
+    view.takeOrder();
+    this._forget(view);
+  }
+
+  /** Drops a worker without a row once nothing of it is left. */
+  private _forget(view: WorkerView): void {
+    const isOver = view.linkId === undefined && view.placed.size === 0;
+    if (view.isRemoved && isOver) {
+      this._views.delete(view.name);
+      this._ordered = undefined;
+    }
+  }
+
+  private _log(message: string, fields: LogFields): void {
+    this._options.emit({ kind: 'log', message, fields });
+  }
+
   private _open(
     view: WorkerView,
     fenced: readonly string[],
@@ -173,7 +272,7 @@
     view.relink(linkId, now);
     view.order.adopt = [...fenced];
     this._links.set(linkId, view);
-    const { address } = view;
+    const { address } = view.row;
     this._options.emit({ kind: 'open-link', linkId, address });
   }
 }
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -6,6 +6,7 @@
   WorkerReport,
 } from '../messages.js';
 import { NO_ROOM, subtractRoom } from '../request/room.js';
+import type { WorkerRow } from './fleet-rows.js';
 import { WORKER_CLOCK_MIN_RATE, WorkerClock } from './worker-clock.js';
 import { EXPIRY_GRACE_MS } from './worker-driver.js';
 
@@ -63,12 +64,19 @@
 /** What an entry knows of one worker, over all of its links. */
 export class WorkerView {
   readonly name: string;
-  address: string;
+  /** The row that the process beside the worker has written. */
+  row: WorkerRow;
+  /** Whether the row is gone; what is left ends with its runs. */
+  isRemoved = false;
   hello: WorkerHello | undefined;
   /** Open link, if any. */
   linkId: number | undefined;
   linkedAtMs = 0;
   reopenAtMs = 0;
+  /** Links in a row that ended before they brought a whole picture. */
+  failedLinks = 0;
+  /** When a run was last placed there or known to be. */
+  busyAtMs = Number.NEGATIVE_INFINITY;
   /** Whether this link has brought a whole picture of the worker. */
   isKnown = false;
   lastReportAtMs = Number.NEGATIVE_INFINITY;
@@ -90,11 +98,26 @@
 
   /**
    * @param name - Name of the VM.
-   * @param address - Where the process beside the worker listens.
+   * @param row - Row of the process beside the worker.
    */
-  constructor(name: string, address: string) {
+  constructor(name: string, row: WorkerRow) {
     this.name = name;
-    this.address = address;
+    this.row = row;
+  }
+
+  /** Data centre that the row states. */
+  get dataCentre(): string {
+    return this.row.dataCentre;
+  }
+
+  /** Service of the worker; empty while unknown. */
+  get service(): string {
+    return this.row.worker?.service ?? this.hello?.service ?? '';
+  }
+
+  /** Whether it takes up one of the links that an entry keeps. */
+  get counts(): boolean {
+    return this.failedLinks === 0 && (!this.isKnown || this.isAccepting);
   }
 
   /** Room as reported, less what has been sent since. */
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -95,8 +95,7 @@
         this.dispatch({ kind: 'report', linkId, report });
       },
       onClosed: (linkId, detail) => {
-        options.log.info('link to worker closed', { linkId, detail });
-        this.dispatch({ kind: 'link-closed', linkId });
+        this.dispatch({ kind: 'link-closed', linkId, detail });
       },
     });
     this._core = this._createCore();
