Steps that wait for others are placed once these are done; fleet fuzzer begun

Cause: an end that was done put its job back among those to place only when the task itself had to run again. The last end of a step makes the tasks of the next step ready, but nobody placed them: jobs of several steps stood still for good.

Test: batch-entry.test.ts, failed before. Before: the job of two steps stays running; after: it completes.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -141,7 +141,8 @@
     }
     if (isFinal(own.job.state)) {
       this._options.onFinal(own, now);
-    } else if (task.phase !== TaskPhase.Done) {
+    } else if (own.job.ready.length > 0) {
+      // The task itself again, or tasks of a step that waited for it.
       this._options.placer.add(own);
     }
   }
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -445,6 +445,16 @@
   expect(recorded()).toEqual(2);
 });
 
+it('the next step of a job starts when the steps before it are done', () => {
+  const bench = withWorker();
+  const [step] = CONTENT.steps;
+  const steps = step ? [step, { ...step, count: 1, after: [0] }] : [];
+  bench.submit(1, { steps });
+  expect(bench.started).toEqual([`${ID}.0.0.0#1`, `${ID}.0.0.1#1`]);
+  bench.report('w1', { ends: [done(`${ID}.0.0.0`), done(`${ID}.0.0.1`)] });
+  expect(bench.started.slice(2)).toEqual([`${ID}.0.1.0#1`]);
+});
+
 it('a cancelled job stops and never starts again', () => {
   const bench = withWorker();
   bench.submit(1, { isVolatile: false });
--- a/packages/standins/src/bin/fuzz.ts
+++ b/packages/standins/src/bin/fuzz.ts
@@ -1,6 +1,9 @@
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
+import { fleetScenarios } from '../lib/fleet-sim/fleet-commands.js';
+import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
 import { scenarios } from '../lib/sim/commands.js';
+import type { Violation } from '../lib/sim/oracle.js';
 import { runScenario } from '../lib/sim/scenario.js';
 
 const MS_PER_SECOND = 1000;
@@ -10,6 +13,9 @@
     runs: { type: 'string', default: '300' },
     seed: { type: 'string', default: '1' },
     path: { type: 'string', default: '' },
+    /** `estate`: entries and runners; `fleet`: entries on the platform. */
+    world: { type: 'string', default: 'estate' },
+    log: { type: 'boolean', default: false },
     'shrink-seconds': { type: 'string', default: '20' },
   },
 });
@@ -19,14 +25,31 @@
 let runs = 0;
 let failedAtMs: number | undefined;
 
-const result = fc.check(
-  fc.property(scenarios(), (scenario) => {
+interface Replayable {
+  readonly seed: number;
+  readonly steps: readonly object[];
+}
+
+interface CheckResult {
+  readonly scenario: Replayable | undefined;
+  readonly message: string;
+  readonly path: string;
+}
+
+/** Runs generated scenarios; tells of the smallest that fails, if any. */
+const check = <S extends Replayable>(
+  arbitrary: fc.Arbitrary<S>,
+  run: (scenario: S) => readonly Violation[],
+): CheckResult | undefined => {
+  const property = fc.property(arbitrary, (scenario) => {
     runs += 1;
-    if (failedAtMs !== undefined && performance.now() - failedAtMs > shrinkMs) {
+    const isEnough =
+      failedAtMs !== undefined && performance.now() - failedAtMs > shrinkMs;
+    if (isEnough) {
       // A smaller case is not looked for any longer.
       return;
     }
-    const violations = runScenario(scenario);
+    const violations = run(scenario);
     if (violations.length > 0) {
       failedAtMs ??= performance.now();
       throw new Error(
@@ -36,22 +59,41 @@
           .join('\n'),
       );
     }
-  }),
-  { seed, numRuns: Number(values.runs), path: values.path },
-);
-
-if (result.failed) {
-  const [scenario] = result.counterexample ?? [];
-  console.log(`seed of the world: ${String(scenario?.seed)}`);
-  for (const step of scenario?.steps ?? []) {
+  });
+  const found = fc.check(property, {
+    seed,
+    numRuns: Number(values.runs),
+    path: values.path,
+  });
+  return found.failed
+    ? {
+        scenario: found.counterexample?.[0],
+        message: (found.errorInstance as Error | null)?.message ?? '',
+        path: found.counterexamplePath ?? '',
+      }
+    : undefined;
+};
+
+const printLine = (atMs: number, entry: string, text: string): void => {
+  console.log(`${atMs.toFixed(1)} ${entry} ${text}`);
+};
+
+const failure =
+  values.world === 'fleet'
+    ? check(fleetScenarios(), (scenario) =>
+        runFleetScenario(scenario, values.log ? printLine : undefined),
+      )
+    : check(scenarios(), runScenario);
+
+if (failure) {
+  console.log(`seed of the world: ${String(failure.scenario?.seed)}`);
+  for (const step of failure.scenario?.steps ?? []) {
     console.log(JSON.stringify(step));
   }
-  console.log((result.errorInstance as Error | null)?.message ?? '');
+  console.log(failure.message);
   console.log(
-    `replay: npm run fuzz -- --seed ${String(result.seed)} --path "${result.counterexamplePath ?? ''}" --runs 1`,
+    `replay: npm run fuzz -- --world ${values.world} --seed ${String(seed)} --path "${failure.path}" --runs 1`,
   );
   process.exitCode = 1;
 }
-console.log(
-  `${String(runs)} runs, ${result.failed ? '1 failure' : 'no failure'}`,
-);
+console.log(`${String(runs)} runs, ${failure ? '1 failure' : 'no failure'}`);
--- /dev/null
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -0,0 +1,177 @@
+import fc from 'fast-check';
+import { StoreMode } from '../sim/sim-store.js';
+import { WorkerMode } from './sim-worker.js';
+
+/** One thing that a caller, an operator or fate does. */
+export type FleetCommand =
+  | {
+      readonly kind: 'submit';
+      readonly entry: number;
+      readonly job: number;
+    }
+  | {
+      readonly kind: 'status' | 'cancel';
+      readonly entry: number;
+      readonly job: number;
+    }
+  | { readonly kind: 'configure'; readonly renewal: boolean }
+  | {
+      readonly kind: 'evacuate';
+      readonly south: boolean;
+      readonly isOut: boolean;
+    }
+  | {
+      readonly kind:
+        | 'kill-entry'
+        | 'pause-entry'
+        | 'stop-entry'
+        | 'cut-entry-store'
+        | 'cut-entries';
+      readonly entry: number;
+    }
+  | {
+      readonly kind:
+        | 'kill-driver'
+        | 'pause-driver'
+        | 'stop-driver'
+        | 'cut-driver-store'
+        | 'crash-worker'
+        | 'drain-worker'
+        | 'power-off';
+      readonly worker: number;
+    }
+  | {
+      readonly kind: 'worker';
+      readonly worker: number;
+      readonly mode: WorkerMode;
+    }
+  | {
+      readonly kind: 'cut' | 'cut-one-way' | 'silence' | 'stall';
+      readonly entry: number;
+      readonly worker: number;
+    }
+  | { readonly kind: 'store'; readonly mode: StoreMode }
+  | {
+      readonly kind:
+        'compact' | 'heal' | 'resume' | 'restart' | 'power-off-all';
+    };
+
+/** A command and the time until the next one. */
+export interface FleetStep {
+  readonly command: FleetCommand;
+  readonly thenMs: number;
+}
+
+/** A whole run. */
+export interface FleetScenario {
+  readonly seed: number;
+  readonly steps: readonly FleetStep[];
+}
+
+const ENTRY_COUNT = 3;
+const WORKER_COUNT = 4;
+/** Jobs of a run; some are volatile, some have several steps. */
+export const JOB_COUNT = 8;
+const MAX_STEPS = 24;
+const MAX_GAP_MS = 1500;
+
+/** @returns Generator of scenarios. */
+export const fleetScenarios = (): fc.Arbitrary<FleetScenario> =>
+  fc.record({
+    seed: fc.nat(),
+    steps: fc.array(
+      fc.record({
+        command: commands(),
+        thenMs: fc.oneof(fc.nat(20), fc.nat(200), fc.nat(MAX_GAP_MS)),
+      }),
+      { maxLength: MAX_STEPS, size: 'max' },
+    ),
+  });
+
+const entry = (): fc.Arbitrary<number> => fc.nat(ENTRY_COUNT - 1);
+
+const worker = (): fc.Arbitrary<number> => fc.nat(WORKER_COUNT - 1);
+
+const kinds = <K extends string>(...names: K[]): fc.Arbitrary<K> =>
+  fc.constantFrom(...names);
+
+const commands = (): fc.Arbitrary<FleetCommand> =>
+  fc.oneof(
+    { weight: 10, arbitrary: calls('submit') },
+    { weight: 3, arbitrary: calls('status', 'cancel') },
+    { weight: 3, arbitrary: operators() },
+    { weight: 8, arbitrary: faults() },
+    { weight: 4, arbitrary: workerFaults() },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: kinds('heal', 'resume', 'restart', 'restart', 'compact'),
+      }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: kinds('power-off-all') }) },
+  );
+
+const calls = (
+  ...names: ('submit' | 'status' | 'cancel')[]
+): fc.Arbitrary<FleetCommand> =>
+  fc.record({
+    kind: fc.constantFrom(...names),
+    entry: entry(),
+    job: fc.nat(JOB_COUNT - 1),
+  });
+
+const operators = (): fc.Arbitrary<FleetCommand> =>
+  fc.oneof(
+    fc.record({ kind: kinds('configure'), renewal: fc.boolean() }),
+    fc.record({
+      kind: kinds('evacuate'),
+      south: fc.boolean(),
+      isOut: fc.boolean(),
+    }),
+  );
+
+const faults = (): fc.Arbitrary<FleetCommand> =>
+  fc.oneof(
+    fc.record({
+      kind: kinds(
+        'kill-entry',
+        'pause-entry',
+        'stop-entry',
+        'cut-entry-store',
+        'cut-entries',
+      ),
+      entry: entry(),
+    }),
+    fc.record({
+      kind: kinds(
+        'kill-driver',
+        'pause-driver',
+        'stop-driver',
+        'cut-driver-store',
+        'power-off',
+      ),
+      worker: worker(),
+    }),
+    fc.record({
+      kind: kinds('cut', 'cut-one-way', 'silence', 'stall'),
+      entry: entry(),
+      worker: worker(),
+    }),
+    fc.record({
+      kind: kinds('store'),
+      mode: fc.constantFrom(...Object.values(StoreMode)),
+    }),
+  );
+
+const workerFaults = (): fc.Arbitrary<FleetCommand> =>
+  fc.oneof(
+    fc.record({
+      kind: kinds('crash-worker', 'drain-worker'),
+      worker: worker(),
+    }),
+    fc.record({
+      kind: kinds('worker'),
+      worker: worker(),
+      mode: fc.constantFrom(...Object.values(WorkerMode)),
+    }),
+  );
--- /dev/null
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -0,0 +1,453 @@
+import { BatchState, EndKind } from '@sapphiremux/core';
+import type { BatchContent, BatchReply, Room } from '@sapphiremux/core';
+import type { Violation } from '../sim/oracle.js';
+
+/** Where a run starts. */
+export interface Place {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly service: string;
+  readonly labels: readonly string[];
+}
+
+/** A run that a worker has begun. */
+export interface StartSeen {
+  readonly place: Place;
+  readonly task: string;
+  readonly run: number;
+  readonly spec: string;
+  /** The worker carried the order out long after it was sent. */
+  readonly isLate: boolean;
+}
+
+/** Options of {@link FleetOracle}. */
+export interface FleetOracleOptions {
+  readonly room: Room;
+  /** Virtual time in milliseconds. */
+  readonly now: () => number;
+}
+
+interface Run {
+  readonly run: number;
+  readonly place: Place;
+  readonly atMs: number;
+  endedAtMs: number | undefined;
+  kind: EndKind | undefined;
+  isAcknowledged: boolean;
+  /** The worker's lease lapsed after the end, before it was acknowledged. */
+  isLapsedSince: boolean;
+}
+
+interface Job {
+  readonly content: BatchContent;
+  /** Some call for it was not refused: accepted, or without an answer. */
+  mayRun: boolean;
+  acceptedAtMs: number | undefined;
+  cancelledAtMs: number | undefined;
+  mayBeCancelled: boolean;
+}
+
+/** Bounds of the platform's pages, in milliseconds. */
+const CONTACT_MS = 3000;
+const DRAIN_MS = 2000;
+const EVACUATE_MS = 5000;
+const CANCEL_MS = 3000;
+const CONFIG_APPLY_MS = 2000;
+const VISIBLE_MS = 3000;
+/** Name under which troubles of the store are noted. */
+export const STORE = 'store';
+
+/** Knows only the rules, and compares what workers saw with what callers did. */
+export class FleetOracle {
+  readonly violations: Violation[] = [];
+  private readonly _options: FleetOracleOptions;
+  private readonly _jobs = new Map<string, Job>();
+  private readonly _runs = new Map<string, Run[]>();
+  private readonly _draining = new Map<string, number>();
+  private readonly _out = new Map<string, number>();
+  private readonly _versions = new Map<string, number>();
+  /** End of the last trouble; infinite while it lasts. */
+  private readonly _troubles = new Map<string, number>();
+  private _config = { version: 0, atMs: 0 };
+
+  /** @param options - Capacity of the workers and virtual time. */
+  constructor(options: FleetOracleOptions) {
+    this._options = options;
+  }
+
+  /** Ids of recorded jobs that were accepted and not cancelled. */
+  get owed(): string[] {
+    return [...this._jobs]
+      .filter(
+        ([, job]) => job.acceptedAtMs !== undefined && !job.mayBeCancelled,
+      )
+      .map(([id]) => id);
+  }
+
+  /**
+   * @param name - A process or the store.
+   * @param isOver - Whether the trouble has ended.
+   */
+  onTrouble(name: string, isOver: boolean): void {
+    const { now } = this._options;
+    this._troubles.set(name, isOver ? now() : Number.POSITIVE_INFINITY);
+  }
+
+  /** @param version - A configuration that operators have written. */
+  onConfig(version: number): void {
+    this._config = { version, atMs: this._options.now() };
+  }
+
+  /** Operators have taken a data centre out, or back in. */
+  onEvacuated(dataCentre: string, isOut: boolean): void {
+    if (isOut) {
+      this._out.set(dataCentre, this._options.now());
+    } else {
+      this._out.delete(dataCentre);
+    }
+  }
+
+  /** The heartbeat of a worker that leaves was acknowledged. */
+  onDraining(vm: string): void {
+    if (!this._draining.has(vm)) {
+      this._draining.set(vm, this._options.now());
+    }
+  }
+
+  /** A call that hands a job in is sent. */
+  onSubmit(id: string, content: BatchContent): void {
+    if (!this._jobs.has(id)) {
+      this._jobs.set(id, {
+        content,
+        mayRun: false,
+        acceptedAtMs: undefined,
+        cancelledAtMs: undefined,
+        mayBeCancelled: false,
+      });
+    }
+  }
+
+  /**
+   * @param id - A job that was handed in.
+   * @param reply - Its answer; absent when there was none.
+   */
+  onSubmitReply(id: string, reply: BatchReply | undefined): void {
+    const job = this._jobs.get(id);
+    if (!job) {
+      return;
+    }
+    job.mayRun ||= reply?.kind !== 'refused';
+    if (reply?.kind === 'accepted') {
+      job.acceptedAtMs ??= this._options.now();
+    }
+    if (reply?.kind === 'ended') {
+      this._checkState(id, reply.state);
+    }
+  }
+
+  /** A call that cancels a job is sent. */
+  onCancel(id: string): void {
+    const job = this._jobs.get(id);
+    if (job) {
+      job.mayBeCancelled = true;
+    }
+  }
+
+  /** @param reply - Answer to a cancel of the job. */
+  onCancelReply(id: string, reply: BatchReply | undefined): void {
+    const job = this._jobs.get(id);
+    if (job && reply?.kind === 'cancelled') {
+      job.cancelledAtMs ??= this._options.now();
+    }
+  }
+
+  /**
+   * @param id - The job that was asked for.
+   * @param entry - The entry that answered.
+   * @param reply - Its answer.
+   */
+  onStatus(id: string, entry: string, reply: BatchReply | undefined): void {
+    const job = this._jobs.get(id);
+    if (reply?.kind === 'state') {
+      this._checkState(id, reply.state);
+    }
+    if (reply?.kind === 'unknown-job' && job && !job.mayBeCancelled) {
+      const ageMs = this._options.now() - (job.acceptedAtMs ?? Infinity);
+      if (ageMs > VISIBLE_MS && this._inTouch(entry, STORE)) {
+        this._report('an accepted job is known', `${id} at ${entry}`);
+      }
+    }
+  }
+
+  /** A call reached an entry whose configuration has a version. */
+  onVersion(entry: string, incarnation: string, version: number): void {
+    const before = this._versions.get(incarnation) ?? 0;
+    if (version < before) {
+      this._report('configuration never reverts', `${incarnation} ${entry}`);
+    }
+    this._versions.set(incarnation, version);
+    const isDue = this._age(this._config.atMs) > CONFIG_APPLY_MS;
+    if (
+      isDue &&
+      version < this._config.version &&
+      this._inTouch(entry, STORE)
+    ) {
+      this._report(
+        'configuration in force in time',
+        `${entry}: ${String(version)}`,
+      );
+    }
+  }
+
+  /** A worker has begun a run. */
+  onStart(start: StartSeen): void {
+    const { task, run, place } = start;
+    const id = task.slice(0, task.indexOf('.'));
+    const job = this._jobs.get(id);
+    if (!job || job.content.spec !== start.spec) {
+      this._report('only what was asked for runs', task);
+      return;
+    }
+    const runs = this._runs.get(task) ?? [];
+    this._runs.set(task, runs);
+    this._checkRepeat(task, job, runs, start);
+    this._checkPlace(task, job, start);
+    if (!start.isLate) {
+      this._checkTime(task, job, place);
+    }
+    runs.push({
+      run,
+      place,
+      atMs: this._options.now(),
+      endedAtMs: undefined,
+      kind: undefined,
+      isAcknowledged: false,
+      isLapsedSince: false,
+    });
+    this._checkRoom(place.vm, task);
+  }
+
+  /** A run has ended. */
+  onEnd(vm: string, task: string, run: number, kind: EndKind): void {
+    const record = this._find(vm, task, run);
+    if (record) {
+      record.kind = kind;
+      record.endedAtMs = this._options.now();
+    }
+  }
+
+  /** A worker was told that an end may be forgotten. */
+  onAcknowledged(vm: string, task: string, run: number): void {
+    const record = this._find(vm, task, run);
+    const job = this._jobs.get(task.slice(0, task.indexOf('.')));
+    if (!record || !job || record.isLapsedSince) {
+      return;
+    }
+    record.isAcknowledged = true;
+    if (job.content.isVolatile) {
+      return;
+    }
+    const runs = this._runs.get(task) ?? [];
+    const later = runs.find((other) => other.atMs > (record.endedAtMs ?? 0));
+    if (record.kind === EndKind.DONE && later) {
+      this._report('done once', `${task} #${String(later.run)} after its end`);
+    }
+    this._checkBudget(task, job, runs);
+  }
+
+  /** The lease of a worker has run out. */
+  onLapsed(vm: string): void {
+    for (const record of this._all()) {
+      if (record.place.vm === vm && !record.isAcknowledged) {
+        record.isLapsedSince = record.endedAtMs !== undefined;
+      }
+    }
+  }
+
+  /** A worker has crashed or left. */
+  onCrash(vm: string): void {
+    this._draining.delete(vm);
+  }
+
+  /** Nothing may be left active of jobs that are over, after a calm while. */
+  checkQuiet(): void {
+    for (const [task, runs] of this._runs) {
+      const job = this._jobs.get(task.slice(0, task.indexOf('.')));
+      const isActive = runs.some((run) => run.endedAtMs === undefined);
+      if (isActive && job?.cancelledAtMs !== undefined) {
+        this._report('a cancelled job stops', task);
+      }
+    }
+    for (const [id, job] of this._jobs) {
+      const hasRun = [...this._runs.keys()].some((t) => t.startsWith(`${id}.`));
+      if (hasRun && !job.mayRun) {
+        this._report('what is refused does not run', id);
+      }
+    }
+  }
+
+  /** @param id - An accepted job that has not ended after a calm while. */
+  onStuck(id: string, detail: string): void {
+    this._report('an accepted job ends', `${id}: ${detail}`);
+  }
+
+  private _report(promise: string, detail: string): void {
+    this.violations.push({ promise, atMs: this._options.now(), detail });
+  }
+
+  private _age(atMs: number): number {
+    return this._options.now() - atMs;
+  }
+
+  private _inTouch(...names: string[]): boolean {
+    return names.every((name) => {
+      const endedAtMs = this._troubles.get(name) ?? Number.NEGATIVE_INFINITY;
+      return this._age(endedAtMs) > CONTACT_MS;
+    });
+  }
+
+  private _all(): Run[] {
+    return [...this._runs.values()].flat();
+  }
+
+  private _find(vm: string, task: string, run: number): Run | undefined {
+    return this._runs
+      .get(task)
+      ?.findLast((other) => other.run === run && other.place.vm === vm);
+  }
+
+  private _checkRepeat(
+    task: string,
+    job: Job,
+    runs: readonly Run[],
+    start: StartSeen,
+  ): void {
+    const active = runs.find((other) => other.endedAtMs === undefined);
+    if (active) {
+      const first = `#${String(active.run)} at ${active.place.vm}`;
+      const second = `#${String(start.run)} at ${start.place.vm}`;
+      this._report('one run at a time', `${task}: ${first}, ${second}`);
+    }
+    const isDone = runs.some(
+      (other) => other.kind === EndKind.DONE && other.isAcknowledged,
+    );
+    if (isDone && !job.content.isVolatile) {
+      this._report('done once', `${task} #${String(start.run)}`);
+    }
+  }
+
+  private _checkBudget(task: string, job: Job, runs: readonly Run[]): void {
+    const failed = runs
+      .filter((run) => run.kind === EndKind.FAILED && run.isAcknowledged)
+      .map((run) => run.endedAtMs ?? 0)
+      .sort((a, b) => a - b);
+    const lastMs = failed[job.content.attempts - 1];
+    if (lastMs !== undefined && runs.some((run) => run.atMs > lastMs)) {
+      this._report('no run beyond the attempts', task);
+    }
+  }
+
+  private _checkPlace(task: string, job: Job, { place }: StartSeen): void {
+    const number = Number(task.split('.')[2]);
+    const step = job.content.steps[number];
+    if (!step) {
+      this._report('only what was asked for runs', task);
+      return;
+    }
+    if (place.service !== job.content.service) {
+      this._report('runs where its queue goes', `${task} at ${place.vm}`);
+    }
+    if (step.requires !== undefined && !place.labels.includes(step.requires)) {
+      this._report('runs where its label is', `${task} at ${place.vm}`);
+    }
+    const id = task.slice(0, task.indexOf('.'));
+    for (const earlier of step.after) {
+      const count = job.content.steps[earlier]?.count ?? 0;
+      for (let index = 0; index < count; index += 1) {
+        const name = `${id}.0.${String(earlier)}.${String(index)}`;
+        const isDone = this._runs
+          .get(name)
+          ?.some((run) => run.kind === EndKind.DONE);
+        if (isDone !== true) {
+          this._report('steps in order', `${task} before ${name}`);
+        }
+      }
+    }
+  }
+
+  private _checkTime(task: string, job: Job, place: Place): void {
+    const isAfter = (atMs: number | undefined, ms: number): boolean =>
+      atMs !== undefined && this._age(atMs) > ms;
+    if (
+      isAfter(this._draining.get(place.vm), DRAIN_MS) &&
+      this._inTouch(place.vm)
+    ) {
+      this._report('no start at a worker that leaves', `${task} ${place.vm}`);
+    }
+    if (
+      isAfter(this._out.get(place.dataCentre), EVACUATE_MS) &&
+      this._inTouch(place.vm, STORE)
+    ) {
+      this._report(
+        'no start in a data centre that is out',
+        `${task} ${place.vm}`,
+      );
+    }
+    if (
+      isAfter(job.cancelledAtMs, CANCEL_MS) &&
+      this._inTouch(place.vm, STORE)
+    ) {
+      this._report('no start of a cancelled job', task);
+    }
+  }
+
+  private _checkRoom(vm: string, task: string): void {
+    let cpuMilli = 0;
+    for (const [name, runs] of this._runs) {
+      const isActive = runs.some(
+        (run) => run.place.vm === vm && run.endedAtMs === undefined,
+      );
+      if (isActive) {
+        const [id = '', , step = ''] = name.split('.');
+        const job = this._jobs.get(id);
+        cpuMilli += job?.content.steps[Number(step)]?.needs.cpuMilli ?? 0;
+      }
+    }
+    if (cpuMilli > this._options.room.cpuMilli) {
+      this._report('within the room', `${task} at ${vm}: ${String(cpuMilli)}`);
+    }
+  }
+
+  private _checkState(id: string, state: BatchState): void {
+    const job = this._jobs.get(id);
+    if (!job) {
+      this._report('only submitted jobs are known', id);
+      return;
+    }
+    const names = job.content.steps.flatMap((step, number) =>
+      Array.from(
+        { length: step.count },
+        (_, index) => `${id}.0.${String(number)}.${String(index)}`,
+      ),
+    );
+    const ends = (name: string, kind: EndKind): number =>
+      (this._runs.get(name) ?? []).filter((run) => run.kind === kind).length;
+    if (state === BatchState.Completed) {
+      const missing = names.find((name) => ends(name, EndKind.DONE) === 0);
+      if (missing !== undefined) {
+        this._report('completed means all done', missing);
+      }
+    }
+    if (state === BatchState.Failed) {
+      const isCause = names.some(
+        (name) => ends(name, EndKind.FAILED) >= job.content.attempts,
+      );
+      if (!isCause) {
+        this._report('failed has a cause', id);
+      }
+    }
+    if (state === BatchState.Cancelled && !job.mayBeCancelled) {
+      this._report('cancelled has a cause', id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -0,0 +1,309 @@
+import { BatchState } from '@sapphiremux/core';
+import type { BatchContent, JobStepContent } from '@sapphiremux/core';
+import type { Violation } from '../sim/oracle.js';
+import { JOB_COUNT } from './fleet-commands.js';
+import type { FleetCommand, FleetScenario } from './fleet-commands.js';
+import { FleetWorld } from './fleet-world.js';
+import type { FleetWorldOptions } from './fleet-world.js';
+import type { SimBatchEntry } from './sim-batch-entry.js';
+import type { SimDriver } from './sim-driver.js';
+import { WorkerMode } from './sim-worker.js';
+import type { SimWorker } from './sim-worker.js';
+
+const START_MS = 6000;
+/** All leases, tenures and retries are over by then, and all jobs ended. */
+const SETTLE_MS = 25_000;
+const FINAL_ASK_MS = 4000;
+
+/**
+ * Runs a scenario and then lets everything recover.
+ *
+ * @param scenario - What happens.
+ * @param onLog - Receives what the entries log.
+ * @returns The rules that were not kept.
+ */
+export const runFleetScenario = (
+  scenario: FleetScenario,
+  onLog?: FleetWorldOptions['onLog'],
+): readonly Violation[] => {
+  const { seed } = scenario;
+  const world = new FleetWorld(onLog ? { seed, onLog } : { seed });
+  const { queue } = world;
+  world.configure('levy');
+  queue.runUntil(START_MS);
+  for (const { command, thenMs } of scenario.steps) {
+    apply(world, command);
+    queue.runUntil(queue.nowMs + thenMs);
+  }
+  world.recover();
+  for (const worker of world.workers) {
+    worker.mode = WorkerMode.Healthy;
+  }
+  world.configure('levy');
+  world.evacuate('north', false);
+  world.evacuate('south', false);
+  queue.runUntil(queue.nowMs + SETTLE_MS);
+  checkEnds(world);
+  return world.oracle.violations;
+};
+
+const apply = (world: FleetWorld, command: FleetCommand): void => {
+  switch (command.kind) {
+    case 'submit':
+      world.submit(
+        entryOf(world, command.entry),
+        jobId(command.job),
+        jobContent(command.job),
+      );
+      return;
+    case 'status':
+    case 'cancel':
+      world.ask(
+        entryOf(world, command.entry),
+        jobId(command.job),
+        command.kind,
+      );
+      return;
+    case 'configure':
+      world.configure(command.renewal ? 'renewal' : 'levy');
+      return;
+    case 'evacuate':
+      world.evacuate(command.south ? 'south' : 'north', command.isOut);
+      return;
+    case 'store':
+      world.setStore(command.mode);
+      return;
+    case 'compact':
+      world.store.compact();
+      return;
+    case 'heal':
+    case 'resume':
+    case 'restart':
+      recoverSome(world, command.kind);
+      return;
+    case 'power-off-all':
+      world.entries.forEach((entry) => {
+        world.killEntry(entry);
+      });
+      world.drivers.forEach((driver) => {
+        world.killDriver(driver);
+      });
+      return;
+    case 'worker':
+      workerOf(world, command.worker).mode = command.mode;
+      return;
+    case 'crash-worker':
+      workerOf(world, command.worker).crash();
+      return;
+    case 'drain-worker':
+      workerOf(world, command.worker).drain();
+      return;
+    case 'cut':
+    case 'cut-one-way':
+    case 'silence':
+    case 'stall':
+      disturb(world, command);
+      return;
+    case 'kill-entry':
+    case 'pause-entry':
+    case 'stop-entry':
+    case 'cut-entry-store':
+    case 'cut-entries':
+      disturbEntry(world, command.kind, entryOf(world, command.entry));
+      return;
+    case 'kill-driver':
+    case 'pause-driver':
+    case 'stop-driver':
+    case 'cut-driver-store':
+    case 'power-off':
+      disturbDriver(world, command.kind, driverOf(world, command.worker));
+  }
+};
+
+const disturbEntry = (
+  world: FleetWorld,
+  kind:
+    | 'kill-entry'
+    | 'pause-entry'
+    | 'stop-entry'
+    | 'cut-entry-store'
+    | 'cut-entries',
+  entry: SimBatchEntry,
+): void => {
+  world.oracle.onTrouble(entry.name, false);
+  switch (kind) {
+    case 'kill-entry':
+      world.killEntry(entry);
+      return;
+    case 'pause-entry':
+      entry.pause();
+      return;
+    case 'stop-entry':
+      entry.post(() => {
+        entry.dispatch({ kind: 'stop' });
+      });
+      return;
+    case 'cut-entry-store':
+      world.cutStore(entry.name);
+      return;
+    case 'cut-entries':
+      for (const other of world.entries) {
+        world.network.cut(entry.name, other.name);
+        world.network.cut(other.name, entry.name);
+      }
+  }
+};
+
+const disturbDriver = (
+  world: FleetWorld,
+  kind:
+    | 'kill-driver'
+    | 'pause-driver'
+    | 'stop-driver'
+    | 'cut-driver-store'
+    | 'power-off',
+  driver: SimDriver,
+): void => {
+  world.oracle.onTrouble(driver.name, false);
+  switch (kind) {
+    case 'kill-driver':
+      world.killDriver(driver);
+      return;
+    case 'power-off':
+      world.killDriver(driver);
+      workerOf(world, world.drivers.indexOf(driver)).crash();
+      return;
+    case 'pause-driver':
+      driver.pause();
+      return;
+    case 'stop-driver':
+      driver.post(() => {
+        driver.dispatch({ kind: 'stop' });
+      });
+      return;
+    case 'cut-driver-store':
+      world.cutStore(driver.name);
+  }
+};
+
+const disturb = (
+  world: FleetWorld,
+  command: Extract<
+    FleetCommand,
+    { kind: 'cut' | 'cut-one-way' | 'silence' | 'stall' }
+  >,
+): void => {
+  const entry = entryOf(world, command.entry);
+  const driver = driverOf(world, command.worker);
+  world.oracle.onTrouble(entry.name, false);
+  world.oracle.onTrouble(driver.name, false);
+  switch (command.kind) {
+    case 'cut':
+      world.network.cut(entry.name, driver.name);
+      world.network.cut(driver.name, entry.name);
+      return;
+    case 'cut-one-way':
+      world.network.cut(driver.name, entry.name);
+      return;
+    case 'silence':
+      world.linksBetween(entry, driver).forEach((link) => {
+        world.network.silence(link);
+      });
+      return;
+    case 'stall':
+      world.linksBetween(entry, driver).forEach((link) => {
+        world.network.stall(link);
+      });
+  }
+};
+
+const recoverSome = (
+  world: FleetWorld,
+  kind: 'heal' | 'resume' | 'restart',
+): void => {
+  const processes = [...world.entries, ...world.drivers];
+  switch (kind) {
+    case 'heal':
+      world.network.heal();
+      return;
+    case 'resume':
+      processes.forEach((process) => {
+        process.resume();
+      });
+      return;
+    case 'restart':
+      processes.forEach((process) => {
+        process.restart();
+      });
+      world.workers.forEach((worker) => {
+        worker.boot();
+      });
+  }
+};
+
+/** Every accepted job has ended and is known; nothing else is active. */
+const checkEnds = (world: FleetWorld): void => {
+  const states = new Map<string, string>();
+  const [entry] = world.entries;
+  if (!entry) {
+    return;
+  }
+  const owed = world.oracle.owed;
+  for (const id of owed) {
+    world.ask(entry, id, 'status', (reply) => {
+      const state = reply?.kind === 'state' ? reply.state : reply?.kind;
+      states.set(id, state ?? 'no answer');
+    });
+  }
+  world.queue.runUntil(world.queue.nowMs + FINAL_ASK_MS);
+  for (const id of owed) {
+    const state = states.get(id) ?? 'no answer';
+    const hasEnded =
+      state === BatchState.Completed || state === BatchState.Failed;
+    if (!hasEnded) {
+      world.oracle.onStuck(id, state);
+    }
+  }
+  world.oracle.checkQuiet();
+};
+
+const entryOf = (world: FleetWorld, index: number): SimBatchEntry =>
+  world.entries[index] ?? missing();
+
+const driverOf = (world: FleetWorld, index: number): SimDriver =>
+  world.drivers[index] ?? missing();
+
+const workerOf = (world: FleetWorld, index: number): SimWorker =>
+  world.workers[index] ?? missing();
+
+const missing = (): never => {
+  throw new Error('the scenario names what the world does not have');
+};
+
+const ID_DIGITS = 16;
+const jobId = (job: number): string =>
+  (job + 1).toString(16).padStart(ID_DIGITS, '0');
+
+const RUN_MS = [80, 400, 1500];
+
+/** Every third job is volatile; every second has two steps. */
+const jobContent = (job: number): Omit<BatchContent, 'service'> => {
+  const runMs = RUN_MS[job % RUN_MS.length] ?? 0;
+  const step: JobStepContent = {
+    count: 1 + (job % JOB_COUNT),
+    needs: { cpuMilli: 1600, memoryMb: 64, accelerators: 0 },
+    estimateMs: runMs,
+    after: [],
+    checkpointing: false,
+  };
+  return {
+    queue: 'q',
+    spec: String(runMs),
+    steps: job % 2 === 0 ? [step] : [step, { ...step, count: 2, after: [0] }],
+    attempts: 2,
+    isVolatile: job % 3 === 2,
+    priority: 0,
+    stretch: 1.6,
+    slackMs: 60,
+  };
+};
--- /dev/null
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -0,0 +1,165 @@
+import { MEMBER_PART, WorkerDriver, fleetKeys } from '@sapphiremux/core';
+import type {
+  WorkerAction,
+  WorkerEvent,
+  WorkerHeartbeat,
+  WorkerReport,
+  WorkerRow,
+} from '@sapphiremux/core';
+import type { EventQueue } from '../sim/event-queue.js';
+import { SimProcess } from '../sim/sim-process.js';
+import type { SimTable } from './sim-table.js';
+import type { SimWorker } from './sim-worker.js';
+
+/** Options of {@link SimDriver}. */
+export interface SimDriverOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly queue: EventQueue;
+  readonly store: SimTable;
+  readonly isCutFromStore: () => boolean;
+  readonly worker: () => SimWorker;
+  readonly onReport: (linkId: number, report: WorkerReport) => void;
+}
+
+const TICK_MS = 100;
+const REGISTER_RETRY_MS = 300;
+
+/** The process beside a worker in virtual time. */
+export class SimDriver extends SimProcess {
+  private readonly _options: SimDriverOptions;
+  private _driver!: WorkerDriver;
+  private _incarnation = '';
+  private _heard: WorkerHeartbeat | undefined;
+  private _flushPlanned = false;
+  private _lookPlanned = false;
+
+  /** @param options - Names, store and receivers. */
+  constructor(options: SimDriverOptions) {
+    super(options.name, options.queue, 0);
+    this._options = options;
+    this.boot();
+  }
+
+  /** Whether a heartbeat of the worker is acknowledged now. */
+  heartbeat(worker: WorkerHeartbeat): boolean {
+    const isServed = this.isAlive && !this.isPaused;
+    this.post(() => {
+      const known = this._heard;
+      this._heard = worker;
+      this.dispatch({ kind: 'announce', worker });
+      if (known?.id !== worker.id || known.accepting !== worker.accepting) {
+        this._register();
+      }
+    });
+    return isServed;
+  }
+
+  /** @param event - Something that happened to the process. */
+  dispatch(event: WorkerEvent): void {
+    for (const action of this._driver.handle(event, this.now)) {
+      this._perform(action);
+    }
+    if (!this._flushPlanned && event.kind !== 'flush') {
+      this._flushPlanned = true;
+      this._later(0, () => {
+        this._flushPlanned = false;
+        this.dispatch({ kind: 'flush' });
+        this._planLook();
+      });
+    }
+  }
+
+  protected boot(): void {
+    this._flushPlanned = false;
+    this._lookPlanned = false;
+    this._incarnation = `${this.name}.${String(this.generation)}`;
+    this._heard = undefined;
+    this._driver = new WorkerDriver({
+      name: this.name,
+      incarnation: this._incarnation,
+      token: Math.floor(this.queue.nowMs) + 1,
+    });
+    this._later(0, () => {
+      this._tick();
+    });
+    this._register();
+  }
+
+  private _later(ms: number, run: () => void): void {
+    const { generation } = this;
+    this.queue.after(ms, () => {
+      if (this.generation === generation) {
+        this.post(run);
+      }
+    });
+  }
+
+  private _tick(): void {
+    this.dispatch({ kind: 'tick' });
+    this._later(TICK_MS, () => {
+      this._tick();
+    });
+  }
+
+  private _planLook(): void {
+    const dueMs = this._driver.nextLookAtMs;
+    if (dueMs === undefined || this._lookPlanned) {
+      return;
+    }
+    this._lookPlanned = true;
+    this._later(Math.max(1, dueMs - this.now), () => {
+      this._lookPlanned = false;
+      this.dispatch({ kind: 'tick' });
+    });
+  }
+
+  private _register(): void {
+    const { store, isCutFromStore, dataCentre, name } = this._options;
+    const row: WorkerRow = {
+      address: name,
+      dataCentre,
+      incarnation: this._incarnation,
+      ...(this._heard ? { worker: this._heard } : {}),
+    };
+    const key = fleetKeys.worker(name);
+    const value = JSON.stringify(row);
+    const { generation } = this;
+    store.call(
+      MEMBER_PART,
+      { kind: 'transact', conditions: [], writes: [{ key, value }] },
+      isCutFromStore(),
+      (reply) => {
+        if (reply.kind !== 'committed' && this.generation === generation) {
+          this._later(REGISTER_RETRY_MS, () => {
+            this._register();
+          });
+        }
+      },
+    );
+  }
+
+  private _perform(action: WorkerAction): void {
+    switch (action.kind) {
+      case 'call': {
+        const { callId, call } = action;
+        const { generation } = this;
+        this._options.worker().call(call, (reply) => {
+          if (this.generation === generation) {
+            this.post(() => {
+              this.dispatch({ kind: 'reply', callId, reply });
+            });
+          }
+        });
+        return;
+      }
+      case 'report':
+        this._options.onReport(action.linkId, action.report);
+        return;
+      case 'stopped':
+        this.kill();
+        return;
+      case 'log':
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/lib/fleet-sim/sim-table.ts
@@ -0,0 +1,279 @@
+import type {
+  ChangedRow,
+  FollowReply,
+  FollowRequest,
+  Row,
+  StoreReply,
+  StoreRequest,
+} from '@sapphiremux/core';
+import type { EventQueue } from '../sim/event-queue.js';
+import { StoreMode } from '../sim/sim-store.js';
+
+/** Options of {@link SimTable}. */
+export interface SimTableOptions {
+  readonly queue: EventQueue;
+  /** Uniform random numbers from 0 to 1. */
+  readonly random: () => number;
+}
+
+interface Change extends ChangedRow {
+  readonly table: string;
+}
+
+interface Follower {
+  readonly req: Extract<FollowRequest, { kind: 'changes' }>;
+  readonly onReply: (reply: FollowReply) => void;
+  isOpen: boolean;
+}
+
+const CALL_TIMEOUT_MS = 1000;
+const READ_MS = 1;
+const WRITE_MS = 4;
+const SLOW_MS = 1600;
+const LOST_SHARE = 0.5;
+/** A call for changes that the store swallows is given up after this. */
+const FOLLOW_TIMEOUT_MS = 1500;
+
+/**
+ * The platform's table service in virtual time: parts, transactions within a
+ * part, calls that wait for changes, and a history that can be lost.
+ */
+export class SimTable {
+  mode = StoreMode.Up;
+  private readonly _options: SimTableOptions;
+  private readonly _rows = new Map<
+    string,
+    { value: string; version: number }
+  >();
+  private _log: Change[] = [];
+  private _forgottenTo = 0;
+  private _version = 1;
+  private _followers: Follower[] = [];
+
+  /** @param options - Virtual time and randomness. */
+  constructor(options: SimTableOptions) {
+    this._options = options;
+  }
+
+  /**
+   * @param part - Part of the store; a transaction stays within one.
+   * @param req - The call.
+   * @param isCut - Whether the caller can't reach the store.
+   * @param onReply - Receives what became of it.
+   */
+  call(
+    part: string,
+    req: StoreRequest,
+    isCut: boolean,
+    onReply: (reply: StoreReply) => void,
+  ): void {
+    const { queue, random } = this._options;
+    const isWrite = req.kind === 'transact';
+    const workMs = (isWrite ? WRITE_MS : READ_MS) + random();
+    switch (isCut ? StoreMode.Silent : this.mode) {
+      case StoreMode.Up:
+        this._answer(part, req, workMs, onReply);
+        return;
+      case StoreMode.Refusing:
+        queue.after(1, () => {
+          onReply({ kind: 'refused' });
+        });
+        return;
+      case StoreMode.Silent:
+        this._timeOut(onReply);
+        return;
+      case StoreMode.Slow:
+        this._answer(part, req, random() * SLOW_MS, onReply);
+        return;
+      case StoreMode.LosingAnswers:
+        if (isWrite && random() < LOST_SHARE) {
+          queue.after(workMs, () => this._apply(part, req));
+          this._timeOut(onReply);
+        } else {
+          this._answer(part, req, workMs, onReply);
+        }
+    }
+  }
+
+  /**
+   * @param req - A call that reads a table or waits for its changes.
+   * @param isCut - Whether the caller can't reach the store.
+   * @param onReply - Receives what became of it.
+   */
+  follow(
+    req: FollowRequest,
+    isCut: boolean,
+    onReply: (reply: FollowReply) => void,
+  ): void {
+    const { queue } = this._options;
+    const mode = isCut ? StoreMode.Silent : this.mode;
+    if (mode === StoreMode.Refusing || mode === StoreMode.Silent) {
+      const afterMs = mode === StoreMode.Silent ? FOLLOW_TIMEOUT_MS : 1;
+      queue.after(afterMs, () => {
+        onReply({ kind: 'failed' });
+      });
+      return;
+    }
+    if (req.kind === 'table') {
+      queue.after(READ_MS, () => {
+        const rows = this.rows(req.table);
+        onReply({ kind: 'table', rows, version: this._version });
+      });
+      return;
+    }
+    if (req.afterVersion < this._forgottenTo) {
+      queue.after(READ_MS, () => {
+        onReply({ kind: 'history-lost' });
+      });
+      return;
+    }
+    const follower: Follower = { req, onReply, isOpen: true };
+    this._followers.push(follower);
+    this._wake(follower);
+    queue.after(req.waitMs, () => {
+      this._close(follower);
+    });
+  }
+
+  /** Drops the history: followers have to read their tables again. */
+  compact(): void {
+    this._log = [];
+    this._forgottenTo = this._version;
+  }
+
+  /**
+   * Writes as an operator does, whatever the store does to others.
+   *
+   * @param key - Key of the row, with its table.
+   * @param value - Its content; `null` drops the row.
+   */
+  put(key: string, value: string | null): void {
+    this._apply('', {
+      kind: 'transact',
+      conditions: [],
+      writes: [{ key, value }],
+    });
+  }
+
+  /** @returns Rows of a table over all parts, their keys without the table. */
+  rows(table: string): Row[] {
+    return [...this._rows]
+      .map(([id, row]) => ({ key: id.slice(id.indexOf('|') + 1), ...row }))
+      .filter(({ key }) => key.startsWith(`${table}/`))
+      .map((row) => ({ ...row, key: row.key.slice(table.length + 1) }));
+  }
+
+  private _answer(
+    part: string,
+    req: StoreRequest,
+    workMs: number,
+    onReply: (reply: StoreReply) => void,
+  ): void {
+    const isLate = workMs > CALL_TIMEOUT_MS;
+    this._options.queue.after(workMs, () => {
+      const reply = this._apply(part, req);
+      if (!isLate) {
+        onReply(reply);
+      }
+    });
+    if (isLate) {
+      this._timeOut(onReply);
+    }
+  }
+
+  private _timeOut(onReply: (reply: StoreReply) => void): void {
+    this._options.queue.after(CALL_TIMEOUT_MS, () => {
+      onReply({ kind: 'unknown' });
+    });
+  }
+
+  private _apply(part: string, req: StoreRequest): StoreReply {
+    switch (req.kind) {
+      case 'transact':
+        return this._transact(part, req);
+      case 'read':
+        return {
+          kind: 'rows',
+          rows: req.keys.flatMap((key) => {
+            const row = this._rows.get(`${part}|${key}`);
+            return row ? [{ key, ...row }] : [];
+          }),
+        };
+      case 'scan':
+        return { kind: 'rows', rows: this._scan(part, req) };
+      case 'put-object':
+      case 'get-object':
+        throw new Error('objects are not used on the platform');
+    }
+  }
+
+  private _transact(
+    part: string,
+    req: Extract<StoreRequest, { kind: 'transact' }>,
+  ): StoreReply {
+    const at = (key: string): string => `${part}|${key}`;
+    const keys = req.conditions
+      .filter(({ key, version }) => {
+        return (this._rows.get(at(key))?.version ?? 0) !== version;
+      })
+      .map(({ key }) => key);
+    if (keys.length > 0) {
+      return { kind: 'conflict', keys };
+    }
+    this._version += 1;
+    const version = this._version;
+    for (const { key, value } of req.writes) {
+      if (value === null) {
+        this._rows.delete(at(key));
+      } else {
+        this._rows.set(at(key), { value, version });
+      }
+      const slash = key.indexOf('/');
+      const table = key.slice(0, slash);
+      this._log.push({ table, key: key.slice(slash + 1), value, version });
+    }
+    for (const follower of [...this._followers]) {
+      this._wake(follower);
+    }
+    return { kind: 'committed', version };
+  }
+
+  private _scan(
+    part: string,
+    { prefix, after, limit }: Extract<StoreRequest, { kind: 'scan' }>,
+  ): Row[] {
+    const at = `${part}|`;
+    return [...this._rows]
+      .filter(([id]) => id.startsWith(at + prefix))
+      .map(([id, row]) => ({ key: id.slice(at.length), ...row }))
+      .filter(({ key }) => key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1))
+      .slice(0, limit);
+  }
+
+  private _wake(follower: Follower): void {
+    const { table, afterVersion } = follower.req;
+    const isDue = this._log.some(
+      (change) => change.table === table && change.version > afterVersion,
+    );
+    if (isDue) {
+      this._close(follower);
+    }
+  }
+
+  private _close(follower: Follower): void {
+    if (!follower.isOpen) {
+      return;
+    }
+    follower.isOpen = false;
+    this._followers = this._followers.filter((other) => other !== follower);
+    const { table, afterVersion } = follower.req;
+    const rows = this._log
+      .filter((c) => c.table === table && c.version > afterVersion)
+      .map(({ key, value, version }) => ({ key, value, version }));
+    const version = this._version;
+    this._options.queue.after(READ_MS, () => {
+      follower.onReply({ kind: 'changes', rows, version });
+    });
+  }
+}
--- a/packages/standins/src/lib/sim/sim-process.ts
+++ b/packages/standins/src/lib/sim/sim-process.ts
@@ -26,6 +26,11 @@
     return this._isAlive;
   }
 
+  /** Whether the process exists and does not run. */
+  get isPaused(): boolean {
+    return this._isPaused;
+  }
+
   /** Rises with each restart. */
   get generation(): number {
     return this._generation;
