Ends that came too late wait for a lapse; late transactions are no conflict; runs that stand still are stopped

An end of a run that had been given up was acknowledged at once, and the lease lapsed only after that: the later run of the same task stood beside an acknowledged end. The acknowledgement now waits for the lapse, and no start is taken meanwhile. A transaction that took effect after its read-back made the second attempt collide with the first. The entry took it for another owner's row, answered that the job was accepted and never ran it. A run that stands still kept its job open for good.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -77,6 +77,8 @@
 export type RunRef = wire.Plain<wire.RunRef>;
 /** Starts that share a specification. */
 export type StartGroup = wire.Plain<wire.StartGroup>;
+/** An end that its owner has recorded. */
+export type RecordedEnd = wire.Plain<wire.RecordedEnd>;
 /** A batch from an entry to the process beside a worker. */
 export type WorkerOrder = wire.Plain<wire.WorkerOrder>;
 /** A batch from the process beside a worker to an entry. */
--- a/packages/core/src/lib/process/end-list.ts
+++ b/packages/core/src/lib/process/end-list.ts
@@ -58,6 +58,11 @@
     return true;
   }
 
+  /** @returns Whether the worker still lists the end. */
+  isListed(number: number): boolean {
+    return this._entries.has(number);
+  }
+
   /** @param number - An end that its owner has recorded. */
   record(number: number): void {
     const entry = this._entries.get(number);
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -2,6 +2,7 @@
 import type { RunEnd, WorkerReport } from '../messages.js';
 import { BatchState, TaskPhase, isFinal } from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
+import { overdueAfterMs } from '../request/overdue.js';
 import type { LogFields } from './batch-events.js';
 import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
 import type { JobPlacer } from './job-placer.js';
@@ -57,6 +58,7 @@
           this._giveUp(view, name, now);
         }
       }
+      this._stopOverdue(view, now);
     }
     for (const [name, atMs] of this._superseded) {
       if (now - atMs < SUPERSEDED_MEMORY_MS) {
@@ -98,6 +100,44 @@
     }
   }
 
+  /** Stops runs that stand still; their tasks start again elsewhere. */
+  private _stopOverdue(view: WorkerView, now: number): void {
+    const { health, fleet, log } = this._options;
+    for (const placed of view.placed.values()) {
+      const own = this._options.jobs.get(placed.job);
+      const task = own?.job.task(placed.task);
+      const isCurrent =
+        task?.phase === TaskPhase.Placed && task.run === placed.run;
+      if (!own || !task || !isCurrent || task.isOverdue) {
+        continue;
+      }
+      const { queue } = own.job.content;
+      const { estimateMs } = own.job.stepOf(task);
+      const limitMs = overdueAfterMs({
+        expectedMs: health.expectedMs(queue, estimateMs),
+        slowness: health.slowness(view.name),
+        earlierStops: task.overdueStops,
+      });
+      if (now - task.sinceMs <= limitMs) {
+        continue;
+      }
+      task.isOverdue = true;
+      task.overdueStops += 1;
+      task.avoid.add(view.name);
+      fleet.stop(view, task.name, task.run);
+      log('run stopped, it stands still', {
+        task: task.name,
+        run: task.run,
+        worker: view.name,
+        sinceMs: Math.round(now - task.sinceMs),
+        limitMs: Math.round(limitMs),
+      });
+      if (health.onFailed(view.name, now)) {
+        log('worker set aside', { worker: view.name });
+      }
+    }
+  }
+
   private _jobOf(task: string): OwnJob | undefined {
     const dot = task.indexOf('.');
     return this._options.jobs.get(dot < 0 ? task : task.slice(0, dot));
--- a/packages/core/src/lib/process/store-writer.ts
+++ b/packages/core/src/lib/process/store-writer.ts
@@ -185,7 +185,12 @@
     const lost = this._batch.filter((write) =>
       conditionKeys(write).some((key) => keys.includes(key)),
     );
-    this._finish(lost, { kind: 'conflict', keys }, now);
+    // An earlier attempt of an uncertain write may be what it collides with.
+    for (const write of lost.filter((w) => this._uncertain.has(w))) {
+      this._unread.add(write);
+    }
+    const beaten = lost.filter((write) => !this._uncertain.has(write));
+    this._finish(beaten, { kind: 'conflict', keys }, now);
   }
 
   private _readBack(): void {
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -1,6 +1,7 @@
 import { EndKind, StartRefusal } from '../messages.js';
 import type {
   ActiveRun,
+  RecordedEnd,
   Room,
   RunEnd,
   StartGroup,
@@ -69,6 +70,8 @@
 const ORPHAN_PERIOD_MS = 2000;
 /** Raised by this when the worker has seen a higher token. */
 const TOKEN_STEP = 100_000;
+/** Wait for runs to end before the lease is let go with them under it. */
+const LAPSE_PATIENCE_MS = 3000;
 /** Longest time that a planned stop waits for runs to end. */
 const DRAIN_LIMIT_MS = 4500;
 
@@ -139,7 +142,12 @@
   /** Latest end of the lease that any call has asked for. */
   private _leaseEndMs = 0;
   private _leaseSuspended = false;
-  private _needsLapse = false;
+  /**
+   * Ends of runs whose tasks have been started again meanwhile. Acknowledged
+   * under the same lease they would stand beside the later run.
+   */
+  private _lapseFirst: number[] = [];
+  private _lapseAskedAtMs = 0;
   private _unansweredSinceMs: number | undefined;
   private _orphansAtMs = 0;
   private _stoppingSinceMs: number | undefined;
@@ -222,6 +230,7 @@
       this._clock.reading !== undefined &&
       this._unansweredSinceMs === undefined &&
       !this._leaseSuspended &&
+      this._lapseFirst.length === 0 &&
       this._stoppingSinceMs === undefined
     );
   }
@@ -295,7 +304,7 @@
     this._bornMs = undefined;
     this._leaseEndMs = 0;
     this._leaseSuspended = false;
-    this._needsLapse = false;
+    this._lapseFirst = [];
     this._unansweredSinceMs = undefined;
     this._holdCallId = undefined;
     this._holdAtMs = now;
@@ -347,8 +356,7 @@
     this._holdUntil.set(order.incarnation, Math.max(held, order.holdUntilMs));
     for (const end of order.recorded) {
       if (end.life === this._lifeId) {
-        this._needsLapse ||= end.superseded;
-        this._ends.record(end.number);
+        this._onRecorded(end, now);
       }
     }
     for (const group of order.claims) {
@@ -363,6 +371,27 @@
     link.wantsSnapshot ||= isFirst || order.adopt.length > 0;
   }
 
+  private _onRecorded(end: RecordedEnd, now: number): void {
+    if (!end.superseded) {
+      this._ends.record(end.number);
+      return;
+    }
+    if (
+      this._ends.isListed(end.number) &&
+      !this._lapseFirst.includes(end.number)
+    ) {
+      if (this._lapseFirst.length === 0) {
+        this._lapseAskedAtMs = now;
+        this._log('lease to lapse before an end is acknowledged', {
+          end: end.number,
+          runs: this._runs.size,
+        });
+        this._links.touchAll();
+      }
+      this._lapseFirst.push(end.number);
+    }
+  }
+
   private _adopt(link: ReportLink, owner: string): void {
     const successor = this._fenced.get(owner);
     if (successor !== link.incarnation) {
@@ -555,15 +584,22 @@
     });
   }
 
+  /** Whether the lease is being let go; its end releases what waits for it. */
   private _isLapsing(now: number): boolean {
-    if (!this._needsLapse || this._runs.size > 0) {
+    if (this._lapseFirst.length === 0) {
       return false;
     }
     if (this._clock.atLeast(now) > this._leaseEndMs + this._options.stopMs) {
-      this._needsLapse = false;
+      for (const number of this._lapseFirst) {
+        this._ends.record(number);
+      }
+      this._lapseFirst = [];
+      this._log('lease lapsed', { acknowledged: this._ends.ackedThrough });
+      this._links.touchAll();
       return false;
     }
-    return true;
+    const isPatient = now - this._lapseAskedAtMs < LAPSE_PATIENCE_MS;
+    return this._runs.size === 0 || !isPatient;
   }
 
   private _onReply(callId: number, reply: WorkerReply, now: number): void {
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -94,7 +94,11 @@
   checkpoint: string;
   /** When it was placed last, or became ready. */
   sinceMs: number;
-  /** VMs at which a run of it failed. */
+  /** Runs that were stopped because they stood still. */
+  overdueStops: number;
+  /** Whether the run that is placed is being stopped for that. */
+  isOverdue: boolean;
+  /** VMs at which a run of it failed or stood still. */
   readonly avoid: Set<string>;
 }
 
@@ -148,6 +152,8 @@
         failures: 0,
         checkpoint: '',
         sinceMs: acceptedAtMs,
+        overdueStops: 0,
+        isOverdue: false,
         avoid: new Set<string>(),
       })),
     );
@@ -227,6 +233,7 @@
     task.run += 1;
     task.worker = worker;
     task.sinceMs = now;
+    task.isOverdue = false;
     return task.run;
   }
 
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -455,6 +455,28 @@
   expect(bench.started.slice(2)).toEqual([`${ID}.0.1.0#1`]);
 });
 
+it('a run that stands still is stopped and its task starts elsewhere', () => {
+  const rows = new Rows();
+  rows.rows.set('|member/worker/w2', {
+    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
+    version: 1,
+  });
+  const bench = withWorker(rows);
+  bench.submit(1);
+  bench.report('w2');
+  for (let passed = 0; passed < 700; passed += 50) {
+    bench.pass(50);
+    bench.report('w1');
+    bench.report('w2');
+  }
+  expect(bench.stopped).toEqual([`${ID}.0.0.0#1`, `${ID}.0.0.1#1`]);
+  const end = { ...done(`${ID}.0.0.0`), kind: EndKind.STOPPED };
+  bench.report('w1', { ends: [end] });
+  const last = bench.orders.findLast(({ order }) => order.starts.length > 0);
+  expect(last?.linkId).toEqual(bench.links.get('w2'));
+  expect(bench.started.at(-1)).toEqual(`${ID}.0.0.0#2`);
+});
+
 it('a cancelled job stops and never starts again', () => {
   const bench = withWorker();
   bench.submit(1, { isVolatile: false });
--- a/packages/core/src/test/store-writer.test.ts
+++ b/packages/core/src/test/store-writer.test.ts
@@ -74,6 +74,21 @@
   expect(outcomes).toEqual([{ kind: 'conflict', keys: ['a'] }]);
 });
 
+it('an attempt that lands after it was read back is no conflict', () => {
+  const { writer, submit, reply, kinds, outcomes } = setUp();
+  submit('a');
+  reply({ kind: 'unknown' });
+  writer.pump(100);
+  reply({ kind: 'rows', rows: [] }, 100);
+  // The first attempt takes effect now, so the second one can't.
+  reply({ kind: 'conflict', keys: ['a'] }, 200);
+  expect(outcomes).toEqual([]);
+  expect(kinds().at(-1)).toEqual('read');
+  const row = { key: 'a', value: 'nonce of a', version: 7 };
+  reply({ kind: 'rows', rows: [row] }, 300);
+  expect(outcomes).toEqual([{ kind: 'committed', version: 7 }]);
+});
+
 it('write with a lost answer is never given up', () => {
   const { writer, submit, reply, outcomes } = setUp();
   submit('a', 500);
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -265,6 +265,46 @@
   expect(before.kind === 'hold' && before.ackedThrough).toEqual(0);
 });
 
+it('an end that came too late is acknowledged only once the lease has lapsed', () => {
+  const bench = ready();
+  const [group] = starts('j.0.0.0');
+  const recorded = [{ ...group, volatile: false }] as WorkerOrder['starts'];
+  bench.order({ holdUntilMs: 5700, starts: recorded });
+  bench.answer('start');
+  const end = { number: 1, task: 'j.0.0.0', run: 1, checkpoint: '' };
+  bench.ends = [{ ...end, kind: EndKind.DONE }];
+  bench.answerHold();
+  bench.order({
+    holdUntilMs: 5700,
+    recorded: [{ life: String(BORN_MS), number: 1, superseded: true }],
+  });
+  bench.order({ holdUntilMs: 5700, starts: starts('k.0.0.0') });
+  expect(refusals(bench)).toEqual([StartRefusal.NOT_READY]);
+  let leaseMs = 0;
+  for (let passed = 0; passed < 3000; passed += 50) {
+    bench.pass(50);
+    if (bench.count('hold') === 0) {
+      continue;
+    }
+    const { callId, call } = bench.take('hold');
+    if (call.kind !== 'hold') {
+      continue;
+    }
+    if (call.ackedThrough > 0) {
+      expect(bench.clock > leaseMs).toEqual(true);
+      return;
+    }
+    leaseMs = Math.max(leaseMs, call.untilMs ?? 0);
+    const { clock: clockMs, active, ends } = bench;
+    bench.handle({
+      kind: 'reply',
+      callId,
+      reply: { kind: 'held', clockMs, bornMs: BORN_MS, active, ends },
+    });
+  }
+  expect('the end').toEqual('acknowledged');
+});
+
 it('runs at a worker that falls silent are lost once its lease has lapsed', () => {
   const bench = ready();
   bench.order({ holdUntilMs: 9000, starts: starts('j.0.0.0') });
