Workers keep the newest word on their data centre

Cause: an entry that is cut off from the store does not learn that operators have taken a data centre out of service, and its best-effort jobs went on starting there through a process that was itself in touch.

Ruled out: following the operators' table beside every worker (one more waiting call to the store for each worker); entries that stop placing when they lose the store (best-effort jobs would stand still in every outage).

Change: every order names the version of the operators' table that its entry goes by and whether it has the worker's data centre out. The process beside the worker keeps the newest and refuses starts accordingly.

Test: worker-driver.test.ts.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -828,7 +828,14 @@
     for (const req of this._tenure.next(now)) {
       this._actions.push({ kind: 'follow', req });
     }
-    this._fleet.sendOrders(this._mayAct, now);
+    this._fleet.sendOrders(
+      {
+        grants: this._mayAct,
+        operatorVersion: this._tenure.operatorVersion,
+        isOut: (dataCentre) => this.routes.isOut(dataCentre),
+      },
+      now,
+    );
   }
 
   /** Refuses volatile jobs that are not worth their callers' wait. */
--- a/packages/core/src/lib/process/entry-tenure.ts
+++ b/packages/core/src/lib/process/entry-tenure.ts
@@ -79,6 +79,11 @@
     return this._hasTenure;
   }
 
+  /** Version of the operators' table that has been read. */
+  get operatorVersion(): number {
+    return this._operators.version;
+  }
+
   /** Whether calls to the store fail. */
   get isStoreAway(): boolean {
     return this._isStoreAway;
--- a/packages/core/src/lib/process/table-follower.ts
+++ b/packages/core/src/lib/process/table-follower.ts
@@ -40,6 +40,11 @@
     return this._confirmedAtMs;
   }
 
+  /** Version up to which the table is known; 0 before the first reading. */
+  get version(): number {
+    return this._version ?? 0;
+  }
+
   /** Whether the table has been read once. */
   get isLoaded(): boolean {
     return this._version !== undefined;
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -149,6 +149,8 @@
   private _lapseFirst: number[] = [];
   private _lapseAskedAtMs = 0;
   private _unansweredSinceMs: number | undefined;
+  /** What the best informed entry has said of this data centre. */
+  private _operators = { version: 0, isOut: false };
   private _orphansAtMs = 0;
   private _stoppingSinceMs: number | undefined;
   private _isStopped = false;
@@ -352,6 +354,7 @@
       }
       return;
     }
+    this._noteOperators(order);
     const held = this._holdUntil.get(order.incarnation) ?? 0;
     this._holdUntil.set(order.incarnation, Math.max(held, order.holdUntilMs));
     for (const end of order.recorded) {
@@ -371,6 +374,27 @@
     link.wantsSnapshot ||= isFirst || order.adopt.length > 0;
   }
 
+  /**
+   * Keeps the newest word on this data centre, so that an entry that is cut
+   * off from the store can't start anything where operators want nothing.
+   */
+  private _noteOperators({
+    incarnation,
+    operatorVersion,
+    out,
+  }: WorkerOrder): void {
+    if (operatorVersion <= this._operators.version) {
+      return;
+    }
+    if (out !== this._operators.isOut) {
+      this._log(out ? 'data centre out of service' : 'data centre in service', {
+        entry: incarnation,
+        operatorVersion,
+      });
+    }
+    this._operators = { version: operatorVersion, isOut: out };
+  }
+
   private _onRecorded(end: RecordedEnd, now: number): void {
     if (!end.superseded) {
       this._ends.record(end.number);
@@ -439,7 +463,7 @@
         refuse(StartRefusal.STALE_RUN);
         continue;
       }
-      if (!this._isAccepting) {
+      if (!this._isAccepting || this._operators.isOut) {
         refuse(StartRefusal.NOT_READY);
         continue;
       }
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -184,10 +184,20 @@
   /**
    * Sends what has gathered, and a word where one is due.
    *
-   * @param grants - Whether runs may go on.
+   * @param say - What every order tells.
+   * @param say.grants - Whether runs may go on.
+   * @param say.operatorVersion - Version of the operators' table.
+   * @param say.isOut - Whether it has a data centre out of service.
    * @param now - Current time in milliseconds.
    */
-  sendOrders(grants: boolean, now: number): void {
+  sendOrders(
+    say: {
+      readonly grants: boolean;
+      readonly operatorVersion: number;
+      readonly isOut: (dataCentre: string) => boolean;
+    },
+    now: number,
+  ): void {
     for (const view of this._views.values()) {
       const { linkId } = view;
       const periodMs =
@@ -202,7 +212,9 @@
       const order = view.takeOrder();
       order.entry = this._options.name;
       order.incarnation = this._options.incarnation;
-      order.holdUntilMs = grants ? view.grant(now) : 0;
+      order.holdUntilMs = say.grants ? view.grant(now) : 0;
+      order.operatorVersion = say.operatorVersion;
+      order.out = say.isOut(view.hello?.dataCentre ?? view.dataCentre);
       view.sentAtMs = now;
       this._options.emit({ kind: 'order', linkId, order });
     }
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -55,6 +55,8 @@
   recorded: [],
   claims: [],
   sequence: 0,
+  operatorVersion: 0,
+  out: false,
 });
 
 /** @returns Name of a run in tables keyed by run. */
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -25,6 +25,8 @@
   recorded: [],
   claims: [],
   sequence: 1,
+  operatorVersion: 0,
+  out: false,
   ...fields,
 });
 
@@ -235,6 +237,21 @@
   expect(bench.count('start')).toEqual(0);
 });
 
+it('an entry with an old view starts nothing in a data centre that is out', () => {
+  const bench = ready();
+  bench.handle({ kind: 'link-open', linkId: 2 });
+  const hold = { holdUntilMs: bench.clock + 700 };
+  const other = { ...hold, incarnation: 'b1' };
+  bench.order({ ...other, operatorVersion: 8, out: true }, 2);
+  const late = { operatorVersion: 5, starts: starts('j.0.0.0') };
+  bench.order({ ...hold, ...late });
+  expect(refusals(bench)).toEqual([StartRefusal.NOT_READY]);
+  expect(bench.count('start')).toEqual(0);
+  bench.order({ ...other, operatorVersion: 9 }, 2);
+  bench.order({ ...hold, ...late });
+  expect(bench.count('start')).toEqual(1);
+});
+
 it('a fenced entry is refused', () => {
   const bench = ready();
   bench.link(2, 'b1');
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -63,6 +63,7 @@
   private readonly _options: FleetOracleOptions;
   private readonly _jobs = new Map<string, Job>();
   private readonly _runs = new Map<string, Run[]>();
+  private readonly _earlyCancels = new Set<string>();
   private readonly _draining = new Map<string, number>();
   private readonly _out = new Map<string, number>();
   private readonly _versions = new Map<string, number>();
@@ -122,7 +123,8 @@
         mayRun: false,
         acceptedAtMs: undefined,
         cancelledAtMs: undefined,
-        mayBeCancelled: false,
+        // A cancel that is still under way may meet the new job.
+        mayBeCancelled: this._earlyCancels.has(id),
       });
     }
   }
@@ -150,6 +152,8 @@
     const job = this._jobs.get(id);
     if (job) {
       job.mayBeCancelled = true;
+    } else {
+      this._earlyCancels.add(id);
     }
   }
 
