Ends of overtaken runs are told apart also by others than their entry

Cause: an end that nobody had recorded for 2 s is offered to all entries. One that did not own the job found its row ended and acknowledged the end at once, although a later run of the task had begun before: the same double run that the lapse guards against. An heir could do so too, as it did not know the runs that its predecessor had started last.

Change: an end counts as overtaken when a later run is placed or was the one that was done; a foreign end of an ended job counts so unless it was just acknowledged; a job that was taken over is recorded as ended only when all workers have told what they have.

Ruled out: leaving such ends to their owner, which may be gone.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -520,7 +520,7 @@
       callers: own.endReplies.length,
     });
     this._stopRuns(own);
-    this._drop(own);
+    this._drop(own, now);
     this._replyAll(own.endReplies, { kind: 'in-doubt', detail: reason });
   }
 
@@ -532,9 +532,9 @@
     }
   }
 
-  private _drop(own: OwnJob): void {
+  private _drop(own: OwnJob, now: number): void {
     this._remove(own);
-    this._fleet.acknowledge(own.owed);
+    this._fleet.acknowledge(own.owed, now);
   }
 
   private _remove(own: OwnJob): void {
@@ -624,7 +624,11 @@
   // Ends of jobs
 
   private _finish(own: OwnJob, now: number): void {
-    if (own.isFinishing) {
+    const waits =
+      own.heirOf !== undefined && own.job.state !== BatchState.Cancelled;
+    if (own.isFinishing || waits) {
+      // Until all workers have told, a later run may turn up beside the end
+      // that would be acknowledged.
       return;
     }
     own.isFinishing = true;
@@ -637,7 +641,7 @@
         state: job.state,
         tookMs: Math.round(now - job.acceptedAtMs),
       });
-      this._drop(own);
+      this._drop(own, now);
       this._replyAll(own.endReplies, { kind: 'ended', state: job.state });
       return;
     }
@@ -663,7 +667,7 @@
         tookMs: Math.round(at - job.acceptedAtMs),
         recordMs: Math.round(at - now),
       });
-      this._fleet.acknowledge(own.owed);
+      this._fleet.acknowledge(own.owed, at);
       this._replyAll(own.cancelReplies, { kind: 'cancelled' });
     });
   }
@@ -692,10 +696,10 @@
       const owed = own.owed;
       own.owed = [];
       own.isSaving = true;
-      this._recorder.saveProgress(own, own.job.progress, now, (outcome) => {
+      this._recorder.saveProgress(own, own.job.progress, now, (outcome, at) => {
         own.isSaving = false;
         if (outcome.kind === 'committed') {
-          this._fleet.acknowledge(owed);
+          this._fleet.acknowledge(owed, at);
         }
       });
     }
@@ -728,9 +732,6 @@
     });
     const own = this._addJob(job, record);
     own.heirOf = victim;
-    if (isFinal(job.state)) {
-      this._finish(own, now);
-    }
   }
 
   private _onSettled(victim: string, now: number): void {
@@ -739,6 +740,10 @@
         continue;
       }
       own.heirOf = undefined;
+      if (isFinal(own.job.state)) {
+        this._finish(own, now);
+        continue;
+      }
       for (const task of own.job.tasks) {
         if (task.phase === TaskPhase.Unknown) {
           own.job.requeue(task, now);
@@ -847,7 +852,7 @@
         waitedMs: Math.round(now - own.job.acceptedAtMs),
         waitingJobs: this._placer.size,
       });
-      this._drop(own);
+      this._drop(own, now);
       this._replyAll(own.endReplies, {
         kind: 'refused',
         reason: SubmitRefusal.Overload,
--- a/packages/core/src/lib/process/own-job.ts
+++ b/packages/core/src/lib/process/own-job.ts
@@ -6,7 +6,10 @@
   readonly worker: string;
   readonly life: string;
   readonly number: number;
-  readonly superseded: boolean;
+  readonly task: string;
+  readonly run: number;
+  /** Another run of the task has begun after this one. */
+  superseded: boolean;
   /** Whether this entry has sent the run. */
   readonly isOwnRun: boolean;
 }
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -146,25 +146,32 @@
   private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
     const name = runName(end);
     const isOwnRun = view.placed.delete(name);
-    const superseded = end.kind === EndKind.DONE && this._superseded.has(name);
+    const own = this._jobOf(end.task);
+    const task = own?.job.task(end.task);
+    const superseded =
+      end.kind === EndKind.DONE &&
+      (isOvertaken(task, end.run) || this._superseded.has(name));
+    if (own && task) {
+      markOvertaken(own, task, end.run);
+    }
     const owed: OwedRecord = {
       worker: view.name,
       life: end.life,
       number: end.number,
+      task: end.task,
+      run: end.run,
       superseded,
       isOwnRun,
     };
-    const own = this._jobOf(end.task);
     if (!own) {
-      this._onForeignEnd(owed, end);
+      this._onForeignEnd(owed, end, now);
       return;
     }
     if (own.job.content.isVolatile) {
-      this._options.fleet.acknowledge([owed]);
+      this._options.fleet.acknowledge([{ ...owed, superseded: false }], now);
     } else if (end.number > 0) {
       this._owe(own, owed, now);
     }
-    const task = own.job.task(end.task);
     if (!task || isFinal(own.job.state) || superseded) {
       return;
     }
@@ -224,26 +231,43 @@
     own.owed.push(owed);
   }
 
-  /** An end of a job that is not open here. */
-  private _onForeignEnd(owed: OwedRecord, end: RunEnd): void {
+  /**
+   * An end of a job that is not open here. If the job has ended, another run
+   * of the task may have begun after this one: the end is superseded.
+   */
+  private _onForeignEnd(owed: OwedRecord, end: RunEnd, now: number): void {
     if (owed.number === 0) {
       return;
     }
+    const { fleet, isEnded, jobs, stores } = this._options;
     const id = end.task.slice(0, end.task.indexOf('.'));
-    if (this._options.isEnded(id) || owed.isOwnRun) {
-      this._options.fleet.acknowledge([owed]);
+    const earlier = fleet.acknowledgedAs(owed);
+    const isDone = end.kind === EndKind.DONE;
+    if (earlier !== undefined) {
+      fleet.acknowledge([{ ...owed, superseded: earlier }], now);
+      return;
+    }
+    if (isEnded(id)) {
+      const superseded = owed.superseded || (isDone && !owed.isOwnRun);
+      fleet.acknowledge([{ ...owed, superseded }], now);
+      return;
+    }
+    if (owed.isOwnRun) {
+      fleet.acknowledge([owed], now);
       return;
     }
     const key = fleetKeys.job(id);
-    const caller = this._options.stores.caller(partName(partOf(id)));
-    caller.call({ kind: 'read', keys: [key] }, (reply) => {
-      if (reply.kind !== 'rows' || this._options.jobs.has(id)) {
+    const caller = stores.caller(partName(partOf(id)));
+    caller.call({ kind: 'read', keys: [key] }, (reply, at) => {
+      if (reply.kind !== 'rows' || jobs.has(id)) {
         return;
       }
       const row = reply.rows[0];
       const data = row && decodeJobRow(row.value);
       if (data?.kind !== 'open') {
-        this._options.fleet.acknowledge([owed]);
+        // Without a row it was a volatile job, whose runs may repeat.
+        const superseded = isDone && data !== undefined;
+        fleet.acknowledge([{ ...owed, superseded }], at);
       }
     });
   }
@@ -330,6 +354,7 @@
       }
       return;
     }
+    markOvertaken(own, task, run);
     if (task.phase === TaskPhase.Unknown && !isFinal(own.job.state)) {
       task.phase = TaskPhase.Placed;
       task.run = run;
@@ -387,3 +412,30 @@
     }
   }
 }
+
+/** Whether a run of the task has begun after the given one. */
+const isOvertaken = (task: BatchTask | undefined, run: number): boolean => {
+  switch (task?.phase) {
+    case TaskPhase.Placed:
+      return task.run > run;
+    case TaskPhase.Done:
+      return task.doneRun !== run;
+    case undefined:
+    case TaskPhase.Blocked:
+    case TaskPhase.Ready:
+    case TaskPhase.Unknown:
+      return false;
+  }
+};
+
+/** A run of a predecessor turns up that began after the one that was done. */
+const markOvertaken = (own: OwnJob, task: BatchTask, run: number): void => {
+  if (task.phase !== TaskPhase.Done || run <= task.doneRun) {
+    return;
+  }
+  for (const owed of own.owed) {
+    if (owed.task === task.name && owed.run === task.doneRun) {
+      owed.superseded = true;
+    }
+  }
+};
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -22,6 +22,8 @@
 const REOPEN_MS = 100;
 /** Longest pause; it doubles with each link that fails. */
 const MAX_REOPEN_MS = 1000;
+/** An end is listed again for some looks, or by the next process there. */
+const ACKNOWLEDGED_MEMORY_MS = 10_000;
 /** A link that is no longer needed is kept this long after its last run. */
 const RELEASE_AFTER_MS = 2000;
 
@@ -31,6 +33,11 @@
   private readonly _views = new Map<string, WorkerView>();
   private readonly _links = new Map<number, WorkerView>();
   private readonly _subset: WorkerSubset;
+  /** What was acknowledged lately; the word may not have reached the worker. */
+  private readonly _acknowledged = new Map<
+    string,
+    { readonly superseded: boolean; readonly atMs: number }
+  >();
   /** All workers, preferred ones first; renewed when rows change. */
   private _ordered: readonly WorkerView[] | undefined;
   private _nextLinkId = 1;
@@ -102,6 +109,12 @@
     now: number,
   ): void {
     this._subset.note(need.shortage, now);
+    for (const [name, { atMs }] of this._acknowledged) {
+      if (now - atMs < ACKNOWLEDGED_MEMORY_MS) {
+        break;
+      }
+      this._acknowledged.delete(name);
+    }
     this._ordered ??= this._subset.order(this.views);
     const chosen = this._subset.choose(this._ordered);
     for (const view of this._ordered) {
@@ -161,18 +174,33 @@
     view.isDirty = true;
   }
 
-  /** @param owed - Ends that the worker may forget. */
-  acknowledge(owed: readonly OwedRecord[]): void {
-    for (const { worker, life, number, superseded } of owed) {
+  /**
+   * @param owed - Ends that the worker may forget.
+   * @param now - Current time in milliseconds.
+   */
+  acknowledge(owed: readonly OwedRecord[], now: number): void {
+    for (const end of owed) {
+      const { worker, life, number, superseded } = end;
       if (number > 0) {
         // Rides with the next order; nobody waits for it.
         this._views
           .get(worker)
           ?.order.recorded.push({ life, number, superseded });
+        this._acknowledged.set(endName(end), { superseded, atMs: now });
       }
     }
   }
 
+  /**
+   * @param end - An end that a worker lists, perhaps once more.
+   * @returns Whether it was superseded when it was acknowledged lately.
+   */
+  acknowledgedAs(
+    end: Pick<OwedRecord, 'worker' | 'life' | 'number'>,
+  ): boolean | undefined {
+    return this._acknowledged.get(endName(end))?.superseded;
+  }
+
   /** @param incarnation - A fenced entry whose runs this entry takes over. */
   adopt(incarnation: string): void {
     for (const view of this._views.values()) {
@@ -288,3 +316,6 @@
     this._options.emit({ kind: 'open-link', linkId, address });
   }
 }
+
+const endName = (end: Pick<OwedRecord, 'worker' | 'life' | 'number'>): string =>
+  `${end.worker} ${end.life} ${String(end.number)}`;
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -94,6 +94,8 @@
   checkpoint: string;
   /** When it was placed last, or became ready. */
   sinceMs: number;
+  /** Number of the run that was done; 0 before. */
+  doneRun: number;
   /** Runs that were stopped because they stood still. */
   overdueStops: number;
   /** Whether the run that is placed is being stopped for that. */
@@ -152,6 +154,7 @@
         failures: 0,
         checkpoint: '',
         sinceMs: acceptedAtMs,
+        doneRun: 0,
         overdueStops: 0,
         isOverdue: false,
         avoid: new Set<string>(),
@@ -272,6 +275,7 @@
     switch (end.kind) {
       case EndKind.DONE:
         task.phase = TaskPhase.Done;
+        task.doneRun = end.run;
         this.unblock(now);
         break;
       case EndKind.FAILED:
