Ends and refusals count only for the worker that the task was placed at

Cause: two entries that get the same best-effort job one after the other number its runs alike. An end that the first one left at a worker is offered to all entries, and the second took it for the end of its own run at another worker: it started the task again while that run went on, two runs at a time.

Ruled out: numbers that differ between entries, since a task's runs are numbered from 1.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -1,6 +1,11 @@
 import { EndKind, StartRefusal } from '../messages.js';
 import type { RunEnd, WorkerReport } from '../messages.js';
-import { BatchState, TaskPhase, isFinal } from '../request/batch-job.js';
+import {
+  BatchState,
+  TaskPhase,
+  isFinal,
+  isPlacedAs,
+} from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
 import { overdueAfterMs } from '../request/overdue.js';
 import type { LogFields } from './batch-events.js';
@@ -106,9 +111,8 @@
     for (const placed of view.placed.values()) {
       const own = this._options.jobs.get(placed.job);
       const task = own?.job.task(placed.task);
-      const isCurrent =
-        task?.phase === TaskPhase.Placed && task.run === placed.run;
-      if (!own || !task || !isCurrent || task.isOverdue) {
+      const isCurrent = task && isPlacedAs(task, placed.run, view.name);
+      if (!own || !isCurrent || task.isOverdue) {
         continue;
       }
       const { queue } = own.job.content;
@@ -201,8 +205,7 @@
     view: WorkerView,
     now: number,
   ): void {
-    const isCurrent = task.phase === TaskPhase.Placed && task.run === end.run;
-    if (!isCurrent) {
+    if (!isPlacedAs(task, end.run, view.name)) {
       return;
     }
     if (end.kind === EndKind.DONE) {
@@ -288,7 +291,7 @@
       worker: view.name,
       reason: StartRefusal[reason],
     });
-    if (!own || task?.run !== run || task.phase !== TaskPhase.Placed) {
+    if (!own || !task || !isPlacedAs(task, run, view.name)) {
       return;
     }
     switch (reason) {
@@ -363,10 +366,7 @@
       own.job.state = BatchState.Running;
     }
     const isCurrent =
-      task.phase === TaskPhase.Placed &&
-      task.run === run &&
-      task.worker === view.name &&
-      !isFinal(own.job.state);
+      isPlacedAs(task, run, view.name) && !isFinal(own.job.state);
     if (!isCurrent) {
       this._options.fleet.stop(view, name, run);
       return;
@@ -400,7 +400,7 @@
     this._superseded.set(name, now);
     const own = this._options.jobs.get(placed.job);
     const task = own?.job.task(placed.task);
-    if (own && task?.phase === TaskPhase.Placed && task.run === placed.run) {
+    if (own && task && isPlacedAs(task, placed.run, view.name)) {
       this._options.log('run given up', {
         task: placed.task,
         run: placed.run,
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -264,7 +264,7 @@
     if (task.phase === TaskPhase.Done) {
       return;
     }
-    const isCurrent = task.phase === TaskPhase.Placed && task.run === end.run;
+    const isCurrent = isPlacedAs(task, end.run, worker);
     if (!isCurrent && task.phase !== TaskPhase.Unknown) {
       return;
     }
@@ -327,3 +327,19 @@
     }
   }
 }
+
+/**
+ * Whether a run is the one that a task waits for. Entries that get the same
+ * volatile job one after the other number its runs alike, so the worker counts.
+ *
+ * @param task - A task.
+ * @param run - Number of a run.
+ * @param worker - VM of the run.
+ * @returns Whether the task is placed there with this number.
+ */
+export const isPlacedAs = (
+  task: BatchTask,
+  run: number,
+  worker: string,
+): boolean =>
+  task.phase === TaskPhase.Placed && task.run === run && task.worker === worker;
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl';
-import { EndKind } from '../lib/messages.js';
+import { EndKind, StartRefusal } from '../lib/messages.js';
 import type { WorkerOrder, WorkerReport } from '../lib/messages.js';
 import { BatchEntry } from '../lib/process/batch-entry.js';
 import { SubmitRefusal } from '../lib/process/batch-events.js';
@@ -477,6 +477,28 @@
   expect(bench.started.at(-1)).toEqual(`${ID}.0.0.0#2`);
 });
 
+it('an end at another worker is not taken for the end of the run here', () => {
+  const rows = new Rows();
+  const bench = withWorker(rows);
+  bench.submit(1);
+  const before = bench.started;
+  rows.rows.set('|member/worker/w2', {
+    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
+    version: 2,
+  });
+  rows.version = 2;
+  bench.refresh();
+  bench.pass(100);
+  // Left there by the entry that had the same job before.
+  const end = { ...done(`${ID}.0.0.0`), kind: EndKind.STOPPED };
+  bench.report('w2', { ends: [end] });
+  expect(bench.started).toEqual(before);
+  bench.report('w2', {
+    refused: [{ task: `${ID}.0.0.1`, run: 1, reason: StartRefusal.STALE_RUN }],
+  });
+  expect(bench.started).toEqual(before);
+});
+
 it('a cancelled job stops and never starts again', () => {
   const bench = withWorker();
   bench.submit(1, { isVolatile: false });
