--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -212,7 +212,7 @@
     const { task, run, place } = start;
     const id = task.slice(0, task.indexOf('.'));
     const job = this._jobs.get(id);
-    if (!job || job.content.spec !== start.spec) {
+    if (job?.content.spec !== start.spec) {
       this._report('only what was asked for runs', task);
       return;
     }
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -247,7 +247,7 @@
 
 /** Every accepted job has ended and is known; nothing else is active. */
 const checkEnds = (world: FleetWorld): void => {
-  const states = new Map<string, string>();
+  const states = new Map<string, BatchState>();
   const [entry] = world.entries;
   if (!entry) {
     return;
@@ -255,17 +255,16 @@
   const owed = world.oracle.owed;
   for (const id of owed) {
     world.ask(entry, id, 'status', (reply) => {
-      const state = reply?.kind === 'state' ? reply.state : reply?.kind;
-      states.set(id, state ?? 'no answer');
+      if (reply?.kind === 'state') {
+        states.set(id, reply.state);
+      }
     });
   }
   world.queue.runUntil(world.queue.nowMs + FINAL_ASK_MS);
   for (const id of owed) {
-    const state = states.get(id) ?? 'no answer';
-    const hasEnded =
-      state === BatchState.Completed || state === BatchState.Failed;
-    if (!hasEnded) {
-      world.oracle.onStuck(id, state);
+    const state = states.get(id);
+    if (state !== BatchState.Completed && state !== BatchState.Failed) {
+      world.oracle.onStuck(id, state ?? 'no answer');
     }
   }
   world.oracle.checkQuiet();
