A job whose starts were all refused is given up like one never sent; explain

Cause: late best-effort jobs are refused after 40% of their caller's patience, unless a task of theirs has begun.

Ruled out: a limit on the number of refused starts, which says nothing about what is left of the time.

Change: refused starts are counted for each task and do not count as begun.

sapphiremux explain ID LOG... tells the life of a job from logs; it showed the above. Its test: job-story.test.ts.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,6 +3,7 @@
 import Cancel from './lib/commands/cancel.js';
 import DrainDataCentre from './lib/commands/drain/dc.js';
 import DrainEndpoint from './lib/commands/drain/endpoint.js';
+import Explain from './lib/commands/explain.js';
 import ListMembers from './lib/commands/members.js';
 import Request from './lib/commands/request.js';
 import ReturnDataCentre from './lib/commands/return/dc.js';
@@ -21,6 +22,7 @@
   cancel: Cancel,
   'drain:dc': DrainDataCentre,
   'drain:endpoint': DrainEndpoint,
+  explain: Explain,
   members: ListMembers,
   request: Request,
   'return:dc': ReturnDataCentre,
--- /dev/null
+++ b/packages/cli/src/lib/commands/explain.ts
@@ -0,0 +1,49 @@
+import { readFile } from 'node:fs/promises';
+import { Args, Command } from '@oclif/core';
+import { ExitCode } from '../exit-codes.js';
+import { parseLog, storyOf } from '../job-story.js';
+import type { JobStory, LogLine } from '../job-story.js';
+
+/** Tells the life of a job from the logs of the processes. */
+export default class Explain extends Command {
+  static override description =
+    'Tell from logs what became of a job, and why. Give the logs of all entries, and of the VMs that ran it.';
+  static override examples = [
+    '<%= config.bin %> explain 4467a71d6d5aa42b entry-*.log vm-7.log',
+  ];
+  static override strict = false;
+  static override enableJsonFlag = true;
+  static override args = {
+    id: Args.string({ required: true, description: 'Id of the job.' }),
+  };
+
+  override async run(): Promise<JobStory> {
+    const { args, argv } = await this.parse(Explain);
+    const files = argv.slice(1).map(String);
+    if (files.length === 0) {
+      this.error('name at least one log file', { exit: ExitCode.Invalid });
+    }
+    const log: LogLine[] = [];
+    for (const file of files) {
+      log.push(...parseLog(await this._read(file)));
+    }
+    const story = storyOf(log, args.id);
+    for (const { time, name, message, fields } of story.lines) {
+      this.log(`${time} ${name} ${message} ${JSON.stringify(fields)}`);
+    }
+    for (const finding of story.findings) {
+      this.log(`- ${finding}`);
+    }
+    return story;
+  }
+
+  private async _read(file: string): Promise<string> {
+    try {
+      return await readFile(file, 'utf8');
+    } catch (err) {
+      this.error(`${file}: ${(err as Error).message}`, {
+        exit: ExitCode.Invalid,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/job-story.ts
@@ -0,0 +1,224 @@
+/** One line of the log of a process. */
+export interface LogLine {
+  /** ISO 8601 time. */
+  readonly time: string;
+  /** Process that wrote it. */
+  readonly name: string;
+  readonly message: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** What the logs tell of one job. */
+export interface JobStory {
+  /** Lines of the job, and of processes that it depended on at that time. */
+  readonly lines: readonly LogLine[];
+  /** What became of it, and why, in one sentence each. */
+  readonly findings: readonly string[];
+}
+
+/** Events of a process that can decide what becomes of its jobs. */
+const CONTEXT = new Set([
+  'entry lost',
+  'incarnation begun',
+  'leaving',
+  'lease let go',
+  'lease to lapse before an end is acknowledged',
+  'link to worker lost',
+  'pause suspected',
+  'planned stop',
+  'runs lapsed at a silent worker',
+  'standing down',
+  'store lost',
+  'store regained',
+  'tenure gained',
+  'tenure lost',
+  'worker answers again',
+  'worker changed state',
+  'worker does not answer',
+  'worker incarnation gone',
+  'worker set aside',
+  'worker silent, link replaced',
+]);
+/** Context counts from this long before the job's first line. */
+const CONTEXT_BEFORE_MS = 3000;
+
+/**
+ * Reads lines of a log; text before the JSON of a line is ignored.
+ *
+ * @param text - Content of a log.
+ * @returns The lines that are JSON, in their order.
+ */
+export const parseLog = (text: string): LogLine[] =>
+  text.split('\n').flatMap((line) => {
+    const at = line.indexOf('{');
+    if (at < 0) {
+      return [];
+    }
+    try {
+      const data = JSON.parse(line.slice(at)) as Record<string, unknown>;
+      const { time, name, message, ...fields } = data;
+      return typeof time === 'string' && typeof message === 'string'
+        ? [{ time, name: asText(name), message, fields }]
+        : [];
+    } catch {
+      // Lines of other programs and lines that were cut short.
+      return [];
+    }
+  });
+
+/**
+ * Tells the life of a job.
+ *
+ * @param log - Lines of all processes.
+ * @param id - Id of the job.
+ * @returns The lines that bear on it and what follows from them.
+ */
+export const storyOf = (log: readonly LogLine[], id: string): JobStory => {
+  const own = log.filter((line) => isAbout(line, id));
+  const times = own.map((line) => Date.parse(line.time));
+  const fromMs = Math.min(...times) - CONTEXT_BEFORE_MS;
+  const toMs = Math.max(...times);
+  const processes = new Set(own.flatMap(processesOf));
+  const context = log.filter((line) => {
+    const atMs = Date.parse(line.time);
+    return (
+      CONTEXT.has(line.message) &&
+      atMs >= fromMs &&
+      atMs <= toMs &&
+      (processes.has(line.name) || processes.has(asText(line.fields.worker)))
+    );
+  });
+  const lines = [...own, ...context].sort(
+    (a, b) => Date.parse(a.time) - Date.parse(b.time),
+  );
+  return { lines, findings: findingsOf(own, id) };
+};
+
+const findingsOf = (own: readonly LogLine[], id: string): string[] => {
+  if (own.length === 0) {
+    return [`no line names ${id}: it reached no entry whose log this is`];
+  }
+  return [
+    ...own.flatMap(endOf),
+    ...waitsOf(own),
+    ...own.flatMap(troubleOf),
+    ...refusalsOf(own),
+    ...doubtsOf(own),
+  ];
+};
+
+const endOf = ({ name, message, fields }: LogLine): string[] => {
+  switch (message) {
+    case 'job ended':
+      return [
+        `${name}: ended as ${text(fields, 'state')} after ${text(fields, 'tookMs')} ms`,
+      ];
+    case 'job refused':
+      return [
+        `${name}: refused for ${text(fields, 'reason')}; nothing of it has run`,
+      ];
+    case 'job abandoned':
+      return [
+        `${name}: given up, ${text(fields, 'reason')}, after ${text(fields, 'ageMs')} ms`,
+      ];
+    case 'job lost to another owner':
+      return [`${name}: taken over by another entry`];
+    default:
+      return [];
+  }
+};
+
+const waitsOf = (own: readonly LogLine[]): string[] => {
+  const placements = own.filter((line) => line.message === 'runs placed');
+  const last = placements.at(-1);
+  if (!last) {
+    return [];
+  }
+  const runs = placements.flatMap(({ fields }) =>
+    text(fields, 'runs').split(' '),
+  );
+  const again = runs.filter((run) => !/#1@/.test(run)).length;
+  return [
+    `${String(runs.length)} runs placed, ${String(again)} of them again; the last after ${text(last.fields, 'waitedMs')} ms`,
+  ];
+};
+
+const troubleOf = ({ name, message, fields }: LogLine): string[] => {
+  const run = `${text(fields, 'task')} #${text(fields, 'run')}`;
+  switch (message) {
+    case 'run ended early':
+      return [
+        `${run} ended ${text(fields, 'how')} at ${text(fields, 'worker')}`,
+      ];
+    case 'run given up':
+      return [
+        `${run} given up: ${text(fields, 'worker')} silent for ${text(fields, 'silentMs')} ms`,
+      ];
+    case 'run stopped, it stands still':
+      return [
+        `${run} stopped at ${text(fields, 'worker')}: still running after ${text(fields, 'sinceMs')} ms, ${text(fields, 'limitMs')} allowed`,
+      ];
+    case 'run stopped, its owner is silent':
+      return [
+        `${run} stopped at ${name}: no word from its entry for ${text(fields, 'overdueMs')} ms too long`,
+      ];
+    case 'start without an answer':
+      return [
+        `${run} sent ${text(fields, 'attempt')} times to the worker of ${name} without an answer`,
+      ];
+    default:
+      return [];
+  }
+};
+
+/** Entries and the processes beside workers both log a refused start. */
+const refusalsOf = (own: readonly LogLine[]): string[] => {
+  const counts = new Map<string, number>();
+  for (const { message, fields } of own) {
+    const worker = text(fields, 'worker');
+    if (message === 'start refused' && worker !== '') {
+      const key = `${text(fields, 'reason')} at ${worker}`;
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+  }
+  return [...counts].map(
+    ([key, count]) => `${String(count)} starts refused, ${key}`,
+  );
+};
+
+/** A job that no line ends died with its entry, or is still open. */
+const doubtsOf = (own: readonly LogLine[]): string[] => {
+  const accepted = own.filter((line) => line.message === 'job accepted');
+  const hasEnd = own.some((line) => endOf(line).length > 0);
+  const entries = [...new Set(accepted.map((line) => line.name))];
+  const findings: string[] = [];
+  if (accepted.length > 1) {
+    findings.push(
+      `accepted ${String(accepted.length)} times: its caller came back at ${entries.join(', ')}`,
+    );
+  }
+  if (accepted.length > 0 && !hasEnd) {
+    findings.push(
+      `no end: look for "incarnation begun" of ${entries.join(', ')} after the last line`,
+    );
+  }
+  return findings;
+};
+
+const isAbout = ({ fields }: LogLine, id: string): boolean =>
+  fields.job === id || asText(fields.task).startsWith(`${id}.`);
+
+const processesOf = ({ name, fields }: LogLine): string[] =>
+  [
+    name,
+    asText(fields.worker),
+    ...asText(fields.runs)
+      .split(' ')
+      .map((run) => run.slice(run.indexOf('@') + 1)),
+  ].filter((process) => process !== '');
+
+const text = (fields: LogLine['fields'], key: string): string =>
+  asText(fields[key]);
+
+const asText = (value: unknown): string =>
+  typeof value === 'string' || typeof value === 'number' ? String(value) : '';
--- /dev/null
+++ b/packages/cli/src/test/job-story.test.ts
@@ -0,0 +1,84 @@
+import { expect } from 'earl';
+import { parseLog, storyOf } from '../lib/job-story.js';
+
+const ID = '00000000000000a1';
+
+const line = (
+  second: number,
+  name: string,
+  message: string,
+  fields: object,
+): string => {
+  const time = `2026-01-01T00:00:${String(second).padStart(2, '0')}.000Z`;
+  return JSON.stringify({ time, level: 'info', name, message, ...fields });
+};
+
+const log = (...lines: string[]) => parseLog(lines.join('\n'));
+
+it('lines with other text before them or cut short are read or left out', () => {
+  const whole = line(1, 'e', 'job accepted', { job: ID });
+  const lines = log(`  1.0 e ${whole}`, whole.slice(0, 40), 'no JSON', '');
+  expect(lines.map(({ name, message }) => [name, message])).toEqual([
+    ['e', 'job accepted'],
+  ]);
+});
+
+it('a refused job is told with its reason', () => {
+  const { findings } = storyOf(
+    log(
+      line(1, 'e', 'job accepted', { job: ID }),
+      line(2, 'e', 'job refused', { job: ID, reason: 'overload' }),
+    ),
+    ID,
+  );
+  expect(findings).toEqual(['e: refused for overload; nothing of it has run']);
+});
+
+it('a late job is told with its lost runs and what its worker saw', () => {
+  const { lines, findings } = storyOf(
+    log(
+      line(1, 'e', 'runs placed', {
+        job: ID,
+        runs: '.0.0.0#1@vm',
+        waitedMs: 0,
+      }),
+      line(2, 'vm', 'worker does not answer', { why: 'timed out' }),
+      line(2, 'other', 'worker does not answer', { why: 'timed out' }),
+      line(3, 'e', 'run ended early', {
+        task: `${ID}.0.0.0`,
+        run: 1,
+        worker: 'vm',
+        how: 'LOST',
+      }),
+      line(3, 'e', 'runs placed', {
+        job: ID,
+        runs: '.0.0.0#2@vm2',
+        waitedMs: 2000,
+      }),
+      line(4, 'e', 'job ended', { job: ID, state: 'completed', tookMs: 3000 }),
+    ),
+    ID,
+  );
+  expect(lines.map((l) => l.name)).toEqual(['e', 'vm', 'e', 'e', 'e']);
+  expect(findings).toEqual([
+    'e: ended as completed after 3000 ms',
+    '2 runs placed, 1 of them again; the last after 2000 ms',
+    `${ID}.0.0.0 #1 ended LOST at vm`,
+  ]);
+});
+
+it('a job that died with its entry has no end', () => {
+  const { findings } = storyOf(
+    log(line(1, 'e', 'job accepted', { job: ID })),
+    ID,
+  );
+  expect(findings).toEqual([
+    'no end: look for "incarnation begun" of e after the last line',
+  ]);
+});
+
+it('a job that no line names is said to be unknown', () => {
+  const { lines, findings } = storyOf(log(line(1, 'e', 'started', {})), ID);
+  expect(lines).toEqual([]);
+  expect(findings.length).toEqual(1);
+});
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -127,7 +127,7 @@
 
 /**
  * @param job - A job.
- * @returns Whether any of its tasks has been sent to a worker.
+ * @returns Whether any of its tasks may have begun at a worker.
  */
 export const hasBegun = (job: BatchJob): boolean =>
-  job.tasks.some((task) => task.run % RUNS_PER_EPOCH > 0);
+  job.tasks.some((task) => task.run % RUNS_PER_EPOCH > task.refusals);
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -308,6 +308,7 @@
       case StartRefusal.UNSPECIFIED:
         break;
     }
+    task.refusals += 1;
     own.job.requeue(task, now);
     this._options.placer.add(own);
   }
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -94,6 +94,8 @@
   checkpoint: string;
   /** When it was placed last, or became ready. */
   sinceMs: number;
+  /** Runs that a worker refused: they provably never began. */
+  refusals: number;
   /** Number of the run that was done; 0 before. */
   doneRun: number;
   /** Runs that were stopped because they stood still. */
@@ -154,6 +156,7 @@
         failures: 0,
         checkpoint: '',
         sinceMs: acceptedAtMs,
+        refusals: 0,
         doneRun: 0,
         overdueStops: 0,
         isOverdue: false,
