--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -294,7 +294,10 @@
   [MATRIX],
   [FUZZ, ...FUZZ_ARGS],
 ];
-const FLEET_CHECKS = [[FUZZ, ...FLEET_ARGS]];
+const FLEET_CHECKS = [
+  ['node_modules/.bin/mocha', 'packages/core/dist/test/*.test.js'],
+  [FUZZ, ...FLEET_ARGS],
+];
 
 const wanted = process.argv[2];
 const isWanted = ({ name }) => wanted === undefined || name.includes(wanted);
