The fleet oracle times the stop of cancelled jobs

Cause: mutation 'runs of a cancelled job go on' was not found: no run of the simulation outlasted the 3 s in which a cancelled job has to stop, and the oracle looked only at the end.

--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -54,6 +54,8 @@
 const DRAIN_MS = 2000;
 const EVACUATE_MS = 5000;
 const CANCEL_MS = 3000;
+/** Longest time of a stop. */
+const STOP_MS = 50;
 const CONFIG_APPLY_MS = 2000;
 const VISIBLE_MS = 3000;
 /** Name under which troubles of the store are noted. */
@@ -238,9 +240,16 @@
   /** A run has ended. */
   onEnd(vm: string, task: string, run: number, kind: EndKind): void {
     const record = this._find(vm, task, run);
-    if (record) {
-      record.kind = kind;
-      record.endedAtMs = this._options.now();
+    if (!record) {
+      return;
+    }
+    record.kind = kind;
+    record.endedAtMs = this._options.now();
+    const job = this._jobs.get(task.slice(0, task.indexOf('.')));
+    const cancelledAtMs = Math.max(job?.cancelledAtMs ?? Infinity, record.atMs);
+    const isOverdue = this._age(cancelledAtMs) > CANCEL_MS + STOP_MS;
+    if (isOverdue && this._inTouch(vm, STORE)) {
+      this._report('a cancelled job stops', `${task} #${String(run)} at ${vm}`);
     }
   }
 
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -12,7 +12,7 @@
 
 const START_MS = 6000;
 /** All leases, tenures and retries are over by then, and all jobs ended. */
-const SETTLE_MS = 18_000;
+const SETTLE_MS = 24_000;
 /** Planned stops that have begun are over by then. */
 const STOPPED_MS = 7000;
 const FINAL_ASK_MS = 4000;
@@ -287,7 +287,8 @@
 const jobId = (job: number): string =>
   (job + 1).toString(16).padStart(ID_DIGITS, '0');
 
-const RUN_MS = [80, 400, 1500];
+/** The longest outlast the time in which a cancelled job has to stop. */
+const RUN_MS = [80, 400, 1500, 3600];
 
 /** Every third job is volatile; every second has two steps. */
 const jobContent = (job: number): Omit<BatchContent, 'service'> => {
