Links follow the size of the fleet; odd workers prove nothing by time; refused means never begun

Three causes. 1. 16 links an entry cover 12 entries and 68 workers, but not 300 workers: a third would have had no link. The number is now three times an entry's share of the workers if that is more, and waiting work widens without a bound. A worker that lately left calls unanswered and then answered is given 12 s more. Only refusals for want of room or readiness count.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -762,6 +762,7 @@
         fenced: this._takeovers.fenced,
         all: this._takeovers.areOpen,
         shortage: this._placer.shortage,
+        entries: 1 + this._peers.unsuspected(now),
       },
       now,
     );
--- a/packages/core/src/lib/process/peer-watch.ts
+++ b/packages/core/src/lib/process/peer-watch.ts
@@ -134,6 +134,11 @@
     }
   }
 
+  /** @returns How many peers are not known to be gone or silent. */
+  unsuspected(now: number): number {
+    return this._peers.size - this.suspects(now).length;
+  }
+
   /**
    * @param now - Current time in milliseconds.
    * @returns Peers that are gone or have been silent for long enough.
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -303,12 +303,14 @@
         break;
       case StartRefusal.NO_ROOM:
       case StartRefusal.NOT_READY:
+        // The others do not prove that the run never began.
+        task.refusals += 1;
+        break;
       case StartRefusal.FENCED:
       case StartRefusal.STALE_RUN:
       case StartRefusal.UNSPECIFIED:
         break;
     }
-    task.refusals += 1;
     own.job.requeue(task, now);
     this._options.placer.add(own);
   }
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -72,6 +72,10 @@
 const TOKEN_STEP = 100_000;
 /** Wait for runs to end before the lease is let go with them under it. */
 const LAPSE_PATIENCE_MS = 3000;
+/** A worker that answers late may carry orders out this long after. */
+const LATE_ORDER_MS = 12_000;
+/** How long a worker counts as one that answers some orders and not others. */
+const ODD_MEMORY_MS = 15_000;
 /** Longest time that a planned stop waits for runs to end. */
 const DRAIN_LIMIT_MS = 4500;
 
@@ -151,6 +155,8 @@
   private _unansweredSinceMs: number | undefined;
   /** What the best informed entry has said of this data centre. */
   private _operators = { version: 0, isOut: false };
+  /** Until when time alone does not prove that the lease has lapsed. */
+  private _oddUntilMs = 0;
   private _orphansAtMs = 0;
   private _stoppingSinceMs: number | undefined;
   private _isStopped = false;
@@ -307,6 +313,7 @@
     this._leaseEndMs = 0;
     this._leaseSuspended = false;
     this._lapseFirst = [];
+    this._oddUntilMs = 0;
     this._unansweredSinceMs = undefined;
     this._holdCallId = undefined;
     this._holdAtMs = now;
@@ -613,7 +620,7 @@
     if (this._lapseFirst.length === 0) {
       return false;
     }
-    if (this._clock.atLeast(now) > this._leaseEndMs + this._options.stopMs) {
+    if (this._clock.atLeast(now) > this._lapsedAtMs(now)) {
       for (const number of this._lapseFirst) {
         this._ends.record(number);
       }
@@ -673,6 +680,7 @@
         afterMs: Math.round(now - this._unansweredSinceMs),
       });
       this._unansweredSinceMs = undefined;
+      this._oddUntilMs = now + ODD_MEMORY_MS;
       this._links.touchAll();
     }
     if (this._clock.reading === undefined) {
@@ -915,13 +923,24 @@
     }
   }
 
+  /**
+   * When all runs have lapsed, on the worker's clock. Looks that a worker
+   * leaves unanswered may extend the lease when they are carried out, so one
+   * that was seen to do so lately is given the time for the last of them.
+   *
+   * @param sinceMs - Since when nothing is known of it.
+   */
+  private _lapsedAtMs(sinceMs: number): number {
+    const lateMs = sinceMs < this._oddUntilMs ? LATE_ORDER_MS : 0;
+    return this._leaseEndMs + this._options.stopMs + lateMs;
+  }
+
   /** All runs have lapsed at a worker that has not answered for long enough. */
   private _declareLapsed(now: number): void {
     if (this._unansweredSinceMs === undefined || this._runs.size === 0) {
       return;
     }
-    const latestMs = this._leaseEndMs + this._options.stopMs;
-    if (this._clock.atLeast(now) > latestMs) {
+    if (this._clock.atLeast(now) > this._lapsedAtMs(this._unansweredSinceMs)) {
       this._log('runs lapsed at a silent worker', { runs: this._runs.size });
       for (const record of [...this._runs.values()]) {
         this._endRun(record, EndKind.LOST, record.saved, 0);
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -98,6 +98,7 @@
    * @param need.fenced - Incarnations to name on a new link.
    * @param need.all - Whether every worker has to be heard.
    * @param need.shortage - What waiting jobs lack.
+   * @param need.entries - Entries that share the fleet, this one among them.
    * @param now - Current time in milliseconds.
    */
   updateLinks(
@@ -105,6 +106,7 @@
       readonly fenced: readonly string[];
       readonly all: boolean;
       readonly shortage: Shortage;
+      readonly entries: number;
     },
     now: number,
   ): void {
@@ -116,7 +118,7 @@
       this._acknowledged.delete(name);
     }
     this._ordered ??= this._subset.order(this.views);
-    const chosen = this._subset.choose(this._ordered);
+    const chosen = this._subset.choose(this._ordered, need.entries);
     for (const view of this._ordered) {
       const isNeeded = !view.isRemoved && (need.all || chosen.has(view.name));
       this._replaceSilent(view, now);
--- a/packages/core/src/lib/process/worker-subset.ts
+++ b/packages/core/src/lib/process/worker-subset.ts
@@ -34,13 +34,15 @@
  * the load of the largest site file, and every job's widest step.
  */
 const DEFAULT_SIZE = 16;
-/** Work that waits for room reaches this many times as many workers. */
-const MAX_ROOM_FACTOR = 2;
+/** Entries that keep a link to each worker, on average, in larger fleets. */
+const LINKS_PER_WORKER = 3;
 const GROWTH_FACTOR = 2;
 /** How long work waits before more workers are linked: two ticks. */
 const WIDEN_AFTER_MS = 100;
 /** How long nothing has waited before links are given back. */
 const NARROW_AFTER_MS = 3000;
+/** Past this every fleet of the capacity plan is linked whole. */
+const MAX_GROWTH = 1024;
 const HASH_BYTES = 6;
 
 /**
@@ -57,46 +59,36 @@
 export class WorkerSubset {
   private readonly _options: Required<WorkerSubsetOptions>;
   private readonly _ranks = new Map<string, number>();
-  private _size: number;
+  /** Times the usual size, while work waits. */
+  private _growth = 1;
   private _shortSinceMs: number | undefined;
   private _shortAtMs = 0;
 
   /** @param options - The entry and the usual size. */
   constructor(options: WorkerSubsetOptions) {
     this._options = { size: DEFAULT_SIZE, ...options };
-    this._size = this._options.size;
-  }
-
-  /** Workers of each service to keep links to now. */
-  get size(): number {
-    return this._size;
   }
 
   /**
-   * Adjusts the size to what waits.
+   * Adjusts the number of links to what waits.
    *
    * @param shortage - What the waiting jobs lack.
    * @param now - Current time in milliseconds.
    */
   note(shortage: Shortage, now: number): void {
-    const { size } = this._options;
     if (shortage === Shortage.None) {
       this._shortSinceMs = undefined;
       if (now - this._shortAtMs >= NARROW_AFTER_MS) {
-        this._size = size;
+        this._growth = 1;
       }
       return;
     }
     this._shortAtMs = now;
     this._shortSinceMs ??= now;
-    if (now - this._shortSinceMs < WIDEN_AFTER_MS) {
-      return;
+    if (now - this._shortSinceMs >= WIDEN_AFTER_MS) {
+      this._shortSinceMs = now;
+      this._growth = Math.min(MAX_GROWTH, this._growth * GROWTH_FACTOR);
     }
-    this._shortSinceMs = now;
-    const isBounded = shortage === Shortage.Room;
-    const limit = isBounded ? MAX_ROOM_FACTOR * size : Number.MAX_SAFE_INTEGER;
-    const next = Math.min(this._size * GROWTH_FACTOR, limit);
-    this._size = Math.max(this._size, next);
   }
 
   /**
@@ -113,14 +105,16 @@
 
   /**
    * @param ordered - Workers in the order of {@link WorkerSubset.order}.
+   * @param entries - Entries that share the fleet.
    * @returns Names of those to keep links to.
    */
-  choose(ordered: readonly LinkCandidate[]): Set<string> {
+  choose(ordered: readonly LinkCandidate[], entries: number): Set<string> {
+    const sizes = this._sizes(ordered, entries);
     const chosen = new Set<string>();
     const taken = new Map<string, number>();
     for (const worker of ordered) {
       const count = taken.get(worker.service) ?? 0;
-      if (count < this._size) {
+      if (count < (sizes.get(worker.service) ?? 0)) {
         chosen.add(worker.name);
         taken.set(worker.service, count + (worker.counts ? 1 : 0));
       }
@@ -128,6 +122,24 @@
     return chosen;
   }
 
+  /** Workers of each service to keep links to now. */
+  private _sizes(
+    workers: readonly LinkCandidate[],
+    entries: number,
+  ): Map<string, number> {
+    const totals = new Map<string, number>();
+    for (const { service } of workers) {
+      totals.set(service, (totals.get(service) ?? 0) + 1);
+    }
+    const sizeOf = (total: number): number => {
+      const share = Math.ceil((LINKS_PER_WORKER * total) / entries);
+      return this._growth * Math.max(this._options.size, share);
+    };
+    return new Map(
+      [...totals].map(([service, total]) => [service, sizeOf(total)]),
+    );
+  }
+
   private _rank(worker: string): number {
     let rank = this._ranks.get(worker);
     if (rank === undefined) {
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -94,7 +94,7 @@
   checkpoint: string;
   /** When it was placed last, or became ready. */
   sinceMs: number;
-  /** Runs that a worker refused: they provably never began. */
+  /** Runs that were refused in a way that proves that they never began. */
   refusals: number;
   /** Number of the run that was done; 0 before. */
   doneRun: number;
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -333,6 +333,26 @@
   expect(endKinds(bench)).toEqual([EndKind.LOST]);
 });
 
+it('a worker that answers some calls and not others proves nothing by time', () => {
+  const bench = ready();
+  bench.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  bench.answer('start');
+  const miss: WorkerReply = { kind: 'no-answer', detail: 'timed out' };
+  bench.answer('hold', miss);
+  bench.pass(60);
+  bench.answerHold();
+  bench.pass(60);
+  for (let passed = 0; passed < 4000; passed += 100) {
+    bench.pass(100);
+    if (bench.count('hold') > 0) {
+      bench.answer('hold', miss);
+    }
+  }
+  expect(endKinds(bench)).toEqual([]);
+  bench.pass(12_000);
+  expect(endKinds(bench)).toEqual([EndKind.LOST]);
+});
+
 it('a new incarnation of the worker loses all runs', () => {
   const bench = ready();
   bench.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
