One piece of code for what the fleet's code had written again

Behaviour, bounds and assertions are as they were.

- FaultyStore: SimTable had its own copy of SimStore's outages, delays and lost answers.
- SimProcess.later, Network.disturb and cutBoth: the two simulations and the fault matrix had each their own.
- TurnFlush: the four hosts planned the flush of a turn in the same way.
- BatchHost and EntryHost: the check that an answer still has its decisions stood in each of seven calls; one function a host.
- runName and jobIdOf: written twice and eight times.
- runRecord: three literals of thirteen fields in the driver.
- Counters of store calls and decisions, gauge of open jobs: one copy each.
- WorkerDriver: _isLapsing also ended a lapse; it is called _letLapse.

Left: SimWorker and FleetWorker are one worker in virtual and in real time; SimTable and MemoryStore keep rows alike, but in another order of reading; BatchHost and EntryHost share the frame of calls, with other metrics.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -619,8 +619,6 @@
     }
   }
 
-  // Workers
-
   // Ends of jobs
 
   private _finish(own: OwnJob, now: number): void {
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -11,6 +11,7 @@
   BatchTask,
 } from '../request/batch-job.js';
 import { NO_ROOM, subtractRoom } from '../request/room.js';
+import { runName } from '../request/run-name.js';
 import type { RouteTable } from '../version/route-table.js';
 import type { LogFields } from './batch-events.js';
 import {
@@ -26,7 +27,6 @@
 import type { Candidate } from './worker-choice.js';
 import type { WorkerFleet } from './worker-fleet.js';
 import type { WorkerHealth } from './worker-health.js';
-import { runName } from './worker-view.js';
 import type { WorkerView } from './worker-view.js';
 import { Shortage } from './worker-subset.js';
 
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -8,6 +8,7 @@
 } from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
 import { overdueAfterMs } from '../request/overdue.js';
+import { jobIdOf, runName } from '../request/run-name.js';
 import type { LogFields } from './batch-events.js';
 import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
 import type { JobPlacer } from './job-placer.js';
@@ -15,7 +16,6 @@
 import type { PartStores } from './part-stores.js';
 import type { WorkerFleet } from './worker-fleet.js';
 import type { WorkerHealth } from './worker-health.js';
-import { runName } from './worker-view.js';
 import type { WorkerView } from './worker-view.js';
 
 /** Options of {@link RunReports}. */
@@ -143,8 +143,7 @@
   }
 
   private _jobOf(task: string): OwnJob | undefined {
-    const dot = task.indexOf('.');
-    return this._options.jobs.get(dot < 0 ? task : task.slice(0, dot));
+    return this._options.jobs.get(jobIdOf(task));
   }
 
   private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
@@ -243,7 +242,7 @@
       return;
     }
     const { fleet, isEnded, jobs, stores } = this._options;
-    const id = end.task.slice(0, end.task.indexOf('.'));
+    const id = jobIdOf(end.task);
     const earlier = fleet.acknowledgedAs(owed);
     const isDone = end.kind === EndKind.DONE;
     if (earlier !== undefined) {
@@ -353,7 +352,7 @@
   ): void {
     const own = this._jobOf(name);
     const task = own?.job.task(name);
-    const id = name.slice(0, name.indexOf('.'));
+    const id = jobIdOf(name);
     if (!own || !task) {
       if (owner === this._options.incarnation || this._options.isEnded(id)) {
         this._options.fleet.stop(view, name, run);
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -4,11 +4,13 @@
   RecordedEnd,
   Room,
   RunEnd,
+  RunRef,
   StartGroup,
   WorkerHello,
   WorkerOrder,
 } from '../messages.js';
 import { NO_ROOM, addRoom, fits, subtractRoom } from '../request/room.js';
+import { runName } from '../request/run-name.js';
 import { EndList } from './end-list.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerPicture } from './report-links.js';
@@ -112,7 +114,23 @@
   readonly look: number;
 }
 
-const runKey = (task: string, run: number): string => `${task}#${String(run)}`;
+/** A run of which nothing is known but what is given. */
+const runRecord = (
+  ref: RunRef,
+  known: Partial<RunRecord> & Pick<RunRecord, 'owner' | 'phase' | 'sinceMs'>,
+): RunRecord => ({
+  task: ref.task,
+  run: ref.run,
+  spec: '',
+  checkpoint: '',
+  needs: NO_ROOM,
+  isVolatile: false,
+  starts: 0,
+  percent: 0,
+  saved: '',
+  stoppedAtLook: undefined,
+  ...known,
+});
 
 /**
  * Drives one worker: the only process that gives it orders.
@@ -443,7 +461,7 @@
 
   private _claim(owner: string, group: StartGroup): void {
     for (const { task, run } of group.runs) {
-      const record = this._runs.get(runKey(task, run));
+      const record = this._runs.get(runName({ task, run }));
       if (record?.owner === '') {
         record.owner = owner;
         record.needs = group.needs ?? NO_ROOM;
@@ -478,22 +496,21 @@
         refuse(StartRefusal.NO_ROOM);
         continue;
       }
-      const record: RunRecord = {
-        task,
-        run,
-        spec: group.spec,
-        checkpoint,
-        needs,
-        isVolatile: group.volatile,
-        owner: link.incarnation,
-        phase: Phase.Starting,
-        starts: 0,
-        percent: 100,
-        saved: checkpoint,
-        sinceMs: now,
-        stoppedAtLook: undefined,
-      };
-      this._runs.set(runKey(task, run), record);
+      const record = runRecord(
+        { task, run },
+        {
+          spec: group.spec,
+          checkpoint,
+          needs,
+          isVolatile: group.volatile,
+          owner: link.incarnation,
+          phase: Phase.Starting,
+          percent: 100,
+          saved: checkpoint,
+          sinceMs: now,
+        },
+      );
+      this._runs.set(runName({ task, run }), record);
       this._sendStart(record, now);
     }
   }
@@ -536,22 +553,10 @@
     owner: string,
     now: number,
   ): void {
-    const key = runKey(task, run);
-    const record: RunRecord = this._runs.get(key) ?? {
-      task,
-      run,
-      spec: '',
-      checkpoint: '',
-      needs: NO_ROOM,
-      isVolatile: false,
-      owner,
-      phase: Phase.Stopping,
-      starts: 0,
-      percent: 0,
-      saved: '',
-      sinceMs: now,
-      stoppedAtLook: undefined,
-    };
+    const key = runName({ task, run });
+    const record =
+      this._runs.get(key) ??
+      runRecord({ task, run }, { owner, phase: Phase.Stopping, sinceMs: now });
     this._runs.set(key, record);
     this._sendStop(record);
   }
@@ -595,7 +600,7 @@
       clockMs !== undefined &&
       now - this._clock.readAtMs < RENEW_LIMIT_MS &&
       !this._leaseSuspended &&
-      !this._isLapsing(now);
+      !this._letLapse(now);
     const untilMs = renews
       ? Math.floor(this._clock.atLeast(now) + this._options.maxLeaseMs)
       : undefined;
@@ -615,8 +620,8 @@
     });
   }
 
-  /** Whether the lease is being let go; its end releases what waits for it. */
-  private _isLapsing(now: number): boolean {
+  /** Tells whether the lease is still let go; its end releases what waits. */
+  private _letLapse(now: number): boolean {
     if (this._lapseFirst.length === 0) {
       return false;
     }
@@ -724,9 +729,9 @@
       if (!this._ends.add(end, now)) {
         continue;
       }
-      const record = this._runs.get(runKey(listed.task, listed.run));
+      const record = this._runs.get(runName(listed));
       if (record) {
-        this._runs.delete(runKey(listed.task, listed.run));
+        this._runs.delete(runName(listed));
         if (record.isVolatile && this._links.has(record.owner)) {
           this._ends.record(end.number);
         }
@@ -742,7 +747,7 @@
   ): void {
     const seen = new Set<string>();
     for (const listed of active) {
-      const key = runKey(listed.task, listed.run);
+      const key = runName(listed);
       seen.add(key);
       const record = this._runs.get(key);
       if (record) {
@@ -754,27 +759,24 @@
         task: listed.task,
         run: listed.run,
       });
-      this._runs.set(key, {
-        task: listed.task,
-        run: listed.run,
-        spec: '',
-        checkpoint: listed.checkpoint,
-        needs: NO_ROOM,
-        isVolatile: false,
-        owner: '',
-        phase: Phase.Active,
-        starts: 1,
-        percent: listed.percent,
-        saved: listed.checkpoint,
-        sinceMs: now,
-        stoppedAtLook: undefined,
-      });
+      this._runs.set(
+        key,
+        runRecord(listed, {
+          checkpoint: listed.checkpoint,
+          owner: '',
+          phase: Phase.Active,
+          starts: 1,
+          percent: listed.percent,
+          saved: listed.checkpoint,
+          sinceMs: now,
+        }),
+      );
       this._links.wantSnapshots();
     }
     for (const record of [...this._runs.values()]) {
       const { stoppedAtLook } = record;
       const wasLookedAt = stoppedAtLook !== undefined && look > stoppedAtLook;
-      if (wasLookedAt && !seen.has(runKey(record.task, record.run))) {
+      if (wasLookedAt && !seen.has(runName(record))) {
         // Stopped before it began: it is neither active nor among the ends.
         this._refuse(record, StartRefusal.NO_ANSWER);
       }
@@ -817,7 +819,7 @@
     reply: WorkerReply,
     now: number,
   ): void {
-    const record = this._runs.get(runKey(call.task, call.run));
+    const record = this._runs.get(runName(call));
     if (record?.phase !== Phase.Starting) {
       return;
     }
@@ -865,7 +867,7 @@
     call: Extract<WorkerCall, { kind: 'stop' }>,
     reply: WorkerReply,
   ): void {
-    const record = this._runs.get(runKey(call.task, call.run));
+    const record = this._runs.get(runName(call));
     if (!record) {
       return;
     }
@@ -881,7 +883,7 @@
   }
 
   private _refuse(record: RunRecord, reason: StartRefusal): void {
-    this._runs.delete(runKey(record.task, record.run));
+    this._runs.delete(runName(record));
     const { task, run } = record;
     this._log('start refused', { task, run, reason: StartRefusal[reason] });
     this._links.addRefusal(record.owner, task, run, reason);
@@ -894,7 +896,7 @@
     number: number,
   ): void {
     const { task, run } = record;
-    this._runs.delete(runKey(task, run));
+    this._runs.delete(runName({ task, run }));
     const life = this._lifeId;
     this._links.addEnd(record.owner, {
       task,
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -1,6 +1,5 @@
 import type {
   Room,
-  RunRef,
   WorkerHello,
   WorkerOrder,
   WorkerReport,
@@ -59,10 +58,6 @@
   out: false,
 });
 
-/** @returns Name of a run in tables keyed by run. */
-export const runName = (ref: RunRef): string =>
-  `${ref.task}#${String(ref.run)}`;
-
 /** What an entry knows of one worker, over all of its links. */
 export class WorkerView {
   readonly name: string;
--- /dev/null
+++ b/packages/core/src/lib/request/run-name.ts
@@ -0,0 +1,17 @@
+import type { RunRef } from '../messages.js';
+
+/**
+ * @param ref - A run of a task.
+ * @returns Its name in tables keyed by run.
+ */
+export const runName = ({ task, run }: RunRef): string =>
+  `${task}#${String(run)}`;
+
+/**
+ * @param task - Name of a task: the id of its job, a dot, and its place there.
+ * @returns Id of the job.
+ */
+export const jobIdOf = (task: string): string => {
+  const dot = task.indexOf('.');
+  return dot < 0 ? task : task.slice(0, dot);
+};
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -27,6 +27,7 @@
 import type { FleetStore } from './fleet-ports.js';
 import type { Log } from './logger.js';
 import { PauseDetector } from './pause-detector.js';
+import { TurnFlush } from './turn-flush.js';
 
 /** Options of {@link BatchHost}. */
 export interface BatchHostOptions {
@@ -74,7 +75,9 @@
   private _generation = 1;
   private _server: RpcServer | undefined;
   private _timer: NodeJS.Timeout | undefined;
-  private _flushPlanned = false;
+  private readonly _flush = new TurnFlush(() => {
+    this.dispatch({ kind: 'flush' });
+  });
   private _nextReplyId = 1;
 
   /** @param options - Settings, store and receivers. */
@@ -149,13 +152,8 @@
       this._handle({ kind: 'paused', jumpMs });
     }
     this._handle(event);
-    if (!this._flushPlanned && event.kind !== 'flush') {
-      this._flushPlanned = true;
-      // Everything that happens in one turn of the loop shares one batch.
-      setImmediate(() => {
-        this._flushPlanned = false;
-        this.dispatch({ kind: 'flush' });
-      });
+    if (event.kind !== 'flush') {
+      this._flush.plan();
     }
   }
 
@@ -270,48 +268,61 @@
     }
   }
 
-  private async _callStore(action: Action<'store'>): Promise<void> {
+  /**
+   * Waits for something that the decisions have asked for. When they have been
+   * replaced meanwhile the answer is dropped.
+   */
+  private async _answer<T>(
+    work: Promise<T>,
+    toEvent: (answer: T) => BatchEvent,
+  ): Promise<void> {
     const generation = this._generation;
-    const reply = await this._store.call(action.part, action.req);
+    const answer = await work;
     if (generation === this._generation) {
-      this.dispatch({ kind: 'store-reply', opId: action.opId, reply });
+      this.dispatch(toEvent(answer));
     }
   }
 
-  private async _follow({ req }: Action<'follow'>): Promise<void> {
-    const generation = this._generation;
-    const reply = await this._store.follow(req);
-    if (generation === this._generation) {
-      this.dispatch({ kind: 'follow-reply', table: req.table, reply });
-    }
+  private _callStore({ opId, part, req }: Action<'store'>): Promise<void> {
+    return this._answer(this._store.call(part, req), (reply) => ({
+      kind: 'store-reply',
+      opId,
+      reply,
+    }));
   }
 
-  private async _probe(action: Action<'probe'>): Promise<void> {
-    const generation = this._generation;
-    const { incarnation, address } = action;
-    const status = await this._peers.call(
+  private _follow({ req }: Action<'follow'>): Promise<void> {
+    return this._answer(this._store.follow(req), (reply) => ({
+      kind: 'follow-reply',
+      table: req.table,
+      reply,
+    }));
+  }
+
+  private _probe({ incarnation, address }: Action<'probe'>): Promise<void> {
+    const work = this._peers.call(
       address,
       PROBE_TIMEOUT_MS,
       (client, options) => client.probe({ incarnation }, options),
     );
-    if (generation === this._generation) {
-      this.dispatch({ kind: 'probe-reply', incarnation, status });
-    }
+    return this._answer(work, (status) => ({
+      kind: 'probe-reply',
+      incarnation,
+      status,
+    }));
   }
 
-  private async _forwardCancel(
-    action: Action<'forward-cancel'>,
-  ): Promise<void> {
-    const generation = this._generation;
+  private _forwardCancel(action: Action<'forward-cancel'>): Promise<void> {
     const { callId, address, id } = action;
-    const answer = await this._peers.call(
+    const work = this._peers.call(
       address,
       FORWARD_TIMEOUT_MS,
       (client, options) => client.cancelJob({ job: id }, options),
     );
-    if (generation === this._generation) {
-      const handled = answer?.handled ?? false;
-      this.dispatch({ kind: 'forward-reply', callId, handled });
-    }
+    return this._answer(work, (answer) => ({
+      kind: 'forward-reply',
+      callId,
+      handled: answer?.handled ?? false,
+    }));
   }
 }
--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -37,6 +37,7 @@
 import type { Log } from './logger.js';
 import { EntryMetrics } from './metrics.js';
 import { StoreHttp } from './store-http.js';
+import { TurnFlush } from './turn-flush.js';
 
 /** Options of {@link EntryHost}. */
 export interface EntryHostOptions {
@@ -81,7 +82,9 @@
   private _generation = 1;
   private _server: RpcServer | undefined;
   private _timer: NodeJS.Timeout | undefined;
-  private _flushPlanned = false;
+  private readonly _flush = new TurnFlush(() => {
+    this.dispatch({ kind: 'flush' });
+  });
   private _nextReplyId = 1;
 
   /** @param options - Settings and receivers. */
@@ -173,13 +176,8 @@
     for (const action of this._core.handle(event, now())) {
       this._run(action);
     }
-    if (!this._flushPlanned && event.kind !== 'flush') {
-      this._flushPlanned = true;
-      // Everything that happens in one turn of the loop shares one batch.
-      setImmediate(() => {
-        this._flushPlanned = false;
-        this.dispatch({ kind: 'flush' });
-      });
+    if (event.kind !== 'flush') {
+      this._flush.plan();
     }
   }
 
@@ -351,14 +349,29 @@
     };
   }
 
-  private async _callStore(action: Action<'store'>): Promise<void> {
+  /**
+   * Waits for something that the decisions have asked for. When they have been
+   * replaced meanwhile the answer is dropped.
+   */
+  private async _answer<T>(
+    work: Promise<T>,
+    toEvent: (answer: T) => EntryEvent,
+  ): Promise<void> {
     const generation = this._generation;
-    const reply = await this._store.call(action.req);
+    const answer = await work;
     if (generation === this._generation) {
-      this.dispatch({ kind: 'store-reply', opId: action.opId, reply });
+      this.dispatch(toEvent(answer));
     }
   }
 
+  private _callStore({ opId, req }: Action<'store'>): Promise<void> {
+    return this._answer(this._store.call(req), (reply) => ({
+      kind: 'store-reply',
+      opId,
+      reply,
+    }));
+  }
+
   private _send(action: Action<'send'>): void {
     const { starts, cancels } = action.msg;
     this.metrics.starts.inc(starts.length);
@@ -371,30 +384,31 @@
     this._links.send(action.linkId, create(EntryMessageSchema, action.msg));
   }
 
-  private async _fence(action: Action<'fence'>): Promise<void> {
-    const generation = this._generation;
-    const { callId, address, req } = action;
+  private _fence({ callId, address, req }: Action<'fence'>): Promise<void> {
     const rpc = connectRunner({ address, tls: this._tls });
-    const reply = await rpc.client
+    const work = rpc.client
       .fence(req, { timeoutMs: FENCE_TIMEOUT_MS })
-      .catch(() => undefined);
-    rpc.close();
-    if (generation === this._generation) {
-      this.dispatch({ kind: 'fence-reply', callId, reply });
-    }
+      .catch(() => undefined)
+      .finally(() => {
+        rpc.close();
+      });
+    return this._answer(work, (reply) => ({
+      kind: 'fence-reply',
+      callId,
+      reply,
+    }));
   }
 
-  private async _pollPeer(action: Action<'poll-peer'>): Promise<void> {
-    const generation = this._generation;
+  private _pollPeer(action: Action<'poll-peer'>): Promise<void> {
     const { callId, address, req } = action;
-    const reply = await this._peers.call(
-      address,
-      POLL_TIMEOUT_MS,
-      (client, options) => client.poll(req, options),
+    const work = this._peers.call(address, POLL_TIMEOUT_MS, (client, options) =>
+      client.poll(req, options),
     );
-    if (generation === this._generation) {
-      this.dispatch({ kind: 'poll-reply', callId, reply });
-    }
+    return this._answer(work, (reply) => ({
+      kind: 'poll-reply',
+      callId,
+      reply,
+    }));
   }
 
   private _logStep(action: Action<'job-step'>): void {
--- a/packages/daemon/src/lib/process/fleet-metrics.ts
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -1,17 +1,21 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
-import { createRegistry } from './metrics.js';
+import type { Registry } from 'prom-client';
+import { createRegistry, openJobGauge, storeCallCounter } from './metrics.js';
 
 const MS_BUCKETS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000];
 
+const decisionCounter = (registry: Registry): Counter<'decision'> =>
+  new Counter({
+    name: 'sapphiremux_decisions_total',
+    help: 'Decisions by kind, as in the log.',
+    labelNames: ['decision'],
+    registers: [registry],
+  });
+
 /** Metrics of an entry on the platform. */
 export class BatchEntryMetrics {
   readonly registry = createRegistry();
-  readonly storeCalls = new Counter({
-    name: 'sapphiremux_store_calls_total',
-    help: 'Calls to the platform store.',
-    labelNames: ['kind', 'outcome'] as const,
-    registers: [this.registry],
-  });
+  readonly storeCalls = storeCallCounter(this.registry);
   readonly replies = new Counter({
     name: 'sapphiremux_replies_total',
     help: 'Answers to callers by what they asked and got.',
@@ -25,17 +29,8 @@
     buckets: MS_BUCKETS,
     registers: [this.registry],
   });
-  readonly decisions = new Counter({
-    name: 'sapphiremux_decisions_total',
-    help: 'Decisions by kind, as in the log.',
-    labelNames: ['decision'] as const,
-    registers: [this.registry],
-  });
-  readonly openJobs = new Gauge({
-    name: 'sapphiremux_open_jobs',
-    help: 'Jobs without a recorded outcome.',
-    registers: [this.registry],
-  });
+  readonly decisions = decisionCounter(this.registry);
+  readonly openJobs = openJobGauge(this.registry);
   readonly waitingJobs = new Gauge({
     name: 'sapphiremux_waiting_jobs',
     help: 'Jobs with tasks that wait for room.',
@@ -69,10 +64,5 @@
     help: 'Runs that may be active.',
     registers: [this.registry],
   });
-  readonly decisions = new Counter({
-    name: 'sapphiremux_decisions_total',
-    help: 'Decisions by kind, as in the log.',
-    labelNames: ['decision'] as const,
-    registers: [this.registry],
-  });
+  readonly decisions = decisionCounter(this.registry);
 }
--- a/packages/daemon/src/lib/process/metrics.ts
+++ b/packages/daemon/src/lib/process/metrics.ts
@@ -23,15 +23,29 @@
   return registry;
 };
 
-/** Metrics of an entry. */
-export class EntryMetrics {
-  readonly registry = createRegistry();
-  readonly storeCalls = new Counter({
+/** @returns The counter of calls to the store, by kind and outcome. */
+export const storeCallCounter = (
+  registry: Registry,
+): Counter<'kind' | 'outcome'> =>
+  new Counter({
     name: 'sapphiremux_store_calls_total',
     help: 'Calls to the platform store.',
-    labelNames: ['kind', 'outcome'] as const,
-    registers: [this.registry],
+    labelNames: ['kind', 'outcome'],
+    registers: [registry],
+  });
+
+/** @returns The gauge of jobs that an entry has not ended. */
+export const openJobGauge = (registry: Registry): Gauge =>
+  new Gauge({
+    name: 'sapphiremux_open_jobs',
+    help: 'Jobs without a recorded outcome.',
+    registers: [registry],
   });
+
+/** Metrics of an entry. */
+export class EntryMetrics {
+  readonly registry = createRegistry();
+  readonly storeCalls = storeCallCounter(this.registry);
   readonly jobSteps = new Counter({
     name: 'sapphiremux_job_steps_total',
     help: 'Steps in the life of jobs.',
@@ -67,11 +81,7 @@
     help: 'Tasks that wait to be placed.',
     registers: [this.registry],
   });
-  readonly openJobs = new Gauge({
-    name: 'sapphiremux_open_jobs',
-    help: 'Jobs without a recorded outcome.',
-    registers: [this.registry],
-  });
+  readonly openJobs = openJobGauge(this.registry);
   readonly configVersion = new Gauge({
     name: 'sapphiremux_config_version',
     help: 'Number of the last ticket in force.',
@@ -82,12 +92,7 @@
 /** Metrics of a runner. */
 export class RunnerMetrics {
   readonly registry = createRegistry();
-  readonly storeCalls = new Counter({
-    name: 'sapphiremux_store_calls_total',
-    help: 'Calls to the platform store.',
-    labelNames: ['kind', 'outcome'] as const,
-    registers: [this.registry],
-  });
+  readonly storeCalls = storeCallCounter(this.registry);
   readonly calls = new Counter({
     name: 'sapphiremux_endpoint_calls_total',
     help: 'Calls to the endpoint by how they ended.',
--- a/packages/daemon/src/lib/process/runner-host.ts
+++ b/packages/daemon/src/lib/process/runner-host.ts
@@ -30,6 +30,7 @@
 import type { Log } from './logger.js';
 import { RunnerMetrics } from './metrics.js';
 import { StoreHttp } from './store-http.js';
+import { TurnFlush } from './turn-flush.js';
 
 /** Options of {@link RunnerHost}. */
 export interface RunnerHostOptions {
@@ -61,7 +62,9 @@
   private _entries: string[] = [];
   private _server: RpcServer | undefined;
   private _timers: NodeJS.Timeout[] = [];
-  private _flushPlanned = false;
+  private readonly _flush = new TurnFlush(() => {
+    this.dispatch({ kind: 'flush' });
+  });
   private _announceAtMs = 0;
   private _nextId = 1;
 
@@ -120,13 +123,8 @@
     for (const action of this._core.handle(event, now())) {
       this._run(action);
     }
-    if (!this._flushPlanned && event.kind !== 'flush') {
-      this._flushPlanned = true;
-      // Everything that happens in one turn of the loop shares one batch.
-      setImmediate(() => {
-        this._flushPlanned = false;
-        this.dispatch({ kind: 'flush' });
-      });
+    if (event.kind !== 'flush') {
+      this._flush.plan();
     }
   }
 
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -18,6 +18,7 @@
 import { WorkerMetrics } from './fleet-metrics.js';
 import type { WorkerPort } from './fleet-ports.js';
 import type { Log } from './logger.js';
+import { TurnFlush } from './turn-flush.js';
 
 /** Options of {@link WorkerHost}. */
 export interface WorkerHostOptions {
@@ -41,7 +42,10 @@
   private _server: RpcServer | undefined;
   private _timer: NodeJS.Timeout | undefined;
   private _lookTimer: NodeJS.Timeout | undefined;
-  private _flushPlanned = false;
+  private readonly _flush = new TurnFlush(() => {
+    this.dispatch({ kind: 'flush' });
+    this._planLook();
+  });
   private _nextLinkId = 1;
 
   /** @param options - The worker, addresses and receivers. */
@@ -66,13 +70,8 @@
     for (const action of this._driver.handle(event, now())) {
       this._run(action);
     }
-    if (!this._flushPlanned && event.kind !== 'flush') {
-      this._flushPlanned = true;
-      setImmediate(() => {
-        this._flushPlanned = false;
-        this.dispatch({ kind: 'flush' });
-        this._planLook();
-      });
+    if (event.kind !== 'flush') {
+      this._flush.plan();
     }
   }
 
--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
-import { StoreMode } from '../sim/sim-store.js';
+import type { Disturbance } from '../sim/network.js';
+import { StoreMode } from '../sim/faulty-store.js';
 import { WorkerMode } from './sim-worker.js';
 
 /** One thing that a caller, an operator or fate does. */
@@ -46,7 +47,7 @@
       readonly mode: WorkerMode;
     }
   | {
-      readonly kind: 'cut' | 'cut-one-way' | 'silence' | 'stall';
+      readonly kind: Disturbance;
       readonly entry: number;
       readonly worker: number;
     }
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -1,4 +1,4 @@
-import { BatchState, EndKind } from '@sapphiremux/core';
+import { BatchState, EndKind, jobIdOf } from '@sapphiremux/core';
 import type { BatchContent, BatchReply, Room } from '@sapphiremux/core';
 import type { Violation } from '../sim/oracle.js';
 
@@ -212,7 +212,7 @@
   /** A worker has begun a run. */
   onStart(start: StartSeen): void {
     const { task, run, place } = start;
-    const id = task.slice(0, task.indexOf('.'));
+    const id = jobIdOf(task);
     const job = this._jobs.get(id);
     if (job?.content.spec !== start.spec) {
       this._report('only what was asked for runs', task);
@@ -245,7 +245,7 @@
     }
     record.kind = kind;
     record.endedAtMs = this._options.now();
-    const job = this._jobs.get(task.slice(0, task.indexOf('.')));
+    const job = this._jobs.get(jobIdOf(task));
     const cancelledAtMs = Math.max(job?.cancelledAtMs ?? Infinity, record.atMs);
     const isOverdue = this._age(cancelledAtMs) > CANCEL_MS + STOP_MS;
     if (isOverdue && this._inTouch(vm, STORE)) {
@@ -256,7 +256,7 @@
   /** A worker was told that an end may be forgotten. */
   onAcknowledged(vm: string, task: string, run: number): void {
     const record = this._find(vm, task, run);
-    const job = this._jobs.get(task.slice(0, task.indexOf('.')));
+    const job = this._jobs.get(jobIdOf(task));
     if (!record || !job || record.isLapsedSince) {
       return;
     }
@@ -289,7 +289,7 @@
   /** Nothing may be left active of jobs that are over, after a calm while. */
   checkQuiet(): void {
     for (const [task, runs] of this._runs) {
-      const job = this._jobs.get(task.slice(0, task.indexOf('.')));
+      const job = this._jobs.get(jobIdOf(task));
       const isActive = runs.some((run) => run.endedAtMs === undefined);
       if (isActive && job?.cancelledAtMs !== undefined) {
         this._report('a cancelled job stops', task);
@@ -377,7 +377,7 @@
     if (step.requires !== undefined && !place.labels.includes(step.requires)) {
       this._report('runs where its label is', `${task} at ${place.vm}`);
     }
-    const id = task.slice(0, task.indexOf('.'));
+    const id = jobIdOf(task);
     for (const earlier of step.after) {
       const count = job.content.steps[earlier]?.count ?? 0;
       for (let index = 0; index < count; index += 1) {
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -1,5 +1,6 @@
 import { BatchState } from '@sapphiremux/core';
 import type { BatchContent, JobStepContent } from '@sapphiremux/core';
+import type { Disturbance } from '../sim/network.js';
 import type { Violation } from '../sim/oracle.js';
 import { JOB_COUNT } from './fleet-commands.js';
 import type { FleetCommand, FleetScenario } from './fleet-commands.js';
@@ -152,8 +153,7 @@
       return;
     case 'cut-entries':
       for (const other of world.entries) {
-        world.network.cut(entry.name, other.name);
-        world.network.cut(other.name, entry.name);
+        world.network.cutBoth(entry.name, other.name);
       }
   }
 };
@@ -192,33 +192,14 @@
 
 const disturb = (
   world: FleetWorld,
-  command: Extract<
-    FleetCommand,
-    { kind: 'cut' | 'cut-one-way' | 'silence' | 'stall' }
-  >,
+  command: Extract<FleetCommand, { kind: Disturbance }>,
 ): void => {
   const entry = entryOf(world, command.entry);
   const driver = driverOf(world, command.worker);
   world.oracle.onTrouble(entry.name, false);
   world.oracle.onTrouble(driver.name, false);
-  switch (command.kind) {
-    case 'cut':
-      world.network.cut(entry.name, driver.name);
-      world.network.cut(driver.name, entry.name);
-      return;
-    case 'cut-one-way':
-      world.network.cut(driver.name, entry.name);
-      return;
-    case 'silence':
-      world.linksBetween(entry, driver).forEach((link) => {
-        world.network.silence(link);
-      });
-      return;
-    case 'stall':
-      world.linksBetween(entry, driver).forEach((link) => {
-        world.network.stall(link);
-      });
-  }
+  const links = world.linksBetween(entry, driver);
+  world.network.disturb(command.kind, entry.name, driver.name, links);
 };
 
 const recoverSome = (
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -10,7 +10,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { EventQueue } from '../sim/event-queue.js';
 import { Network } from '../sim/network.js';
-import { StoreMode } from '../sim/sim-store.js';
+import { StoreMode } from '../sim/faulty-store.js';
 import { FleetOracle, STORE } from './fleet-oracle.js';
 import { CONFIG_KEY, OUT_PREFIX, SimBatchEntry } from './sim-batch-entry.js';
 import { SimDriver } from './sim-driver.js';
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -111,7 +111,7 @@
     }
     if (!this._flushPlanned && event.kind !== 'flush' && this.isAlive) {
       this._flushPlanned = true;
-      this._later(0, () => {
+      this.later(0, () => {
         this._flushPlanned = false;
         this.dispatch({ kind: 'flush' });
       });
@@ -162,18 +162,9 @@
     );
   }
 
-  private _later(ms: number, run: () => void): void {
-    const { generation } = this;
-    this.queue.after(ms, () => {
-      if (this.generation === generation) {
-        this.post(run);
-      }
-    });
-  }
-
   private _tick(): void {
     this.dispatch({ kind: 'tick' });
-    this._later(TICK_MS, () => {
+    this.later(TICK_MS, () => {
       this._tick();
     });
   }
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -62,7 +62,7 @@
     }
     if (!this._flushPlanned && event.kind !== 'flush') {
       this._flushPlanned = true;
-      this._later(0, () => {
+      this.later(0, () => {
         this._flushPlanned = false;
         this.dispatch({ kind: 'flush' });
         this._planLook();
@@ -80,24 +80,15 @@
       incarnation: this._incarnation,
       token: Math.floor(this.queue.nowMs) + 1,
     });
-    this._later(0, () => {
+    this.later(0, () => {
       this._tick();
     });
     this._register();
   }
 
-  private _later(ms: number, run: () => void): void {
-    const { generation } = this;
-    this.queue.after(ms, () => {
-      if (this.generation === generation) {
-        this.post(run);
-      }
-    });
-  }
-
   private _tick(): void {
     this.dispatch({ kind: 'tick' });
-    this._later(TICK_MS, () => {
+    this.later(TICK_MS, () => {
       this._tick();
     });
   }
@@ -108,7 +99,7 @@
       return;
     }
     this._lookPlanned = true;
-    this._later(Math.max(1, dueMs - this.now), () => {
+    this.later(Math.max(1, dueMs - this.now), () => {
       this._lookPlanned = false;
       this.dispatch({ kind: 'tick' });
     });
@@ -131,7 +122,7 @@
       isCutFromStore(),
       (reply) => {
         if (reply.kind !== 'committed' && this.generation === generation) {
-          this._later(REGISTER_RETRY_MS, () => {
+          this.later(REGISTER_RETRY_MS, () => {
             this._register();
           });
         }
--- a/packages/standins/src/lib/fleet-sim/sim-table.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-table.ts
@@ -6,15 +6,7 @@
   StoreReply,
   StoreRequest,
 } from '@sapphiremux/core';
-import type { EventQueue } from '../sim/event-queue.js';
-import { StoreMode } from '../sim/sim-store.js';
-
-/** Options of {@link SimTable}. */
-export interface SimTableOptions {
-  readonly queue: EventQueue;
-  /** Uniform random numbers from 0 to 1. */
-  readonly random: () => number;
-}
+import { FaultyStore, READ_MS, StoreMode } from '../sim/faulty-store.js';
 
 interface Change extends ChangedRow {
   readonly table: string;
@@ -26,11 +18,6 @@
   isOpen: boolean;
 }
 
-const CALL_TIMEOUT_MS = 1000;
-const READ_MS = 1;
-const WRITE_MS = 4;
-const SLOW_MS = 1600;
-const LOST_SHARE = 0.5;
 /** A call for changes that the store swallows is given up after this. */
 const FOLLOW_TIMEOUT_MS = 1500;
 
@@ -38,9 +25,7 @@
  * The platform's table service in virtual time: parts, transactions within a
  * part, calls that wait for changes, and a history that can be lost.
  */
-export class SimTable {
-  mode = StoreMode.Up;
-  private readonly _options: SimTableOptions;
+export class SimTable extends FaultyStore {
   private readonly _rows = new Map<
     string,
     { value: string; version: number }
@@ -50,11 +35,6 @@
   private _version = 1;
   private _followers: Follower[] = [];
 
-  /** @param options - Virtual time and randomness. */
-  constructor(options: SimTableOptions) {
-    this._options = options;
-  }
-
   /**
    * @param part - Part of the store; a transaction stays within one.
    * @param req - The call.
@@ -67,32 +47,7 @@
     isCut: boolean,
     onReply: (reply: StoreReply) => void,
   ): void {
-    const { queue, random } = this._options;
-    const isWrite = req.kind === 'transact';
-    const workMs = (isWrite ? WRITE_MS : READ_MS) + random();
-    switch (isCut ? StoreMode.Silent : this.mode) {
-      case StoreMode.Up:
-        this._answer(part, req, workMs, onReply);
-        return;
-      case StoreMode.Refusing:
-        queue.after(1, () => {
-          onReply({ kind: 'refused' });
-        });
-        return;
-      case StoreMode.Silent:
-        this._timeOut(onReply);
-        return;
-      case StoreMode.Slow:
-        this._answer(part, req, random() * SLOW_MS, onReply);
-        return;
-      case StoreMode.LosingAnswers:
-        if (isWrite && random() < LOST_SHARE) {
-          queue.after(workMs, () => this._apply(part, req));
-          this._timeOut(onReply);
-        } else {
-          this._answer(part, req, workMs, onReply);
-        }
-    }
+    this.serve({ req, isCut, apply: () => this._apply(part, req), onReply });
   }
 
   /**
@@ -105,8 +60,8 @@
     isCut: boolean,
     onReply: (reply: FollowReply) => void,
   ): void {
-    const { queue } = this._options;
-    const mode = isCut ? StoreMode.Silent : this.mode;
+    const { queue } = this;
+    const mode = this.modeFor(isCut);
     if (mode === StoreMode.Refusing || mode === StoreMode.Silent) {
       const afterMs = mode === StoreMode.Silent ? FOLLOW_TIMEOUT_MS : 1;
       queue.after(afterMs, () => {
@@ -163,30 +118,6 @@
       .map((row) => ({ ...row, key: row.key.slice(table.length + 1) }));
   }
 
-  private _answer(
-    part: string,
-    req: StoreRequest,
-    workMs: number,
-    onReply: (reply: StoreReply) => void,
-  ): void {
-    const isLate = workMs > CALL_TIMEOUT_MS;
-    this._options.queue.after(workMs, () => {
-      const reply = this._apply(part, req);
-      if (!isLate) {
-        onReply(reply);
-      }
-    });
-    if (isLate) {
-      this._timeOut(onReply);
-    }
-  }
-
-  private _timeOut(onReply: (reply: StoreReply) => void): void {
-    this._options.queue.after(CALL_TIMEOUT_MS, () => {
-      onReply({ kind: 'unknown' });
-    });
-  }
-
   private _apply(part: string, req: StoreRequest): StoreReply {
     switch (req.kind) {
       case 'transact':
@@ -272,7 +203,7 @@
       .filter((c) => c.table === table && c.version > afterVersion)
       .map(({ key, value, version }) => ({ key, value, version }));
     const version = this._version;
-    this._options.queue.after(READ_MS, () => {
+    this.queue.after(READ_MS, () => {
       follower.onReply({ kind: 'changes', rows, version });
     });
   }
--- a/packages/standins/src/lib/sim/commands.ts
+++ b/packages/standins/src/lib/sim/commands.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { EndpointMode } from './sim-runner.js';
-import { StoreMode } from './sim-store.js';
+import type { Disturbance } from './network.js';
+import { StoreMode } from './faulty-store.js';
 
 /** One thing that a caller, an operator or fate does. */
 export type Command =
@@ -36,7 +37,7 @@
       readonly runner: number;
     }
   | {
-      readonly kind: 'cut' | 'cut-one-way' | 'silence' | 'stall';
+      readonly kind: Disturbance;
       readonly entry: number;
       readonly runner: number;
     }
--- a/packages/standins/src/lib/sim/matrix.ts
+++ b/packages/standins/src/lib/sim/matrix.ts
@@ -2,7 +2,7 @@
 import { storeKeys } from '@sapphiremux/core';
 import type { Violation } from './oracle.js';
 import { begin, recover, settle } from './scenario.js';
-import { StoreMode } from './sim-store.js';
+import { StoreMode } from './faulty-store.js';
 import { World } from './world.js';
 import type { SimAction } from './world.js';
 
@@ -255,8 +255,7 @@
 const cutOff = (world: World, name: string): void => {
   const others = [...world.entries, ...world.runners].map((p) => p.name);
   for (const other of [...others, 'store']) {
-    world.network.cut(name, other);
-    world.network.cut(other, name);
+    world.network.cutBoth(name, other);
   }
 };
 
--- a/packages/standins/src/lib/sim/network.ts
+++ b/packages/standins/src/lib/sim/network.ts
@@ -1,5 +1,8 @@
 import type { EventQueue } from './event-queue.js';
 
+/** How the way between two processes can be disturbed. */
+export type Disturbance = 'cut' | 'cut-one-way' | 'silence' | 'stall';
+
 /** Options of {@link Network}. */
 export interface NetworkOptions {
   readonly queue: EventQueue;
@@ -38,6 +41,43 @@
     this._cuts.add(direction(from, to));
   }
 
+  /** Stops messages between two processes, both ways. */
+  cutBoth(one: string, other: string): void {
+    this.cut(one, other);
+    this.cut(other, one);
+  }
+
+  /**
+   * @param kind - What happens.
+   * @param dialler - The process that has opened the connections.
+   * @param peer - The process that answers; a cut one way stops its messages.
+   * @param connections - The connections between them.
+   */
+  disturb(
+    kind: Disturbance,
+    dialler: string,
+    peer: string,
+    connections: readonly string[],
+  ): void {
+    switch (kind) {
+      case 'cut':
+        this.cutBoth(dialler, peer);
+        return;
+      case 'cut-one-way':
+        this.cut(peer, dialler);
+        return;
+      case 'silence':
+        connections.forEach((connection) => {
+          this.silence(connection);
+        });
+        return;
+      case 'stall':
+        connections.forEach((connection) => {
+          this.stall(connection);
+        });
+    }
+  }
+
   /** @returns Whether messages from one process to the other are stopped. */
   isCut(from: string, to: string): boolean {
     return this._cuts.has(direction(from, to));
--- a/packages/standins/src/lib/sim/scenario.ts
+++ b/packages/standins/src/lib/sim/scenario.ts
@@ -1,8 +1,9 @@
 import { ENTRY_COUNT, RUNNER_COUNT } from './commands.js';
 import type { Command, Scenario } from './commands.js';
+import type { Disturbance } from './network.js';
 import type { Violation } from './oracle.js';
 import { EndpointMode } from './sim-runner.js';
-import { StoreMode } from './sim-store.js';
+import { StoreMode } from './faulty-store.js';
 import { World } from './world.js';
 
 const START_MS = 8000;
@@ -144,38 +145,18 @@
 
 const disturb = (
   world: World,
-  command: Extract<
-    Command,
-    { kind: 'cut' | 'cut-one-way' | 'silence' | 'stall' }
-  >,
+  command: Extract<Command, { kind: Disturbance }>,
 ): void => {
   const entry = entryOf(world, command.entry);
   const runner = runnerOf(world, command.runner);
-  switch (command.kind) {
-    case 'cut':
-      world.network.cut(entry.name, runner.name);
-      world.network.cut(runner.name, entry.name);
-      return;
-    case 'cut-one-way':
-      world.network.cut(runner.name, entry.name);
-      return;
-    case 'silence':
-      world.linksBetween(entry, runner).forEach((link) => {
-        world.network.silence(link);
-      });
-      return;
-    case 'stall':
-      world.linksBetween(entry, runner).forEach((link) => {
-        world.network.stall(link);
-      });
-  }
+  const links = world.linksBetween(entry, runner);
+  world.network.disturb(command.kind, entry.name, runner.name, links);
 };
 
 const cutEntries = (world: World, index: number): void => {
   const { name } = entryOf(world, index);
   for (const other of world.entries) {
-    world.network.cut(name, other.name);
-    world.network.cut(other.name, name);
+    world.network.cutBoth(name, other.name);
   }
 };
 
--- a/packages/standins/src/lib/sim/sim-process.ts
+++ b/packages/standins/src/lib/sim/sim-process.ts
@@ -90,6 +90,16 @@
     }
   }
 
+  /** Runs something later, unless the process has been restarted by then. */
+  protected later(ms: number, run: () => void): void {
+    const generation = this._generation;
+    this.queue.after(ms, () => {
+      if (this._generation === generation) {
+        this.post(run);
+      }
+    });
+  }
+
   /** Creates the decisions of a new run. */
   protected abstract boot(): void;
 }
--- a/packages/standins/src/lib/sim/sim-runner.ts
+++ b/packages/standins/src/lib/sim/sim-runner.ts
@@ -152,18 +152,13 @@
       return;
     }
     this._flushPlanned = true;
-    const { generation } = this;
-    this.queue.after(0, () => {
-      this.post(() => {
-        if (generation === this.generation) {
-          this._flushPlanned = false;
-          for (const action of this._core.handle({ kind: 'flush' }, this.now)) {
-            this._options.intercept(this, action, () => {
-              this._perform(action);
-            });
-          }
-        }
-      });
+    this.later(0, () => {
+      this._flushPlanned = false;
+      for (const action of this._core.handle({ kind: 'flush' }, this.now)) {
+        this._options.intercept(this, action, () => {
+          this._perform(action);
+        });
+      }
     });
   }
 
@@ -227,14 +222,9 @@
   }
 
   private _finish(callId: number, afterMs: number, outcome: CallOutcome): void {
-    const { generation } = this;
-    this.queue.after(afterMs, () => {
-      this.post(() => {
-        if (generation === this.generation) {
-          this._aborts.delete(callId);
-          this.dispatch({ kind: 'call-done', callId, outcome });
-        }
-      });
+    this.later(afterMs, () => {
+      this._aborts.delete(callId);
+      this.dispatch({ kind: 'call-done', callId, outcome });
     });
   }
 }
--- a/packages/standins/src/test/takeover.test.ts
+++ b/packages/standins/src/test/takeover.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { begin, settle } from '../lib/sim/scenario.js';
 import { EndpointMode } from '../lib/sim/sim-runner.js';
-import { StoreMode } from '../lib/sim/sim-store.js';
+import { StoreMode } from '../lib/sim/faulty-store.js';
 import { World } from '../lib/sim/world.js';
 import type { Intercept } from '../lib/sim/world.js';
 
