Do not take the row of a job under adoption for a claim of its own

Cause: a claim that finds a row owned by its entry took it for its own earlier claim. While the entry adopts the job, that row is the adoption's, and tasks may have started under the previous owner. Ruled out: a second write of the claim (its nonce never reached the store). After: rows of a first epoch only count as the entry's own claim; a job under adoption is answered as pending, an adopted one with its status.

--- a/packages/core/src/lib/process/job-rows.ts
+++ b/packages/core/src/lib/process/job-rows.ts
@@ -5,6 +5,7 @@
 import type { Condition, Write } from '../store.js';
 import type { EntryContext } from './entry-context.js';
 import type { JobStatus } from './entry-events.js';
+import { FIRST_EPOCH } from './rows.js';
 import type { JobRow } from './rows.js';
 import type { WriteOutcome } from './store-writer.js';
 
@@ -47,7 +48,7 @@
   claim(spec: JobSpec, abandonAtMs: number, onDone: WriteHandler): void {
     const { options, objects } = this._ctx;
     const submit = (content: Partial<JobRow>): void => {
-      const row = { ...this._createRow(spec, 1), ...content };
+      const row = { ...this._createRow(spec, FIRST_EPOCH), ...content };
       const openKey = storeKeys.open(options.incarnation, spec.id);
       const writes = [{ key: openKey, value: row.nonce }];
       this._submit(row, spec.id, 0, writes, onDone, abandonAtMs);
--- a/packages/core/src/lib/process/job-table.ts
+++ b/packages/core/src/lib/process/job-table.ts
@@ -15,7 +15,7 @@
 import { JobLogStep } from './entry-events.js';
 import type { JobStatus, Reply } from './entry-events.js';
 import type { JobRows } from './job-rows.js';
-import { isFinalRow } from './rows.js';
+import { FIRST_EPOCH, isFinalRow } from './rows.js';
 import type { JobRow } from './rows.js';
 import type { WriteOutcome } from './store-writer.js';
 
@@ -330,11 +330,24 @@
       this._endClaim(spec.id, conflictReply(spec.id));
       return;
     }
+    const adopted = this._jobs.get(spec.id);
+    if (adopted) {
+      // This entry has adopted the job while the claim was under way.
+      this._ctx.logStep(JobLogStep.Attached, spec.id);
+      this._endClaim(spec.id, this._statusReply(adopted));
+      return;
+    }
     const isOwn = jobRow.owner === this._ctx.options.incarnation;
     if (isOwn && !isFinalRow(jobRow)) {
-      // The row is taken for this entry's own claim, of which no task has
-      // started, because the job was not in this table when it was submitted.
-      this._finishClaim(spec, row.version);
+      if (jobRow.epoch === FIRST_EPOCH) {
+        // This entry's own claim: no task of the job has started, because the
+        // job was not in this table when it was submitted.
+        this._finishClaim(spec, row.version);
+      } else {
+        // This entry is adopting the job: tasks may have started under the
+        // previous owner.
+        this._endClaim(spec.id, pendingReply(spec.id));
+      }
       return;
     }
     this._ctx.logStep(JobLogStep.Attached, spec.id);
--- a/packages/core/src/lib/process/rows.ts
+++ b/packages/core/src/lib/process/rows.ts
@@ -25,6 +25,9 @@
   readonly outcomeKey?: string;
 }
 
+/** Epoch of a job until it is first adopted; each adoption increments it. */
+export const FIRST_EPOCH = 1;
+
 /** Stored row that announces an entry and whose updates renew its lease. */
 export interface MemberRow {
   readonly nonce: string;
