Keep the runs of a silent worker while it may still act on late polls

Cause: the driver counted a worker as one that acts late only when a poll had been answered after others had failed. A worker that left several polls in a row unanswered, or only starts and stops, was not; its lease was taken for expired after 1.1 s, while late polls kept its runs going. Change: only a worker whose address refuses connections has ended; any other silence waits for the delayed-call limit, and an unanswered start or stop marks the worker as well. Rejected stops are sent again after 50 ms instead of at once. Left: an entry that loses a driver process takes the lease of its worker for expired after the grant; late polls of that process could extend it.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -66,6 +66,8 @@
 const UNACKNOWLEDGED_POLL_INTERVAL_MS = 30;
 /** Timeout of a start or stop call, after which the driver retries. */
 const CALL_TIMEOUT_MS = 200;
+/** Delay before a stop call that failed is sent again. */
+const STOP_RETRY_DELAY_MS = 50;
 /** Start calls that may time out before the run is stopped instead. */
 const MAX_START_ATTEMPTS = 2;
 /**
@@ -129,6 +131,8 @@
   readonly sinceMs: number;
   /** Number of the latest poll when the worker confirmed the stop. */
   stoppedAtPoll: number | undefined;
+  /** Local time at which a stop call that failed is sent again. */
+  stopRetryAtMs: number | undefined;
 }
 
 interface PendingCall {
@@ -154,6 +158,7 @@
   percent: 0,
   latestCheckpoint: '',
   stoppedAtPoll: undefined,
+  stopRetryAtMs: undefined,
   ...known,
 });
 
@@ -207,6 +212,8 @@
   private _expiryRequestedAtMs = 0;
   /** Local time of the first poll failure since the last reply to a poll. */
   private _unansweredSinceMs: number | undefined;
+  /** Whether the address of the worker refused the last poll. */
+  private _isUnreachable = false;
   /** State of this data centre, from the order with the newest version. */
   private _dataCentreState = { version: 0, isOutOfService: false };
   /** Local time until which the worker counts as unreliable. */
@@ -375,6 +382,7 @@
     this._endsAwaitingExpiry = [];
     this._unreliableUntilMs = 0;
     this._unansweredSinceMs = undefined;
+    this._isUnreachable = false;
     this._pollCallId = undefined;
     this._nextPollAtMs = now;
     this._links.markAllDirty();
@@ -614,6 +622,7 @@
 
   private _sendStop(tracked: TrackedRun): void {
     tracked.phase = Phase.Stopping;
+    tracked.stopRetryAtMs = undefined;
     this._call({
       kind: 'stop',
       id: this._worker?.id,
@@ -689,7 +698,8 @@
     if (this._endsAwaitingExpiry.length === 0) {
       return false;
     }
-    if (this._clock.lowerBound(now) > this._runsExpiredAtMs(now)) {
+    const canBeDelayed = now < this._unreliableUntilMs;
+    if (this._clock.lowerBound(now) > this._runsExpiredAtMs(canBeDelayed)) {
       for (const number of this._endsAwaitingExpiry) {
         this._ends.markRecorded(number);
       }
@@ -732,7 +742,7 @@
         this._onStartReply(pending.call, reply, now);
         return;
       case 'stop':
-        this._onStopReply(pending.call, reply);
+        this._onStopReply(pending.call, reply, now);
     }
   }
 
@@ -757,6 +767,7 @@
         afterMs: Math.round(now - this._unansweredSinceMs),
       });
       this._unansweredSinceMs = undefined;
+      this._isUnreachable = false;
       this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
       this._links.markAllDirty();
     }
@@ -770,6 +781,7 @@
   }
 
   private _onPollFailed(reply: WorkerReply, now: number): void {
+    this._isUnreachable = reply.kind === 'unreachable';
     if (this._unansweredSinceMs === undefined) {
       this._unansweredSinceMs = now;
       this._log('worker does not answer', {
@@ -912,11 +924,15 @@
         this._onStartRejected(tracked, reply.reason, now);
         return;
       case 'no-answer':
+      case 'unreachable':
+        if (reply.kind === 'no-answer') {
+          this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
+        }
         this._log('start without an answer', {
           task: tracked.task,
           run: tracked.run,
           attempt: tracked.starts,
-          why: reply.detail,
+          why: reasonOf(reply),
         });
         if (tracked.starts < MAX_START_ATTEMPTS) {
           this._sendStart(tracked, now);
@@ -946,6 +962,7 @@
   private _onStopReply(
     call: Extract<WorkerCall, { kind: 'stop' }>,
     reply: WorkerReply,
+    now: number,
   ): void {
     const tracked = this._runs.get(runKey(call));
     if (!tracked) {
@@ -957,8 +974,20 @@
         tracked.stoppedAtPoll = this._pollCount;
         return;
       case 'no-answer':
+        this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
+        tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+        return;
+      case 'unreachable':
       case 'rejected':
+        tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+    }
+  }
+
+  private _retryStops(now: number): void {
+    for (const tracked of this._runs.values()) {
+      if (tracked.stopRetryAtMs !== undefined && now >= tracked.stopRetryAtMs) {
         this._sendStop(tracked);
+      }
     }
   }
 
@@ -990,6 +1019,7 @@
 
   private _onTick(now: number): void {
     this._declareRunsLost(now);
+    this._retryStops(now);
     if (now - this._unrecordedReportAtMs >= UNRECORDED_REPORT_INTERVAL_MS) {
       this._unrecordedReportAtMs = now;
       for (const end of this._ends.unrecordedListedBefore(
@@ -1008,29 +1038,30 @@
   }
 
   /**
-   * An unreliable worker may carry out a poll, and so extend the lease, long
-   * after the poll has timed out; the result includes the time for that.
-   *
-   * @param sinceMs - Local time since which the worker has not answered; the
-   * current time if it answers.
+   * @param canBeDelayed - Whether the worker may carry out a call, and so extend
+   *   the lease, long after the call has timed out.
    * @returns Time on the worker's clock by which all runs have expired.
    */
-  private _runsExpiredAtMs(sinceMs: number): number {
-    const delayMs =
-      sinceMs < this._unreliableUntilMs ? DELAYED_CALL_LIMIT_MS : 0;
+  private _runsExpiredAtMs(canBeDelayed: boolean): number {
+    const delayMs = canBeDelayed ? DELAYED_CALL_LIMIT_MS : 0;
     return this._leaseEndMs + this._options.stopMs + delayMs;
   }
 
-  /** Reports all runs of an unresponsive worker as lost once they expired. */
+  /**
+   * Reports all runs of an unresponsive worker as lost once they expired. Only a
+   * worker whose process has ended carries out no calls later.
+   */
   private _declareRunsLost(now: number): void {
     if (this._unansweredSinceMs === undefined || this._runs.size === 0) {
       return;
     }
-    if (
-      this._clock.lowerBound(now) >
-      this._runsExpiredAtMs(this._unansweredSinceMs)
-    ) {
-      this._log('runs lapsed at a silent worker', { runs: this._runs.size });
+    const canBeDelayed = !this._isUnreachable;
+    if (this._clock.lowerBound(now) > this._runsExpiredAtMs(canBeDelayed)) {
+      this._log('runs lapsed at a silent worker', {
+        runs: this._runs.size,
+        unreachable: this._isUnreachable,
+        silentMs: Math.round(now - this._unansweredSinceMs),
+      });
       for (const tracked of [...this._runs.values()]) {
         this._endRun(tracked, EndKind.LOST, tracked.latestCheckpoint, 0);
       }
@@ -1093,6 +1124,8 @@
       return reply.reason;
     case 'no-answer':
       return reply.detail;
+    case 'unreachable':
+      return 'connection refused';
     case 'held':
     case 'done':
       return '';
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -102,7 +102,9 @@
       readonly clockMs: number | undefined;
     }
   /** The call may have been carried out, or may be later. */
-  | { readonly kind: 'no-answer'; readonly detail: string };
+  | { readonly kind: 'no-answer'; readonly detail: string }
+  /** The worker's address refuses connections: its process has ended. */
+  | { readonly kind: 'unreachable' };
 
 /** Input of the worker driver. */
 export type WorkerEvent =
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -9,7 +9,10 @@
 export { BoundedOutput } from './lib/process/bounded-output.js';
 export { now } from './lib/process/clock.js';
 export type { StorePort, WorkerPort } from './lib/process/fleet-ports.js';
-export { isUnsentRequestError } from './lib/connection/unsent-request-error.js';
+export {
+  isRefusedConnection,
+  isUnsentRequestError,
+} from './lib/connection/unsent-request-error.js';
 export { createLogger } from './lib/process/logger.js';
 export type { Log } from './lib/process/logger.js';
 export { WorkerHost } from './lib/process/worker-host.js';
--- a/packages/daemon/src/lib/connection/unsent-request-error.ts
+++ b/packages/daemon/src/lib/connection/unsent-request-error.ts
@@ -1,6 +1,8 @@
+/** Code of the error when nothing listens at an address. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
 /** Codes of errors that occur before any byte of a request is sent. */
 const NOT_SENT = new Set([
-  'ECONNREFUSED',
+  CONNECTION_REFUSED,
   'EHOSTUNREACH',
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
@@ -17,3 +19,10 @@
   const { code } = err as { code?: string };
   return code !== undefined && NOT_SENT.has(code);
 };
+
+/**
+ * @param err - The error of an HTTP request.
+ * @returns Whether nothing listens at the address of the server.
+ */
+export const isRefusedConnection = (err: unknown): boolean =>
+  (err as { code?: string }).code === CONNECTION_REFUSED;
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -187,7 +187,7 @@
     };
     if (!this._isUp) {
       queue.after(MAX_TRANSIT_MS, () => {
-        reply({ kind: 'no-answer', detail: 'no connection' });
+        reply({ kind: 'unreachable' });
       });
       return;
     }
