--- a/packages/standins/src/lib/local-cluster.ts
+++ b/packages/standins/src/lib/local-cluster.ts
@@ -190,14 +190,22 @@
     return runner;
   }
 
+  /** Directory of the logs and configuration files. */
+  get directory(): string {
+    return this._dir;
+  }
+
   /**
    * Kills every process and removes the logs and configuration files, unless
    * `SAPPHIREMUX_KEEP_LOGS` is set.
+   *
+   * @param options - What to keep.
+   * @param options.keepsLogs - Whether to keep the files in any case.
    */
-  async close(): Promise<void> {
+  async close({ keepsLogs = false } = {}): Promise<void> {
     await Promise.all(this._processes.map(killProcess));
     this.runners.forEach(({ relay }) => relay?.close());
-    if (!process.env.SAPPHIREMUX_KEEP_LOGS) {
+    if (!keepsLogs && !process.env.SAPPHIREMUX_KEEP_LOGS) {
       await rm(this._dir, { recursive: true });
     }
   }
--- a/packages/standins/src/test/failures.test.ts
+++ b/packages/standins/src/test/failures.test.ts
@@ -28,9 +28,12 @@
     );
     expect(status).toEqual(HTTP_OK);
     await run(cluster);
-  } finally {
-    await cluster.close();
+  } catch (err) {
+    await cluster.close({ keepsLogs: true });
+    const { message } = err as Error;
+    throw new Error(`${message} (logs: ${cluster.directory})`, { cause: err });
   }
+  await cluster.close();
 };
 
 const submit = async (
@@ -120,7 +123,8 @@
     await submit(cluster, 0, createJob('struck', 60, 400));
     await sleep(500);
     cluster.runners[0]?.child.kill('SIGKILL');
-    await submit(cluster, 1, createJob('later', 20, 50));
+    const accepted = await submit(cluster, 1, createJob('later', 20, 50));
+    expect(accepted).toEqual(HTTP_ACCEPTED);
     const interruptedJob = await waitForOutcome(cluster, 1, 'struck');
     expect(interruptedJob.state).toEqual('failed');
     expect(interruptedJob.runStates?.includes('may-have-run')).toEqual(true);
