Grow subsets under overload to twice their size only, into other data centres

Cause: while tasks waited, an entry doubled its links every 100 ms without a limit. In an overload of the whole fleet every entry is short at once, so all of them linked all workers: 35 entries and 160 workers make 5,600 links in place of 560, each with a report and an order several times a second, and each opened at the moment of the highest load. An entry whose links were not up yet (a start, a store that is away) counted as short of suitable workers and grew likewise. Ruled out: that wider subsets help there: the other entries of the same data centre lack capacity as well, so added links go to other data centres. The fleet load tool takes the numbers of entries and workers. Before: the new test gets 160 links in place of 32. After: 32, none of the added ones in the own data centre.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -124,7 +124,8 @@
     }
     const candidates = this._candidates(now);
     if (candidates.length === 0) {
-      this._shortage = Shortage.Workers;
+      // The linked workers have yet to answer, or none may be used.
+      this._shortage = Shortage.Capacity;
       return;
     }
     for (const ranked of this._rankJobs(now)) {
--- a/packages/core/src/lib/process/worker-subset.ts
+++ b/packages/core/src/lib/process/worker-subset.ts
@@ -38,11 +38,20 @@
 /** Average number of entries that keep a link to a worker in larger fleets. */
 const LINKS_PER_WORKER = 3;
 const GROWTH_FACTOR = 2;
+/**
+ * Factor on the usual number of links up to which entries without capacity grow
+ * their subsets. In a lasting overload every entry is short of capacity, and
+ * more links would cost the processor time that the jobs need.
+ */
+const MAX_CAPACITY_GROWTH = 2;
 /** How long tasks wait before more workers are linked: two ticks. */
 const GROW_AFTER_MS = 100;
 /** Time without waiting tasks after which the additional links are released. */
 const RESET_AFTER_MS = 3000;
-/** At this factor, an entry links all workers of the largest planned fleet. */
+/**
+ * Limit of the growth for tasks that no linked worker could run. At this factor,
+ * an entry links all workers of the largest planned fleet.
+ */
 const MAX_GROWTH = 1024;
 const HASH_BYTES = 6;
 
@@ -51,11 +60,14 @@
  *
  * Load pattern: fleets with far more workers than the jobs of one entry occupy,
  * where the messages on idle links would cost more than the jobs; bursts on one
- * entry that exceed its share; jobs that only few workers can run.
+ * entry or in one data centre that exceed its share; an overload of the whole
+ * fleet, in which every entry is short; jobs that only few workers can run.
  *
  * Each entry ranks the workers of a service by a hash of both names (rendezvous
  * hashing), its own data centre first. The links of all entries thus spread
- * over the fleet, and few of them change when workers join or leave.
+ * over the fleet, and few of them change when workers join or leave. Links that
+ * are added for a lack of capacity go to other data centres, because the other
+ * entries of the same one are likely to lack capacity as well.
  */
 export class WorkerSubset {
   private readonly _options: Required<WorkerSubsetOptions>;
@@ -88,7 +100,10 @@
     this._shortageSinceMs ??= now;
     if (now - this._shortageSinceMs >= GROW_AFTER_MS) {
       this._shortageSinceMs = now;
-      this._growth = Math.min(MAX_GROWTH, this._growth * GROWTH_FACTOR);
+      const limit =
+        shortage === Shortage.Workers ? MAX_GROWTH : MAX_CAPACITY_GROWTH;
+      const grown = Math.min(limit, this._growth * GROWTH_FACTOR);
+      this._growth = Math.max(this._growth, grown);
     }
   }
 
@@ -114,20 +129,30 @@
     const sizes = this._sizes(ordered, entries);
     const chosen = new Set<string>();
     const countByService = new Map<string, number>();
-    for (const worker of ordered) {
-      const count = countByService.get(worker.service) ?? 0;
-      if (count < (sizes.get(worker.service) ?? 0)) {
-        chosen.add(worker.name);
-        countByService.set(
-          worker.service,
-          count + (worker.countsTowardsSubset ? 1 : 0),
-        );
+    const add = (workers: readonly LinkCandidate[], growth: number): void => {
+      for (const worker of workers) {
+        const count = countByService.get(worker.service) ?? 0;
+        const size = growth * (sizes.get(worker.service) ?? 0);
+        if (count < size && !chosen.has(worker.name)) {
+          chosen.add(worker.name);
+          countByService.set(
+            worker.service,
+            count + (worker.countsTowardsSubset ? 1 : 0),
+          );
+        }
       }
+    };
+    add(ordered, 1);
+    if (this._growth > 1) {
+      const { dataCentre } = this._options;
+      const remote = ordered.filter((w) => w.dataCentre !== dataCentre);
+      add(remote, this._growth);
+      add(ordered, this._growth);
     }
     return chosen;
   }
 
-  /** Current number of workers to keep links to, by service. */
+  /** Usual number of workers to keep links to, by service. */
   private _sizes(
     workers: readonly LinkCandidate[],
     entries: number,
@@ -138,7 +163,7 @@
     }
     const sizeOf = (total: number): number => {
       const share = Math.ceil((LINKS_PER_WORKER * total) / entries);
-      return this._growth * Math.max(this._options.size, share);
+      return Math.max(this._options.size, share);
     };
     return new Map(
       [...totals].map(([service, total]) => [service, sizeOf(total)]),
--- a/packages/core/src/test/worker-links.test.ts
+++ b/packages/core/src/test/worker-links.test.ts
@@ -100,6 +100,24 @@
   expect(chosenBy(subset).size).toEqual(usualCount);
 });
 
+it('a lasting overload at most doubles the links, into other data centres', () => {
+  const fleet = Array.from({ length: 160 }, (_, index) => ({
+    name: `w${String(index)}`,
+    dataCentre: `dc${String(index % DATA_CENTRES)}`,
+    service: 'svc',
+    countsTowardsSubset: true,
+  }));
+  const subset = subsetOfEntry(0);
+  const usual = chosenBy(subset, fleet, 35);
+  for (let now = 0; now <= 5000; now += 50) {
+    subset.adjustTo(Shortage.Capacity, now);
+  }
+  const grown = chosenBy(subset, fleet, 35);
+  const added = fleet.filter(({ name }) => grown.has(name) && !usual.has(name));
+  expect(grown.size).toEqual(2 * usual.size);
+  expect(added.some(({ dataCentre }) => dataCentre === 'dc0')).toEqual(false);
+});
+
 class FleetHarness {
   now = 0;
   readonly actions: BatchAction[] = [];
--- a/packages/standins/src/bin/fleet-load.ts
+++ b/packages/standins/src/bin/fleet-load.ts
@@ -8,16 +8,21 @@
  * machine: submits volatile jobs at random times, then prints the CPU use of
  * entries and worker drivers and the latency beyond the run time of the jobs.
  *
- * Arguments: duration in seconds, jobs per second, Node options of the started
- * processes. With Node options, the processes are stopped with SIGTERM, so
- * that options such as `--cpu-prof` can write their output.
+ * Arguments: duration in seconds, jobs per second, entries, workers, Node options
+ * of the started processes. With Node options, the processes are stopped with
+ * SIGTERM, so that options such as `--cpu-prof` can write their output.
  */
-const [durationText = '10', rateText = '100', ...nodeArgs] =
-  process.argv.slice(2);
+const [
+  durationText = '10',
+  rateText = '100',
+  entriesText = '4',
+  workersText = '11',
+  ...nodeArgs
+] = process.argv.slice(2);
 const DURATION_SECONDS = Number(durationText);
 const JOBS_PER_SECOND = Number(rateText);
-const ENTRIES = 4;
-const WORKERS = 11;
+const ENTRIES = Number(entriesText);
+const WORKERS = Number(workersText);
 const ID_BYTES = 8;
 /** Unit of the CPU times in `/proc/PID/stat`. */
 const TICKS_PER_SECOND = 100;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -18,7 +18,7 @@
   outdir: OUT,
   outExtension: { '.js': '.cjs' },
   bundle: true,
-  minify: true,
+  minify: !process.env.NO_MINIFY,
   format: 'cjs',
   platform: 'node',
   target: 'node20',
