Report scarce capacity each 100 ms and walk linked workers only

Cause: while less than a quarter of a worker was free, each of its links got a report each 25 ms. That is usual under load (a task takes a sixth of a worker), and an entry with 16 links handles up to 640 such reports a second. Orders and placement walked all workers of the fleet in each turn, linked or not. Change: scarce capacity is reported each 100 ms; the end of an own run still brings it at once. Orders that only keep a link alive go out each 250 ms (a grant lasts 700 ms). Orders and placement walk the open links.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -220,7 +220,7 @@
 
   private _candidates(now: number): PlacementCandidate[] {
     const { fleet, health, routes } = this._options;
-    return fleet.views.flatMap((view): PlacementCandidate[] => {
+    return fleet.linked.flatMap((view): PlacementCandidate[] => {
       const { hello, name } = view;
       const isUsable =
         hello && view.isUsable(now) && !routes.isOutOfService(hello.dataCentre);
--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -50,9 +50,10 @@
 const CAPACITY_REPORT_INTERVAL_MS = 250;
 /**
  * The same interval while little capacity is free, so that entries can place
- * waiting tasks sooner.
+ * waiting tasks sooner. An entry learns from the ends of its own runs at once
+ * that capacity is free, and an end carries the free capacity as well.
  */
-const LOW_CAPACITY_REPORT_INTERVAL_MS = 25;
+const LOW_CAPACITY_REPORT_INTERVAL_MS = 100;
 /**
  * Free capacity counts as low if less than this share of the CPU capacity is
  * free now or was free in the last report.
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -76,7 +76,7 @@
  */
 export const EXPIRY_GRACE_MS = 400;
 /** Longest time between two reports to an entry that sends orders. */
-const MAX_REPORT_INTERVAL_MS = 150;
+const MAX_REPORT_INTERVAL_MS = 250;
 /** Time that an entry has to open a new link before its runs expire. */
 const RECONNECT_GRACE_MS = 450;
 /** Time that an entry has to claim a run without an owner. */
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -15,7 +15,7 @@
 }
 
 /** Interval between orders to a worker that has runs of this entry. */
-const ORDER_INTERVAL_MS = 200;
+const ORDER_INTERVAL_MS = 250;
 /** Interval between orders to a worker that has none. */
 const IDLE_ORDER_INTERVAL_MS = 500;
 /** Initial backoff before a link to a worker is opened again. */
@@ -61,6 +61,11 @@
     return [...this._views.values()];
   }
 
+  /** The workers that have an open link. */
+  get linked(): readonly WorkerView[] {
+    return [...this._links.values()];
+  }
+
   /** @returns The worker on a VM. */
   get(name: string): WorkerView | undefined {
     return this._views.get(name);
@@ -251,15 +256,14 @@
     },
     now: number,
   ): void {
-    for (const view of this._views.values()) {
-      const { linkId } = view;
+    for (const [linkId, view] of this._links) {
       const intervalMs =
         view.placed.size > 0 ? ORDER_INTERVAL_MS : IDLE_ORDER_INTERVAL_MS;
       const isDue = view.isDirty || now - view.sentAtMs >= intervalMs;
       if (view.placed.size > 0) {
         view.lastBusyAtMs = now;
       }
-      if (linkId === undefined || !isDue) {
+      if (!isDue) {
         continue;
       }
       const order = view.takeOrder();
