--- a/packages/standins/src/bin/rehearsal.ts
+++ b/packages/standins/src/bin/rehearsal.ts
@@ -81,7 +81,7 @@
 };
 
 // The log lines of the roles are of no interest to the build.
-const { write } = process.stdout;
+const write = process.stdout.write.bind(process.stdout);
 process.stdout.write = () => true;
 await store.start(hostOf(3));
 store.put('op', 'config', fleetConfiguration(1));
