Refuse jobs that are given up before they began instead of leaving them in doubt

Cause: a volatile job that an entry gave up (deadline passed, pause, planned stop, replaced entry) was answered as in doubt although no run of it could have begun. Ruled out: that a start may still be on its way: only starts that a worker provably refused are not counted as possibly begun. Before: the new test gets in-doubt. After: refused, with when to come back.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -16,6 +16,7 @@
   LogFields,
   PeerStatus,
 } from './batch-events.js';
+import { mayHaveBegun } from './batch-order.js';
 import { EntryLease } from './entry-lease.js';
 import type { AdoptedJob } from './entry-takeover.js';
 import { fleetKeys } from './fleet-rows.js';
@@ -411,6 +412,13 @@
     }
     this._isRetired = true;
     this._log('standing down', { reason, jobs: this._jobs.size });
+    for (const ownedJob of this._jobs.values()) {
+      if (ownedJob.job.content.isVolatile) {
+        const reply = abandonedReply(ownedJob, 'this entry was replaced');
+        this._replyAll(ownedJob.endReplies, reply);
+        ownedJob.endReplies = [];
+      }
+    }
     for (const replyId of this._openReplies()) {
       this._reply(replyId, {
         kind: 'in-doubt',
@@ -595,7 +603,7 @@
     });
     this._stopRuns(ownedJob);
     this._removeAndAcknowledge(ownedJob, now);
-    this._replyAll(ownedJob.endReplies, { kind: 'in-doubt', detail: reason });
+    this._replyAll(ownedJob.endReplies, abandonedReply(ownedJob, reason));
   }
 
   private _abandonVolatile(reason: string, now: number): void {
@@ -960,3 +968,16 @@
     this._actions.push({ kind: 'log', message, fields });
   }
 }
+
+/**
+ * Reply to the callers of a volatile job that this entry gives up. A job that
+ * has not begun never will, so its callers may submit it again.
+ */
+const abandonedReply = (ownedJob: OwnedJob, detail: string): BatchReply =>
+  mayHaveBegun(ownedJob.job)
+    ? { kind: 'in-doubt', detail }
+    : {
+        kind: 'refused',
+        reason: SubmitRefusal.Abandoned,
+        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      };
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -20,6 +20,8 @@
   NoLease = 'no-tenure',
   /** A planned stop has begun. */
   Stopping = 'stopping',
+  /** The entry has given the job up before any of its tasks could begin. */
+  Abandoned = 'abandoned',
 }
 
 /** Reply to a call from a desk. */
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -335,6 +335,19 @@
   expect(harness.started.length).toEqual(2);
 });
 
+it('a job given up before it began is refused, so that its caller may retry', () => {
+  const harness = withWorker();
+  harness.report('w1', { free: { ...CAPACITY, cpuMilli: 0 } });
+  harness.submit(1);
+  harness.handle({ kind: 'paused', jumpMs: 4000 });
+  const reply = harness.replies.get(1);
+  expect(reply?.kind === 'refused' && reply.reason).toEqual(
+    SubmitRefusal.Abandoned,
+  );
+  harness.report('w1');
+  expect(harness.started).toEqual([]);
+});
+
 it('a planned stop answers open calls before the process ends', () => {
   const harness = withWorker();
   harness.submit(1);
