Refuse a share of the submissions while an entry can't keep up with them

Cause: after a loss of power of all machines an entry is at first slower than its callers; submissions wait in sockets, where their age is not known, and all of them are answered too late. Change: a pure module derives the refused share from the delay of the event loop; the entry refuses before it reads the body, at once and with a time to come back. Jobs that it knows are never refused. The delay is a metric.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
 export { Configuration } from './lib/version/configuration.js';
 export type { Change, Setting, Ticket } from './lib/version/ticket.js';
 export { BatchEntry } from './lib/process/batch-entry.js';
+export { LoadShedder } from './lib/process/load-shedder.js';
 export type { BatchEntryOptions } from './lib/process/batch-entry.js';
 export * from './lib/process/batch-events.js';
 export {
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
-import { BatchEntry } from '@sapphiremux/core';
+import { BatchEntry, LoadShedder } from '@sapphiremux/core';
 import type {
   BatchAction,
   BatchEntryOptions,
@@ -55,6 +55,8 @@
 const TICK_MS = 50;
 /** Tick period while the entry has no jobs. */
 const IDLE_TICK_MS = 100;
+/** When callers may come back to an entry that can't keep up. */
+const SHED_RETRY_AFTER_MS = 2000;
 const PROBE_TIMEOUT_MS = 400;
 const FORWARD_TIMEOUT_MS = 600;
 /**
@@ -78,6 +80,11 @@
     (address) => connectPeer({ address }),
   );
   private readonly _pauses = new PauseDetector();
+  private readonly _shedder = new LoadShedder(Math.random);
+  private _lastTickAtMs: number | undefined;
+  private _tickIntervalMs = IDLE_TICK_MS;
+  /** Delay of the event loop at the last tick, in milliseconds. */
+  private _delayMs = 0;
   private readonly _callers = new Map<number, WaitingCaller>();
   private _core: BatchEntry;
   /** Number of the current core; replies to earlier cores are dropped. */
@@ -154,6 +161,27 @@
     });
   }
 
+  /**
+   * Decides whether a submission is refused, before its body is read, because
+   * this process can't keep up. Jobs that the entry knows are never refused.
+   *
+   * @param job - Id of the job.
+   * @returns When to come back in milliseconds; `undefined` if it is accepted.
+   */
+  refuseForLoad(job: string): number | undefined {
+    if (this._core.owns(job) || !this._shedder.shouldRefuse()) {
+      return undefined;
+    }
+    this.metrics.replies.inc({ call: 'submit', reply: 'shed' });
+    this._options.log.info('job refused', {
+      job,
+      reason: 'entry-overload',
+      delayMs: Math.round(this._delayMs),
+      refusedShare: Number(this._shedder.share.toFixed(2)),
+    });
+    return SHED_RETRY_AFTER_MS;
+  }
+
   /** @param event - Event that the entry handles now. */
   dispatch(event: BatchEvent): void {
     const jumpMs = this._pauses.check(performance.now(), Date.now());
@@ -192,16 +220,25 @@
   }
 
   private _tick(): void {
+    this._observeDelay();
     this.dispatch({ kind: 'tick' });
     this.metrics.openJobs.set(this._core.openJobs);
     this.metrics.waitingJobs.set(this._core.waitingJobs);
     this.metrics.configVersion.set(this._core.routes.version ?? 0);
-    this._timer = new IoTimeout(
-      () => {
-        this._tick();
-      },
-      this._core.openJobs > 0 ? TICK_MS : IDLE_TICK_MS,
-    );
+    this._tickIntervalMs = this._core.openJobs > 0 ? TICK_MS : IDLE_TICK_MS;
+    this._timer = new IoTimeout(() => {
+      this._tick();
+    }, this._tickIntervalMs);
+  }
+
+  private _observeDelay(): void {
+    const at = now();
+    if (this._lastTickAtMs !== undefined) {
+      this._delayMs = at - this._lastTickAtMs - this._tickIntervalMs;
+      this._shedder.observe(this._delayMs);
+      this.metrics.loopDelayMs.set(this._delayMs);
+    }
+    this._lastTickAtMs = at;
   }
 
   private _addRoutes(router: ConnectRouter): void {
--- a/packages/daemon/src/lib/process/fleet-metrics.ts
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -38,6 +38,11 @@
     help: 'Jobs with tasks that wait for room.',
     registers: [this.registry],
   });
+  readonly loopDelayMs = new Gauge({
+    name: 'sapphiremux_event_loop_delay_milliseconds',
+    help: 'Delay of the event loop at the last tick.',
+    registers: [this.registry],
+  });
   readonly configVersion = new Gauge({
     name: 'sapphiremux_config_version',
     help: 'Version of the configuration in force.',
