Let each worker be preferred by one entry

All entries choose the fastest workers at the same time, by knowledge that is some milliseconds old; each refusal costs an order, a report, a placement and up to 100 ms. Change: the workers of a data centre are divided among its entries; an entry uses its own first, unless they are much slower, and then the others. This also shares orders, since the tasks of an entry meet at few workers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,3 +49,6 @@
   QueueRoute,
   RouteConfig,
 } from './lib/version/route-table.js';
+export { chooseWorker } from './lib/process/worker-choice.js';
+export type { Candidate } from './lib/process/worker-choice.js';
+export { WorkerSubset } from './lib/process/worker-subset.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -860,7 +860,7 @@
         fenced: this._takeovers.fenced,
         all: this._takeovers.hasUnsettled,
         shortage: this._placer.shortage,
-        entries: 1 + this._peers.unsuspectedCount(now),
+        others: this._peers.unsuspectedRows(now),
       },
       now,
     );
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -237,6 +237,7 @@
               slowness: health.slowness(name),
               hasPendingOrder: view.isDirty,
               isEjected: health.isEjected(name, now),
+              isPreferred: view.isPreferred,
             },
           ]
         : [];
--- a/packages/core/src/lib/process/peer-monitor.ts
+++ b/packages/core/src/lib/process/peer-monitor.ts
@@ -261,9 +261,12 @@
     }
   }
 
-  /** @returns Number of peers that are not suspected to have failed. */
-  unsuspectedCount(now: number): number {
-    return this._peers.size - this.suspects(now).length;
+  /** @returns Member rows of the peers that are not suspected to have failed. */
+  unsuspectedRows(now: number): EntryRow[] {
+    const suspects = new Set(this.suspects(now));
+    return this.peers
+      .filter((peer) => !suspects.has(peer))
+      .map((peer) => peer.row);
   }
 
   /**
--- a/packages/core/src/lib/process/worker-choice.ts
+++ b/packages/core/src/lib/process/worker-choice.ts
@@ -14,6 +14,8 @@
   readonly hasPendingOrder: boolean;
   /** Whether it is ejected because of recent failures. */
   readonly isEjected: boolean;
+  /** Whether this entry, rather than another, is to use it first. */
+  readonly isPreferred: boolean;
 }
 
 /** What a task requires of its worker. */
@@ -41,7 +43,13 @@
  * that tasks of one job share workers. Small enough that a worker which is 10%
  * slower is not chosen for it.
  */
-const PENDING_ORDER_DISCOUNT = 0.08;
+const PENDING_ORDER_DISCOUNT = 0.04;
+/**
+ * Cost reduction for a worker that this entry is to use first. Larger than the
+ * difference between the usual workers, because a start that another entry has
+ * forestalled costs more than a somewhat slower worker.
+ */
+const PREFERRED_DISCOUNT = 0.4;
 /**
  * Weight of the share of a worker's free CPU that the task takes; spreads load
  * among equal workers.
@@ -52,8 +60,10 @@
  * Chooses the worker that is expected to finish a task first.
  *
  * Load pattern: steady load on workers of different speed and size, with
- * several entries choosing at the same time. Free capacity and a random factor
- * decide between equal workers, so that entries do not all choose the same one.
+ * several entries choosing at the same time, whose knowledge of the free capacity
+ * is some milliseconds old. Each entry uses the workers first that it prefers, so
+ * that entries do not all choose the same ones. Free capacity and a random factor
+ * decide between equal workers.
  * For jobs of many short tasks, orders to many workers would cost more than the
  * tasks, so the tasks of one job share workers that have the capacity.
  *
@@ -115,9 +125,11 @@
   const localDiscount =
     worker.dataCentre === requirements.dataCentre ? LOCAL_DISCOUNT : 0;
   const orderDiscount = worker.hasPendingOrder ? PENDING_ORDER_DISCOUNT : 0;
+  const preferredDiscount = worker.isPreferred ? PREFERRED_DISCOUNT : 0;
   const cpu = Math.max(1, worker.free.cpuMilli);
   const loadCost = LOAD_WEIGHT * (requirements.needs.cpuMilli / cpu);
   const base =
     worker.slowness * (isDataRemote ? requirements.remoteDataFactor : 1);
-  return base + loadCost * (1 + random()) - localDiscount - orderDiscount;
+  const discount = localDiscount + orderDiscount + preferredDiscount;
+  return base + loadCost * (1 + random()) - discount;
 };
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -2,7 +2,7 @@
 import { decodeWorkerRow } from './fleet-rows.js';
 import type { UnacknowledgedEnd } from './owned-job.js';
 import { WorkerSubset } from './worker-subset.js';
-import type { Shortage } from './worker-subset.js';
+import type { FleetEntry, Shortage } from './worker-subset.js';
 import { WorkerView } from './worker-view.js';
 
 /** Options of {@link WorkerFleet}. */
@@ -47,6 +47,8 @@
   >();
   /** All workers, preferred ones first; unset when it has to be recomputed. */
   private _preferenceOrder: readonly WorkerView[] | undefined;
+  /** Names of the other entries at the last update of the preferences. */
+  private _entryNames = '';
   private _nextLinkId = 1;
 
   /** @param options - Names of the entry and receiver of actions. */
@@ -111,8 +113,7 @@
    *   link lists.
    * @param linkNeeds.all - Whether links to all workers are needed.
    * @param linkNeeds.shortage - Why jobs are waiting.
-   * @param linkNeeds.entries - Number of entries that share the fleet,
-   *   including this one.
+   * @param linkNeeds.others - The other entries that share the fleet.
    * @param now - Current time in milliseconds.
    */
   updateLinks(
@@ -120,7 +121,7 @@
       readonly fenced: readonly string[];
       readonly all: boolean;
       readonly shortage: Shortage;
-      readonly entries: number;
+      readonly others: readonly FleetEntry[];
     },
     now: number,
   ): void {
@@ -131,14 +132,13 @@
       }
       this._acknowledged.delete(key);
     }
-    this._preferenceOrder ??= this._subset.order(this.views);
-    const chosen = this._subset.choose(
-      this._preferenceOrder,
-      linkNeeds.entries,
-    );
-    for (const view of this._preferenceOrder) {
-      const isNeeded =
-        !view.isRemoved && (linkNeeds.all || chosen.has(view.name));
+    const { others } = linkNeeds;
+    this._updatePreferences(others);
+    const ordered = this._preferenceOrder ?? [];
+    const chosen = this._subset.choose(ordered, others.length + 1);
+    for (const view of ordered) {
+      const isChosen = view.isPreferred || chosen.has(view.name);
+      const isNeeded = !view.isRemoved && (linkNeeds.all || isChosen);
       this._replaceUnresponsiveLink(view, now);
       if (view.linkId === undefined) {
         if (isNeeded && now >= view.reopenAtMs) {
@@ -279,6 +279,20 @@
     }
   }
 
+  /** Determines the order and the preferred workers, if their inputs changed. */
+  private _updatePreferences(others: readonly FleetEntry[]): void {
+    const entryNames = others.map(({ name }) => name).join(' ');
+    if (this._preferenceOrder && entryNames === this._entryNames) {
+      return;
+    }
+    this._entryNames = entryNames;
+    this._preferenceOrder = this._subset.order(this.views);
+    const preferred = this._subset.preferred(this.views, others);
+    for (const view of this.views) {
+      view.isPreferred = preferred.has(view.name);
+    }
+  }
+
   private _replaceUnresponsiveLink(view: WorkerView, now: number): void {
     const { linkId } = view;
     if (linkId === undefined || !view.isUnresponsive(now)) {
--- a/packages/core/src/lib/process/worker-subset.ts
+++ b/packages/core/src/lib/process/worker-subset.ts
@@ -20,6 +20,12 @@
   readonly countsTowardsSubset: boolean;
 }
 
+/** An entry that shares the fleet. */
+export interface FleetEntry {
+  readonly name: string;
+  readonly dataCentre: string;
+}
+
 /** Options of {@link WorkerSubset}. */
 export interface WorkerSubsetOptions {
   /** Name of the entry. */
@@ -152,6 +158,36 @@
     return chosen;
   }
 
+  /**
+   * Divides the workers among the entries, so that entries which choose at the
+   * same time do not choose the same ones. Each worker is preferred by one entry,
+   * which is in its data centre if there is one.
+   *
+   * @param workers - All workers that have a row.
+   * @param others - The other entries that share the fleet.
+   * @returns Names of the workers that this entry prefers.
+   */
+  preferred(
+    workers: readonly LinkCandidate[],
+    others: readonly FleetEntry[],
+  ): Set<string> {
+    const { entry, dataCentre } = this._options;
+    const entries = [...others, { name: entry, dataCentre }].sort(byName);
+    const counts = new Map<string, number>();
+    const preferred = new Set<string>();
+    for (const worker of [...workers].sort(byName)) {
+      const local = entries.filter((e) => e.dataCentre === worker.dataCentre);
+      const sharing = local.length > 0 ? local : entries;
+      const key = `${worker.service} ${worker.dataCentre}`;
+      const index = counts.get(key) ?? 0;
+      counts.set(key, index + 1);
+      if (sharing[index % sharing.length]?.name === entry) {
+        preferred.add(worker.name);
+      }
+    }
+    return preferred;
+  }
+
   /** Usual number of workers to keep links to, by service. */
   private _sizes(
     workers: readonly LinkCandidate[],
@@ -182,3 +218,6 @@
     return rank;
   }
 }
+
+const byName = (a: { name: string }, b: { name: string }): number =>
+  a.name < b.name ? -1 : 1;
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -85,6 +85,8 @@
    * runs have ended.
    */
   isRemoved = false;
+  /** Whether this entry, rather than another, is to use the worker first. */
+  isPreferred = false;
   hello: WorkerHello | undefined;
   /** Open link, if any. */
   linkId: number | undefined;
--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -185,6 +185,7 @@
   slowness: 1,
   hasPendingOrder: false,
   isEjected: false,
+  isPreferred: false,
   ...overrides,
 });
 
--- a/packages/core/src/test/worker-links.test.ts
+++ b/packages/core/src/test/worker-links.test.ts
@@ -118,6 +118,27 @@
   expect(added.some(({ dataCentre }) => dataCentre === 'dc0')).toEqual(false);
 });
 
+/** The other entries beside the one of {@link FleetHarness}. */
+const OTHERS = Array.from({ length: ENTRIES - 1 }, (_, index) => ({
+  name: `e${String(index + 1)}`,
+  dataCentre: `dc${String((index + 1) % DATA_CENTRES)}`,
+}));
+
+it('each worker is preferred by one entry, of its own data centre', () => {
+  const entries = [{ name: 'e0', dataCentre: 'dc0' }, ...OTHERS];
+  const preferred = entries.map((own, index) =>
+    subsetOfEntry(index).preferred(
+      FLEET,
+      entries.filter((other) => other !== own),
+    ),
+  );
+  const all = preferred.flatMap((names) => [...names]);
+  expect(all.length).toEqual(FLEET.length);
+  expect(new Set(all).size).toEqual(FLEET.length);
+  const sizes = preferred.map((names) => names.size);
+  expect(Math.max(...sizes) - Math.min(...sizes)).toBeLessThanOrEqual(1);
+});
+
 class FleetHarness {
   now = 0;
   readonly actions: BatchAction[] = [];
@@ -150,7 +171,7 @@
 
   update(all = false): void {
     this.fleet.updateLinks(
-      { fenced: [], all, shortage: Shortage.None, entries: ENTRIES },
+      { fenced: [], all, shortage: Shortage.None, others: OTHERS },
       this.now,
     );
   }
