--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -521,6 +521,11 @@
       known.endReplies.push(replyId);
       return;
     }
+    const ended = this._ended.get(id);
+    if (ended) {
+      this._reply(replyId, { kind: 'ended', state: ended.state });
+      return;
+    }
     const refusal = this._refusalOfVolatile(content, now);
     if (refusal) {
       this._log('job refused', { job: id, reason: refusal });
@@ -582,7 +587,8 @@
         ownedJob.endReplies = ownedJob.endReplies.filter(
           (other) => other !== replyId,
         );
-        if (ownedJob.endReplies.length === 0) {
+        const { isVolatile } = ownedJob.job.content;
+        if (isVolatile && ownedJob.endReplies.length === 0) {
           this._abandon(ownedJob, 'caller gone', now);
         }
         return;
@@ -731,7 +737,8 @@
       this._remove(ownedJob);
       if (outcome.kind !== 'committed') {
         this._log('job lost to another owner', { job: ownedJob.id });
-        this._replyAll(ownedJob.cancelReplies, {
+        const replyIds = [...ownedJob.cancelReplies, ...ownedJob.endReplies];
+        this._replyAll(replyIds, {
           kind: 'in-doubt',
           detail: 'another entry owns the job',
         });
@@ -750,6 +757,7 @@
       });
       this._fleet.acknowledge(ownedJob.unacknowledged, at);
       this._replyAll(ownedJob.cancelReplies, { kind: 'cancelled' });
+      this._replyAll(ownedJob.endReplies, { kind: 'ended', state: job.state });
     });
   }
 
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -327,7 +327,9 @@
       case StartRefusal.UNHEALTHY:
       case StartRefusal.NO_ANSWER:
       case StartRefusal.INVALID:
-        this._options.health.onFailed(view.name, now);
+        if (this._options.health.onFailed(view.name, now)) {
+          this._options.log('worker set aside', { worker: view.name });
+        }
         task.avoidedWorkers.add(view.name);
         break;
       case StartRefusal.NO_ROOM:
--- a/packages/core/src/lib/process/takeover-coordinator.ts
+++ b/packages/core/src/lib/process/takeover-coordinator.ts
@@ -90,9 +90,13 @@
         this._begin(peer, now);
       }
     }
-    for (const tracked of this._takeovers.values()) {
+    for (const [predecessor, tracked] of this._takeovers) {
       tracked.takeover.pump(now);
       this._settle(tracked, now);
+      if (tracked.isSettled && !this._options.peers.get(predecessor)) {
+        // Its member row has been deleted, so nobody takes it over again.
+        this._takeovers.delete(predecessor);
+      }
     }
     for (const [incarnation, atMs] of this._fenced) {
       if (now - atMs > FENCED_RETENTION_MS) {
--- a/packages/core/src/lib/version/route-table.ts
+++ b/packages/core/src/lib/version/route-table.ts
@@ -50,6 +50,8 @@
  */
 export class RouteTable {
   private _config: RouteConfig | undefined;
+  /** Routes of each host, the longest path prefix first. */
+  private _routesByHost: ReadonlyMap<string, readonly QueueRoute[]> = new Map();
   private readonly _dataCentresOutOfService = new Set<string>();
 
   /** Version in force, or `undefined` before the first configuration. */
@@ -73,6 +75,7 @@
           return false;
         }
         this._config = change.config;
+        this._routesByHost = groupByHost(change.config.routes);
         return true;
       case 'data-centre':
         if (
@@ -108,16 +111,23 @@
    * @returns The route of this host with the longest matching path prefix.
    */
   match(host: string, path: string): QueueRoute | undefined {
-    let best: QueueRoute | undefined;
-    for (const route of this._config?.routes ?? []) {
-      const isMatch = route.host === host && path.startsWith(route.pathPrefix);
-      if (
-        isMatch &&
-        route.pathPrefix.length > (best?.pathPrefix.length ?? -1)
-      ) {
-        best = route;
-      }
-    }
-    return best;
+    return this._routesByHost
+      .get(host)
+      ?.find((route) => path.startsWith(route.pathPrefix));
   }
 }
+
+const groupByHost = (
+  routes: readonly QueueRoute[],
+): ReadonlyMap<string, readonly QueueRoute[]> => {
+  const byHost = new Map<string, QueueRoute[]>();
+  for (const route of routes) {
+    const group = byHost.get(route.host) ?? [];
+    group.push(route);
+    byHost.set(route.host, group);
+  }
+  for (const group of byHost.values()) {
+    group.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  }
+  return byHost;
+};
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -323,6 +323,29 @@
   expect(harness.stopped).toEqual([`${ID}.0.0.0#1`, `${ID}.0.0.1#1`]);
 });
 
+it('a volatile submission with the id of a recorded job is answered at its end', () => {
+  const harness = withWorker();
+  harness.submit(1, { ...CONTENT, isVolatile: false });
+  harness.submit(2);
+  expect(harness.replies.get(2)).toEqual(undefined);
+  harness.report('w1', {
+    ends: [done(`${ID}.0.0.0`), done(`${ID}.0.0.1`, 1, 2)],
+  });
+  harness.advance(100);
+  const ended = { kind: 'ended', state: BatchState.Completed } as const;
+  expect(harness.replies.get(2)).toEqual(ended);
+  harness.submit(3);
+  expect(harness.replies.get(3)).toEqual(ended);
+});
+
+it('a recorded job goes on when a volatile caller of it disconnects', () => {
+  const harness = withWorker();
+  harness.submit(1, { ...CONTENT, isVolatile: false });
+  harness.submit(2);
+  harness.handle({ kind: 'caller-gone', replyId: 2 });
+  expect(harness.stopped).toEqual([]);
+});
+
 it('a pause ends volatile jobs, since callers may have resubmitted them', () => {
   const harness = withWorker();
   harness.submit(1);
