--- a/packages/core/src/lib/process/load-shedder.ts
+++ b/packages/core/src/lib/process/load-shedder.ts
@@ -1,7 +1,10 @@
-/** Delay of the event loop above which an entry counts as overloaded. */
-const MAX_DELAY_MS = 80;
+/**
+ * Delay of the event loop above which an entry counts as overloaded. Short jobs
+ * are late then and the others are not; a refusal would serve no caller better.
+ */
+const MAX_DELAY_MS = 150;
 /** Change of the refused share while the delay is twice the maximum. */
-const INCREASE = 0.1;
+const INCREASE = 0.2;
 /** Largest change of the refused share in one observation. */
 const MAX_INCREASE = 0.3;
 /** Change of the refused share in an observation without overload. */
