Count a peer that was not seen without the store as reaching it

Cause: since peers are watched on a ring, most of them are first asked when the store is in doubt. Their first answer started the grace of one second in which a peer that reaches the store again does not speak against an outage. An entry that was cut off from the store and from its watched peers took that for an outage and kept its lease for up to a second too long. Found on reading the change. Before: the new test gets a confirmed outage. After: the grace counts only for a peer that was seen without the store.

--- a/packages/core/src/lib/process/peer-monitor.ts
+++ b/packages/core/src/lib/process/peer-monitor.ts
@@ -45,6 +45,26 @@
 /** Grace period for an entry to reach the store again once a peer does. */
 const STORE_RECOVERY_GRACE_MS = 1000;
 
+/**
+ * Returns the time since which a peer reaches the store. A peer that was not seen
+ * without the store counts as having reached it for long, because peers that are
+ * not watched are rarely asked.
+ */
+const storeReachableSince = (
+  peer: Peer,
+  status: PeerStatus,
+  now: number,
+): number | undefined => {
+  if (!status.storeReachable) {
+    return undefined;
+  }
+  const wasUnreachable = peer.status?.storeReachable === false;
+  return (
+    peer.storeReachableSinceMs ??
+    (wasUnreachable ? now : Number.NEGATIVE_INFINITY)
+  );
+};
+
 /**
  * Probes the other entries and detects which are unresponsive or gone.
  *
@@ -249,10 +269,8 @@
     if (!status) {
       peer.unresponsiveSinceMs ??= now;
     } else if (status.incarnation === peer.incarnation) {
+      peer.storeReachableSinceMs = storeReachableSince(peer, status, now);
       peer.status = status;
-      peer.storeReachableSinceMs = status.storeReachable
-        ? (peer.storeReachableSinceMs ?? now)
-        : undefined;
       peer.lastContactMs = now;
       peer.unresponsiveSinceMs = undefined;
     } else {
--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -110,6 +110,19 @@
   expect(monitor.confirmsStoreOutage(1400)).toEqual(false);
 });
 
+it('peers that are first heard from and reach the store speak against an outage', () => {
+  const monitor = new PeerMonitor('a');
+  ['b', 'c', 'd', 'e', 'f'].forEach((name) => {
+    addPeer(monitor, name, 0);
+  });
+  // The watched peers b, c and d are cut off together with the store.
+  ['d', 'e', 'f'].forEach((incarnation) => {
+    const status = { incarnation, storeReachable: true, pending: {} };
+    monitor.onProbed(incarnation, status, 900);
+  });
+  expect(monitor.confirmsStoreOutage(1000)).toEqual(false);
+});
+
 it('a peer whose address answers as another incarnation is suspected', () => {
   const monitor = new PeerMonitor('a');
   addPeer(monitor, 'b', 0);
