--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -252,7 +252,7 @@
     // A VM runs one process per role, so a peer with the name of this entry is
     // an earlier incarnation whose process has ended.
     if (data.name === this._options.row.name) {
-      peers.markGone(peer, now);
+      peer.goneSinceMs ??= now;
     }
   }
 }
--- a/packages/core/src/lib/process/peer-monitor.ts
+++ b/packages/core/src/lib/process/peer-monitor.ts
@@ -103,16 +103,7 @@
    * @returns The peer.
    */
   set(incarnation: string, row: EntryRow, version: number, now: number): Peer {
-    const known = this._peers.get(incarnation);
-    if (known) {
-      known.row = row;
-      known.version = version;
-      if (row.hasLeft === true) {
-        known.goneSinceMs ??= now;
-      }
-      return known;
-    }
-    const peer: Peer = {
+    const peer: Peer = this._peers.get(incarnation) ?? {
       incarnation,
       row,
       version,
@@ -122,8 +113,13 @@
       unresponsiveSinceMs: undefined,
       isProbing: false,
       lastProbeAtMs: Number.NEGATIVE_INFINITY,
-      goneSinceMs: row.hasLeft === true ? now : undefined,
+      goneSinceMs: undefined,
     };
+    peer.row = row;
+    peer.version = version;
+    if (row.hasLeft === true) {
+      peer.goneSinceMs ??= now;
+    }
     this._peers.set(incarnation, peer);
     return peer;
   }
@@ -174,25 +170,14 @@
    * @returns The rank of this entry, from 0.
    */
   successorRank(incarnation: string, now: number): number {
-    const suspects = new Set(this.suspects(now));
     return this.peers.filter(
       (other) =>
         other.incarnation !== incarnation &&
-        !suspects.has(other) &&
+        !this.isSuspect(other, now) &&
         this._comesFirst(other.incarnation, incarnation),
     ).length;
   }
 
-  /**
-   * Marks a peer whose process is known to have ended.
-   *
-   * @param peer - The peer.
-   * @param now - Current time in milliseconds.
-   */
-  markGone(peer: Peer, now: number): void {
-    peer.goneSinceMs ??= now;
-  }
-
   /**
    * @param maxAgeMs - Greatest age of a status.
    * @param now - Current time in milliseconds.
@@ -281,26 +266,30 @@
 
   /** @returns Member rows of the peers that are not suspected to have failed. */
   unsuspectedRows(now: number): EntryRow[] {
-    const suspects = new Set(this.suspects(now));
     return this.peers
-      .filter((peer) => !suspects.has(peer))
+      .filter((peer) => !this.isSuspect(peer, now))
       .map((peer) => peer.row);
   }
 
   /**
+   * @param peer - A peer.
    * @param now - Current time in milliseconds.
-   * @returns Peers that are gone, have left, or have been unresponsive for
-   *   longer than {@link SUSPECT_AFTER_MS}.
+   * @returns Whether it is gone, has left, or has been unresponsive for longer
+   *   than {@link SUSPECT_AFTER_MS}.
    */
-  suspects(now: number): Peer[] {
-    return this.peers.filter(
-      (peer) =>
-        peer.goneSinceMs !== undefined ||
-        (peer.unresponsiveSinceMs !== undefined &&
-          now - peer.unresponsiveSinceMs > SUSPECT_AFTER_MS),
+  isSuspect(peer: Peer, now: number): boolean {
+    return (
+      peer.goneSinceMs !== undefined ||
+      (peer.unresponsiveSinceMs !== undefined &&
+        now - peer.unresponsiveSinceMs > SUSPECT_AFTER_MS)
     );
   }
 
+  /** @returns All peers that are suspected to have failed. */
+  suspects(now: number): Peer[] {
+    return this.peers.filter((peer) => this.isSuspect(peer, now));
+  }
+
   /**
    * Returns whether this entry may keep its lease without contact with the
    * store.
--- a/packages/core/src/lib/process/takeover-coordinator.ts
+++ b/packages/core/src/lib/process/takeover-coordinator.ts
@@ -111,10 +111,9 @@
     if (peer.row.name === name) {
       return true;
     }
-    const suspects = peers.suspects(now);
     if (fencedBy !== undefined && fencedBy !== incarnation) {
       const other = peers.get(fencedBy);
-      if (other && !suspects.includes(other)) {
+      if (other && !peers.isSuspect(other, now)) {
         return false;
       }
     }
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -133,8 +133,7 @@
       this._acknowledged.delete(key);
     }
     const { others } = linkNeeds;
-    this._updatePreferences(others);
-    const ordered = this._preferenceOrder ?? [];
+    const ordered = this._orderByPreference(others);
     const chosen = this._subset.choose(ordered, others.length + 1);
     for (const view of ordered) {
       const isChosen = view.isPreferred || chosen.has(view.name);
@@ -279,18 +278,25 @@
     }
   }
 
-  /** Determines the order and the preferred workers, if their inputs changed. */
-  private _updatePreferences(others: readonly FleetEntry[]): void {
+  /**
+   * Returns all workers, preferred ones first. The order and the preferences are
+   * computed again when the workers or the other entries have changed.
+   */
+  private _orderByPreference(
+    others: readonly FleetEntry[],
+  ): readonly WorkerView[] {
     const entryNames = others.map(({ name }) => name).join(' ');
     if (this._preferenceOrder && entryNames === this._entryNames) {
-      return;
+      return this._preferenceOrder;
     }
     this._entryNames = entryNames;
-    this._preferenceOrder = this._subset.order(this.views);
-    const preferred = this._subset.preferred(this.views, others);
-    for (const view of this.views) {
+    const ordered = this._subset.order(this.views);
+    const preferred = this._subset.preferred(ordered, others);
+    for (const view of ordered) {
       view.isPreferred = preferred.has(view.name);
     }
+    this._preferenceOrder = ordered;
+    return ordered;
   }
 
   private _replaceUnresponsiveLink(view: WorkerView, now: number): void {
--- a/packages/core/src/lib/process/worker-subset.ts
+++ b/packages/core/src/lib/process/worker-subset.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { groupBy } from '../group-by.js';
 
 /** Why jobs of an entry are waiting. */
 export enum Shortage {
@@ -173,11 +174,11 @@
   ): Set<string> {
     const { entry, dataCentre } = this._options;
     const entries = [...others, { name: entry, dataCentre }].sort(byName);
+    const localEntries = groupBy(entries, (other) => other.dataCentre);
     const counts = new Map<string, number>();
     const preferred = new Set<string>();
     for (const worker of [...workers].sort(byName)) {
-      const local = entries.filter((e) => e.dataCentre === worker.dataCentre);
-      const sharing = local.length > 0 ? local : entries;
+      const sharing = localEntries.get(worker.dataCentre) ?? entries;
       const key = `${worker.service} ${worker.dataCentre}`;
       const index = counts.get(key) ?? 0;
       counts.set(key, index + 1);
--- a/packages/core/src/lib/version/route-table.ts
+++ b/packages/core/src/lib/version/route-table.ts
@@ -1,3 +1,5 @@
+import { groupBy } from '../group-by.js';
+
 /** A queue that desks submit jobs to, with the limits of its jobs. */
 export interface QueueRoute {
   readonly name: string;
@@ -120,12 +122,7 @@
 const groupByHost = (
   routes: readonly QueueRoute[],
 ): ReadonlyMap<string, readonly QueueRoute[]> => {
-  const byHost = new Map<string, QueueRoute[]>();
-  for (const route of routes) {
-    const group = byHost.get(route.host) ?? [];
-    group.push(route);
-    byHost.set(route.host, group);
-  }
+  const byHost = groupBy(routes, (route) => route.host);
   for (const group of byHost.values()) {
     group.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
   }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -17,7 +17,7 @@
   outdir: OUT,
   outExtension: { '.js': '.cjs' },
   bundle: true,
-  minify: !process.env.NO_MINIFY,
+  minify: true,
   format: 'cjs',
   platform: 'node',
   target: 'node20',
