Report the crashes of workers, with the runs that were active

A LOST end stood for five causes, nothing named the runs that were active when a worker crashed, and nothing counted crashes by task, so the logs could not tell the hypotheses of docs/incidents/crash-loops.md apart.

The worker driver now takes the end of an incarnation for a crash if its address refuses connections until the lease has expired, or if another incarnation follows it without a drain or a leave. Entries log the crash with the tasks of their own and the number of crashes under each, and 'run ended early' carries that number.

The harnesses of the two test files are moved to files of their own, so that the new tests can use them.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -89,5 +89,7 @@
 export type RunEnd = wire.PlainMessage<wire.RunEnd>;
 /** A run that provably did not start. */
 export type RefusedRun = wire.PlainMessage<wire.RefusedRun>;
+/** The unplanned end of an incarnation of a worker. */
+export type WorkerCrash = wire.PlainMessage<wire.WorkerCrash>;
 /** A run that may be active. */
 export type ActiveRun = wire.PlainMessage<wire.ActiveRun>;
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -17,6 +17,7 @@
   PeerStatus,
 } from './batch-events.js';
 import { mayHaveBegun } from './batch-order.js';
+import { CrashLedger } from './crash-ledger.js';
 import { EntryLease } from './entry-lease.js';
 import type { AdoptedJob } from './entry-takeover.js';
 import { fleetKeys } from './fleet-rows.js';
@@ -113,6 +114,7 @@
   private readonly _lease: EntryLease;
   private readonly _peers: PeerMonitor;
   private readonly _health = new WorkerHealth();
+  private readonly _crashes = new CrashLedger();
   private readonly _fleet: WorkerFleet;
   private readonly _placer: JobPlacer;
   private readonly _lookups: JobLookups;
@@ -195,6 +197,7 @@
       fleet: this._fleet,
       placer: this._placer,
       health: this._health,
+      crashes: this._crashes,
       jobs: this._jobs,
       isEnded: (id) => this._ended.has(id),
       onFinal: (ownedJob, at) => {
--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -3,6 +3,7 @@
   Room,
   RunEnd,
   StartRefusal,
+  WorkerCrash,
   WorkerHello,
   WorkerReport,
 } from '../messages.js';
@@ -21,6 +22,8 @@
   isDirty: boolean;
   /** Whether the worker has been introduced on this link. */
   isHelloSent: boolean;
+  /** Whether the recent crashes of the worker have been reported on this link. */
+  areCrashesSent: boolean;
   /** Adopted entry incarnations to confirm with the next snapshot. */
   adopted: string[];
   /** Whether a snapshot is due; it is sent once the worker has been polled. */
@@ -36,6 +39,8 @@
   readonly free: Room;
   readonly capacity: Room;
   readonly hello: WorkerHello | undefined;
+  /** Returns the recent crashes of the worker. */
+  readonly crashes: () => WorkerCrash[];
   /** Returns the snapshot; absent before the first reply to a poll. */
   readonly snapshot: (() => Snapshot) | undefined;
 }
@@ -77,6 +82,7 @@
       report: emptyReport(),
       isDirty: false,
       isHelloSent: false,
+      areCrashesSent: false,
       adopted: [],
       needsSnapshot: false,
       sentAtMs: 0,
@@ -132,6 +138,14 @@
     }
   }
 
+  /** @param crash - Crash of the worker to report to all entries. */
+  addCrash(crash: WorkerCrash): void {
+    for (const link of this._links.values()) {
+      link.report.crashes = [...link.report.crashes, crash];
+      link.isDirty = true;
+    }
+  }
+
   /** Marks all links, so that every entry gets a report this turn. */
   markAllDirty(): void {
     for (const link of this._links.values()) {
@@ -197,6 +211,10 @@
     report.adopted = link.adopted;
     link.adopted = [];
   }
+  if (!link.areCrashesSent) {
+    link.areCrashesSent = true;
+    report.crashes = workerState.crashes();
+  }
   report.clockMs = workerState.clockMs;
   report.accepting = workerState.accepting;
   report.free = workerState.free;
@@ -250,4 +268,5 @@
   snapshot: false,
   adopted: [],
   fenced: false,
+  crashes: [],
 });
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -1,5 +1,5 @@
 import { EndKind, StartRefusal } from '../messages.js';
-import type { RunEnd, WorkerReport } from '../messages.js';
+import type { RunEnd, WorkerCrash, WorkerReport } from '../messages.js';
 import {
   BatchState,
   TaskPhase,
@@ -10,6 +10,7 @@
 import { jobIdOf, runKey } from '../request/run-key.js';
 import { stalledAfterMs } from '../request/stalled-runs.js';
 import type { LogFields } from './batch-events.js';
+import type { CrashLedger } from './crash-ledger.js';
 import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
 import type { JobPlacer } from './job-placer.js';
 import type { OwnedJob, UnacknowledgedEnd } from './owned-job.js';
@@ -26,6 +27,7 @@
   readonly fleet: WorkerFleet;
   readonly placer: JobPlacer;
   readonly health: WorkerHealth;
+  readonly crashes: CrashLedger;
   /** Jobs that the entry runs, by id. */
   readonly jobs: ReadonlyMap<string, OwnedJob>;
   /** Whether the entry knows that the job has ended. */
@@ -40,6 +42,8 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
+/** Tasks that a log line about a crash names. */
+const MAX_LOGGED_TASKS = 20;
 /** How long abandoned runs are remembered. */
 const ABANDONED_RETENTION_MS = 120_000;
 
@@ -105,6 +109,10 @@
     if (before?.life !== view.hello?.life) {
       this._options.health.reset(view.name);
     }
+    // Before the ends, because a crash may decide what becomes of their tasks.
+    for (const crash of report.crashes) {
+      this._onCrash(view, crash);
+    }
     for (const end of report.ends) {
       this._onEnd(view, end, now);
     }
@@ -153,6 +161,25 @@
     }
   }
 
+  private _onCrash(view: WorkerView, crash: WorkerCrash): void {
+    const { crashes, log } = this._options;
+    const affected = crashes.add(view.name, crash);
+    if (affected.length === 0) {
+      return;
+    }
+    const own = affected.filter((task) => this._jobOf(task));
+    log('worker crashed', {
+      worker: view.name,
+      life: crash.life,
+      runs: crash.runs.length,
+      ownTasks: own.length,
+      names: own
+        .slice(0, MAX_LOGGED_TASKS)
+        .map((task) => `${task} (${String(crashes.countOf(task))})`)
+        .join(' '),
+    });
+  }
+
   private _jobOf(task: string): OwnedJob | undefined {
     return this._options.jobs.get(jobIdOf(task));
   }
@@ -201,6 +228,7 @@
         worker: view.name,
         how: EndKind[end.kind],
         failures: task.failures,
+        crashes: this._options.crashes.countOf(end.task),
       });
     }
     if (isFinal(ownedJob.job.state)) {
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -11,6 +11,7 @@
 } from '../messages.js';
 import { ZERO_ROOM, addRoom, fits, subtractRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
+import { CrashHistory } from './crash-history.js';
 import { EndList } from './end-list.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
@@ -97,9 +98,21 @@
  * that is, as one that may carry out calls without answering them.
  */
 const UNRELIABLE_PERIOD_MS = 15_000;
+/** Runs that a log line about a crash names. */
+const MAX_LOGGED_RUNS = 20;
 /** Longest time that a planned stop waits for runs to end. */
 const DRAIN_TIMEOUT_MS = 4500;
 
+/** Why an incarnation of the worker is gone, as logged. */
+enum GoneReason {
+  Left = 'left',
+  /** Another incarnation has been announced. */
+  Replaced = 'replaced',
+  /** A poll has shown another incarnation. */
+  Restarted = 'restarted',
+  OtherAnswers = 'other incarnation answers',
+}
+
 enum Phase {
   /** The start call is pending; the run may or may not have begun. */
   Starting,
@@ -123,6 +136,8 @@
   phase: Phase;
   /** Start calls sent so far. */
   starts: number;
+  /** Start calls that provably did not reach the worker. */
+  undeliveredStarts: number;
   /** Share of its full pace at which the run works. */
   percent: number;
   /** Latest known checkpoint. */
@@ -155,6 +170,7 @@
   needs: ZERO_ROOM,
   isVolatile: false,
   starts: 0,
+  undeliveredStarts: 0,
   percent: 0,
   latestCheckpoint: '',
   stoppedAtPoll: undefined,
@@ -177,6 +193,12 @@
   private readonly _options: Required<WorkerDriverOptions>;
   private readonly _clock = new WorkerClock();
   private readonly _ends = new EndList();
+  private readonly _crashes = new CrashHistory();
+  /**
+   * Runs of this incarnation that were declared lost while it was not known
+   * whether the worker had crashed.
+   */
+  private _lostRuns: TrackedRun[] = [];
   private readonly _runs = new Map<string, TrackedRun>();
   private readonly _links = new ReportLinks();
   private readonly _calls = new Map<number, PendingCall>();
@@ -256,7 +278,7 @@
         break;
       case 'leave':
         if (this._worker?.id === event.id) {
-          this._discardIncarnation('left', now);
+          this._discardIncarnation(GoneReason.Left, now);
           this._worker = undefined;
         }
         break;
@@ -343,7 +365,7 @@
       this._workerBornMs !== undefined &&
       this._workerBornMs !== worker.bornMs
     ) {
-      this._discardIncarnation('replaced', now);
+      this._discardIncarnation(GoneReason.Replaced, now);
     }
     this._worker = worker;
     if (isNew) {
@@ -365,12 +387,18 @@
   }
 
   /** Reports all runs of the worker's incarnation as lost and discards it. */
-  private _discardIncarnation(why: string, now: number): void {
+  private _discardIncarnation(why: GoneReason, now: number): void {
+    const isPlanned =
+      why === GoneReason.Left || this._worker?.accepting === false;
     this._log('worker incarnation gone', {
       why,
       life: this._workerIncarnation,
       runs: this._runs.size,
     });
+    if (!isPlanned) {
+      this._recordCrash([...this._lostRuns, ...this._runs.values()], why, now);
+    }
+    this._lostRuns = [];
     for (const run of [...this._runs.values()]) {
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
@@ -388,6 +416,33 @@
     this._links.markAllDirty();
   }
 
+  /** Reports the runs that may have been active when the worker crashed. */
+  private _recordCrash(
+    runs: readonly TrackedRun[],
+    why: string,
+    now: number,
+  ): void {
+    const begun = runs.filter((run) => run.starts > run.undeliveredStarts);
+    if (begun.length === 0) {
+      return;
+    }
+    this._log('worker crashed', {
+      why,
+      life: this._workerIncarnation,
+      runs: begun.length,
+      silentMs: Math.round(now - (this._unansweredSinceMs ?? now)),
+      names: begun
+        .slice(0, MAX_LOGGED_RUNS)
+        .map(
+          ({ task, run, sinceMs }) =>
+            `${task}#${String(run)}@${String(Math.round(now - sinceMs))}ms`,
+        )
+        .join(' '),
+    });
+    const refs = begun.map(({ task, run }) => ({ task, run }));
+    this._links.addCrash(this._crashes.add(this._workerIncarnation, refs, now));
+  }
+
   private _onLinkClosed(linkId: number, now: number): void {
     const owner = this._links.close(linkId);
     const expiryMs =
@@ -757,7 +812,7 @@
     }
     if (this._workerBornMs !== reply.bornMs) {
       if (this._workerBornMs !== undefined) {
-        this._discardIncarnation('restarted', now);
+        this._discardIncarnation(GoneReason.Restarted, now);
         this._worker = undefined;
       }
       this._workerBornMs = reply.bornMs;
@@ -793,7 +848,7 @@
       reply.kind === 'rejected' &&
       reply.reason === WorkerRejection.OtherIncarnation
     ) {
-      this._discardIncarnation('other incarnation answers', now);
+      this._discardIncarnation(GoneReason.OtherAnswers, now);
       this._worker = undefined;
     }
   }
@@ -927,6 +982,8 @@
       case 'unreachable':
         if (reply.kind === 'no-answer') {
           this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
+        } else {
+          tracked.undeliveredStarts += 1;
         }
         this._log('start without an answer', {
           task: tracked.task,
@@ -1062,7 +1119,13 @@
         unreachable: this._isUnreachable,
         silentMs: Math.round(now - this._unansweredSinceMs),
       });
-      for (const tracked of [...this._runs.values()]) {
+      const lost = [...this._runs.values()];
+      if (this._isUnreachable) {
+        this._recordCrash(lost, 'connection refused', now);
+      } else {
+        this._lostRuns.push(...lost);
+      }
+      for (const tracked of lost) {
         this._endRun(tracked, EndKind.LOST, tracked.latestCheckpoint, 0);
       }
     }
@@ -1075,6 +1138,7 @@
       free: this._freeCapacity(),
       capacity: this._worker?.capacity ?? ZERO_ROOM,
       hello: this._worker && this._hello(this._worker),
+      crashes: () => this._crashes.recent(now),
       snapshot:
         this._clock.lastReadingMs === undefined
           ? undefined
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -1,151 +1,17 @@
 import { expect } from 'earl';
 import { EndKind, StartRefusal } from '../lib/messages.js';
-import type { WorkerOrder, WorkerReport } from '../lib/messages.js';
-import { WorkerDriver } from '../lib/process/worker-driver.js';
+import type { WorkerOrder } from '../lib/messages.js';
 import { WorkerRejection } from '../lib/process/worker-events.js';
-import type {
-  ListedEnd,
-  ListedRun,
-  WorkerAction,
-  WorkerCall,
-  WorkerEvent,
-  WorkerReply,
-} from '../lib/process/worker-events.js';
-
-const BORN_MS = 1_000_000;
-const NEEDS = { cpuMilli: 1600, memoryMb: 64, accelerators: 0 };
-
-const order = (fields: Partial<WorkerOrder>): WorkerOrder => ({
-  entry: 'entry-a',
-  incarnation: 'a1',
-  holdUntilMs: 0,
-  adopt: [],
-  starts: [],
-  stops: [],
-  recorded: [],
-  claims: [],
-  sequence: 1,
-  operatorVersion: 0,
-  out: false,
-  ...fields,
-});
-
-const starts = (...names: string[]): WorkerOrder['starts'] => [
-  {
-    spec: 'x',
-    needs: NEEDS,
-    volatile: true,
-    runs: names.map((task) => ({ task, run: 1, checkpoint: '' })),
-  },
-];
-
-/** A driver whose links and worker are simulated by the test. */
-class Harness {
-  now = 10_000;
-  clock = 5_000;
-  active: ListedRun[] = [];
-  ends: ListedEnd[] = [];
-  readonly reports: WorkerReport[] = [];
-  readonly calls: { callId: number; call: WorkerCall }[] = [];
-  readonly driver = new WorkerDriver({
-    name: 'vm',
-    incarnation: 'w1',
-    token: 7,
-  });
-
-  announce(accepting = true): void {
-    this.handle({
-      kind: 'announce',
-      worker: {
-        id: 'i-1',
-        bornMs: BORN_MS,
-        sequence: this.now,
-        service: 'svc',
-        dataCentre: 'dc',
-        accepting,
-        capacity: { cpuMilli: 4000, memoryMb: 1000, accelerators: 0 },
-        labels: [],
-      },
-    });
-    this.answerPoll();
-  }
-
-  openLink(linkId = 1, incarnation = 'a1'): void {
-    this.handle({ kind: 'link-open', linkId });
-    this.order({ incarnation, holdUntilMs: this.clock + 700 }, linkId);
-  }
-
-  order(fields: Partial<WorkerOrder>, linkId = 1): void {
-    this.handle({ kind: 'order', linkId, order: order(fields) });
-    this.handle({ kind: 'flush' });
-  }
-
-  advance(ms: number): void {
-    this.now += ms;
-    this.clock += ms;
-    this.handle({ kind: 'tick' });
-    this.handle({ kind: 'flush' });
-  }
-
-  takeCall(kind: WorkerCall['kind']): { callId: number; call: WorkerCall } {
-    const at = this.calls.findIndex((issued) => issued.call.kind === kind);
-    const [issued] = this.calls.splice(at, at < 0 ? 0 : 1);
-    if (!issued) {
-      throw new Error(`no ${kind} call is pending`);
-    }
-    return issued;
-  }
-
-  count(kind: WorkerCall['kind']): number {
-    return this.calls.filter((issued) => issued.call.kind === kind).length;
-  }
-
-  answer(kind: WorkerCall['kind'], reply?: WorkerReply): void {
-    const { callId } = this.takeCall(kind);
-    const done: WorkerReply = { kind: 'done', clockMs: this.clock };
-    this.handle({ kind: 'reply', callId, reply: reply ?? done });
-    this.handle({ kind: 'flush' });
-  }
-
-  answerPoll(): void {
-    this.answer('hold', {
-      kind: 'held',
-      clockMs: this.clock,
-      bornMs: BORN_MS,
-      active: this.active,
-      ends: this.ends,
-    });
-  }
-
-  handle(event: WorkerEvent): void {
-    for (const action of this.driver.handle(event, this.now)) {
-      this._collect(action);
-    }
-  }
-
-  private _collect(action: WorkerAction): void {
-    if (action.kind === 'call') {
-      this.calls.push(action);
-    } else if (action.kind === 'report') {
-      this.reports.push(action.report);
-    }
-  }
-}
-
-/** Returns a driver with an announced worker and a link to one entry. */
-const ready = (): Harness => {
-  const harness = new Harness();
-  harness.announce();
-  harness.openLink();
-  harness.advance(10);
-  return harness;
-};
-
-const refusals = (harness: Harness): StartRefusal[] =>
-  harness.reports.flatMap((report) => report.refused.map((r) => r.reason));
-
-const endKinds = (harness: Harness): EndKind[] =>
-  harness.reports.flatMap((report) => report.ends.map((end) => end.kind));
+import type { ListedEnd, WorkerReply } from '../lib/process/worker-events.js';
+import {
+  BORN_MS,
+  NEEDS,
+  DriverHarness,
+  endKinds,
+  ready,
+  refusals,
+  starts,
+} from './worker-harness.js';
 
 it('a start within the free capacity is sent, one beyond it is refused', () => {
   const harness = ready();
@@ -483,7 +349,7 @@
 });
 
 it('runs found after a restart block all capacity until they are claimed', () => {
-  const harness = new Harness();
+  const harness = new DriverHarness();
   harness.active = [{ task: 'j.0.0.0', run: 1, checkpoint: '', percent: 100 }];
   harness.announce();
   harness.openLink();
