Reproduce tasks that crash their workers again and again

The fleet simulation gets tasks that crash each worker that starts them, and its oracle the users' rule: a recorded task is not started three more times after three workers have crashed under it, and a job may fail if two have.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -97,6 +97,11 @@
 const WORKER_COUNT = 4;
 /** Number of jobs of a scenario; some are volatile, some have several steps. */
 export const JOB_COUNT = 8;
+/**
+ * Further jobs, whose first task crashes each worker that starts it. The first
+ * of them is volatile, the second is recorded.
+ */
+export const DEADLY_JOBS = [JOB_COUNT, JOB_COUNT + 1] as const;
 const MAX_STEPS = 24;
 const MAX_GAP_MS = 1500;
 
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -8,6 +8,7 @@
 import type { FleetWorldOptions } from './fleet-world.js';
 import type { SimBatchEntry } from './sim-batch-entry.js';
 import type { SimDriver } from './sim-driver.js';
+import { encodeSpec } from './sim-spec.js';
 import { WorkerMode } from './sim-worker.js';
 import type { SimWorker } from './sim-worker.js';
 
@@ -290,7 +291,7 @@
 
 /**
  * Returns the content of a job: every third is volatile, every second has two
- * steps. The specification is the run time, which simulated workers read.
+ * steps, and those after the first {@link JOB_COUNT} are deadly.
  */
 const jobContent = (job: number): Omit<BatchContent, 'service'> => {
   const runMs = RUN_MS[job % RUN_MS.length] ?? 0;
@@ -303,7 +304,7 @@
   };
   return {
     queue: 'q',
-    spec: String(runMs),
+    spec: encodeSpec(runMs, job >= JOB_COUNT),
     steps: job % 2 === 0 ? [step] : [step, { ...step, count: 2, after: [0] }],
     attempts: 2,
     isVolatile: job % 3 === 2,
