Give up tasks that crash the workers that start them

Cause: only FAILED ends count towards the attempts of a task. A run that ends with its worker is LOST, and a lost run was repeated without a limit. Ruled out: runs at two entries at once (no job was accepted twice).

Entries now count the crashes under each task, for the runs of all entries, in a CrashLedger. A task is given up, and its job fails, if it is the only one at a crash that had seen a crash before and had been active for about as long then, or at the fourth crash. The rule allows five starts; a crash stays unknown if the process beside the worker ends at the same time, hence four. The count does not end with an entry: worker drivers report recent crashes on new links, recorded jobs keep them in their progress row, and a volatile job that comes again elsewhere fails without a start. Suspects are placed apart, and other tasks keep away from them, as far as other workers have capacity.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -89,6 +89,8 @@
 export type RunEnd = wire.PlainMessage<wire.RunEnd>;
 /** A run that provably did not start. */
 export type RefusedRun = wire.PlainMessage<wire.RefusedRun>;
+/** A run that may have been active when its worker crashed. */
+export type CrashedRun = wire.PlainMessage<wire.CrashedRun>;
 /** The unplanned end of an incarnation of a worker. */
 export type WorkerCrash = wire.PlainMessage<wire.WorkerCrash>;
 /** A run that may be active. */
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -4,7 +4,11 @@
   TaskPhase,
   isFinal,
 } from '../request/batch-job.js';
-import type { BatchContent } from '../request/batch-job.js';
+import type {
+  BatchContent,
+  BatchProgress,
+  TaskCrash,
+} from '../request/batch-job.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
 import type { ChangedRow } from '../store.js';
@@ -176,6 +180,7 @@
     this._placer = new JobPlacer({
       fleet: this._fleet,
       health: this._health,
+      crashes: this._crashes,
       routes: this.routes,
       dataCentre,
       remoteDataFactor: this._options.remoteDataFactor,
@@ -552,6 +557,8 @@
       tasks: ownedJob.job.tasks.length,
       waitMs: Math.round(deadlineMs - now),
     });
+    // The job may have been sent to another entry before.
+    this._reports.giveUpCrashing(ownedJob, now);
   }
 
   private _refusalOfVolatile(
@@ -655,6 +662,7 @@
       job,
       unacknowledged: [],
       unacknowledgedSinceMs: 0,
+      hasUnsavedCrash: false,
       isSaving: false,
       isFinishing: false,
       cancelReplies: [],
@@ -777,20 +785,24 @@
 
   private _saveProgress(now: number): void {
     for (const ownedJob of this._jobs.values()) {
-      const isDue =
+      const areEndsDue =
         ownedJob.unacknowledged.length > 0 &&
-        !ownedJob.isSaving &&
-        !ownedJob.isFinishing &&
         now - ownedJob.unacknowledgedSinceMs > PROGRESS_DELAY_MS;
-      if (!isDue) {
+      if (
+        !(areEndsDue || ownedJob.hasUnsavedCrash) ||
+        ownedJob.job.content.isVolatile ||
+        ownedJob.isSaving ||
+        ownedJob.isFinishing
+      ) {
         continue;
       }
       const ends = ownedJob.unacknowledged;
       ownedJob.unacknowledged = [];
+      ownedJob.hasUnsavedCrash = false;
       ownedJob.isSaving = true;
       this._recorder.saveProgress(
         ownedJob,
-        ownedJob.job.progress,
+        this._progressOf(ownedJob),
         now,
         (outcome, at) => {
           ownedJob.isSaving = false;
@@ -802,6 +814,16 @@
     }
   }
 
+  private _progressOf({ job }: OwnedJob): BatchProgress {
+    const crashes: Record<string, readonly TaskCrash[]> = {};
+    job.tasks.forEach((task, position) => {
+      if (this._crashes.isSuspect(task.name)) {
+        crashes[String(position)] = this._crashes.crashesOf(task.name);
+      }
+    });
+    return { ...job.progress, crashes };
+  }
+
   // Takeover
 
   private _monitorPeers(now: number): void {
@@ -839,8 +861,15 @@
       acceptedAtMs: now,
       progress,
     });
+    for (const [position, crashes] of Object.entries(progress.crashes ?? {})) {
+      const task = job.tasks[Number(position)];
+      if (task) {
+        this._crashes.restore(task.name, crashes);
+      }
+    }
     const ownedJob = this._addJob(job, record);
     ownedJob.unsettledPredecessor = predecessor;
+    this._reports.giveUpCrashing(ownedJob, now);
   }
 
   private _onTakeoverSettled(predecessor: string, now: number): void {
--- a/packages/core/src/lib/process/crash-history.ts
+++ b/packages/core/src/lib/process/crash-history.ts
@@ -1,4 +1,4 @@
-import type { RunRef, WorkerCrash } from '../messages.js';
+import type { CrashedRun, WorkerCrash } from '../messages.js';
 
 /** Crashes that are remembered; entries with new links learn of them. */
 const MAX_CRASHES = 8;
@@ -20,7 +20,7 @@
    * @param now - Current time in milliseconds.
    * @returns The crash with all its runs.
    */
-  add(life: string, runs: readonly RunRef[], now: number): WorkerCrash {
+  add(life: string, runs: readonly CrashedRun[], now: number): WorkerCrash {
     const last = this._crashes.at(-1);
     if (last?.crash.life === life) {
       last.crash = { life, runs: [...last.crash.runs, ...runs] };
--- a/packages/core/src/lib/process/crash-ledger.ts
+++ b/packages/core/src/lib/process/crash-ledger.ts
@@ -1,17 +1,42 @@
 import type { WorkerCrash } from '../messages.js';
+import type { TaskCrash } from '../request/batch-job.js';
+import { jobIdOf } from '../request/run-key.js';
 
+interface CrashRecord {
+  readonly crashes: TaskCrash[];
+  /** Whether the task, or another of its job, is taken for the cause. */
+  isCause: boolean;
+}
+
+/** Crashes under a task from which on it is taken for the cause of the last. */
+const MIN_CRASHES = 2;
+/**
+ * Crashes under a task at which it is given up, whether or not it is the cause.
+ * One less than the platform allows, because a crash may stay unknown if the
+ * process beside the worker ends at the same time.
+ */
+const MAX_CRASHES = 4;
+/** Difference between two run times at crashes that counts as none. */
+const SAME_TIME_MS = 100;
 /** Tasks that are remembered; the ones that crashed longest ago go first. */
 const MAX_TASKS = 20_000;
 
 /**
- * Counts the worker crashes under each task, over the runs of all entries.
+ * Counts the worker crashes under each task, over the runs of all entries, and
+ * decides which tasks are given up.
+ *
+ * Load pattern: jobs with a task that crashes each worker that starts it, among
+ * sound tasks on the same workers. A crash ends up to a dozen runs, of which one
+ * is the cause, and while such jobs come in, sound tasks see several crashes.
+ * A task is the cause of a crash if it is the only one there that had seen a
+ * crash before, and if it had been active for about as long at the last one.
+ * Placement keeps such suspects apart to make the first condition likely.
  *
  * A crash is identified by the worker and its incarnation, so a crash that is
  * reported again is not counted twice.
  */
 export class CrashLedger {
-  /** Crashes by task. */
-  private readonly _crashes = new Map<string, Set<string>>();
+  private readonly _records = new Map<string, CrashRecord>();
 
   /**
    * Records a crash.
@@ -22,32 +47,79 @@
    */
   add(worker: string, crash: WorkerCrash): string[] {
     const key = `${worker}/${crash.life}`;
-    const affected: string[] = [];
-    for (const { task } of crash.runs) {
-      const known = this._crashes.get(task) ?? new Set();
-      if (!known.has(key)) {
-        known.add(key);
-        affected.push(task);
-        // Moves the task to the end of the eviction order.
-        this._crashes.delete(task);
-        this._crashes.set(task, known);
-      }
+    const affected = crash.runs.filter(({ task }) => !this._has(task, key));
+    const suspects = affected.filter(({ task }) => this.isSuspect(task));
+    const suspectJobs = new Set(suspects.map(({ task }) => jobIdOf(task)));
+    for (const { task, activeMs } of affected) {
+      const record = this._recordOf(task);
+      const last = record.crashes.at(-1);
+      record.isCause ||=
+        record.crashes.length + 1 >= MIN_CRASHES &&
+        suspectJobs.size === 1 &&
+        last !== undefined &&
+        isSameTime(last.activeMs, activeMs);
+      record.crashes.push({ key, activeMs });
     }
     this._evict();
-    return affected;
+    return affected.map(({ task }) => task);
   }
 
-  /** @returns Number of worker crashes under the task. */
-  countOf(task: string): number {
-    return this._crashes.get(task)?.size ?? 0;
+  /**
+   * Adds crashes that a previous owner of the job has recorded.
+   *
+   * @param task - The task.
+   * @param crashes - Crashes under it.
+   */
+  restore(task: string, crashes: readonly TaskCrash[]): void {
+    const isNew = ({ key }: TaskCrash): boolean => !this._has(task, key);
+    const missing = crashes.filter(isNew);
+    if (missing.length > 0) {
+      this._recordOf(task).crashes.unshift(...missing);
+    }
+  }
+
+  /** @returns The worker crashes under the task, earlier ones first. */
+  crashesOf(task: string): readonly TaskCrash[] {
+    return this._records.get(task)?.crashes ?? [];
+  }
+
+  /** @returns Whether a worker has crashed under the task. */
+  isSuspect(task: string): boolean {
+    return this._records.has(task);
+  }
+
+  /** @returns Whether the task must not be started again. */
+  isGivenUp(task: string): boolean {
+    const record = this._records.get(task);
+    return (
+      record !== undefined &&
+      (record.isCause || record.crashes.length >= MAX_CRASHES)
+    );
+  }
+
+  private _has(task: string, key: string): boolean {
+    return this.crashesOf(task).some((crash) => crash.key === key);
+  }
+
+  /** Returns the record of a task, as the last one in the eviction order. */
+  private _recordOf(task: string): CrashRecord {
+    const record = this._records.get(task) ?? { crashes: [], isCause: false };
+    this._records.delete(task);
+    this._records.set(task, record);
+    return record;
   }
 
   private _evict(): void {
-    for (const task of this._crashes.keys()) {
-      if (this._crashes.size <= MAX_TASKS) {
+    for (const task of this._records.keys()) {
+      if (this._records.size <= MAX_TASKS) {
         return;
       }
-      this._crashes.delete(task);
+      this._records.delete(task);
     }
   }
 }
+
+/** Whether a task that crashed its workers at both times acted the same way. */
+const isSameTime = (earlierMs: number, laterMs: number): boolean =>
+  Math.abs(earlierMs - laterMs) <=
+  Math.max(SAME_TIME_MS, Math.min(earlierMs, laterMs));
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -14,6 +14,7 @@
 import { runKey } from '../request/run-key.js';
 import type { RouteTable } from '../version/route-table.js';
 import type { LogFields } from './batch-events.js';
+import type { CrashLedger } from './crash-ledger.js';
 import {
   mayHaveBegun,
   orderJobs,
@@ -34,6 +35,7 @@
 export interface JobPlacerOptions {
   readonly fleet: WorkerFleet;
   readonly health: WorkerHealth;
+  readonly crashes: CrashLedger;
   readonly routes: RouteTable;
   /** Data centre of the entry. */
   readonly dataCentre: string;
@@ -49,6 +51,7 @@
   readonly service: string;
   free: Room;
   hasPendingOrder: boolean;
+  hasSuspect: boolean;
 }
 
 /**
@@ -238,6 +241,7 @@
               hasPendingOrder: view.isDirty,
               isEjected: health.isEjected(name, now),
               isPreferred: view.isPreferred,
+              hasSuspect: view.hasSuspect,
             },
           ]
         : [];
@@ -279,9 +283,11 @@
     }
     chosen.free = subtractRoom(chosen.free, step.needs);
     chosen.hasPendingOrder = true;
+    const isSuspect = this._options.crashes.isSuspect(task.name);
+    chosen.hasSuspect ||= isSuspect;
     const { view } = chosen;
     const run = job.place(task, view.name, now);
-    addStartToOrder(view, job, task, run);
+    addStartToOrder(view, job, task, run, isSuspect);
     return `${task.name.slice(ownedJob.id.length)}#${String(run)}@${view.name}`;
   }
 }
@@ -292,6 +298,7 @@
   job: BatchJob,
   task: BatchTask,
   run: number,
+  isSuspect: boolean,
 ): void => {
   const { needs } = job.stepOf(task);
   const { spec, isVolatile } = job.content;
@@ -300,6 +307,7 @@
     task: task.name,
     run,
     needs,
+    isSuspect,
     sequence: view.nextSequence,
   });
   const start = { task: task.name, run, checkpoint: task.checkpoint };
--- a/packages/core/src/lib/process/owned-job.ts
+++ b/packages/core/src/lib/process/owned-job.ts
@@ -26,6 +26,8 @@
   unacknowledged: UnacknowledgedEnd[];
   /** Time at which the oldest of these ends arrived. */
   unacknowledgedSinceMs: number;
+  /** Whether a worker crash under a task is to be recorded. */
+  hasUnsavedCrash: boolean;
   /** Whether a write of the job's progress is pending. */
   isSaving: boolean;
   /** Whether the final state is set and is being recorded. */
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -109,13 +109,15 @@
     if (before?.life !== view.hello?.life) {
       this._options.health.reset(view.name);
     }
-    // Before the ends, because a crash may decide what becomes of their tasks.
-    for (const crash of report.crashes) {
-      this._onCrash(view, crash);
-    }
+    const crashing = report.crashes.flatMap((crash) =>
+      this._recordCrash(view, crash),
+    );
     for (const end of report.ends) {
       this._onEnd(view, end, now);
     }
+    for (const ownedJob of new Set(crashing)) {
+      this.giveUpCrashing(ownedJob, now);
+    }
     for (const { task, run, reason } of report.refused) {
       this._onRefused(view, task, run, reason, now);
     }
@@ -161,13 +163,64 @@
     }
   }
 
-  private _onCrash(view: WorkerView, crash: WorkerCrash): void {
-    const { crashes, log } = this._options;
+  /** @returns The jobs of this entry that had active runs at a new crash. */
+  private _recordCrash(view: WorkerView, crash: WorkerCrash): OwnedJob[] {
+    const { crashes } = this._options;
     const affected = crashes.add(view.name, crash);
     if (affected.length === 0) {
-      return;
+      return [];
     }
     const own = affected.filter((task) => this._jobOf(task));
+    this._logCrash(view, crash, own);
+    return own.flatMap((task) => {
+      const ownedJob = this._jobOf(task);
+      if (ownedJob) {
+        ownedJob.hasUnsavedCrash = true;
+      }
+      return ownedJob ?? [];
+    });
+  }
+
+  /**
+   * Fails a job if one of its tasks crashes the workers that start it.
+   *
+   * @param ownedJob - A job of the entry.
+   * @param now - Current time in milliseconds.
+   */
+  giveUpCrashing(ownedJob: OwnedJob, now: number): void {
+    const { crashes, log, onFinal } = this._options;
+    const { job } = ownedJob;
+    if (isFinal(job.state)) {
+      return;
+    }
+    for (const task of job.tasks) {
+      if (crashes.isGivenUp(task.name)) {
+        job.giveUp(task);
+      }
+    }
+    if (isFinal(job.state)) {
+      const givenUp = job.tasks.filter((task) => task.isGivenUp);
+      log('tasks given up, they crash workers', {
+        job: ownedJob.id,
+        tasks: givenUp.length,
+        names: givenUp
+          .slice(0, MAX_LOGGED_TASKS)
+          .map(({ name }) => {
+            const times = crashes.crashesOf(name).map((c) => c.activeMs);
+            return `${name} (${times.join(', ')} ms)`;
+          })
+          .join(' '),
+      });
+      onFinal(ownedJob, now);
+    }
+  }
+
+  private _logCrash(
+    view: WorkerView,
+    crash: WorkerCrash,
+    own: readonly string[],
+  ): void {
+    const { crashes, log } = this._options;
     log('worker crashed', {
       worker: view.name,
       life: crash.life,
@@ -175,7 +228,7 @@
       ownTasks: own.length,
       names: own
         .slice(0, MAX_LOGGED_TASKS)
-        .map((task) => `${task} (${String(crashes.countOf(task))})`)
+        .map((task) => `${task} (${String(crashes.crashesOf(task).length)})`)
         .join(' '),
     });
   }
@@ -228,7 +281,7 @@
         worker: view.name,
         how: EndKind[end.kind],
         failures: task.failures,
-        crashes: this._options.crashes.countOf(end.task),
+        crashes: this._options.crashes.crashesOf(end.task).length,
       });
     }
     if (isFinal(ownedJob.job.state)) {
@@ -440,6 +493,7 @@
       task: name,
       run,
       needs,
+      isSuspect: this._options.crashes.isSuspect(name),
       sequence: 0,
     });
     if (owner === '') {
--- a/packages/core/src/lib/process/worker-choice.ts
+++ b/packages/core/src/lib/process/worker-choice.ts
@@ -16,6 +16,8 @@
   readonly isEjected: boolean;
   /** Whether this entry, rather than another, is to use it first. */
   readonly isPreferred: boolean;
+  /** Whether a task runs there under which a worker has crashed before. */
+  readonly hasSuspect: boolean;
 }
 
 /** What a task requires of its worker. */
@@ -84,11 +86,13 @@
       (requirements.requires === undefined ||
         worker.labels.includes(requirements.requires)),
   );
-  // Ejected workers and workers that failed the task are used only if no other
-  // worker fits; otherwise the task would have to wait.
+  // Ejected workers, workers that failed the task and workers that may crash are
+  // used only if no other worker fits; otherwise the task would have to wait.
   const preferred = eligible.filter(
     (worker) =>
-      !worker.isEjected && !requirements.avoidedWorkers.has(worker.name),
+      !worker.isEjected &&
+      !worker.hasSuspect &&
+      !requirements.avoidedWorkers.has(worker.name),
   );
   const pool = preferred.length > 0 ? preferred : eligible;
   let best: C | undefined;
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -426,21 +426,27 @@
     if (begun.length === 0) {
       return;
     }
+    const crashedAtMs = this._unansweredSinceMs ?? now;
+    const crashed = begun.map(({ task, run, sinceMs }) => ({
+      task,
+      run,
+      activeMs: Math.max(0, Math.round(crashedAtMs - sinceMs)),
+    }));
+    const life = this._workerIncarnation;
     this._log('worker crashed', {
       why,
-      life: this._workerIncarnation,
-      runs: begun.length,
-      silentMs: Math.round(now - (this._unansweredSinceMs ?? now)),
-      names: begun
+      life,
+      runs: crashed.length,
+      silentMs: Math.round(now - crashedAtMs),
+      names: crashed
         .slice(0, MAX_LOGGED_RUNS)
         .map(
-          ({ task, run, sinceMs }) =>
-            `${task}#${String(run)}@${String(Math.round(now - sinceMs))}ms`,
+          ({ task, run, activeMs }) =>
+            `${task}#${String(run)}@${String(activeMs)}ms`,
         )
         .join(' '),
     });
-    const refs = begun.map(({ task, run }) => ({ task, run }));
-    this._links.addCrash(this._crashes.add(this._workerIncarnation, refs, now));
+    this._links.addCrash(this._crashes.add(life, crashed, now));
   }
 
   private _onLinkClosed(linkId: number, now: number): void {
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -48,6 +48,8 @@
   readonly task: string;
   readonly run: number;
   readonly needs: Room;
+  /** Whether a worker has crashed under the task before. */
+  readonly isSuspect: boolean;
   /**
    * Number of the order that carries its start; 0 when the run is known from a
    * report. Reports that cover this order already count its needs as used.
@@ -148,6 +150,16 @@
     return this.failedLinks === 0 && (!this.hasSnapshot || this.isAccepting);
   }
 
+  /** Whether a task runs there under which a worker has crashed before. */
+  get hasSuspect(): boolean {
+    for (const run of this.placed.values()) {
+      if (run.isSuspect) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Reported remaining capacity, less the needs of runs sent since. */
   get free(): Room {
     let free = this._reportedFree;
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -109,18 +109,30 @@
   doneRun: number;
   /** Number of runs that were stopped because they had stalled. */
   stalledStops: number;
+  /** Whether it is never started again, because it crashes its workers. */
+  isGivenUp: boolean;
   /** Whether the placed run is being stopped because it has stalled. */
   isStalled: boolean;
   /** VMs at which a run of the task failed or stalled. */
   readonly avoidedWorkers: Set<string>;
 }
 
+/** A worker crash under a task. */
+export interface TaskCrash {
+  /** Identifies the crash among all crashes. */
+  readonly key: string;
+  /** How long the run of the task had been active, in milliseconds. */
+  readonly activeMs: number;
+}
+
 /** Progress of a job as its progress row records it. */
 export interface BatchProgress {
   /** Positions of done tasks in the task list of the job. */
   readonly done: readonly number[];
   /** Number of failed runs by position of the task. */
   readonly failures: Readonly<Record<string, number>>;
+  /** Worker crashes under the tasks, by position of the task. */
+  readonly crashes?: Readonly<Record<string, readonly TaskCrash[]>>;
 }
 
 /**
@@ -175,6 +187,7 @@
         doneRun: 0,
         stalledStops: 0,
         isStalled: false,
+        isGivenUp: false,
         avoidedWorkers: new Set<string>(),
       })),
     );
@@ -313,6 +326,18 @@
     this._updateState();
   }
 
+  /**
+   * Gives up a task that crashes its workers, so that the job fails.
+   *
+   * @param task - A task of this job; has no effect if it is done.
+   */
+  giveUp(task: BatchTask): void {
+    if (task.phase !== TaskPhase.Done) {
+      task.isGivenUp = true;
+      this._updateState();
+    }
+  }
+
   private _requeueIfPlaced(task: BatchTask, now: number): void {
     // An unknown task may have a later run that no worker has reported yet.
     if (task.phase === TaskPhase.Placed) {
@@ -340,7 +365,9 @@
     if (this.tasks.every((task) => task.phase === TaskPhase.Done)) {
       this.state = BatchState.Completed;
     } else if (
-      this.tasks.some((task) => task.failures >= this.content.attempts)
+      this.tasks.some(
+        (task) => task.isGivenUp || task.failures >= this.content.attempts,
+      )
     ) {
       this.state = BatchState.Failed;
     }
--- /dev/null
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -0,0 +1,127 @@
+import { expect } from 'earl';
+import { EndKind } from '../lib/messages.js';
+import type { WorkerReport } from '../lib/messages.js';
+import { CrashLedger } from '../lib/process/crash-ledger.js';
+import { BatchState } from '../lib/request/batch-job.js';
+import { EntryHarness, FakeRows, ID, withWorker } from './entry-harness.js';
+
+const TASK = `${ID}.0.0.0`;
+const OTHER = `${ID}.0.0.1`;
+
+/** Runs at the crash of a worker: names of tasks and how long they had run. */
+type Active = Record<string, number>;
+
+const crash = (life: string, active: Active) => ({
+  life,
+  runs: Object.entries(active).map(([task, activeMs]) => ({
+    task,
+    run: 1,
+    activeMs,
+  })),
+});
+
+/** Report of a worker that has crashed under runs of the test's job. */
+const crashReport = (
+  life: string,
+  run: number,
+  active: Active,
+): Partial<WorkerReport> => ({
+  accepting: false,
+  crashes: [crash(life, active)],
+  ends: Object.keys(active).map((task) => ({
+    task,
+    run,
+    kind: EndKind.LOST,
+    checkpoint: '',
+    life,
+    number: 0,
+  })),
+});
+
+/** Returns an entry with links to two workers, whose reports the test sends. */
+const withTwoWorkers = (rows = new FakeRows()): EntryHarness => {
+  rows.rows.set('|member/worker/w2', {
+    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
+    version: 1,
+  });
+  return withWorker(rows);
+};
+
+// Guards against a task that crashed worker after worker.
+it('a job with a task that crashes its workers fails after the second crash', () => {
+  const harness = withTwoWorkers();
+  harness.submit(1);
+  harness.report('w1', crashReport('1', 1, { [TASK]: 12, [OTHER]: 12 }));
+  harness.report('w2', { snapshot: true });
+  expect(harness.started.slice(2)).toEqual([`${TASK}#2`, `${OTHER}#2`]);
+  harness.report('w2', crashReport('1', 2, { [TASK]: 15 }));
+  const reply = { kind: 'ended', state: BatchState.Failed } as const;
+  expect(harness.replies.get(1)).toEqual(reply);
+  expect(harness.stopped).toEqual([`${OTHER}#2`]);
+});
+
+// Guards against an entry that starts a task again that another one gave up.
+it('a job that has crashed its workers elsewhere fails without a start', () => {
+  const harness = withTwoWorkers();
+  const crashes = [crash('1', { [TASK]: 12 }), crash('2', { [TASK]: 12 })];
+  harness.report('w1', { crashes });
+  harness.submit(1);
+  const reply = { kind: 'ended', state: BatchState.Failed } as const;
+  expect(harness.replies.get(1)).toEqual(reply);
+  expect(harness.started).toEqual([]);
+});
+
+// Guards against a count of crashes that ends with the process that kept it.
+it('the crashes under a recorded job are recorded with its progress', () => {
+  const rows = new FakeRows();
+  const harness = withTwoWorkers(rows);
+  harness.submit(1, { isVolatile: false });
+  harness.report('w1', crashReport('1', 1, { [TASK]: 12 }));
+  harness.advance(200);
+  const progress = [...rows.rows].find(([key]) => key.includes('progress/'));
+  expect(JSON.parse(progress?.[1].value ?? '{}')).toEqual({
+    done: [],
+    failures: {},
+    crashes: { 0: [{ key: 'w1/1', activeMs: 12 }] },
+  });
+});
+
+it('a sound task that sees crashes of others is not given up', () => {
+  const ledger = new CrashLedger();
+  ledger.add('w1', crash('1', { deadly: 12, sound: 400 }));
+  ledger.add('w2', crash('1', { deadly: 14 }));
+  ledger.add('w3', crash('1', { 'other-deadly': 13, sound: 30 }));
+  const names = ['deadly', 'sound', 'other-deadly'];
+  expect(names.map((name) => ledger.isGivenUp(name))).toEqual([
+    true,
+    false,
+    false,
+  ]);
+});
+
+it('several suspects at a crash are not blamed for it', () => {
+  const ledger = new CrashLedger();
+  ledger.add('w1', crash('1', { 'a.0.0.0': 12, 'b.0.0.0': 12 }));
+  ledger.add('w2', crash('1', { 'a.0.0.0': 12, 'b.0.0.0': 12 }));
+  expect(ledger.isGivenUp('a.0.0.0')).toEqual(false);
+  expect(ledger.isGivenUp('b.0.0.0')).toEqual(false);
+});
+
+it('a task is given up at the fourth crash whatever else ran there', () => {
+  const ledger = new CrashLedger();
+  for (const life of ['1', '2', '3']) {
+    ledger.add('w1', crash(life, { 'a.0.0.0': 12, 'b.0.0.0': 12 }));
+    expect(ledger.isGivenUp('a.0.0.0')).toEqual(false);
+  }
+  ledger.add('w1', crash('4', { 'a.0.0.0': 12 }));
+  expect(ledger.isGivenUp('a.0.0.0')).toEqual(true);
+});
+
+it('restored crashes count like reported ones', () => {
+  const ledger = new CrashLedger();
+  ledger.restore('a.0.0.0', [{ key: 'w1/1', activeMs: 12 }]);
+  ledger.add('w1', crash('1', { 'a.0.0.0': 12 }));
+  expect(ledger.crashesOf('a.0.0.0').length).toEqual(1);
+  ledger.add('w2', crash('1', { 'a.0.0.0': 12 }));
+  expect(ledger.isGivenUp('a.0.0.0')).toEqual(true);
+});
--- a/packages/core/src/test/crash-reports.test.ts
+++ b/packages/core/src/test/crash-reports.test.ts
@@ -88,10 +88,11 @@
 
 it('a crash that several reports name is counted once for each task', () => {
   const ledger = new CrashLedger();
-  const crash = { life: '1', runs: [{ task: 'a', run: 1 }] };
+  const crash = { life: '1', runs: [{ task: 'a', run: 1, activeMs: 5 }] };
   expect(ledger.add('w1', crash)).toEqual(['a']);
   expect(ledger.add('w1', crash)).toEqual([]);
   ledger.add('w2', crash);
   ledger.add('w1', { ...crash, life: '2' });
-  expect([ledger.countOf('a'), ledger.countOf('b')]).toEqual([3, 0]);
+  const counts = ['a', 'b'].map((task) => ledger.crashesOf(task).length);
+  expect(counts).toEqual([3, 0]);
 });
--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -198,6 +198,7 @@
   slowness: 1,
   hasPendingOrder: false,
   isEjected: false,
+  hasSuspect: false,
   isPreferred: false,
   ...overrides,
 });
@@ -326,3 +327,13 @@
   list.markRecorded(1);
   expect(list.ackedThrough).toEqual(2);
 });
+
+it('a worker with a suspected task is chosen only if no other one fits', () => {
+  const choose = (candidates: Candidate[]): string | undefined =>
+    chooseWorker(requirementsOf(), candidates, () => 0)?.name;
+  const suspect = candidate('suspect', { hasSuspect: true, isPreferred: true });
+  expect(choose([suspect, candidate('other', { slowness: 3 })])).toEqual(
+    'other',
+  );
+  expect(choose([suspect])).toEqual('suspect');
+});
--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -156,7 +156,7 @@
   fc.record({
     kind: fc.constantFrom(...kinds),
     entry: entryIndex(),
-    job: fc.nat(JOB_COUNT - 1),
+    job: fc.nat(JOB_COUNT + DEADLY_JOBS.length - 1),
   });
 
 const operatorCommands = (): fc.Arbitrary<FleetCommand> =>
--- a/packages/standins/src/test/placement.test.ts
+++ b/packages/standins/src/test/placement.test.ts
@@ -90,6 +90,7 @@
       labels: [],
       hasPendingOrder: false,
       isEjected: false,
+      hasSuspect: false,
       isPreferred: hasPreferences && preferred.has(worker.name),
       unreported: 0,
     }));
