Refuse the starts of orders that were meant for an earlier incarnation

Its time limit is on the clock of the incarnation that is gone; on the new clock, which starts anew, it lay in the future, so the run began beside its successor. A process that is held up acted on a permission that had run out.

An order now names the incarnation that its times and starts are meant for. For another one the driver refuses the starts, which proves that they did not begin, and ignores the time limit. Orders of entries of an earlier version name none and are taken as before.

The new test failed before: the start was sent.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -484,22 +484,19 @@
       });
       link.report.fenced = true;
       link.isDirty = true;
-      for (const { task, run } of order.starts.flatMap((g) => g.runs)) {
-        this._links.addRefusal(
-          order.incarnation,
-          task,
-          run,
-          StartRefusal.FENCED,
-        );
-      }
+      this._refuseStarts(order, StartRefusal.FENCED);
       return;
     }
     this._updateDataCentreState(order);
-    const expiryMs = this._ownerExpiryMs.get(order.incarnation) ?? 0;
-    this._ownerExpiryMs.set(
-      order.incarnation,
-      Math.max(expiryMs, order.holdUntilMs),
-    );
+    const isForThisIncarnation =
+      order.life === '' || order.life === this._workerIncarnation;
+    if (isForThisIncarnation) {
+      const expiryMs = this._ownerExpiryMs.get(order.incarnation) ?? 0;
+      this._ownerExpiryMs.set(
+        order.incarnation,
+        Math.max(expiryMs, order.holdUntilMs),
+      );
+    }
     for (const end of order.recorded) {
       if (end.life === this._workerIncarnation) {
         this._onRecorded(end, now);
@@ -508,8 +505,14 @@
     for (const group of order.claims) {
       this._claim(order.incarnation, group);
     }
-    for (const group of order.starts) {
-      this._startGroup(link, group, now);
+    if (isForThisIncarnation) {
+      for (const group of order.starts) {
+        this._startGroup(link, group, now);
+      }
+    } else {
+      // Its time limit is on the clock of another incarnation, so the runs may
+      // have been taken for ended already.
+      this._refuseStarts(order, StartRefusal.NOT_READY);
     }
     for (const { task, run } of order.stops) {
       this._stopRun(task, run, order.incarnation, now);
@@ -517,6 +520,12 @@
     link.needsSnapshot ||= isFirst || order.adopt.length > 0;
   }
 
+  private _refuseStarts(order: WorkerOrder, reason: StartRefusal): void {
+    for (const { task, run } of order.starts.flatMap((g) => g.runs)) {
+      this._links.addRefusal(order.incarnation, task, run, reason);
+    }
+  }
+
   /**
    * Keeps the newest known state of this data centre, so that an entry that is
    * cut off from the store can't start runs in a data centre that operators
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -268,6 +268,7 @@
       const order = view.takeOrder();
       order.entry = this._options.name;
       order.incarnation = this._options.incarnation;
+      order.life = view.hello?.life ?? '';
       order.holdUntilMs = common.grants ? view.extendGrant(now) : 0;
       order.operatorVersion = common.operatorVersion;
       order.out = common.isOutOfService(
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -71,6 +71,7 @@
   sequence: 0,
   operatorVersion: 0,
   out: false,
+  life: '',
 });
 
 /**
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -420,3 +420,14 @@
   harness.answerPoll();
   expect(harness.count('stop')).toEqual(1);
 });
+
+// Guards against an order that was delayed until the worker had restarted: its
+// time limit is on another clock, so its runs began long after it had passed.
+it('an order for an earlier incarnation of the worker starts nothing', () => {
+  const harness = ready();
+  const life = String(BORN_MS);
+  harness.restartWorker();
+  harness.order({ life, holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  expect(harness.count('start')).toEqual(0);
+  expect(refusals(harness)).toEqual([StartRefusal.NOT_READY]);
+});
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -26,6 +26,7 @@
   sequence: 1,
   operatorVersion: 0,
   out: false,
+  life: '',
   ...fields,
 });
 
