Count a job as pending until a run of it may have begun

The count took every job for begun once its starts had been sent, also if the workers refused them all, which is common when there is little capacity. It now asks whether any run may have begun; a refusal that proves that the run did not begin counts as none. The new test failed before: 0 pending in place of 1.

Ruled out: entries that miss in the count, since all four were up from second 13 on and the count of each job that was Queued was right.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -406,7 +406,7 @@
   private _pendingByQueue(): Record<string, number> {
     const pending: Record<string, number> = {};
     for (const { job } of this._jobs.values()) {
-      if (job.state === BatchState.Queued) {
+      if (!isFinal(job.state) && !mayHaveBegun(job)) {
         const { queue } = job.content;
         pending[queue] = (pending[queue] ?? 0) + 1;
       }
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -1,4 +1,4 @@
-import { RUNS_PER_EPOCH } from '../request/batch-job.js';
+import { RUNS_PER_EPOCH, TaskPhase } from '../request/batch-job.js';
 import type { BatchJob } from '../request/batch-job.js';
 
 /** Estimated completion of a waiting job, if it starts now. */
@@ -152,4 +152,7 @@
  * @returns Whether any of its tasks may have begun at a worker.
  */
 export const mayHaveBegun = (job: BatchJob): boolean =>
-  job.tasks.some((task) => task.run % RUNS_PER_EPOCH > task.refusals);
+  job.tasks.some(
+    ({ phase, run, refusals }) =>
+      phase === TaskPhase.Done || run % RUNS_PER_EPOCH > refusals,
+  );
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -325,3 +325,26 @@
   expect(harness.actionKinds.includes('retire')).toEqual(true);
   expect(harness.replies.get(1)?.kind).toEqual('in-doubt');
 });
+
+// Guards against a count that takes a job for begun once its starts were sent,
+// also if a worker refused them all.
+it('a recorded job counts as pending until a run may have begun', () => {
+  const harness = withWorker();
+  const pending = (replyId: number): number | undefined => {
+    harness.handle({ kind: 'count', replyId, queue: 'q' });
+    const reply = harness.replies.get(replyId);
+    return reply?.kind === 'count' ? reply.pending : undefined;
+  };
+  harness.submit(1, { isVolatile: false });
+  expect(pending(10)).toEqual(0);
+  const refused = [0, 1].map((index) => ({
+    task: `${ID}.0.0.${String(index)}`,
+    run: 1,
+    reason: StartRefusal.NO_ROOM,
+  }));
+  const free = { ...CAPACITY, cpuMilli: 0 };
+  harness.report('w1', { refused, free });
+  expect(pending(11)).toEqual(1);
+  harness.report('w1', { free: CAPACITY });
+  expect(pending(12)).toEqual(0);
+});
