Follow the capacity of a worker, and ignore late heartbeats in its row

What was found:

- The driver goes by the newest capacity; tested, was right before.
- Entries kept the capacity of the first heartbeat of an incarnation for their placement.
The driver now introduces the worker again when it changes.
- The registration row kept the first capacity as well, and the next process on the VM restores the worker from it: after a restart, starts could exceed a capacity that had shrunk.
The row now follows it.
- Beside it: a heartbeat that arrived late reverted the row, so that a process restored a draining worker as ready, an earlier incarnation, or a worker that had left (one of the troubles of similar systems: after a restart, a server that had left was in use again).
Late heartbeats are now ignored, by the row and, for a worker that has left, by the driver.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -7,6 +7,7 @@
   WorkerHello,
   WorkerReport,
 } from '../messages.js';
+import { isSameRoom } from '../request/room.js';
 
 type MutableReport = {
   -readonly [K in keyof WorkerReport]: WorkerReport[K];
@@ -242,11 +243,7 @@
   now: number,
 ): boolean => {
   const sent = link.report.free;
-  const isSame =
-    sent?.cpuMilli === free.cpuMilli &&
-    sent.memoryMb === free.memoryMb &&
-    sent.accelerators === free.accelerators;
-  if (isSame) {
+  if (sent && isSameRoom(sent, free)) {
     return false;
   }
   const lowestCpuMilli = Math.min(free.cpuMilli, sent?.cpuMilli ?? 0);
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -9,14 +9,20 @@
   WorkerHello,
   WorkerOrder,
 } from '../messages.js';
-import { ZERO_ROOM, addRoom, fits, subtractRoom } from '../request/room.js';
+import {
+  ZERO_ROOM,
+  addRoom,
+  fits,
+  isSameRoom,
+  subtractRoom,
+} from '../request/room.js';
 import { runKey } from '../request/run-key.js';
 import { CrashHistory } from './crash-history.js';
 import { EndList } from './end-list.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
 import { WorkerClock } from './worker-clock.js';
-import { WorkerRejection } from './worker-events.js';
+import { WorkerRejection, isOutdatedHeartbeat } from './worker-events.js';
 import type {
   ListedEnd,
   ListedRun,
@@ -213,6 +219,8 @@
   private _worker: WorkerHeartbeat | undefined;
   /** Start time of the worker's incarnation, from polls or announcements. */
   private _workerBornMs: number | undefined;
+  /** Incarnation that has left last, by the time of its start. */
+  private _leftBornMs = Number.NEGATIVE_INFINITY;
   private _token: number;
   private _nextCallId = 1;
   private _pollCallId: number | undefined;
@@ -278,6 +286,7 @@
         break;
       case 'leave':
         if (this._worker?.id === event.id) {
+          this._leftBornMs = this._worker.bornMs;
           this._discardIncarnation(GoneReason.Left, now);
           this._worker = undefined;
         }
@@ -345,20 +354,17 @@
 
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
     const known = this._worker;
-    if (worker.bornMs < Math.max(known?.bornMs ?? 0, this._workerBornMs ?? 0)) {
-      this._log('announcement of an earlier incarnation ignored', {
+    const isEarlier =
+      worker.bornMs < (this._workerBornMs ?? 0) ||
+      worker.bornMs <= this._leftBornMs;
+    if (isEarlier || (known && isOutdatedHeartbeat(worker, known))) {
+      this._log('late announcement ignored', {
         worker: worker.id,
         bornMs: worker.bornMs,
+        sequence: worker.sequence,
       });
       return;
     }
-    if (
-      known?.bornMs === worker.bornMs &&
-      known.id === worker.id &&
-      worker.sequence < known.sequence
-    ) {
-      return;
-    }
     const isNew = known?.id !== worker.id || known.bornMs !== worker.bornMs;
     if (
       isNew &&
@@ -376,12 +382,22 @@
         service: worker.service,
       });
       this._links.resendHello();
-    } else if (known.accepting !== worker.accepting) {
+      return;
+    }
+    const { accepting, capacity } = worker;
+    const isResized = !isSameRoom(known.capacity, capacity);
+    if (known.accepting !== accepting || isResized) {
       this._log('worker changed state', {
         worker: worker.id,
-        accepting: worker.accepting,
+        accepting,
+        cpuMilli: capacity.cpuMilli,
+        memoryMb: capacity.memoryMb,
         sequence: worker.sequence,
       });
+    }
+    if (isResized) {
+      this._links.resendHello();
+    } else if (known.accepting !== accepting) {
       this._links.markAllDirty();
     }
   }
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -15,6 +15,20 @@
   readonly labels: readonly string[];
 }
 
+/**
+ * @param worker - A heartbeat.
+ * @param known - A heartbeat that was received before.
+ * @returns Whether the first one was sent earlier, so that it arrived late.
+ */
+export const isOutdatedHeartbeat = (
+  worker: WorkerHeartbeat,
+  known: WorkerHeartbeat,
+): boolean =>
+  worker.bornMs < known.bornMs ||
+  (worker.bornMs === known.bornMs &&
+    worker.id === known.id &&
+    worker.sequence < known.sequence);
+
 /** A run that a worker lists as active. */
 export interface ListedRun {
   readonly task: string;
--- a/packages/core/src/lib/request/room.ts
+++ b/packages/core/src/lib/request/room.ts
@@ -17,6 +17,12 @@
   accelerators: Math.max(0, a.accelerators - b.accelerators),
 });
 
+/** @returns Whether both are equal in every resource. */
+export const isSameRoom = (a: Room, b: Room): boolean =>
+  a.cpuMilli === b.cpuMilli &&
+  a.memoryMb === b.memoryMb &&
+  a.accelerators === b.accelerators;
+
 /** @returns Whether `needs` fits into `free`. */
 export const fits = (needs: Room, free: Room): boolean =>
   needs.cpuMilli <= free.cpuMilli &&
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -431,3 +431,28 @@
   expect(harness.count('start')).toEqual(0);
   expect(refusals(harness)).toEqual([StartRefusal.NOT_READY]);
 });
+
+const withCapacity = (cpuMilli: number) => ({
+  capacity: { cpuMilli, memoryMb: 1000, accelerators: 0 },
+});
+
+it('no start exceeds the capacity of a worker that has shrunk', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 5700, starts: starts('j.0.0.0', 'j.0.0.1') });
+  harness.heartbeat(withCapacity(1600));
+  harness.order({ holdUntilMs: 5700, starts: starts('k.0.0.0') });
+  expect(refusals(harness)).toEqual([StartRefusal.NO_ROOM]);
+  harness.heartbeat(withCapacity(4800));
+  harness.order({ holdUntilMs: 5700, starts: starts('l.0.0.0') });
+  expect(harness.count('start')).toEqual(3);
+});
+
+// Guards against entries that place by the capacity of the first heartbeat.
+it('entries learn at once that the capacity of a worker has changed', () => {
+  const harness = ready();
+  harness.reports.length = 0;
+  harness.heartbeat(withCapacity(1600));
+  const [report] = harness.reports;
+  expect(report?.hello?.capacity?.cpuMilli).toEqual(1600);
+  expect(report?.free?.cpuMilli).toEqual(1600);
+});
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -18,3 +18,5 @@
 export type { Log } from './lib/process/logger.js';
 export { WorkerHost } from './lib/process/worker-host.js';
 export type { WorkerHostOptions } from './lib/process/worker-host.js';
+export { WorkerRegistration } from './lib/process/worker-registration.js';
+export type { WorkerRegistrationOptions } from './lib/process/worker-registration.js';
--- /dev/null
+++ b/packages/daemon/src/lib/process/worker-registration.ts
@@ -0,0 +1,159 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  MEMBER_PART,
+  decodeWorkerRow,
+  fleetKeys,
+  isOutdatedHeartbeat,
+  isSameRoom,
+} from '@sapphiremux/core';
+import type { WorkerHeartbeat, WorkerRow } from '@sapphiremux/core';
+import type { StorePort } from './fleet-ports.js';
+import type { Log } from './logger.js';
+
+/** Options of {@link WorkerRegistration}. */
+export interface WorkerRegistrationOptions {
+  /** Name of the VM. */
+  readonly name: string;
+  /** Address at which entries reach the process. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly incarnation: string;
+  readonly store: StorePort;
+  readonly log: Log;
+}
+
+/** Backoff before a failed write of the row is retried. */
+const BACKOFF_MS = 300;
+
+/**
+ * Maintains the store row through which entries discover this process.
+ *
+ * The row also holds the last registered state of the worker for the next
+ * process on this VM, because the worker continues to run when this process is
+ * replaced.
+ */
+export class WorkerRegistration {
+  private readonly _options: WorkerRegistrationOptions;
+  private readonly _key: string;
+  private _registeredWorker: WorkerHeartbeat | undefined;
+  /** Incarnation that has left last, by the time of its start. */
+  private _leftBornMs = Number.NEGATIVE_INFINITY;
+  /**
+   * Value that the row should have: empty before the first update, `null` after
+   * the worker has left.
+   */
+  private _desiredValue: string | null = '';
+  /** Value last read or written: empty without a row, `null` after a deletion. */
+  private _storedValue: string | null = '';
+  private _isWriting = false;
+
+  /** @param options - Identity of the process, the store and the log. */
+  constructor(options: WorkerRegistrationOptions) {
+    this._options = options;
+    this._key = fleetKeys.worker(options.name);
+  }
+
+  /**
+   * Loads the row of the previous process and replaces it.
+   *
+   * @returns The state of the worker that the row holds, if there is one.
+   */
+  async restore(): Promise<WorkerHeartbeat | undefined> {
+    const reply = await this._options.store.call(MEMBER_PART, {
+      kind: 'read',
+      keys: [this._key],
+    });
+    const value = reply.kind === 'rows' ? reply.rows[0]?.value : undefined;
+    const row = value === undefined ? undefined : decodeWorkerRow(value);
+    this._storedValue = value ?? '';
+    this._registeredWorker ??= row?.worker;
+    this._updateRow();
+    return row?.worker;
+  }
+
+  /**
+   * Updates the row when a heartbeat shows a new incarnation, or a change of the
+   * capacity or of whether the worker accepts runs. A heartbeat that arrives late
+   * is ignored.
+   *
+   * @param worker - The heartbeat.
+   */
+  recordHeartbeat(worker: WorkerHeartbeat): void {
+    const known = this._registeredWorker;
+    if (
+      worker.bornMs <= this._leftBornMs ||
+      (known && isOutdatedHeartbeat(worker, known))
+    ) {
+      return;
+    }
+    this._registeredWorker = worker;
+    if (
+      known?.id !== worker.id ||
+      known.bornMs !== worker.bornMs ||
+      known.accepting !== worker.accepting ||
+      !isSameRoom(known.capacity, worker.capacity)
+    ) {
+      this._updateRow();
+    }
+  }
+
+  /**
+   * Deletes the row if the registered worker is the one that deregistered.
+   *
+   * @param id - Incarnation of the worker that deregistered.
+   */
+  deregister(id: string): void {
+    if (this._registeredWorker?.id === id) {
+      this._leftBornMs = this._registeredWorker.bornMs;
+      this._registeredWorker = undefined;
+      this._desiredValue = null;
+      this._startWriting();
+    }
+  }
+
+  private _updateRow(): void {
+    const { address, incarnation, dataCentre } = this._options;
+    const row: WorkerRow = {
+      address,
+      incarnation,
+      dataCentre,
+      // With sequence 0, the state that the next process restores counts as
+      // older than any heartbeat of the same incarnation.
+      ...(this._registeredWorker
+        ? { worker: { ...this._registeredWorker, sequence: 0 } }
+        : {}),
+    };
+    this._desiredValue = JSON.stringify(row);
+    this._startWriting();
+  }
+
+  private _startWriting(): void {
+    if (!this._isWriting && this._desiredValue !== this._storedValue) {
+      this._isWriting = true;
+      void this._writeRow();
+    }
+  }
+
+  private async _writeRow(): Promise<void> {
+    while (this._desiredValue !== this._storedValue) {
+      const value = this._desiredValue;
+      const reply = await this._options.store.call(MEMBER_PART, {
+        kind: 'transact',
+        conditions: [],
+        writes: [{ key: this._key, value }],
+      });
+      if (reply.kind === 'committed') {
+        this._storedValue = value;
+        const message =
+          value === null ? 'registration row deleted' : 'registered';
+        this._options.log.info(message, { row: this._key });
+      } else {
+        this._options.log.warn('registration failed, retrying', {
+          outcome: reply.kind,
+        });
+        await delay(BACKOFF_MS);
+      }
+    }
+    this._isWriting = false;
+  }
+}
