Give up an idempotent request after three lost results

It is now attempted three times at most; its caller is told that it may have run. Tasks of jobs start at most once there and are not affected.

--- a/packages/core/src/lib/process/request-table.ts
+++ b/packages/core/src/lib/process/request-table.ts
@@ -27,6 +27,11 @@
   retryAtMs: number | undefined;
 }
 
+/**
+ * Attempts of one request. A request that loses its result each time may be what
+ * ends the endpoints.
+ */
+const MAX_ATTEMPTS = 3;
 const INITIAL_RETRY_DELAY_MS = 20;
 const MAX_RETRY_DELAY_MS = 1000;
 const RETRY_AFTER_MS = 1000;
@@ -37,8 +42,8 @@
  *
  * A request ends with its caller's connection to this entry, so it needs no
  * claim: its id is unique to this incarnation and is sent to one runner at a
- * time. A request whose result is lost is retried only if it is idempotent,
- * within the retry budget and before its deadline.
+ * time. A request whose result is lost is retried only if it is idempotent, at
+ * most twice, within the retry budget and before its deadline.
  */
 export class RequestTable {
   private readonly _options: RequestTableOptions;
@@ -140,7 +145,7 @@
     if (open.retryAtMs !== undefined) {
       return true;
     }
-    if (!this._budget.takeRetry()) {
+    if (open.attempts >= MAX_ATTEMPTS || !this._budget.takeRetry()) {
       return false;
     }
     const limitMs = Math.min(
