Do not count refused polls towards the lease of a worker

A poll that the address of the worker refuses was never delivered, but its requested lease end was counted when it was sent; polls ask for a renewal until the last clock reading is 0.7 s old, so the wait began that much later. The lease end of a call now counts when its reply shows that it may have been carried out, or while it is pending. The new test failed before: no end within 1.1 s.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -162,6 +162,8 @@
   readonly workerIncarnation: string;
   /** Number of the latest poll at the time of the call. */
   readonly pollNumber: number;
+  /** Lease end that the call requests, on the worker's clock. */
+  readonly leaseEndMs: number;
 }
 
 /** Creates a tracked run with defaults for the fields that are not known. */
@@ -227,7 +229,10 @@
   private _nextPollAtMs = 0;
   private _pollCount = 0;
   private _lastPollAtMs = 0;
-  /** Latest lease end that any call has requested, on the worker's clock. */
+  /**
+   * Latest lease end that an answered call, or one that may have been carried
+   * out, has requested, on the worker's clock.
+   */
   private _leaseEndMs = 0;
   /** Whether the lease is not renewed because expired runs do not end. */
   private _leaseSuspended = false;
@@ -679,7 +684,6 @@
       expiryMs + EXPIRY_GRACE_MS,
     );
     tracked.starts += 1;
-    this._leaseEndMs = Math.max(this._leaseEndMs, untilMs);
     this._call({
       kind: 'start',
       id: this._worker?.id,
@@ -726,6 +730,7 @@
       call,
       workerIncarnation: this._workerIncarnation,
       pollNumber: this._pollCount,
+      leaseEndMs: call.kind === 'stop' ? 0 : (call.untilMs ?? 0),
     });
     this._actions.push({ kind: 'call', callId, call });
     return callId;
@@ -760,9 +765,6 @@
     const untilMs = renews
       ? Math.floor(this._clock.lowerBound(now) + this._options.maxLeaseMs)
       : undefined;
-    if (untilMs !== undefined) {
-      this._leaseEndMs = Math.max(this._leaseEndMs, untilMs);
-    }
     this._pollCount += 1;
     this._lastPollAtMs = now;
     this._pollCallId = this._call({
@@ -816,6 +818,9 @@
     ) {
       return;
     }
+    if (reply.kind !== 'unreachable') {
+      this._leaseEndMs = Math.max(this._leaseEndMs, pending.leaseEndMs);
+    }
     if (reply.kind === 'rejected' && reply.reason === WorkerRejection.Fenced) {
       this._token += TOKEN_STEP;
       this._log('fencing token raised', { token: this._token });
@@ -1133,7 +1138,11 @@
    */
   private _runsExpiredAtMs(canBeDelayed: boolean): number {
     const delayMs = canBeDelayed ? DELAYED_CALL_LIMIT_MS : 0;
-    return this._leaseEndMs + this._options.stopMs + delayMs;
+    const pendingEndsMs = [...this._calls.values()]
+      .filter((call) => call.workerIncarnation === this._workerIncarnation)
+      .map((call) => call.leaseEndMs);
+    const leaseEndMs = Math.max(this._leaseEndMs, ...pendingEndsMs);
+    return leaseEndMs + this._options.stopMs + delayMs;
   }
 
   /**
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -456,3 +456,16 @@
   expect(report?.hello?.capacity?.cpuMilli).toEqual(1600);
   expect(report?.free?.cpuMilli).toEqual(1600);
 });
+
+// Guards against polls that were never delivered and still prolonged the wait
+// for the lease: the runs of a crashed worker were repeated 0.7 s late.
+it('a refused poll does not extend the lease', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 9000, starts: starts('j.0.0.0') });
+  harness.answer('start');
+  for (let passed = 0; passed < 1100; passed += 50) {
+    harness.answer('hold', { kind: 'unreachable' });
+    harness.advance(50);
+  }
+  expect(endKinds(harness)).toEqual([EndKind.LOST]);
+});
