Count each failed run once, also after a takeover

Callers saw a job shown as failed although its task had one attempt left (users' rule LOST: failed without cause).

The progress now names the failed runs, and a run counts once.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -280,7 +280,7 @@
         run: end.run,
         worker: view.name,
         how: EndKind[end.kind],
-        failures: task.failures,
+        failures: task.failedRuns.size,
         crashes: this._options.crashes.crashesOf(end.task).length,
       });
     }
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -99,7 +99,8 @@
   run: number;
   /** VM of the latest run; empty while the task waits for a run. */
   worker: string;
-  failures: number;
+  /** Numbers of the runs that failed; each run counts once. */
+  readonly failedRuns: Set<number>;
   checkpoint: string;
   /** Time at which it was last placed or became ready. */
   sinceMs: number;
@@ -131,6 +132,8 @@
   readonly done: readonly number[];
   /** Number of failed runs by position of the task. */
   readonly failures: Readonly<Record<string, number>>;
+  /** Numbers of these runs; rows of earlier versions have only their count. */
+  readonly failedRuns?: Readonly<Record<string, readonly number[]>>;
   /** Worker crashes under the tasks, by position of the task. */
   readonly crashes?: Readonly<Record<string, readonly TaskCrash[]>>;
 }
@@ -180,7 +183,7 @@
         phase: progress ? TaskPhase.Unknown : TaskPhase.Blocked,
         run: epoch * RUNS_PER_EPOCH,
         worker: '',
-        failures: 0,
+        failedRuns: new Set<number>(),
         checkpoint: '',
         sinceMs: acceptedAtMs,
         refusals: 0,
@@ -222,16 +225,18 @@
   /** Progress to record in the progress row. */
   get progress(): BatchProgress {
     const failures: Record<string, number> = {};
+    const failedRuns: Record<string, number[]> = {};
     const done: number[] = [];
     this.tasks.forEach((task, position) => {
       if (task.phase === TaskPhase.Done) {
         done.push(position);
       }
-      if (task.failures > 0) {
-        failures[String(position)] = task.failures;
+      if (task.failedRuns.size > 0) {
+        failures[String(position)] = task.failedRuns.size;
+        failedRuns[String(position)] = [...task.failedRuns];
       }
     });
-    return { done, failures };
+    return { done, failures, failedRuns };
   }
 
   /**
@@ -311,7 +316,7 @@
         this.unblock(now);
         break;
       case EndKind.FAILED:
-        task.failures += 1;
+        task.failedRuns.add(end.run);
         task.avoidedWorkers.add(worker);
         this._requeueIfPlaced(task, now);
         break;
@@ -355,7 +360,8 @@
     for (const [position, count] of Object.entries(progress.failures)) {
       const task = this.tasks[Number(position)];
       if (task) {
-        task.failures = count;
+        const runs = progress.failedRuns?.[position] ?? unknownRuns(count);
+        runs.forEach((run) => task.failedRuns.add(run));
       }
     }
     this._updateState();
@@ -366,7 +372,8 @@
       this.state = BatchState.Completed;
     } else if (
       this.tasks.some(
-        (task) => task.isGivenUp || task.failures >= this.content.attempts,
+        (task) =>
+          task.isGivenUp || task.failedRuns.size >= this.content.attempts,
       )
     ) {
       this.state = BatchState.Failed;
@@ -374,6 +381,10 @@
   }
 }
 
+/** Stand-ins for the numbers of failed runs of which only the count is known. */
+const unknownRuns = (count: number): number[] =>
+  Array.from({ length: count }, (_, index) => -1 - index);
+
 /**
  * Checks whether a run is the current run of a task. Entries that receive the
  * same volatile job one after the other assign the same run numbers, so the
