--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -63,6 +63,12 @@
       readonly worker: number;
       readonly mode: WorkerMode;
     }
+  | {
+      readonly kind: 'resize-worker';
+      readonly worker: number;
+      /** Share of the usual capacity. */
+      readonly share: number;
+    }
   | {
       readonly kind: NetworkFault;
       readonly entry: number;
@@ -208,6 +214,11 @@
       kind: oneOfKinds('crash-worker', 'drain-worker'),
       worker: workerIndex(),
     }),
+    fc.record({
+      kind: oneOfKinds('resize-worker'),
+      worker: workerIndex(),
+      share: fc.constantFrom(0.25, 0.5, 1),
+    }),
     fc.record({
       kind: oneOfKinds('worker'),
       worker: workerIndex(),
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -23,8 +23,10 @@
 
 /** Options of {@link FleetOracle}. */
 export interface FleetOracleOptions {
-  /** Capacity of each worker. */
+  /** Capacity of each worker that was not resized. */
   readonly workerCapacity: Room;
+  /** Interval between two heartbeats of a worker, which report its capacity. */
+  readonly heartbeatMs: number;
   /** Virtual time in milliseconds. */
   readonly now: () => number;
 }
@@ -105,6 +107,11 @@
   private readonly _versionByIncarnation = new Map<string, number>();
   /** End of the last fault of each process or store; infinite while it lasts. */
   private readonly _faultEndedAtMs = new Map<string, number>();
+  /** CPU capacities of each resized worker and when they began, by VM. */
+  private readonly _capacities = new Map<
+    string,
+    { readonly cpuMilli: number; readonly atMs: number }[]
+  >();
   private _config = { version: 0, atMs: 0 };
 
   /** @param options - Capacity of the workers and virtual time. */
@@ -151,6 +158,13 @@
     }
   }
 
+  /** Records that a worker has changed its CPU capacity. */
+  onCapacity(vm: string, cpuMilli: number): void {
+    const changes = this._capacities.get(vm) ?? [];
+    changes.push({ cpuMilli, atMs: this._options.now() });
+    this._capacities.set(vm, changes);
+  }
+
   /** Records that a heartbeat of a draining worker was acknowledged. */
   onDrainAcknowledged(vm: string): void {
     if (!this._drainingSinceMs.has(vm)) {
@@ -534,11 +548,25 @@
         cpuMilli += job?.content.steps[Number(step)]?.needs.cpuMilli ?? 0;
       }
     }
-    if (cpuMilli > this._options.workerCapacity.cpuMilli) {
+    if (cpuMilli > this._capacityMilli(vm)) {
       this._report('within the room', `${task} at ${vm}: ${String(cpuMilli)}`);
     }
   }
 
+  /**
+   * Returns the CPU capacity that starts must not exceed. A capacity that has
+   * shrunk counts once it has been reported and a process in touch knows it.
+   */
+  private _capacityMilli(vm: string): number {
+    const { workerCapacity, heartbeatMs } = this._options;
+    const initial = { cpuMilli: workerCapacity.cpuMilli, atMs: -Infinity };
+    const changes = [initial, ...(this._capacities.get(vm) ?? [])];
+    const knownAtMs = this._options.now() - FAULT_FREE_MS - heartbeatMs;
+    const inForce = changes.findLastIndex(({ atMs }) => atMs <= knownAtMs);
+    const allowed = changes.slice(Math.max(0, inForce));
+    return Math.max(...allowed.map((change) => change.cpuMilli));
+  }
+
   private _checkState(id: string, state: BatchState): void {
     const job = this._jobs.get(id);
     if (!job) {
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -45,6 +45,7 @@
   world.recover();
   for (const worker of world.workers) {
     worker.mode = WorkerMode.Healthy;
+    worker.resize(1);
   }
   world.configure('levy');
   world.evacuate('north', false);
@@ -101,6 +102,9 @@
     case 'worker':
       workerOf(world, command.worker).mode = command.mode;
       return;
+    case 'resize-worker':
+      workerOf(world, command.worker).resize(command.share);
+      return;
     case 'crash-worker':
       workerOf(world, command.worker).crash();
       return;
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -19,7 +19,7 @@
 } from './sim-batch-entry.js';
 import { SimDriver } from './sim-driver.js';
 import { SimTable } from './sim-table.js';
-import { SimWorker, WORKER_CAPACITY } from './sim-worker.js';
+import { HEARTBEAT_MS, SimWorker, WORKER_CAPACITY } from './sim-worker.js';
 
 /** Options of {@link FleetWorld}. */
 export interface FleetWorldOptions {
@@ -100,6 +100,7 @@
     this.store = new SimTable({ queue, random });
     this.oracle = new FleetOracle({
       workerCapacity: WORKER_CAPACITY,
+      heartbeatMs: HEARTBEAT_MS,
       now: () => queue.nowMs,
     });
     const workers: SimWorker[] = [];
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -62,7 +62,8 @@
   isOpen: boolean;
 }
 
-const HEARTBEAT_MS = 1500;
+/** Interval between two heartbeats of a worker. */
+export const HEARTBEAT_MS = 1500;
 /** Maximum duration of a lease; longer grants are shortened to it. */
 const MAX_LEASE_MS = 1000;
 /** Time from the start of a deadly task until it crashes its worker. */
@@ -82,7 +83,7 @@
  * so that the oracle notices later ones.
  */
 const DRAIN_DURATION_MS = 2500;
-/** Capacity of each simulated worker. */
+/** Capacity of each simulated worker that was not resized. */
 export const WORKER_CAPACITY: Room = {
   cpuMilli: 4000,
   memoryMb: 8192,
@@ -96,6 +97,7 @@
  */
 export class SimWorker {
   mode = WorkerMode.Healthy;
+  private _capacity = WORKER_CAPACITY;
   private readonly _options: SimWorkerOptions;
   private readonly _activeRuns = new Map<string, ActiveSimRun>();
   /** Highest run number of each task that has ended or was stopped. */
@@ -170,6 +172,17 @@
     this._pendingHolds.clear();
   }
 
+  /**
+   * Changes the capacity; the next heartbeat reports it.
+   *
+   * @param share - Share of {@link WORKER_CAPACITY}.
+   */
+  resize(share: number): void {
+    const cpuMilli = WORKER_CAPACITY.cpuMilli * share;
+    this._capacity = { ...WORKER_CAPACITY, cpuMilli };
+    this._options.oracle.onCapacity(this._vm, cpuMilli);
+  }
+
   /** Begins a planned leave: drains, then reports the leave and ends. */
   drain(): void {
     if (!this._isUp || this._isDraining) {
@@ -458,7 +471,7 @@
       service,
       dataCentre,
       accepting: !this._isDraining,
-      capacity: WORKER_CAPACITY,
+      capacity: this._capacity,
       labels,
     });
     if (this._isDraining && isAcknowledged) {
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -251,6 +251,47 @@
     from: 'if (!row) {',
     to: 'if (true) {',
   },
+  {
+    name: 'crashes under a task not counted',
+    file: 'process/crash-ledger.js',
+    from: 'record.crashes.push({ key, activeMs });',
+    to: '',
+  },
+  {
+    name: 'crashes not reported on new links or recorded',
+    file: 'process/crash-history.js',
+    from: 'now - atMs < CRASH_RETENTION_MS',
+    to: 'false',
+    and: {
+      file: 'process/batch-entry.js',
+      from: 'this._crashes.restore(task.name, crashes);',
+      to: '',
+    },
+  },
+  {
+    name: 'capacity of a resized worker ignored',
+    file: 'process/worker-driver.js',
+    from: 'this._worker = worker;',
+    to: 'this._worker = { ...worker, capacity: known?.capacity ?? worker.capacity };',
+  },
+  {
+    name: 'time limits kept when the worker restarts',
+    file: 'process/worker-driver.js',
+    from: 'this._ownerExpiryMs.clear();',
+    to: '',
+  },
+  {
+    name: 'order for an earlier incarnation carried out',
+    file: 'process/worker-driver.js',
+    from: "order.life === '' || order.life === this._workerIncarnation",
+    to: 'true',
+  },
+  {
+    name: 'recorded failure counted again after a takeover',
+    file: 'request/batch-job.js',
+    from: 'task.failedRuns.add(run)',
+    to: 'task.failedRuns.add(-run)',
+  },
   {
     name: 'stalled run not stopped',
     file: 'request/stalled-runs.js',
