--- a/packages/cli/src/lib/job-report.ts
+++ b/packages/cli/src/lib/job-report.ts
@@ -105,6 +105,7 @@
     ...jobLines.flatMap(endFindings),
     ...placementFindings(jobLines),
     ...jobLines.flatMap(runFindings),
+    ...jobLines.flatMap((line) => crashFindings(line, id)),
     ...refusalFindings(jobLines),
     ...openJobFindings(jobLines),
   ];
@@ -124,6 +125,10 @@
       return [
         `${name}: abandoned, ${text(fields, 'reason')}, after ${text(fields, 'ageMs')} ms`,
       ];
+    case 'tasks given up, they crash workers':
+      return [
+        `${name}: failed, since a task crashes the workers that start it: ${text(fields, 'names')}`,
+      ];
     case 'job lost to another owner':
       return [`${name}: taken over by another entry`];
     default:
@@ -175,6 +180,26 @@
   }
 };
 
+/**
+ * Names the runs of the job that were active when a worker crashed. Entries log
+ * the crash as well; only the line of the process beside the worker has the runs
+ * with their ages.
+ */
+const crashFindings = (
+  { name, message, fields }: LogLine,
+  id: string,
+): string[] => {
+  if (message !== 'worker crashed' || text(fields, 'worker') !== '') {
+    return [];
+  }
+  const runs = text(fields, 'names')
+    .split(' ')
+    .filter((run) => run.startsWith(`${id}.`));
+  return [
+    `worker of ${name} crashed with ${text(fields, 'runs')} active runs, of this job ${runs.join(' ')}`,
+  ];
+};
+
 /**
  * Counts refused starts by reason and worker. Entries and worker driver
  * processes both log a refused start; only the entry's line names the worker.
@@ -217,7 +242,11 @@
 
 /** Tells whether a line names the job or one of its tasks (`JOB.…`). */
 const namesJob = ({ fields }: LogLine, id: string): boolean =>
-  fields.job === id || asText(fields.task).startsWith(`${id}.`);
+  fields.job === id ||
+  asText(fields.task).startsWith(`${id}.`) ||
+  asText(fields.names)
+    .split(' ')
+    .some((name) => name.startsWith(`${id}.`));
 
 /** Lists the process that wrote a line and the workers that the line names. */
 const processesOf = ({ name, fields }: LogLine): string[] =>
--- a/packages/cli/src/test/job-report.test.ts
+++ b/packages/cli/src/test/job-report.test.ts
@@ -87,3 +87,30 @@
   expect(lines).toEqual([]);
   expect(findings.length).toEqual(1);
 });
+
+it('a job that crashed workers is reported with the crashes', () => {
+  const crash = (second: number, vm: string): string =>
+    line(second, vm, 'worker crashed', {
+      runs: 2,
+      names: `0000000000000077.0.0.0#1@900ms ${ID}.0.0.0#1@12ms`,
+    });
+  const { findings } = explainJob(
+    log(
+      line(1, 'e', 'job accepted', { job: ID }),
+      crash(2, 'vm'),
+      crash(4, 'vm2'),
+      line(5, 'e', 'tasks given up, they crash workers', {
+        job: ID,
+        names: `${ID}.0.0.0 (12, 12 ms)`,
+      }),
+    ),
+    ID,
+  );
+  const crashed = (vm: string): string =>
+    `worker of ${vm} crashed with 2 active runs, of this job ${ID}.0.0.0#1@12ms`;
+  expect(findings).toEqual([
+    `e: failed, since a task crashes the workers that start it: ${ID}.0.0.0 (12, 12 ms)`,
+    crashed('vm'),
+    crashed('vm2'),
+  ]);
+});
