Confine queues with tasks that crash workers to some of the workers

The task that crashes a worker is nearly always among the runs that started last, so the queue is now inferred from the crashes themselves: one that had a run younger than 60 ms at five of the last six crashes, and at two more than any other queue. It then uses three tenths of the workers, the same at all entries, and the others keep away from these, until 5 s have passed without a crash under it. Volatile jobs of a confined queue that lose a run are answered at once; to start their runs again would crash more workers than it serves callers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,8 @@
   QueueRoute,
   RouteConfig,
 } from './lib/version/route-table.js';
+export { CrashBulkhead } from './lib/process/crash-bulkhead.js';
+export { CrashLedger } from './lib/process/crash-ledger.js';
 export { chooseWorker } from './lib/process/worker-choice.js';
 export type { Candidate } from './lib/process/worker-choice.js';
 export { WorkerSubset } from './lib/process/worker-subset.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -21,6 +21,7 @@
   PeerStatus,
 } from './batch-events.js';
 import { mayHaveBegun } from './batch-order.js';
+import { CrashBulkhead } from './crash-bulkhead.js';
 import { CrashLedger } from './crash-ledger.js';
 import { EntryLease } from './entry-lease.js';
 import type { AdoptedJob } from './entry-takeover.js';
@@ -119,6 +120,7 @@
   private readonly _peers: PeerMonitor;
   private readonly _health = new WorkerHealth();
   private readonly _crashes = new CrashLedger();
+  private readonly _bulkhead = new CrashBulkhead();
   private readonly _fleet: WorkerFleet;
   private readonly _placer: JobPlacer;
   private readonly _lookups: JobLookups;
@@ -181,6 +183,7 @@
       fleet: this._fleet,
       health: this._health,
       crashes: this._crashes,
+      bulkhead: this._bulkhead,
       routes: this.routes,
       dataCentre,
       remoteDataFactor: this._options.remoteDataFactor,
@@ -203,8 +206,12 @@
       placer: this._placer,
       health: this._health,
       crashes: this._crashes,
+      bulkhead: this._bulkhead,
       jobs: this._jobs,
       isEnded: (id) => this._ended.has(id),
+      onAbandon: (ownedJob, reason, at) => {
+        this._abandon(ownedJob, reason, at);
+      },
       onFinal: (ownedJob, at) => {
         this._finish(ownedJob, at);
       },
--- a/packages/core/src/lib/process/crash-ledger.ts
+++ b/packages/core/src/lib/process/crash-ledger.ts
@@ -16,8 +16,9 @@
  * process beside the worker ends at the same time.
  */
 const MAX_CRASHES = 4;
-/** Difference between two run times at crashes that counts as none. */
-const SAME_TIME_MS = 100;
+/** Differences between two run times at crashes that count as none. */
+const SAME_TIME_MS = 50;
+const SAME_TIME_SHARE = 0.25;
 /** Tasks that are remembered; the ones that crashed longest ago go first. */
 const MAX_TASKS = 20_000;
 
@@ -122,4 +123,4 @@
 /** Whether a task that crashed its workers at both times acted the same way. */
 const isSameTime = (earlierMs: number, laterMs: number): boolean =>
   Math.abs(earlierMs - laterMs) <=
-  Math.max(SAME_TIME_MS, Math.min(earlierMs, laterMs));
+  Math.max(SAME_TIME_MS, SAME_TIME_SHARE * Math.min(earlierMs, laterMs));
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -14,6 +14,7 @@
 import { runKey } from '../request/run-key.js';
 import type { RouteTable } from '../version/route-table.js';
 import type { LogFields } from './batch-events.js';
+import type { CrashBulkhead } from './crash-bulkhead.js';
 import type { CrashLedger } from './crash-ledger.js';
 import {
   mayHaveBegun,
@@ -36,6 +37,7 @@
   readonly fleet: WorkerFleet;
   readonly health: WorkerHealth;
   readonly crashes: CrashLedger;
+  readonly bulkhead: CrashBulkhead;
   readonly routes: RouteTable;
   /** Data centre of the entry. */
   readonly dataCentre: string;
@@ -54,6 +56,13 @@
   hasSuspect: boolean;
 }
 
+/** State that the placements of one round share. */
+interface PlacementRound {
+  readonly candidates: readonly PlacementCandidate[];
+  /** Workers to which queues with tasks that crash workers are confined. */
+  readonly bulkhead: ReadonlySet<string>;
+}
+
 /**
  * Holds the jobs that have tasks to place and places these tasks on workers,
  * most urgent jobs first, as far as the workers have capacity.
@@ -131,14 +140,16 @@
       this._shortage = Shortage.Capacity;
       return;
     }
+    const { bulkhead, fleet } = this._options;
+    const round = { candidates, bulkhead: bulkhead.workers(fleet.views) };
     for (const ranked of this._rankJobs(now)) {
-      this._placeJob(ranked, candidates, now);
+      this._placeJob(ranked, round, now);
     }
   }
 
   private _placeJob(
     { job: ownedJob, estimate }: RankedJob<OwnedJob>,
-    candidates: readonly PlacementCandidate[],
+    round: PlacementRound,
     now: number,
   ): void {
     const { ready } = ownedJob.job;
@@ -150,11 +161,11 @@
       const placedRun = this._placeTask(
         ownedJob,
         task,
-        { candidates, reserve },
+        { ...round, reserve },
         now,
       );
       if (placedRun === undefined) {
-        this._updateShortage(ownedJob.job, task, candidates);
+        this._updateShortage(ownedJob.job, task, round.candidates);
         break;
       }
       placed.push(placedRun);
@@ -179,6 +190,10 @@
     task: BatchTask,
     candidates: readonly PlacementCandidate[],
   ): void {
+    if (this._options.bulkhead.isConfined(job.content.queue)) {
+      // More links would not help: the queue may not use other workers.
+      return;
+    }
     const { requires } = job.stepOf(task);
     const canRunTask = candidates.some(
       ({ service, labels }) =>
@@ -252,8 +267,7 @@
   private _placeTask(
     ownedJob: OwnedJob,
     task: BatchTask,
-    options: {
-      readonly candidates: readonly PlacementCandidate[];
+    round: PlacementRound & {
       readonly reserve: (capacityMilli: number) => number;
     },
     now: number,
@@ -261,19 +275,26 @@
     const { job } = ownedJob;
     const step = job.stepOf(task);
     const { remoteDataFactor, dataCentre, random } = this._options;
+    const isConfined = this._options.bulkhead.isConfined(job.content.queue);
+    // The bulkhead is for confined queues; others use it only if they have to.
+    const avoidedWorkers =
+      isConfined || round.bulkhead.size === 0
+        ? task.avoidedWorkers
+        : new Set([...task.avoidedWorkers, ...round.bulkhead]);
     const chosen = chooseWorker(
       {
         needs: step.needs,
         requires: step.requires,
         affinity: step.affinity,
         remoteDataFactor,
-        avoidedWorkers: task.avoidedWorkers,
-        reserve: options.reserve,
+        avoidedWorkers,
+        reserve: round.reserve,
         dataCentre,
       },
-      options.candidates.filter(
+      round.candidates.filter(
         (candidate) =>
           candidate.service === job.content.service &&
+          (!isConfined || round.bulkhead.has(candidate.name)) &&
           satisfiesAntiAffinity(job, task, candidate.name),
       ),
       random,
@@ -301,7 +322,7 @@
   isSuspect: boolean,
 ): void => {
   const { needs } = job.stepOf(task);
-  const { spec, isVolatile } = job.content;
+  const { spec, queue, isVolatile } = job.content;
   view.placed.set(runKey({ task: task.name, run }), {
     job: job.id,
     task: task.name,
@@ -319,6 +340,7 @@
   } else {
     view.order.starts.push({
       spec,
+      queue,
       needs,
       runs: [start],
       volatile: isVolatile,
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -10,6 +10,7 @@
 import { jobIdOf, runKey } from '../request/run-key.js';
 import { stalledAfterMs } from '../request/stalled-runs.js';
 import type { LogFields } from './batch-events.js';
+import type { CrashBulkhead } from './crash-bulkhead.js';
 import type { CrashLedger } from './crash-ledger.js';
 import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
 import type { JobPlacer } from './job-placer.js';
@@ -28,10 +29,13 @@
   readonly placer: JobPlacer;
   readonly health: WorkerHealth;
   readonly crashes: CrashLedger;
+  readonly bulkhead: CrashBulkhead;
   /** Jobs that the entry runs, by id. */
   readonly jobs: ReadonlyMap<string, OwnedJob>;
   /** Whether the entry knows that the job has ended. */
   readonly isEnded: (id: string) => boolean;
+  /** Called with a volatile job that must not be continued. */
+  readonly onAbandon: (ownedJob: OwnedJob, reason: string, now: number) => void;
   /** Called when a job has reached its final state. */
   readonly onFinal: (ownedJob: OwnedJob, now: number) => void;
   /**
@@ -80,6 +84,9 @@
       }
       this._stopStalledRuns(view, now);
     }
+    for (const queue of this._options.bulkhead.release(now)) {
+      this._options.log('queue released', { queue });
+    }
     for (const [key, atMs] of this._abandoned) {
       if (now - atMs < ABANDONED_RETENTION_MS) {
         break;
@@ -110,13 +117,14 @@
       this._options.health.reset(view.name);
     }
     const crashing = report.crashes.flatMap((crash) =>
-      this._recordCrash(view, crash),
+      this._recordCrash(view, crash, now),
     );
     for (const end of report.ends) {
       this._onEnd(view, end, now);
     }
     for (const ownedJob of new Set(crashing)) {
       this.giveUpCrashing(ownedJob, now);
+      this._abandonConfined(ownedJob, now);
     }
     for (const { task, run, reason } of report.refused) {
       this._onRefused(view, task, run, reason, now);
@@ -164,14 +172,23 @@
   }
 
   /** @returns The jobs of this entry that had active runs at a new crash. */
-  private _recordCrash(view: WorkerView, crash: WorkerCrash): OwnedJob[] {
-    const { crashes } = this._options;
+  private _recordCrash(
+    view: WorkerView,
+    crash: WorkerCrash,
+    now: number,
+  ): OwnedJob[] {
+    const { crashes, bulkhead, log } = this._options;
     const affected = crashes.add(view.name, crash);
     if (affected.length === 0) {
       return [];
     }
     const own = affected.filter((task) => this._jobOf(task));
     this._logCrash(view, crash, own);
+    // The first report on a link may bring crashes of some time ago.
+    const confined = view.hasSnapshot && bulkhead.onCrash(crash.runs, now);
+    if (confined) {
+      log('queue confined, its tasks crash workers', { queue: confined });
+    }
     return own.flatMap((task) => {
       const ownedJob = this._jobOf(task);
       if (ownedJob) {
@@ -181,6 +198,22 @@
     });
   }
 
+  /**
+   * Answers the callers of a volatile job of a confined queue at once, instead of
+   * starting its lost tasks again: one of them may be what crashed the worker.
+   */
+  private _abandonConfined(ownedJob: OwnedJob, now: number): void {
+    const { bulkhead, onAbandon } = this._options;
+    const { content, state } = ownedJob.job;
+    if (
+      content.isVolatile &&
+      !isFinal(state) &&
+      bulkhead.isConfined(content.queue)
+    ) {
+      onAbandon(ownedJob, 'a worker crashed under it', now);
+    }
+  }
+
   /**
    * Fails a job if one of its tasks crashes the workers that start it.
    *
@@ -503,6 +536,7 @@
         spec: '',
         needs,
         runs: [{ task: name, run, checkpoint: '' }],
+        queue: ownedJob.job.content.queue,
         volatile: ownedJob.job.content.isVolatile,
       });
       view.isDirty = true;
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -132,6 +132,8 @@
   readonly task: string;
   readonly run: number;
   readonly spec: string;
+  /** Queue of its job; empty while unknown. */
+  queue: string;
   /** Checkpoint from which the run starts. */
   readonly checkpoint: string;
   needs: Room;
@@ -174,6 +176,7 @@
   task: ref.task,
   run: ref.run,
   spec: '',
+  queue: '',
   checkpoint: '',
   needs: ZERO_ROOM,
   isVolatile: false,
@@ -449,9 +452,10 @@
       return;
     }
     const crashedAtMs = this._unansweredSinceMs ?? now;
-    const crashed = begun.map(({ task, run, sinceMs }) => ({
+    const crashed = begun.map(({ task, run, queue, sinceMs }) => ({
       task,
       run,
+      queue,
       activeMs: Math.max(0, Math.round(crashedAtMs - sinceMs)),
     }));
     const life = this._workerIncarnation;
@@ -616,6 +620,7 @@
         tracked.owner = owner;
         tracked.needs = group.needs ?? ZERO_ROOM;
         tracked.isVolatile = group.volatile;
+        tracked.queue = group.queue;
       }
     }
   }
@@ -651,6 +656,7 @@
         { task, run },
         {
           spec: group.spec,
+          queue: group.queue,
           checkpoint,
           needs,
           isVolatile: group.volatile,
--- a/packages/core/src/test/crash-loops.test.ts
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'earl';
 import { EndKind } from '../lib/messages.js';
 import type { WorkerReport } from '../lib/messages.js';
+import { CrashBulkhead } from '../lib/process/crash-bulkhead.js';
 import { CrashLedger } from '../lib/process/crash-ledger.js';
 import { BatchState } from '../lib/request/batch-job.js';
 import type { BatchProgress } from '../lib/request/batch-job.js';
@@ -18,6 +19,7 @@
     task,
     run: 1,
     activeMs,
+    queue: 'q',
   })),
 });
 
@@ -123,3 +125,65 @@
   ledger.add('w2', crash('1', { 'a.0.0.0': 12 }));
   expect(ledger.isGivenUp('a.0.0.0')).toEqual(true);
 });
+
+const named = (count: number) =>
+  Array.from({ length: count }, (_, i) => ({
+    name: `w${String(i)}`,
+    service: 'svc',
+  }));
+
+/** Crashes under a fresh run of one queue, beside older runs of another. */
+const crashUnder = (
+  bulkhead: CrashBulkhead,
+  times: readonly number[],
+): (string | undefined)[] =>
+  times.map((now, index) =>
+    bulkhead.onCrash(
+      [
+        { queue: 'checks', activeMs: 12 },
+        { queue: 'renewals', activeMs: index === 0 ? 20 : 150 },
+      ],
+      now,
+    ),
+  );
+
+const CRASH_TIMES = [0, 400, 800, 1200, 1600];
+
+it('a queue with fresh runs at five crashes is confined to some workers', () => {
+  const bulkhead = new CrashBulkhead();
+  expect(bulkhead.workers(named(11)).size).toEqual(0);
+  const confined = crashUnder(bulkhead, CRASH_TIMES);
+  expect(confined).toEqual([...Array<undefined>(4).fill(undefined), 'checks']);
+  expect(bulkhead.isConfined('renewals')).toEqual(false);
+  expect(bulkhead.workers(named(11)).size).toEqual(4);
+});
+
+it('crashes under fresh runs of two queues confine neither', () => {
+  const bulkhead = new CrashBulkhead();
+  const fresh = ['checks', 'renewals'].map((queue) => ({ queue, activeMs: 9 }));
+  const confined = CRASH_TIMES.map((now) => bulkhead.onCrash(fresh, now));
+  expect(confined.every((queue) => queue === undefined)).toEqual(true);
+});
+
+it('a queue is released 5 s after the last crash under it', () => {
+  const bulkhead = new CrashBulkhead();
+  crashUnder(bulkhead, CRASH_TIMES);
+  bulkhead.onCrash([{ queue: 'checks', activeMs: 90 }], 3000);
+  expect(bulkhead.release(7999)).toEqual([]);
+  expect(bulkhead.release(8000)).toEqual(['checks']);
+  expect(bulkhead.isConfined('checks')).toEqual(false);
+});
+
+it('a volatile job of a confined queue is answered when its worker crashes', () => {
+  const harness = withTwoWorkers();
+  harness.report('w2', { snapshot: true });
+  for (const life of ['3', '4', '5', '6', '7']) {
+    harness.report('w1', { crashes: [crash(life, { [`${life}.0.0.0`]: 12 })] });
+  }
+  harness.submit(1);
+  const active = { [TASK]: 40, [OTHER]: 40 };
+  harness.report('w1', crashReport('1', 1, active));
+  harness.report('w2', crashReport('1', 1, active));
+  expect(harness.replies.get(1)?.kind).toEqual('in-doubt');
+  expect(harness.started.length).toEqual(2);
+});
--- a/packages/core/src/test/crash-reports.test.ts
+++ b/packages/core/src/test/crash-reports.test.ts
@@ -88,7 +88,10 @@
 
 it('a crash that several reports name is counted once for each task', () => {
   const ledger = new CrashLedger();
-  const crash = { life: '1', runs: [{ task: 'a', run: 1, activeMs: 5 }] };
+  const crash = {
+    life: '1',
+    runs: [{ task: 'a', run: 1, activeMs: 5, queue: '' }],
+  };
   expect(ledger.add('w1', crash)).toEqual(['a']);
   expect(ledger.add('w1', crash)).toEqual([]);
   ledger.add('w2', crash);
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -34,6 +34,7 @@
   {
     spec: 'x',
     needs: NEEDS,
+    queue: 'q',
     volatile: true,
     runs: names.map((task) => ({ task, run: 1, checkpoint: '' })),
   },
