Take the store for in doubt only if an answer is overdue

All peers are probed while the store is in doubt, and it counted as in doubt when the last answered call had been sent more than 800 ms ago. During each long poll of 600 ms that age grows to 1,200 ms, so a calm entry was in doubt for a third of the time: probes grew with the square of the entries, 1,850 a second at the large levy desk, and each costs both sides an RPC call.

The store is now in doubt if its last call failed or takes 200 ms longer than its timeout. The long poll of the member table is shortened to 400 ms, so that 0.5 s are left to hear from all peers before the lease ends, as before.

--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -37,14 +37,15 @@
  * Long-poll timeout of a call for changes of the member table. Each answered
  * call renews the lease, so this is well below {@link ENTRY_LEASE_MS}.
  */
-const MEMBER_POLL_TIMEOUT_MS = 600;
+const MEMBER_POLL_TIMEOUT_MS = 400;
 /** Long-poll timeout of a call for changes of the operators' table. */
 const OPERATOR_POLL_TIMEOUT_MS = 1000;
 /**
- * Age of the last answered call after which the store is in doubt: longer than a
- * long poll takes, and early enough to hear from all peers before the lease ends.
+ * Time that a long poll may take beyond its timeout before the store is in doubt.
+ * The lease counts from the sending of the poll before, so at least half a second
+ * is left to hear from all peers.
  */
-const STORE_DOUBT_MS = 800;
+const STORE_REPLY_SLACK_MS = 200;
 /** Consecutive failed calls after which the store counts as unavailable. */
 const STORE_UNAVAILABLE_FAILURES = 3;
 /** Upper bound of a logged age, which is infinite before the first contact. */
@@ -112,11 +113,11 @@
   }
 
   /**
-   * @returns Whether the last answered call to the store is older than usual, so
-   *   that the peers may soon have to confirm an outage.
+   * @returns Whether the store has failed to answer the last call or takes longer
+   *   than usual, so that the peers may soon have to confirm an outage.
    */
   isStoreInDoubt(now: number): boolean {
-    return now - this._members.confirmedAtMs > STORE_DOUBT_MS;
+    return this._members.isOverdue(STORE_REPLY_SLACK_MS, now);
   }
 
   /** Writes the member row of this entry. */
--- a/packages/core/src/lib/process/table-follower.ts
+++ b/packages/core/src/lib/process/table-follower.ts
@@ -55,6 +55,16 @@
     return this._failures;
   }
 
+  /**
+   * @param slackMs - Time that a reply may take beyond the long-poll timeout.
+   * @param now - Current time in milliseconds.
+   * @returns Whether the last call has failed or its reply is overdue.
+   */
+  isOverdue(slackMs: number, now: number): boolean {
+    const { waitMs } = this._options;
+    return this._failures > 0 || now - this._sentAtMs > waitMs + slackMs;
+  }
+
   /**
    * Invalidates all confirmations, including that of the call in flight, e.g.
    * after a pause of unknown length.
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -24,6 +24,10 @@
 /** Options of {@link FleetWorld}. */
 export interface FleetWorldOptions {
   readonly seed: number;
+  /** Number of entries and workers; the fleet of the fuzzer if absent. */
+  readonly size?: { readonly entries: number; readonly workers: number };
+  /** Receives the number of actions of each kind that a process carries out. */
+  readonly onAction?: (role: 'entry' | 'driver', kind: string) => void;
   /** Receives the log lines of the entries. */
   readonly onLog?: (atMs: number, entry: string, text: string) => void;
 }
@@ -104,8 +108,10 @@
       now: () => queue.nowMs,
     });
     const workers: SimWorker[] = [];
-    this.drivers = WORKER_PLACEMENTS.map(([name, dataCentre], index) => {
+    const placements = placementsOf(options);
+    this.drivers = placements.map(([name, dataCentre], index) => {
       return new SimDriver({
+        onAction: (kind) => options.onAction?.('driver', kind),
         name,
         dataCentre,
         queue,
@@ -117,7 +123,7 @@
         },
       });
     });
-    WORKER_PLACEMENTS.forEach(([vm, dataCentre, service], index) => {
+    placements.forEach(([vm, dataCentre, service], index) => {
       const driver = this.drivers[index] ?? fail(vm);
       workers.push(
         new SimWorker({
@@ -139,7 +145,7 @@
       );
     });
     this.workers = workers;
-    this.entries = ENTRY_NAMES.map((name, index) =>
+    this.entries = entryNamesOf(options).map((name, index) =>
       this._createEntry(name, index, random, options),
     );
   }
@@ -322,7 +328,7 @@
     name: string,
     index: number,
     random: () => number,
-    { onLog }: FleetWorldOptions,
+    { onLog, onAction }: FleetWorldOptions,
   ): SimBatchEntry {
     const { queue } = this;
     const entry: SimBatchEntry = new SimBatchEntry({
@@ -333,6 +339,7 @@
       skewMs: (random() - 0.5) * 2 * MAX_CLOCK_SKEW_MS,
       random,
       isDisconnectedFromStore: () => this._disconnectedFromStore.has(name),
+      onAction: (kind) => onAction?.('entry', kind),
       onOpenLink: (linkId, address) => {
         this._openLink(name, linkId, address);
       },
@@ -541,6 +548,24 @@
   }
 }
 
+/** Names of the entries of a fleet. */
+const entryNamesOf = ({ size }: FleetWorldOptions): readonly string[] =>
+  size
+    ? Array.from({ length: size.entries }, (_, i) => `entry-${String(i + 1)}`)
+    : ENTRY_NAMES;
+
+/** Name, data centre and service of each worker of a fleet. */
+const placementsOf = ({
+  size,
+}: FleetWorldOptions): readonly (readonly [string, string, string])[] =>
+  size
+    ? Array.from({ length: size.workers }, (_, i) => [
+        `vm-${String(i + 1)}`,
+        i % 2 === 0 ? 'north' : 'south',
+        'levy',
+      ])
+    : WORKER_PLACEMENTS;
+
 const fail = (name: string): never => {
   throw new Error(`no such VM: ${name}`);
 };
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -23,6 +23,8 @@
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
   readonly isDisconnectedFromStore: () => boolean;
+  /** Receives the kind of each action that the process carries out. */
+  readonly onAction: (kind: string) => void;
   readonly onOpenLink: (linkId: number, address: string) => void;
   readonly onCloseLink: (linkId: number) => void;
   readonly onOrder: (linkId: number, order: WorkerOrder) => void;
@@ -212,6 +214,9 @@
     const dispatchResult = (event: BatchEvent): void => {
       this._dispatchIfCurrent(incarnationNumber, event);
     };
+    this._options.onAction(
+      action.kind === 'store' ? `store ${action.req.kind}` : action.kind,
+    );
     switch (action.kind) {
       case 'reply': {
         const onReply = this._pendingCalls.get(action.replyId);
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -19,6 +19,8 @@
   readonly store: SimTable;
   readonly isDisconnectedFromStore: () => boolean;
   readonly worker: () => SimWorker;
+  /** Receives the kind of each action that the process carries out. */
+  readonly onAction: (kind: string) => void;
   readonly onReport: (linkId: number, report: WorkerReport) => void;
 }
 
@@ -149,6 +151,9 @@
   }
 
   private _execute(action: WorkerAction): void {
+    this._options.onAction(
+      action.kind === 'call' ? `call ${action.call.kind}` : action.kind,
+    );
     switch (action.kind) {
       case 'call': {
         const { callId, call } = action;
