--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -27,6 +27,8 @@
  * some polls, and so does the next worker driver process on its VM.
  */
 const ACKNOWLEDGEMENT_RETENTION_MS = 10_000;
+/** Longest time for which the choice of links is kept. */
+const CHOICE_INTERVAL_MS = 200;
 /** How long a link that is no longer needed stays open after its last run. */
 const IDLE_LINK_TIMEOUT_MS = 2000;
 
@@ -49,6 +51,13 @@
   private _preferenceOrder: readonly WorkerView[] | undefined;
   /** Names of the other entries at the last update of the preferences. */
   private _entryNames = '';
+  /** Names of the workers to keep links to, and what they were chosen from. */
+  private _choice: {
+    readonly ordered: readonly WorkerView[];
+    readonly growth: number;
+    readonly atMs: number;
+    readonly chosen: ReadonlySet<string>;
+  } = { ordered: [], growth: 1, atMs: -Infinity, chosen: new Set() };
   private _nextLinkId = 1;
 
   /** @param options - Names of the entry and receiver of actions. */
@@ -134,7 +143,7 @@
     }
     const { others } = linkNeeds;
     const ordered = this._orderByPreference(others);
-    const chosen = this._subset.choose(ordered, others.length + 1);
+    const chosen = this._chooseLinks(ordered, others.length + 1, now);
     for (const view of ordered) {
       const isChosen = view.isPreferred || chosen.has(view.name);
       const isNeeded = !view.isRemoved && (linkNeeds.all || isChosen);
@@ -300,6 +309,27 @@
     return ordered;
   }
 
+  /**
+   * Returns the workers to keep links to. The choice is kept for some time,
+   * because it takes as long as all else that is done at each tick.
+   */
+  private _chooseLinks(
+    ordered: readonly WorkerView[],
+    entries: number,
+    now: number,
+  ): ReadonlySet<string> {
+    const { growth } = this._subset;
+    const isCurrent =
+      this._choice.ordered === ordered &&
+      this._choice.growth === growth &&
+      now - this._choice.atMs < CHOICE_INTERVAL_MS;
+    if (!isCurrent) {
+      const chosen = this._subset.choose(ordered, entries);
+      this._choice = { ordered, growth, atMs: now, chosen };
+    }
+    return this._choice.chosen;
+  }
+
   private _replaceUnresponsiveLink(view: WorkerView, now: number): void {
     const { linkId } = view;
     if (linkId === undefined || !view.isUnresponsive(now)) {
--- a/packages/core/src/lib/process/worker-subset.ts
+++ b/packages/core/src/lib/process/worker-subset.ts
@@ -89,6 +89,11 @@
     this._options = { size: DEFAULT_SIZE, ...options };
   }
 
+  /** Factor by which the subset is enlarged at present. */
+  get growth(): number {
+    return this._growth;
+  }
+
   /**
    * Enlarges the subset while tasks wait, and resets it some time afterwards.
    *
