Start local clusters only once the entries can use all runners

An entry sends tasks of jobs only to runners that its stored member row lists; the readiness of a runner does not wait for that. Read from the store at the beginning of the outage, in starts like the test's beside busy processes: the row listed two of three runners, or one was not connected yet, and 4 of 12 such clusters ran the job at two thirds of the rate. On a slower machine no runner was listed in time, so the store's outage began before there was anything that a job could run on; that the job then waits is the rule that "a runner gets no task until a successor can find the runner" checks.

Not seen again: the full case of none of three.

The members list now says whether a runner is registered, also in the command line, and clusters of tests start when all are. Bounds and checks of the test are unchanged.

--- a/packages/cli/src/lib/commands/members.ts
+++ b/packages/cli/src/lib/commands/members.ts
@@ -17,6 +17,8 @@
     readonly dataCentre: string;
     readonly endpoint: string;
     readonly connected: boolean;
+    /** Whether tasks of jobs may be sent to the runner. */
+    readonly registered: boolean;
     readonly accepting: boolean;
     readonly configVersion: number;
     readonly inFlight: number;
@@ -44,7 +46,8 @@
       );
     }
     for (const runner of members.runners) {
-      const state = runner.connected ? 'connected' : 'not connected';
+      const link = runner.connected ? 'connected' : 'not connected';
+      const state = runner.registered ? link : `${link}, not registered`;
       const work = runner.accepting ? 'accepting' : 'not accepting';
       this.log(
         `runner ${runner.id} ${runner.address} ${runner.dataCentre} ${runner.endpoint} ${state}, ${work}, version ${String(runner.configVersion)}, ${String(runner.inFlight)} in flight`,
--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -1,4 +1,4 @@
-import type { RunnerPeer } from '../connection/runner-peer.js';
+import type { RunnerPeer, RunnerRef } from '../connection/runner-peer.js';
 import { TaskKind } from '../messages.js';
 import type { AnnounceRequest } from '../messages.js';
 import type { Job } from '../request/job.js';
@@ -212,6 +212,15 @@
     return this._dispatcher.runners();
   }
 
+  /**
+   * @param ref - A runner.
+   * @returns Whether a successor can find the runner. The tasks of jobs are sent
+   *   to no other runners.
+   */
+  isRegistered(ref: RunnerRef): boolean {
+    return this._membership.isRegistered(ref);
+  }
+
   /**
    * Processes one event.
    *
--- a/packages/core/src/lib/process/membership.ts
+++ b/packages/core/src/lib/process/membership.ts
@@ -104,7 +104,15 @@
       this._registeredRunners.set(key, ref);
       this._dirty = true;
     }
-    return this._storedRunners.has(key);
+    return this.isRegistered(ref);
+  }
+
+  /**
+   * @param ref - A runner.
+   * @returns Whether the stored member row lists the runner.
+   */
+  isRegistered(ref: RunnerRef): boolean {
+    return this._storedRunners.has(runnerKey(ref));
   }
 
   /** @param ref - A runner that no longer holds any task of this entry. */
--- a/packages/daemon/src/lib/request/operators.controller.ts
+++ b/packages/daemon/src/lib/request/operators.controller.ts
@@ -67,6 +67,7 @@
       dataCentre: peer.ref.dataCentre,
       endpoint: peer.ref.endpoint,
       connected: peer.link?.ready ?? false,
+      registered: core.isRegistered(peer.ref),
       accepting: peer.accepting,
       configVersion: peer.link?.runnerConfigVersion ?? 0,
       inFlight: peer.inFlight.size,
--- a/packages/standins/src/lib/local-cluster.ts
+++ b/packages/standins/src/lib/local-cluster.ts
@@ -53,6 +53,11 @@
   readonly relay: Relay | undefined;
 }
 
+interface RunnerStatus {
+  readonly connected: boolean;
+  readonly registered: boolean;
+}
+
 const READY_TIMEOUT_MS = 20_000;
 const READY_POLL_MS = 50;
 /** Limits the young generation of the heap, as in the deployment. */
@@ -90,7 +95,8 @@
   }
 
   /**
-   * Starts all processes of a cluster and waits until they are ready.
+   * Starts all processes of a cluster and waits until they are ready, and until
+   * the entries can send tasks to all runners.
    *
    * @param options - Size and settings.
    * @returns The running cluster.
@@ -229,6 +235,17 @@
       this._options;
     await Promise.all(Array.from({ length: entries }, () => this.addEntry()));
     await Promise.all(runners.map((dc) => this.addRunner(dc)));
+    await Promise.all(this.entries.map(({ port }) => this._waitRunners(port)));
+  }
+
+  /** Waits until all runners are connected to an entry and registered there. */
+  private _waitRunners(port: number): Promise<void> {
+    return waitUntil(async () => {
+      const { body } = await call(port, 'GET', '/v1/members');
+      const { runners } = body as { runners: RunnerStatus[] };
+      const usable = runners.filter((r) => r.connected && r.registered);
+      return usable.length === this.runners.length;
+    });
   }
 
   private _commonSettings(
