Let jobs that must run use every worker while their queue is confined

What callers saw: accepted stock checks that had not run 45 s later while most of the workers were free.

Recorded jobs cannot be shed, so the backlog of the confined queue grew, jobs started for the first time after 32 s, and each of their deadly tasks that still came prolonged the confinement. Class of fault: a protection that keeps itself up by withholding capacity.

Ruled out: placement of suspects apart (it is a preference only), late knowledge of free room (refusals on all workers, before and after alike).

Only volatile jobs are confined now, which have a deadline and are answered at once when they lose a run; crashes name the queues of volatile jobs only. Both tests failed before.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -190,8 +190,8 @@
     task: BatchTask,
     candidates: readonly PlacementCandidate[],
   ): void {
-    if (this._options.bulkhead.isConfined(job.content.queue)) {
-      // More links would not help: the queue may not use other workers.
+    if (this._isConfined(job)) {
+      // More links would not help: the job may not use other workers.
       return;
     }
     const { requires } = job.stepOf(task);
@@ -207,6 +207,16 @@
     }
   }
 
+  /**
+   * Whether a job may use the workers of the bulkhead only. Jobs that are not
+   * volatile are never confined, because they have to run however long it takes.
+   */
+  private _isConfined({ content }: BatchJob): boolean {
+    return (
+      content.isVolatile && this._options.bulkhead.isConfined(content.queue)
+    );
+  }
+
   private _rankJobs(now: number): RankedJob<OwnedJob>[] {
     const ranked: RankedJob<OwnedJob>[] = [];
     for (const ownedJob of this._waiting) {
@@ -275,7 +285,7 @@
     const { job } = ownedJob;
     const step = job.stepOf(task);
     const { remoteDataFactor, dataCentre, random } = this._options;
-    const isConfined = this._options.bulkhead.isConfined(job.content.queue);
+    const isConfined = this._isConfined(job);
     // The bulkhead is for confined queues; others use it only if they have to.
     const avoidedWorkers =
       isConfined || round.bulkhead.size === 0
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -452,10 +452,10 @@
       return;
     }
     const crashedAtMs = this._unansweredSinceMs ?? now;
-    const crashed = begun.map(({ task, run, queue, sinceMs }) => ({
+    const crashed = begun.map(({ task, run, queue, isVolatile, sinceMs }) => ({
       task,
       run,
-      queue,
+      queue: isVolatile ? queue : '',
       activeMs: Math.max(0, Math.round(crashedAtMs - sinceMs)),
     }));
     const life = this._workerIncarnation;
--- a/packages/core/src/test/crash-loops.test.ts
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -174,12 +174,32 @@
   expect(bulkhead.isConfined('checks')).toEqual(false);
 });
 
-it('a volatile job of a confined queue is answered when its worker crashes', () => {
+/** Returns an entry with links to two workers that has confined a queue. */
+const withConfinedQueue = (): EntryHarness => {
   const harness = withTwoWorkers();
   harness.report('w2', { snapshot: true });
   for (const life of ['3', '4', '5', '6', '7']) {
     harness.report('w1', { crashes: [crash(life, { [`${life}.0.0.0`]: 12 })] });
   }
+  return harness;
+};
+
+// Guards against recorded jobs that wait while only other workers have room.
+it('a recorded job of a confined queue may use every worker', () => {
+  for (const [usable, other] of [
+    ['w1', 'w2'],
+    ['w2', 'w1'],
+  ] as const) {
+    const harness = withConfinedQueue();
+    harness.report(usable);
+    harness.report(other, { accepting: false });
+    harness.submit(1, { isVolatile: false });
+    expect(harness.started).toEqual([`${TASK}#1`, `${OTHER}#1`]);
+  }
+});
+
+it('a volatile job of a confined queue is answered when its worker crashes', () => {
+  const harness = withConfinedQueue();
   harness.submit(1);
   const active = { [TASK]: 40, [OTHER]: 40 };
   harness.report('w1', crashReport('1', 1, active));
--- a/packages/core/src/test/crash-reports.test.ts
+++ b/packages/core/src/test/crash-reports.test.ts
@@ -73,6 +73,25 @@
   expect(crashedRuns(harness)).toEqual([]);
 });
 
+// Guards against recorded jobs that have their queue confined.
+it('a crash names the queues of volatile jobs only', () => {
+  for (const [volatile, queue] of [
+    [true, 'q'],
+    [false, ''],
+  ] as const) {
+    const harness = ready();
+    const groups = starts('j.0.0.0').map((group) => ({ ...group, volatile }));
+    harness.order({ holdUntilMs: 9000, starts: groups });
+    harness.answer('start');
+    harness.answer('hold', { kind: 'unreachable' });
+    harness.advance(1300);
+    const runs = harness.reports.flatMap((report) =>
+      report.crashes.flatMap((crash) => crash.runs),
+    );
+    expect(runs.map((run) => run.queue)).toEqual([queue]);
+  }
+});
+
 it('a silence is no crash, unless another incarnation answers after it', () => {
   const harness = withRun();
   for (let passed = 0; passed < 14_000; passed += 100) {
