Leave runs that were lost in a silence out of a later crash of the worker

A worker that is cut off for long loses its runs, and whether it crashed shows only when it answers again: another incarnation means a crash, the same one means none. In the second case the runs stayed on the list, so a crash of this worker much later was also counted against tasks that had long moved elsewhere, and the list grew with every silence.

The list is emptied when the incarnation answers. "runs lost in a silence are no part of a crash after it" failed before, with the run named in the crash.

--- a/packages/core/src/lib/process/crash-bulkhead.ts
+++ b/packages/core/src/lib/process/crash-bulkhead.ts
@@ -24,8 +24,8 @@
 const HASH_BYTES = 6;
 
 /**
- * Confines the queues with tasks that crash workers to some of the workers
- * (bulkhead).
+ * Confines the volatile jobs of queues with tasks that crash workers to some of
+ * the workers (bulkhead).
  *
  * Load pattern: for some seconds, every few hundred milliseconds a queue gets a
  * job with a task that crashes the worker that starts it. Each of these jobs
@@ -51,7 +51,8 @@
    * Records a crash. Confines a queue if it stands out for young runs at the
    * latest crashes, and prolongs the confinement of queues that had runs there.
    *
-   * @param runs - Runs that were active at the crash.
+   * @param runs - Runs that were active at the crash, those of jobs that are not
+   *   volatile without a queue.
    * @param now - Current time in milliseconds.
    * @returns The queue that has been confined now, if any.
    */
@@ -109,7 +110,10 @@
     return released;
   }
 
-  /** @returns Whether the queue may use the workers of the bulkhead only. */
+  /**
+   * @param queue - A queue.
+   * @returns Whether its volatile jobs may use the workers of the bulkhead only.
+   */
   isConfined(queue: string): boolean {
     return this._releaseAtMs.has(queue);
   }
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -865,6 +865,7 @@
         afterMs: Math.round(now - this._unansweredSinceMs),
       });
       this._unansweredSinceMs = undefined;
+      this._lostRuns = [];
       this._isUnreachable = false;
       this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
       this._links.markAllDirty();
--- a/packages/core/src/test/crash-reports.test.ts
+++ b/packages/core/src/test/crash-reports.test.ts
@@ -92,7 +92,8 @@
   }
 });
 
-it('a silence is no crash, unless another incarnation answers after it', () => {
+/** Returns a driver whose worker has not answered until its run was lost. */
+const withLostRun = (): DriverHarness => {
   const harness = withRun();
   for (let passed = 0; passed < 14_000; passed += 100) {
     if (harness.count('hold') > 0) {
@@ -100,11 +101,25 @@
     }
     harness.advance(100);
   }
+  return harness;
+};
+
+it('a silence is no crash, unless another incarnation answers after it', () => {
+  const harness = withLostRun();
   expect(crashedRuns(harness)).toEqual([]);
   harness.answer('hold', OTHER_INCARNATION);
   expect(crashedRuns(harness)).toEqual([RUN]);
 });
 
+// Guards against tasks that are blamed for a crash long after they have moved.
+it('runs lost in a silence are no part of a crash after it', () => {
+  const harness = withLostRun();
+  harness.answerPoll();
+  harness.advance(100);
+  harness.answer('hold', OTHER_INCARNATION);
+  expect(crashedRuns(harness)).toEqual([]);
+});
+
 it('a crash that several reports name is counted once for each task', () => {
   const ledger = new CrashLedger();
   const crash = {
