Do not acknowledge ends of a job that a takeover has already failed

Cause: a successor may find at once that a job it has adopted has to fail, because crashes under one of its tasks are known, but records that only once all workers have reported. Ends that come in between were queued for acknowledgement and not applied, as the job was final; half a second later the progress row was written without them and they were acknowledged. If this successor is killed as well, the next one knows nothing of these runs and starts their tasks again. The same holds for a job that has used up its attempts.

The ends of a final job are now acknowledged only by the record of its end.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -798,8 +798,9 @@
       if (
         !(areEndsDue || ownedJob.hasUnsavedCrash) ||
         ownedJob.job.content.isVolatile ||
-        ownedJob.isSaving ||
-        ownedJob.isFinishing
+        // Its ends are acknowledged once its final state is recorded.
+        isFinal(ownedJob.job.state) ||
+        ownedJob.isSaving
       ) {
         continue;
       }
--- a/packages/core/src/test/crash-loops.test.ts
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -5,7 +5,13 @@
 import { CrashLedger } from '../lib/process/crash-ledger.js';
 import { BatchState } from '../lib/request/batch-job.js';
 import type { BatchProgress } from '../lib/request/batch-job.js';
-import { EntryHarness, FakeRows, ID, withWorker } from './entry-harness.js';
+import {
+  EntryHarness,
+  FakeRows,
+  ID,
+  done,
+  withWorker,
+} from './entry-harness.js';
 
 const TASK = `${ID}.0.0.0`;
 const OTHER = `${ID}.0.0.1`;
@@ -207,3 +213,20 @@
   expect(harness.replies.get(1)?.kind).toEqual('in-doubt');
   expect(harness.started.length).toEqual(2);
 });
+
+// Guards against an end that is acknowledged while no row includes it, so that
+// the next owner starts its task again.
+it('no end of a job given up during a takeover is acknowledged before it is saved', () => {
+  const rows = new FakeRows();
+  withTwoWorkers(rows).submit(1, { isVolatile: false });
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  next.answerChanges();
+  next.advance(300);
+  const crashes = [crash('2', { [TASK]: 12 }), crash('3', { [TASK]: 12 })];
+  next.report('w1', { snapshot: true, adopted: ['e1'], crashes });
+  next.report('w1', { ends: [done(OTHER)] });
+  next.advance(1000);
+  const recorded = next.orders.flatMap(({ order }) => order.recorded);
+  expect(recorded).toEqual([]);
+});
