--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -1,4 +1,7 @@
 import { randomBytes } from 'node:crypto';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { expect } from 'earl';
 import { CONNECTION_FAILED, sendJson } from '../lib/platform/desk-client.js';
 import { FleetCluster } from '../lib/platform/fleet-cluster.js';
@@ -66,15 +69,26 @@
   ).length;
 };
 
+/** Runs a check on a cluster, and keeps the logs of the processes if it fails. */
 const withCluster = async (
   check: (cluster: FleetCluster) => Promise<void>,
 ): Promise<void> => {
-  const cluster = new FleetCluster({ entries: 2, workers: 3 });
+  const lines: string[] = [];
+  const cluster = new FleetCluster({
+    entries: 2,
+    workers: 3,
+    onLine: (_name, line) => lines.push(line),
+  });
   try {
     await cluster.start();
     // Leaves time for the heartbeats of the workers to register them.
     await delay(800);
     await check(cluster);
+  } catch (err) {
+    const file = join(mkdtempSync(join(tmpdir(), 'sapphiremux-')), 'fleet.log');
+    writeFileSync(file, lines.join('\n'));
+    const { message } = err as Error;
+    throw new Error(`${message} (logs: ${file})`, { cause: err });
   } finally {
     await cluster.close();
   }
