Leave the ends of recorded jobs of other owners unacknowledged

An entry acknowledged the end of any run of its own whose job it no longer runs and that has not ended: right for volatile jobs, which it may have abandoned. A recorded job that it does not run any more is open at another owner, which then never learns of the end and starts the task again. It takes an end between the loss of the job and the retirement of the entry.

"no end of a job that is lost to another owner is acknowledged" failed before. Such ends are now decided by the job's row, like those of runs that the entry did not send. No play has shown this case: the logs of two plays have no job that was lost to another owner, so the cause of that TWICE is still open.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -339,6 +339,7 @@
     run,
     needs,
     isSuspect,
+    isVolatile,
     sequence: view.nextSequence,
   });
   const start = { task: task.name, run, checkpoint: task.checkpoint };
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -18,7 +18,7 @@
 import type { PartStores } from './part-stores.js';
 import type { WorkerFleet } from './worker-fleet.js';
 import type { WorkerHealth } from './worker-health.js';
-import type { WorkerView } from './worker-view.js';
+import type { PlacedRun, WorkerView } from './worker-view.js';
 
 /** Options of {@link RunReports}. */
 export interface RunReportsOptions {
@@ -272,7 +272,8 @@
 
   private _onEnd(view: WorkerView, end: RunEnd, now: number): void {
     const key = runKey(end);
-    const isLocalRun = view.placed.delete(key);
+    const placed = view.placed.get(key);
+    view.placed.delete(key);
     const ownedJob = this._jobOf(end.task);
     const task = ownedJob?.job.task(end.task);
     const superseded =
@@ -288,10 +289,10 @@
       task: end.task,
       run: end.run,
       superseded,
-      isLocalRun,
+      isLocalRun: placed !== undefined,
     };
     if (!ownedJob) {
-      this._onEndOfOtherJob(pendingEnd, end, now);
+      this._onEndOfOtherJob(pendingEnd, end, placed, now);
       return;
     }
     if (ownedJob.job.content.isVolatile) {
@@ -371,10 +372,12 @@
    * not open. If the job has ended, another run of the task may have begun
    * after this one, so the `DONE` end of a run that this entry did not send
    * counts as superseded. An end that is listed again is acknowledged as before.
+   * A recorded job that this entry has run may be open at another owner.
    */
   private _onEndOfOtherJob(
     pendingEnd: UnacknowledgedEnd,
     end: RunEnd,
+    placed: PlacedRun | undefined,
     now: number,
   ): void {
     if (pendingEnd.number === 0) {
@@ -397,7 +400,7 @@
       fleet.acknowledge([{ ...pendingEnd, superseded }], now);
       return;
     }
-    if (pendingEnd.isLocalRun) {
+    if (placed?.isVolatile) {
       fleet.acknowledge([pendingEnd], now);
       return;
     }
@@ -527,6 +530,7 @@
       run,
       needs,
       isSuspect: this._options.crashes.isSuspect(name),
+      isVolatile: ownedJob.job.content.isVolatile,
       sequence: 0,
     });
     if (owner === '') {
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -50,6 +50,8 @@
   readonly needs: Room;
   /** Whether a worker has crashed under the task before. */
   readonly isSuspect: boolean;
+  /** Whether its job is volatile. */
+  readonly isVolatile: boolean;
   /**
    * Number of the order that carries its start; 0 when the run is known from a
    * report. Reports that cover this order already count its needs as used.
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -348,3 +348,23 @@
   harness.report('w1', { free: CAPACITY });
   expect(pending(12)).toEqual(0);
 });
+
+// Guards against an entry that acknowledges the end of a run whose job another
+// entry has adopted, so that the task starts again there.
+it('no end of a job that is lost to another owner is acknowledged', () => {
+  const harness = withWorker();
+  harness.submit(1, { isVolatile: false });
+  const key = `${partName(partOf(ID))}|job/${ID}`;
+  const value = harness.rows.rows.get(key)?.value ?? '';
+  harness.rows.rows.set(key, {
+    value: value.replace('"owner":"e1"', '"owner":"e2"'),
+    version: 1000,
+  });
+  const deadlineMs = harness.now + 1000;
+  harness.handle({ kind: 'cancel', replyId: 2, id: ID, deadlineMs });
+  expect(harness.replies.get(2)?.kind).toEqual('in-doubt');
+  harness.report('w1', { ends: [done(`${ID}.0.0.0`)] });
+  harness.advance(1000);
+  const recorded = harness.orders.flatMap(({ order }) => order.recorded);
+  expect(recorded).toEqual([]);
+});
