--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -808,17 +808,20 @@
       ownedJob.unacknowledged = [];
       ownedJob.hasUnsavedCrash = false;
       ownedJob.isSaving = true;
-      this._recorder.saveProgress(
-        ownedJob,
-        this._progressOf(ownedJob),
-        now,
-        (outcome, at) => {
-          ownedJob.isSaving = false;
-          if (outcome.kind === 'committed') {
-            this._fleet.acknowledge(ends, at);
-          }
-        },
-      );
+      const progress = this._progressOf(ownedJob);
+      this._recorder.saveProgress(ownedJob, progress, now, (outcome, at) => {
+        ownedJob.isSaving = false;
+        this._log('progress recorded', {
+          job: ownedJob.id,
+          outcome: outcome.kind,
+          ends: ends.length,
+          done: progress.done.length,
+          tookMs: Math.round(at - now),
+        });
+        if (outcome.kind === 'committed') {
+          this._fleet.acknowledge(ends, at);
+        }
+      });
     }
   }
 
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -383,7 +383,7 @@
     if (pendingEnd.number === 0) {
       return;
     }
-    const { fleet, isEnded, jobs, stores } = this._options;
+    const { fleet, isEnded, jobs, log, stores } = this._options;
     const id = jobIdOf(end.task);
     const earlierSuperseded = fleet.wasAcknowledgedAsSuperseded(pendingEnd);
     const isDone = end.kind === EndKind.DONE;
@@ -416,6 +416,11 @@
         // A job without a row was volatile, so its runs may be repeated, or its
         // row was deleted after the retention period.
         const superseded = isDone && data !== undefined;
+        log('end of a job that is not open acknowledged', {
+          task: end.task,
+          run: end.run,
+          row: data?.kind ?? 'none',
+        });
         fleet.acknowledge([{ ...pendingEnd, superseded }], at);
       }
     });
