Show no final state of a job before it is recorded

Cause: an entry answered status calls from memory. A job whose last task had ended was shown as completed while its record waited for the store (outage) or for all workers (takeover). If the entry and the workers were lost then, the next owner started the tasks again, and a caller that had gone away with `completed` was wrong. A cancel was acknowledged the same way.

Now a job that is final but not recorded is shown as running, and a cancel is answered once the end is recorded. "a job is not shown as completed before its end is recorded" failed before, with `completed`.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -692,8 +692,12 @@
       return false;
     }
     if (lookup.kind === 'status') {
-      this._reply(lookup.replyId, { kind: 'state', state });
-    } else if (ownedJob && (!isFinal(state) || ownedJob.isFinishing)) {
+      // A final state holds once it is recorded; until then another owner may
+      // start tasks again.
+      const isUnrecorded = ownedJob !== undefined && isFinal(state);
+      const shown = isUnrecorded ? BatchState.Running : state;
+      this._reply(lookup.replyId, { kind: 'state', state: shown });
+    } else if (ownedJob) {
       ownedJob.cancelReplies.push(lookup.replyId);
       if (!isFinal(state)) {
         ownedJob.job.state = BatchState.Cancelled;
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -368,3 +368,20 @@
   const recorded = harness.orders.flatMap(({ order }) => order.recorded);
   expect(recorded).toEqual([]);
 });
+
+// Guards against a job that is shown as completed and runs again under the next
+// owner, because its end was never recorded.
+it('a job is not shown as completed before its end is recorded', () => {
+  const harness = withWorker();
+  harness.submit(1, { isVolatile: false });
+  harness.rows.isUnavailable = true;
+  const ends = [0, 1].map((index) =>
+    done(`${ID}.0.0.${String(index)}`, 1, index + 1),
+  );
+  harness.report('w1', { ends });
+  harness.advance(100);
+  const deadlineMs = harness.now + 1000;
+  harness.handle({ kind: 'status', replyId: 2, id: ID, deadlineMs });
+  const reply = { kind: 'state', state: BatchState.Running } as const;
+  expect(harness.replies.get(2)).toEqual(reply);
+});
