Rank names by hash in one place

The bulkhead had its own copy of the remembered hash ranks of the subset of links. Both use HashRanks now; the subset passes the name of its entry as the prefix, as before, so ranks and orders do not change.

--- a/packages/core/src/lib/process/crash-bulkhead.ts
+++ b/packages/core/src/lib/process/crash-bulkhead.ts
@@ -1,5 +1,5 @@
-import { createHash } from 'node:crypto';
 import { groupBy } from '../group-by.js';
+import { HashRanks } from '../hash-ranks.js';
 
 /** A worker that may be part of a bulkhead. */
 export interface BulkheadCandidate {
@@ -21,7 +21,6 @@
 const MIN_LEAD = 2;
 /** Share of the workers of a service that each confined queue adds. */
 const SHARE_PER_QUEUE = 0.3;
-const HASH_BYTES = 6;
 
 /**
  * Confines the volatile jobs of queues with tasks that crash workers to some of
@@ -40,7 +39,7 @@
  */
 export class CrashBulkhead {
   private readonly _releaseAtMs = new Map<string, number>();
-  private readonly _ranks = new Map<string, number>();
+  private readonly _ranks = new HashRanks();
   /** Queues with young runs at each of the latest crashes. */
   private _samples: {
     readonly atMs: number;
@@ -128,26 +127,14 @@
     }
     const share = Math.min(1, SHARE_PER_QUEUE * this._releaseAtMs.size);
     const chosen = [...groupBy(workers, ({ service }) => service).values()]
-      .map((group) => [...group].sort((a, b) => this._compare(a, b)))
+      .map((group) =>
+        [...group].sort(
+          (a, b) => this._ranks.of(a.name) - this._ranks.of(b.name),
+        ),
+      )
       .flatMap((group) => group.slice(0, Math.ceil(share * group.length)));
     return new Set(chosen.map(({ name }) => name));
   }
-
-  private _compare(a: BulkheadCandidate, b: BulkheadCandidate): number {
-    return this._rank(a.name) - this._rank(b.name);
-  }
-
-  private _rank(worker: string): number {
-    let rank = this._ranks.get(worker);
-    if (rank === undefined) {
-      rank = createHash('sha256')
-        .update(worker)
-        .digest()
-        .readUIntBE(0, HASH_BYTES);
-      this._ranks.set(worker, rank);
-    }
-    return rank;
-  }
 }
 
 const NO_WORKERS: ReadonlySet<string> = new Set();
--- a/packages/core/src/lib/process/worker-subset.ts
+++ b/packages/core/src/lib/process/worker-subset.ts
@@ -1,5 +1,5 @@
-import { createHash } from 'node:crypto';
 import { groupBy } from '../group-by.js';
+import { HashRanks } from '../hash-ranks.js';
 
 /** Why jobs of an entry are waiting. */
 export enum Shortage {
@@ -60,7 +60,6 @@
  * an entry links all workers of the largest planned fleet.
  */
 const MAX_GROWTH = 1024;
-const HASH_BYTES = 6;
 
 /**
  * Selects the workers that an entry keeps links to.
@@ -78,7 +77,7 @@
  */
 export class WorkerSubset {
   private readonly _options: Required<WorkerSubsetOptions>;
-  private readonly _ranks = new Map<string, number>();
+  private readonly _ranks: HashRanks;
   /** Factor by which the subset is enlarged while tasks wait. */
   private _growth = 1;
   private _shortageSinceMs: number | undefined;
@@ -87,6 +86,7 @@
   /** @param options - The entry and the minimum size of its subset. */
   constructor(options: WorkerSubsetOptions) {
     this._options = { size: DEFAULT_SIZE, ...options };
+    this._ranks = new HashRanks(`${options.entry} `);
   }
 
   /** Factor by which the subset is enlarged at present. */
@@ -128,7 +128,8 @@
       dataCentre === this._options.dataCentre ? 0 : 1;
     return [...workers].sort(
       (a, b) =>
-        distance(a) - distance(b) || this._rank(a.name) - this._rank(b.name),
+        distance(a) - distance(b) ||
+        this._ranks.of(a.name) - this._ranks.of(b.name),
     );
   }
 
@@ -211,18 +212,6 @@
       [...totals].map(([service, total]) => [service, sizeOf(total)]),
     );
   }
-
-  private _rank(worker: string): number {
-    let rank = this._ranks.get(worker);
-    if (rank === undefined) {
-      rank = createHash('sha256')
-        .update(`${this._options.entry} ${worker}`)
-        .digest()
-        .readUIntBE(0, HASH_BYTES);
-      this._ranks.set(worker, rank);
-    }
-    return rank;
-  }
 }
 
 const byName = (a: { name: string }, b: { name: string }): number =>
