Drop a limit of the crash ledger that another condition implies

A task is taken for the cause of its second crash at the earliest; comparing with the crash before already requires one. No decision changes.

--- a/packages/core/src/lib/process/crash-ledger.ts
+++ b/packages/core/src/lib/process/crash-ledger.ts
@@ -8,8 +8,6 @@
   isCause: boolean;
 }
 
-/** Crashes under a task from which on it is taken for the cause of the last. */
-const MIN_CRASHES = 2;
 /**
  * Crashes under a task at which it is given up, whether or not it is the cause.
  * One less than the platform allows, because a crash may stay unknown if the
@@ -55,9 +53,8 @@
       const record = this._recordOf(task);
       const last = record.crashes.at(-1);
       record.isCause ||=
-        record.crashes.length + 1 >= MIN_CRASHES &&
-        suspectJobs.size === 1 &&
         last !== undefined &&
+        suspectJobs.size === 1 &&
         isSameTime(last.activeMs, activeMs);
       record.crashes.push({ key, activeMs });
     }
