Ask the bulkhead in one place whether it confines a job

Placement and reports each repeated that only volatile jobs of a confined queue are confined. While a queue is confined, the set of workers that other jobs avoid is no longer copied for each task that avoids none of its own. No decision changes.

--- a/packages/core/src/lib/process/crash-bulkhead.ts
+++ b/packages/core/src/lib/process/crash-bulkhead.ts
@@ -1,5 +1,6 @@
 import { groupBy } from '../group-by.js';
 import { HashRanks } from '../hash-ranks.js';
+import type { BatchContent } from '../request/batch-job.js';
 
 /** A worker that may be part of a bulkhead. */
 export interface BulkheadCandidate {
@@ -117,6 +118,20 @@
     return this._releaseAtMs.has(queue);
   }
 
+  /**
+   * Jobs that are not volatile are never confined, because they have to run
+   * however long it takes.
+   *
+   * @param job - A job.
+   * @returns Whether the job may use the workers of the bulkhead only.
+   */
+  confines({
+    queue,
+    isVolatile,
+  }: Pick<BatchContent, 'queue' | 'isVolatile'>): boolean {
+    return isVolatile && this.isConfined(queue);
+  }
+
   /**
    * @param workers - All workers that have a row.
    * @returns Names of the workers that confined queues use.
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -190,7 +190,7 @@
     task: BatchTask,
     candidates: readonly PlacementCandidate[],
   ): void {
-    if (this._isConfined(job)) {
+    if (this._options.bulkhead.confines(job.content)) {
       // More links would not help: the job may not use other workers.
       return;
     }
@@ -207,16 +207,6 @@
     }
   }
 
-  /**
-   * Whether a job may use the workers of the bulkhead only. Jobs that are not
-   * volatile are never confined, because they have to run however long it takes.
-   */
-  private _isConfined({ content }: BatchJob): boolean {
-    return (
-      content.isVolatile && this._options.bulkhead.isConfined(content.queue)
-    );
-  }
-
   private _rankJobs(now: number): RankedJob<OwnedJob>[] {
     const ranked: RankedJob<OwnedJob>[] = [];
     for (const ownedJob of this._waiting) {
@@ -285,12 +275,11 @@
     const { job } = ownedJob;
     const step = job.stepOf(task);
     const { remoteDataFactor, dataCentre, random } = this._options;
-    const isConfined = this._isConfined(job);
+    const isConfined = this._options.bulkhead.confines(job.content);
     // The bulkhead is for confined queues; others use it only if they have to.
-    const avoidedWorkers =
-      isConfined || round.bulkhead.size === 0
-        ? task.avoidedWorkers
-        : new Set([...task.avoidedWorkers, ...round.bulkhead]);
+    const avoidedWorkers = isConfined
+      ? task.avoidedWorkers
+      : unite(task.avoidedWorkers, round.bulkhead);
     const chosen = chooseWorker(
       {
         needs: step.needs,
@@ -323,6 +312,17 @@
   }
 }
 
+/** Returns the union of two sets: one of them, if the other one is empty. */
+const unite = (
+  a: ReadonlySet<string>,
+  b: ReadonlySet<string>,
+): ReadonlySet<string> => {
+  if (a.size === 0) {
+    return b;
+  }
+  return b.size === 0 ? a : new Set([...a, ...b]);
+};
+
 /** Marks a run as placed and adds its start to the next order to the worker. */
 const addStartToOrder = (
   view: WorkerView,
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -189,13 +189,11 @@
     if (confined) {
       log('queue confined, its tasks crash workers', { queue: confined });
     }
-    return own.flatMap((task) => {
-      const ownedJob = this._jobOf(task);
-      if (ownedJob) {
-        ownedJob.hasUnsavedCrash = true;
-      }
-      return ownedJob ?? [];
-    });
+    const ownedJobs = own.flatMap((task) => this._jobOf(task) ?? []);
+    for (const ownedJob of ownedJobs) {
+      ownedJob.hasUnsavedCrash = true;
+    }
+    return ownedJobs;
   }
 
   /**
@@ -205,11 +203,7 @@
   private _abandonConfined(ownedJob: OwnedJob, now: number): void {
     const { bulkhead, onAbandon } = this._options;
     const { content, state } = ownedJob.job;
-    if (
-      content.isVolatile &&
-      !isFinal(state) &&
-      bulkhead.isConfined(content.queue)
-    ) {
+    if (!isFinal(state) && bulkhead.confines(content)) {
       onAbandon(ownedJob, 'a worker crashed under it', now);
     }
   }
