--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -10,6 +10,7 @@
   FakeRows,
   ID,
   done,
+  withTwoWorkers,
   withWorker,
 } from './entry-harness.js';
 
@@ -166,12 +167,7 @@
 });
 
 it('tasks of an unresponsive worker are restarted elsewhere', () => {
-  const rows = new FakeRows();
-  rows.rows.set('|member/worker/w2', {
-    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
-    version: 1,
-  });
-  const harness = withWorker(rows);
+  const harness = withTwoWorkers();
   harness.submit(1);
   harness.advance(2000);
   harness.report('w2', { snapshot: true });
@@ -234,12 +230,7 @@
 });
 
 it('a stalled run is stopped and its task starts elsewhere', () => {
-  const rows = new FakeRows();
-  rows.rows.set('|member/worker/w2', {
-    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
-    version: 1,
-  });
-  const harness = withWorker(rows);
+  const harness = withTwoWorkers();
   harness.submit(1);
   harness.report('w2');
   for (let passed = 0; passed < 700; passed += 50) {
@@ -260,10 +251,7 @@
   const harness = withWorker(rows);
   harness.submit(1);
   const before = harness.started;
-  rows.rows.set('|member/worker/w2', {
-    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
-    version: 2,
-  });
+  rows.addWorker('w2', 2);
   rows.version = 2;
   harness.answerChanges();
   harness.advance(100);
--- a/packages/core/src/test/crash-loops.test.ts
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -10,7 +10,7 @@
   FakeRows,
   ID,
   done,
-  withWorker,
+  withTwoWorkers,
 } from './entry-harness.js';
 
 const TASK = `${ID}.0.0.0`;
@@ -47,15 +47,6 @@
   })),
 });
 
-/** Returns an entry with links to two workers, whose reports the test sends. */
-const withTwoWorkers = (rows = new FakeRows()): EntryHarness => {
-  rows.rows.set('|member/worker/w2', {
-    value: JSON.stringify({ address: 'w2', dataCentre: 'dc' }),
-    version: 1,
-  });
-  return withWorker(rows);
-};
-
 // Guards against a task that crashed worker after worker.
 it('a job with a task that crashes its workers fails after the second crash', () => {
   const harness = withTwoWorkers();
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -62,6 +62,12 @@
     }
   }
 
+  /** Adds the row through which entries discover a worker. */
+  addWorker(name: string, version = 1): void {
+    const value = JSON.stringify({ address: name, dataCentre: 'dc' });
+    this.rows.set(`|member/worker/${name}`, { value, version });
+  }
+
   table(table: string): { key: string; value: string; version: number }[] {
     const prefix = `|${table}/`;
     return [...this.rows]
@@ -280,16 +286,19 @@
 };
 
 export const withWorker = (rows = new FakeRows()): EntryHarness => {
-  rows.rows.set('|member/worker/w1', {
-    value: JSON.stringify({ address: 'w1', dataCentre: 'dc' }),
-    version: 1,
-  });
+  rows.addWorker('w1');
   const harness = new EntryHarness(rows);
   harness.advance(100);
   harness.report('w1');
   return harness;
 };
 
+/** Returns an entry with links to two workers, whose reports the test sends. */
+export const withTwoWorkers = (rows = new FakeRows()): EntryHarness => {
+  rows.addWorker('w2');
+  return withWorker(rows);
+};
+
 export const done = (task: string, run = 1, number = 1) => ({
   task,
   run,
--- a/packages/standins/src/test/crash-loops.test.ts
+++ b/packages/standins/src/test/crash-loops.test.ts
@@ -1,18 +1,10 @@
 import { expect } from 'earl';
 import { DEADLY_JOBS } from '../lib/fleet-sim/fleet-commands.js';
-import type {
-  FleetCommand,
-  FleetStep,
-} from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
+import { step } from './sample.js';
 
 const [, RECORDED] = DEADLY_JOBS;
 
-const step = (command: FleetCommand, thenMs: number): FleetStep => ({
-  command,
-  thenMs,
-});
-
 const submit = step({ kind: 'submit', entry: 0, job: RECORDED }, 0);
 
 // Guards against a task that crashed worker after worker until its job was
--- a/packages/standins/src/test/fleet-fuzz.test.ts
+++ b/packages/standins/src/test/fleet-fuzz.test.ts
@@ -1,19 +1,11 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import { fleetScenarios } from '../lib/fleet-sim/fleet-commands.js';
-import type {
-  FleetCommand,
-  FleetScenario,
-  FleetStep,
-} from '../lib/fleet-sim/fleet-commands.js';
+import type { FleetScenario } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
 import { WorkerMode } from '../lib/fleet-sim/sim-worker.js';
 import { StoreMode } from '../lib/sim/faulty-store.js';
-
-const step = (command: FleetCommand, thenMs: number): FleetStep => ({
-  command,
-  thenMs,
-});
+import { step } from './sample.js';
 
 const RUNS = 150;
 const SEED = 1;
--- a/packages/standins/src/test/sample.ts
+++ b/packages/standins/src/test/sample.ts
@@ -1,3 +1,8 @@
+import type {
+  FleetCommand,
+  FleetStep,
+} from '../lib/fleet-sim/fleet-commands.js';
+
 /** Ticket that declares two data centres, one endpoint and one desk. */
 export const CLUSTER_TICKET = {
   author: 'test',
@@ -44,3 +49,13 @@
     payload: { ms },
   })),
 });
+
+/**
+ * @param command - A command of a fleet scenario.
+ * @param thenMs - Virtual time until the next one, in milliseconds.
+ * @returns The step of the scenario.
+ */
+export const step = (command: FleetCommand, thenMs: number): FleetStep => ({
+  command,
+  thenMs,
+});
