Carry orders and reports as lines of JSON over one TCP connection per link

Each link is now a MessageSocket: one message per line, one write for the messages of a callback, at most 4 MiB per line and of pending writes, 700 ms to connect. The control calls between entries stay on connect-es. The WorkerService is removed from fleet.proto; its messages remain as the definition of the names. Numbers of end kinds and refusals that fleet.proto does not list are invalid, because no process handles them.

Ruled out: a generic JSON form by the protobuf runtime, which would keep that runtime in the bundle of the worker role.

--- a/packages/daemon/src/lib/connection/rpc.ts
+++ b/packages/daemon/src/lib/connection/rpc.ts
@@ -11,7 +11,6 @@
   EntryPeerService,
   EntryService,
   RunnerService,
-  WorkerService,
 } from '@sapphiremux/wire';
 import type { TlsContext } from './tls.js';
 
@@ -99,14 +98,6 @@
   return { client: createClient(EntryService, transport), close };
 };
 
-/** @returns A client of a worker driver process, over a new connection. */
-export const connectWorker = (
-  options: RpcClientOptions,
-): RpcClient<Client<typeof WorkerService>> => {
-  const { transport, close } = connect(options);
-  return { client: createClient(WorkerService, transport), close };
-};
-
 /** @returns A client of another entry on the platform, over a new connection. */
 export const connectPeer = (
   options: RpcClientOptions,
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -6,22 +6,20 @@
   BatchEntryOptions,
   BatchEvent,
   BatchReply,
+  WorkerOrder,
+  WorkerReport,
 } from '@sapphiremux/core';
 import {
   CancelJobReplySchema,
   EntryPeerService,
   ProbeReplySchema,
-  WorkerOrderSchema,
+  decodeWorkerReport,
+  encodeWorkerOrder,
 } from '@sapphiremux/wire';
-import type { WorkerOrder, WorkerReport } from '@sapphiremux/wire';
+import { MessageSocket } from '../connection/message-socket.js';
 import { RpcClients } from '../connection/rpc-clients.js';
-import {
-  connectPeer,
-  connectWorker,
-  startRpcServer,
-} from '../connection/rpc.js';
+import { connectPeer, startRpcServer } from '../connection/rpc.js';
 import type { RpcServer } from '../connection/rpc.js';
-import { StreamLinks } from '../connection/stream-links.js';
 import { now } from './clock.js';
 import { BatchEntryMetrics } from './fleet-metrics.js';
 import type { StorePort } from './fleet-ports.js';
@@ -46,12 +44,16 @@
 
 type Action<K extends BatchAction['kind']> = Extract<BatchAction, { kind: K }>;
 
+/** A connection to a worker driver process. */
+type Link = MessageSocket<WorkerOrder, WorkerReport>;
+
 interface WaitingCaller {
   readonly call: BatchEvent['kind'];
   readonly startedAtMs: number;
   readonly resolve: (reply: BatchReply) => void;
 }
 
+const LINK_FORMAT = { encode: encodeWorkerOrder, decode: decodeWorkerReport };
 const TICK_MS = 50;
 /** Tick period while the entry has no jobs. */
 const IDLE_TICK_MS = 100;
@@ -75,7 +77,7 @@
   readonly metrics = new BatchEntryMetrics();
   private readonly _options: BatchHostOptions;
   private readonly _store: StorePort;
-  private readonly _links: StreamLinks<number, WorkerOrder, WorkerReport>;
+  private readonly _links = new Map<number, Link>();
   private readonly _peers = new RpcClients<Client<typeof EntryPeerService>>(
     (address) => connectPeer({ address }),
   );
@@ -100,23 +102,6 @@
   constructor(options: BatchHostOptions) {
     this._options = options;
     this._store = options.openStore(this.metrics);
-    this._links = new StreamLinks({
-      connect: (address) => {
-        const rpc = connectWorker({ address });
-        return {
-          open: (orders) => rpc.client.drive(orders),
-          close: () => {
-            rpc.close();
-          },
-        };
-      },
-      onMessage: (linkId, report) => {
-        this.dispatch({ kind: 'report', linkId, report });
-      },
-      onClosed: (linkId, detail) => {
-        this.dispatch({ kind: 'link-closed', linkId, detail });
-      },
-    });
     this._core = this._createCore();
   }
 
@@ -197,7 +182,7 @@
   /** Closes all connections and stops the ticks. */
   async close(): Promise<void> {
     this._timer?.clear();
-    this._links.closeAll();
+    this._closeLinks();
     this._peers.close();
     await this._server?.close();
     await this._store.close();
@@ -272,16 +257,14 @@
         void this._follow(action);
         return;
       case 'open-link':
-        this._links.open(action.linkId, action.address);
+        this._openLink(action);
         return;
       case 'close-link':
-        this._links.close(action.linkId);
+        this._links.get(action.linkId)?.close();
+        this._links.delete(action.linkId);
         return;
       case 'order':
-        this._links.send(
-          action.linkId,
-          create(WorkerOrderSchema, action.order),
-        );
+        this._links.get(action.linkId)?.send(action.order);
         return;
       case 'probe':
         void this._probe(action);
@@ -294,7 +277,7 @@
         this._options.log.info(action.message, action.fields);
         return;
       case 'retire':
-        this._links.closeAll();
+        this._closeLinks();
         this._generation += 1;
         this._core = this._createCore();
         return;
@@ -303,6 +286,26 @@
     }
   }
 
+  private _openLink({ linkId, address }: Action<'open-link'>): void {
+    const link: Link = MessageSocket.connect(address, LINK_FORMAT, {
+      onMessage: (report) => {
+        this.dispatch({ kind: 'report', linkId, report });
+      },
+      onClosed: (detail) => {
+        this._links.delete(linkId);
+        this.dispatch({ kind: 'link-closed', linkId, detail });
+      },
+    });
+    this._links.set(linkId, link);
+  }
+
+  private _closeLinks(): void {
+    for (const link of this._links.values()) {
+      link.close();
+    }
+    this._links.clear();
+  }
+
   private _onReply({ replyId, reply }: Action<'reply'>): void {
     const caller = this._callers.get(replyId);
     this._callers.delete(replyId);
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -1,19 +1,18 @@
-import { create } from '@bufbuild/protobuf';
-import type { ConnectRouter } from '@connectrpc/connect';
 import { WorkerDriver } from '@sapphiremux/core';
 import type {
   WorkerAction,
   WorkerDriverOptions,
   WorkerEvent,
+  WorkerOrder,
+  WorkerReport,
 } from '@sapphiremux/core';
-import { WorkerReportSchema, WorkerService } from '@sapphiremux/wire';
+import { decodeWorkerOrder, encodeWorkerReport } from '@sapphiremux/wire';
+import { startMessageServer } from '../connection/message-server.js';
+import type { MessageServer } from '../connection/message-server.js';
 import type {
-  WorkerOrder,
-  WorkerReport as WireWorkerReport,
-} from '@sapphiremux/wire';
-import { MessageQueue } from '../connection/message-queue.js';
-import { startRpcServer } from '../connection/rpc.js';
-import type { RpcServer } from '../connection/rpc.js';
+  MessageHandlers,
+  MessageSocket,
+} from '../connection/message-socket.js';
 import { now } from './clock.js';
 import { WorkerMetrics } from './fleet-metrics.js';
 import type { WorkerPort } from './fleet-ports.js';
@@ -25,13 +24,16 @@
 export interface WorkerHostOptions {
   readonly driver: WorkerDriverOptions;
   readonly worker: WorkerPort;
-  /** Address for RPC calls from the entries. */
+  /** Address for links from the entries. */
   readonly listen: { readonly host: string; readonly port: number };
   readonly log: Log;
   /** Called when a planned stop is complete. */
   readonly onStopped: () => void;
 }
 
+/** A connection that an entry has opened. */
+type Link = MessageSocket<WorkerReport, WorkerOrder>;
+
 const TICK_MS = 100;
 
 /**
@@ -43,8 +45,8 @@
   readonly metrics = new WorkerMetrics();
   private readonly _options: WorkerHostOptions;
   private readonly _driver: WorkerDriver;
-  private readonly _links = new Map<number, MessageQueue<WireWorkerReport>>();
-  private _server: RpcServer | undefined;
+  private readonly _links = new Map<number, Link>();
+  private _server: MessageServer | undefined;
   private _timer: IoTimeout | undefined;
   private _pollTimer: NodeJS.Timeout | undefined;
   private readonly _flush = new TurnFlush(() => {
@@ -59,14 +61,13 @@
     this._driver = new WorkerDriver(options.driver);
   }
 
-  /** Starts the periodic ticks and the RPC server. */
+  /** Starts the periodic ticks and the server for links. */
   async start(): Promise<void> {
     this._tick();
-    this._server = await startRpcServer({
+    this._server = await startMessageServer({
       ...this._options.listen,
-      routes: (router) => {
-        this._addRoutes(router);
-      },
+      format: { encode: encodeWorkerReport, decode: decodeWorkerOrder },
+      accept: () => this._accept(),
     });
   }
 
@@ -84,9 +85,6 @@
   async close(): Promise<void> {
     this._timer?.clear();
     clearTimeout(this._pollTimer);
-    for (const queue of this._links.values()) {
-      queue.close();
-    }
     await this._server?.close();
     await this._options.worker.close();
   }
@@ -117,40 +115,23 @@
     );
   }
 
-  private _addRoutes(router: ConnectRouter): void {
-    router.service(WorkerService, {
-      drive: (orders) => this._drive(orders),
-    });
-  }
-
-  private _drive(
-    orders: AsyncIterable<WorkerOrder>,
-  ): MessageQueue<WireWorkerReport> {
+  private _accept(): MessageHandlers<WorkerReport, WorkerOrder> {
     const linkId = this._nextLinkId++;
-    const queue = new MessageQueue<WireWorkerReport>();
-    this._links.set(linkId, queue);
-    this.dispatch({ kind: 'link-open', linkId });
-    void this._receive(linkId, orders, queue);
-    return queue;
-  }
-
-  private async _receive(
-    linkId: number,
-    orders: AsyncIterable<WorkerOrder>,
-    queue: MessageQueue<WireWorkerReport>,
-  ): Promise<void> {
-    let detail = 'closed by the entry';
-    try {
-      for await (const order of orders) {
+    return {
+      onOpen: (link) => {
+        this._links.set(linkId, link);
+        this.dispatch({ kind: 'link-open', linkId });
+      },
+      onMessage: (order) => {
         this.dispatch({ kind: 'order', linkId, order });
-      }
-    } catch (err) {
-      detail = (err as Error).message;
-    }
-    this._options.log.info('link from entry closed', { linkId, detail });
-    this._links.delete(linkId);
-    queue.close();
-    this.dispatch({ kind: 'link-closed', linkId });
+      },
+      onClosed: (detail) => {
+        this._options.log.info('link from entry closed', { linkId, detail });
+        if (this._links.delete(linkId)) {
+          this.dispatch({ kind: 'link-closed', linkId });
+        }
+      },
+    };
   }
 
   private _run(action: WorkerAction): void {
@@ -159,9 +140,7 @@
         void this._call(action);
         return;
       case 'report':
-        this._links
-          .get(action.linkId)
-          ?.push(create(WorkerReportSchema, action.report));
+        this._links.get(action.linkId)?.send(action.report);
         return;
       case 'log':
         this.metrics.decisions.inc({ decision: action.message });
