Call workers and the table service over node:net instead of undici

Cause: calls with undici take two fifths of the processor time of a worker driver process.

Ruled out: node:http with an agent, which allocates streams for each call.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,7 +23,6 @@
   target: 'node20',
   // Bundles from source, so that the packages need not be built first.
   alias: {
-    undici: './platform/undici-pool.cjs',
     '@sapphiremux/core': sources('core'),
     '@sapphiremux/wire': sources('wire'),
     '@sapphiremux/daemon/fleet': './packages/daemon/src/fleet.ts',
