--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -143,7 +143,7 @@
         this._links.get(action.linkId)?.send(action.report);
         return;
       case 'log':
-        this.metrics.decisions.inc({ decision: action.message });
+        this.metrics.decisions.inc(action.message);
         this._options.log.info(action.message, action.fields);
         return;
       case 'stopped':
