Index the runs and links of a worker driver instead of scanning them

Cause: each start, end and report went through all runs or all links of the worker driver process: for the free capacity, the active run of a task, the time limits of the owners, the links of an owner and the reports that are due.

- tracked-runs.ts keeps the runs with their total needs, the runs of each task and the owners; the time limits are compared once per owner and poll.
- ReportLinks finds links by owner and keeps a set of the links that have a report to send.

No existing test is changed. Processor time was not measured separately.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -17,10 +17,8 @@
 export interface ReportLink {
   readonly id: number;
   /** Incarnation of the entry; empty before its first order. */
-  incarnation: string;
+  readonly incarnation: string;
   report: MutableReport;
-  /** Whether the report is sent at the end of this turn of the event loop. */
-  isDirty: boolean;
   /** Whether the worker has been introduced on this link. */
   isHelloSent: boolean;
   /** Whether the recent crashes of the worker have been reported on this link. */
@@ -32,6 +30,8 @@
   sentAtMs: number;
 }
 
+type MutableLink = { -readonly [K in keyof ReportLink]: ReportLink[K] };
+
 /** State of the worker that the reports of one turn share. */
 export interface WorkerState {
   /** Lower bound of the worker's clock. */
@@ -66,6 +66,9 @@
  */
 const LOW_CAPACITY_SHARE = 0.25;
 
+/** Minimum interval between two checks of all links for such reports. */
+const CAPACITY_CHECK_INTERVAL_MS = 25;
+
 /**
  * Keeps the links that entries have opened to a worker driver process, and
  * collects a report for each. A report is sent at the end of a turn of the event
@@ -73,7 +76,13 @@
  * reported with a delay that limits the rate of such reports.
  */
 export class ReportLinks {
-  private readonly _links = new Map<number, ReportLink>();
+  private readonly _links = new Map<number, MutableLink>();
+  /** Links of each entry, by its incarnation. */
+  private readonly _byOwner = new Map<string, ReportLink[]>();
+  /** Links with a report that is sent at the end of this turn. */
+  private readonly _dirty = new Set<ReportLink>();
+  /** Time of the next check whether the free capacity is to be reported. */
+  private _capacityCheckAtMs = 0;
 
   /** @param linkId - Id of a link that an entry has opened. */
   open(linkId: number): void {
@@ -81,7 +90,6 @@
       id: linkId,
       incarnation: '',
       report: emptyReport(),
-      isDirty: false,
       isHelloSent: false,
       areCrashesSent: false,
       adopted: [],
@@ -95,14 +103,33 @@
    * @returns Incarnation of its entry if that has no other link.
    */
   close(linkId: number): string | undefined {
-    const owner = this._links.get(linkId)?.incarnation;
+    const link = this._links.get(linkId);
+    if (!link) {
+      return undefined;
+    }
     this._links.delete(linkId);
-    return owner === undefined || this.has(owner) ? undefined : owner;
+    this._dirty.delete(link);
+    this._removeFromOwner(link);
+    return this.has(link.incarnation) ? undefined : link.incarnation;
+  }
+
+  /**
+   * @param link - A link on which an order has arrived.
+   * @param incarnation - Incarnation of the entry that sent it.
+   */
+  identify(link: ReportLink, incarnation: string): void {
+    const known = this._links.get(link.id);
+    if (!known || known.incarnation === incarnation) {
+      return;
+    }
+    this._removeFromOwner(known);
+    known.incarnation = incarnation;
+    this._byOwner.set(incarnation, [...this._linksOf(incarnation), known]);
   }
 
   /** @returns Whether the entry of this incarnation has an open link. */
   has(owner: string): boolean {
-    return [...this._links.values()].some((l) => l.incarnation === owner);
+    return this._byOwner.has(owner);
   }
 
   /** @returns The open link with this id, if there is one. */
@@ -116,8 +143,8 @@
    */
   addEnd(owner: string, end: RunEnd): void {
     for (const link of this._linksOf(owner)) {
-      link.report.ends = [...link.report.ends, end];
-      link.isDirty = true;
+      link.report.ends.push(end);
+      this._dirty.add(link);
     }
   }
 
@@ -134,23 +161,28 @@
     reason: StartRefusal,
   ): void {
     for (const link of this._linksOf(owner)) {
-      link.report.refused = [...link.report.refused, { task, run, reason }];
-      link.isDirty = true;
+      link.report.refused.push({ task, run, reason });
+      this._dirty.add(link);
     }
   }
 
   /** @param crash - Crash of the worker to report to all entries. */
   addCrash(crash: WorkerCrash): void {
     for (const link of this._links.values()) {
-      link.report.crashes = [...link.report.crashes, crash];
-      link.isDirty = true;
+      link.report.crashes.push(crash);
+      this._dirty.add(link);
     }
   }
 
+  /** @param link - Link on which a report is sent this turn. */
+  markDirty(link: ReportLink): void {
+    this._dirty.add(link);
+  }
+
   /** Marks all links, so that every entry gets a report this turn. */
   markAllDirty(): void {
     for (const link of this._links.values()) {
-      link.isDirty = true;
+      this._dirty.add(link);
     }
   }
 
@@ -170,6 +202,14 @@
     this.markAllDirty();
   }
 
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether {@link ReportLinks.flush} may return reports.
+   */
+  isFlushDue(now: number): boolean {
+    return this._dirty.size > 0 || now >= this._capacityCheckAtMs;
+  }
+
   /**
    * @param workerState - State of the worker at the end of this turn.
    * @param now - Current time in milliseconds.
@@ -179,21 +219,38 @@
     workerState: WorkerState,
     now: number,
   ): { readonly linkId: number; readonly report: WorkerReport }[] {
-    return [...this._links.values()]
-      .filter((link) => link.incarnation !== '')
-      .filter(
-        (link) => link.isDirty || isCapacityReportDue(link, workerState, now),
-      )
-      .map((link) => ({
-        linkId: link.id,
-        report: completeReport(link, workerState, now),
-      }));
+    if (now >= this._capacityCheckAtMs) {
+      this._capacityCheckAtMs = now + CAPACITY_CHECK_INTERVAL_MS;
+      for (const link of this._links.values()) {
+        if (isCapacityReportDue(link, workerState, now)) {
+          this._dirty.add(link);
+        }
+      }
+    }
+    const due = [...this._dirty].filter((link) => link.incarnation !== '');
+    for (const link of due) {
+      this._dirty.delete(link);
+    }
+    return due.map((link) => ({
+      linkId: link.id,
+      report: completeReport(link, workerState, now),
+    }));
   }
 
-  private _linksOf(owner: string): ReportLink[] {
-    return [...this._links.values()].filter(
-      (link) => owner === '' || link.incarnation === owner,
-    );
+  private _linksOf(owner: string): Iterable<ReportLink> {
+    return owner === ''
+      ? this._links.values()
+      : (this._byOwner.get(owner) ?? []);
+  }
+
+  private _removeFromOwner(link: ReportLink): void {
+    const links = this._byOwner.get(link.incarnation) ?? [];
+    const others = links.filter((other) => other !== link);
+    if (others.length > 0) {
+      this._byOwner.set(link.incarnation, others);
+    } else {
+      this._byOwner.delete(link.incarnation);
+    }
   }
 }
 
@@ -227,7 +284,6 @@
   // Kept to detect a change of the free capacity.
   link.report.free = workerState.free;
   link.report.sequence = report.sequence;
-  link.isDirty = false;
   link.sentAtMs = now;
   return report;
 };
--- /dev/null
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -0,0 +1,228 @@
+import type { ActiveRun, Room, RunRef } from '../messages.js';
+import { ZERO_ROOM, addRoom, subtractRoom } from '../request/room.js';
+import { runKey } from '../request/run-key.js';
+
+/** Progress of a run, as far as a worker driver process knows. */
+export enum RunPhase {
+  /** The start call is pending; the run may or may not have begun. */
+  Starting,
+  Active,
+  /** A stop call has been sent. */
+  Stopping,
+}
+
+/** A run that may be active at the worker. */
+export interface TrackedRun {
+  readonly task: string;
+  readonly run: number;
+  readonly spec: string;
+  /** Queue of its job; empty while unknown. */
+  readonly queue: string;
+  /** Checkpoint from which the run starts. */
+  readonly checkpoint: string;
+  readonly needs: Room;
+  /** Whether its end is acknowledged without being recorded by its owner. */
+  readonly isVolatile: boolean;
+  /** Incarnation of the entry that owns the run; empty while unknown. */
+  readonly owner: string;
+  phase: RunPhase;
+  /** Start calls sent so far. */
+  starts: number;
+  /** Start calls that provably did not reach the worker. */
+  undeliveredStarts: number;
+  /** Share of its full pace at which the run works. */
+  percent: number;
+  /** Latest known checkpoint. */
+  latestCheckpoint: string;
+  /** Local time at which the driver learned of the run. */
+  readonly sinceMs: number;
+  /** Number of the latest poll when the worker confirmed the stop. */
+  readonly stoppedAtPoll: number | undefined;
+  /** Local time at which a stop call that failed is sent again. */
+  stopRetryAtMs: number | undefined;
+}
+
+/** Fields of a run that an entry provides when it claims the run. */
+export type Claim = Pick<
+  TrackedRun,
+  'owner' | 'needs' | 'isVolatile' | 'queue'
+>;
+
+type MutableRun = { -readonly [K in keyof TrackedRun]: TrackedRun[K] };
+
+/**
+ * @param ref - Task and number of the run.
+ * @param known - The fields that are known.
+ * @returns A run with defaults for the other fields.
+ */
+export const trackedRun = (
+  ref: RunRef,
+  known: Partial<TrackedRun> & Pick<TrackedRun, 'owner' | 'phase' | 'sinceMs'>,
+): TrackedRun => ({
+  task: ref.task,
+  run: ref.run,
+  spec: '',
+  queue: '',
+  checkpoint: '',
+  needs: ZERO_ROOM,
+  isVolatile: false,
+  starts: 0,
+  undeliveredStarts: 0,
+  percent: 0,
+  latestCheckpoint: '',
+  stoppedAtPoll: undefined,
+  stopRetryAtMs: undefined,
+  ...known,
+});
+
+/**
+ * The runs that may be active at a worker. Their total needs, the runs of each
+ * task and the number of runs of each owner are updated with each change, so
+ * that no event has to go through all runs.
+ */
+export class TrackedRuns {
+  private readonly _runs = new Map<string, MutableRun>();
+  /** Runs of each task, in the order in which they were added. */
+  private readonly _byTask = new Map<string, TrackedRun[]>();
+  private readonly _countByOwner = new Map<string, number>();
+  /** Runs whose stop the worker has confirmed. */
+  private readonly _stopped = new Set<TrackedRun>();
+  private _needs = ZERO_ROOM;
+
+  /** Number of runs. */
+  get size(): number {
+    return this._runs.size;
+  }
+
+  /** Whether a run has no known owner. */
+  get hasUnowned(): boolean {
+    return this._countByOwner.has('');
+  }
+
+  /** Incarnations that own a run; the empty one stands for an unknown owner. */
+  get owners(): Iterable<string> {
+    return this._countByOwner.keys();
+  }
+
+  /** Runs whose stop the worker has confirmed. */
+  get stopped(): Iterable<TrackedRun> {
+    return this._stopped;
+  }
+
+  /** @returns The tracked run with this task and number. */
+  get(ref: RunRef): TrackedRun | undefined {
+    return this._runs.get(runKey(ref));
+  }
+
+  /** @returns The run of a task that was added first. */
+  ofTask(task: string): TrackedRun | undefined {
+    return this._byTask.get(task)?.[0];
+  }
+
+  /** @returns All runs, in the order in which they were added. */
+  values(): TrackedRun[] {
+    return [...this._runs.values()];
+  }
+
+  /** @returns All runs as entries see them. */
+  list(): ActiveRun[] {
+    return this.values().map((run) => ({
+      task: run.task,
+      run: run.run,
+      owner: run.owner,
+      checkpoint: run.latestCheckpoint,
+      percent: run.percent,
+    }));
+  }
+
+  /**
+   * @param capacity - Capacity of the worker.
+   * @returns Free capacity; zero while the needs of a run are unknown.
+   */
+  free(capacity: Room): Room {
+    return this.hasUnowned ? ZERO_ROOM : subtractRoom(capacity, this._needs);
+  }
+
+  /** @param run - A run that is not tracked yet. */
+  add(run: TrackedRun): void {
+    this._runs.set(runKey(run), run);
+    const runs = this._byTask.get(run.task);
+    if (runs) {
+      runs.push(run);
+    } else {
+      this._byTask.set(run.task, [run]);
+    }
+    this._countOwner(run.owner, 1);
+    this._needs = addRoom(this._needs, run.needs);
+  }
+
+  /** @param run - A tracked run that has ended or did not begin. */
+  delete(run: TrackedRun): void {
+    if (!this._runs.delete(runKey(run))) {
+      return;
+    }
+    const others = (this._byTask.get(run.task) ?? []).filter((r) => r !== run);
+    if (others.length > 0) {
+      this._byTask.set(run.task, others);
+    } else {
+      this._byTask.delete(run.task);
+    }
+    this._stopped.delete(run);
+    this._countOwner(run.owner, -1);
+    this._needs =
+      this._runs.size === 0 ? ZERO_ROOM : subtractRoom(this._needs, run.needs);
+  }
+
+  /**
+   * @param ref - A tracked run.
+   * @param claim - Its owner, and the needs that the owner knows.
+   */
+  claim(ref: RunRef, claim: Claim): void {
+    const run = this._runs.get(runKey(ref));
+    if (!run) {
+      return;
+    }
+    this._countOwner(run.owner, -1);
+    this._needs = addRoom(subtractRoom(this._needs, run.needs), claim.needs);
+    Object.assign(run, claim);
+    this._countOwner(run.owner, 1);
+  }
+
+  /**
+   * @param from - Incarnation that no longer owns its runs.
+   * @param to - Incarnation that owns them from now on.
+   */
+  reassign(from: string, to: string): void {
+    if (from === to || !this._countByOwner.has(from)) {
+      return;
+    }
+    for (const run of this._runs.values()) {
+      if (run.owner === from) {
+        this._countOwner(from, -1);
+        run.owner = to;
+        this._countOwner(to, 1);
+      }
+    }
+  }
+
+  /**
+   * @param ref - A tracked run whose stop the worker has confirmed.
+   * @param pollNumber - Number of the latest poll.
+   */
+  confirmStop(ref: RunRef, pollNumber: number): void {
+    const run = this._runs.get(runKey(ref));
+    if (run) {
+      run.stoppedAtPoll = pollNumber;
+      this._stopped.add(run);
+    }
+  }
+
+  private _countOwner(owner: string, change: number): void {
+    const count = (this._countByOwner.get(owner) ?? 0) + change;
+    if (count > 0) {
+      this._countByOwner.set(owner, count);
+    } else {
+      this._countByOwner.delete(owner);
+    }
+  }
+}
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -1,26 +1,20 @@
 import { EndKind, StartRefusal } from '../messages.js';
 import type {
-  ActiveRun,
   RecordedEnd,
   Room,
   RunEnd,
-  RunRef,
   StartGroup,
   WorkerHello,
   WorkerOrder,
 } from '../messages.js';
-import {
-  ZERO_ROOM,
-  addRoom,
-  fits,
-  isSameRoom,
-  subtractRoom,
-} from '../request/room.js';
+import { ZERO_ROOM, fits, isSameRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
 import { CrashHistory } from './crash-history.js';
 import { EndList } from './end-list.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
+import { RunPhase, TrackedRuns, trackedRun } from './tracked-runs.js';
+import type { TrackedRun } from './tracked-runs.js';
 import { WorkerClock } from './worker-clock.js';
 import { WorkerRejection, isOutdatedHeartbeat } from './worker-events.js';
 import type {
@@ -32,6 +26,7 @@
   WorkerEvent,
   WorkerReply,
 } from './worker-events.js';
+import { REFUSALS, reasonOf } from './worker-replies.js';
 
 /** Options of {@link WorkerDriver}. */
 export interface WorkerDriverOptions {
@@ -119,45 +114,6 @@
   OtherAnswers = 'other incarnation answers',
 }
 
-enum Phase {
-  /** The start call is pending; the run may or may not have begun. */
-  Starting,
-  Active,
-  /** A stop call has been sent. */
-  Stopping,
-}
-
-/** A run that may be active at the worker. */
-interface TrackedRun {
-  readonly task: string;
-  readonly run: number;
-  readonly spec: string;
-  /** Queue of its job; empty while unknown. */
-  queue: string;
-  /** Checkpoint from which the run starts. */
-  readonly checkpoint: string;
-  needs: Room;
-  /** Whether its end is acknowledged without being recorded by its owner. */
-  isVolatile: boolean;
-  /** Incarnation of the entry that owns the run; empty while unknown. */
-  owner: string;
-  phase: Phase;
-  /** Start calls sent so far. */
-  starts: number;
-  /** Start calls that provably did not reach the worker. */
-  undeliveredStarts: number;
-  /** Share of its full pace at which the run works. */
-  percent: number;
-  /** Latest known checkpoint. */
-  latestCheckpoint: string;
-  /** Local time at which the driver learned of the run. */
-  readonly sinceMs: number;
-  /** Number of the latest poll when the worker confirmed the stop. */
-  stoppedAtPoll: number | undefined;
-  /** Local time at which a stop call that failed is sent again. */
-  stopRetryAtMs: number | undefined;
-}
-
 interface PendingCall {
   readonly call: WorkerCall;
   /** Incarnation of the worker at the time of the call. */
@@ -168,27 +124,6 @@
   readonly leaseEndMs: number;
 }
 
-/** Creates a tracked run with defaults for the fields that are not known. */
-const trackedRun = (
-  ref: RunRef,
-  known: Partial<TrackedRun> & Pick<TrackedRun, 'owner' | 'phase' | 'sinceMs'>,
-): TrackedRun => ({
-  task: ref.task,
-  run: ref.run,
-  spec: '',
-  queue: '',
-  checkpoint: '',
-  needs: ZERO_ROOM,
-  isVolatile: false,
-  starts: 0,
-  undeliveredStarts: 0,
-  percent: 0,
-  latestCheckpoint: '',
-  stoppedAtPoll: undefined,
-  stopRetryAtMs: undefined,
-  ...known,
-});
-
 /**
  * Relays the orders of all entries to one worker, and reports its runs back.
  * It is the only caller of the worker and does no I/O: the worker driver process
@@ -210,7 +145,9 @@
    * whether the worker had crashed.
    */
   private _lostRuns: TrackedRun[] = [];
-  private readonly _runs = new Map<string, TrackedRun>();
+  private readonly _runs = new TrackedRuns();
+  /** Runs whose stop call has failed. */
+  private readonly _stopRetries = new Set<TrackedRun>();
   private readonly _links = new ReportLinks();
   private readonly _calls = new Map<number, PendingCall>();
   /**
@@ -349,15 +286,7 @@
     if (!this._worker) {
       return ZERO_ROOM;
     }
-    let used = ZERO_ROOM;
-    for (const run of this._runs.values()) {
-      if (run.owner === '') {
-        // The needs of the run are unknown until an entry claims it.
-        return ZERO_ROOM;
-      }
-      used = addRoom(used, run.needs);
-    }
-    return subtractRoom(this._worker.capacity, used);
+    return this._runs.free(this._worker.capacity);
   }
 
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
@@ -423,7 +352,7 @@
       this._recordCrash([...this._lostRuns, ...this._runs.values()], why, now);
     }
     this._lostRuns = [];
-    for (const run of [...this._runs.values()]) {
+    for (const run of this._runs.values()) {
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
     this._ends.reset();
@@ -491,14 +420,19 @@
       return;
     }
     const isFirst = link.incarnation === '';
-    link.incarnation = order.incarnation;
+    this._links.identify(link, order.incarnation);
     link.report.sequence = order.sequence;
     // Starts and acknowledgements lead to reports of their own; an order that
     // only keeps the link alive is answered at the end of this turn.
     const isKeepAlive =
       order.starts.length === 0 && order.recorded.length === 0;
-    link.isDirty ||=
-      isFirst || isKeepAlive || now - link.sentAtMs >= MAX_REPORT_INTERVAL_MS;
+    if (
+      isFirst ||
+      isKeepAlive ||
+      now - link.sentAtMs >= MAX_REPORT_INTERVAL_MS
+    ) {
+      this._links.markDirty(link);
+    }
     for (const owner of order.adopt) {
       this._adopt(link, owner);
     }
@@ -508,7 +442,7 @@
         successor: this._fenced.get(order.incarnation) ?? '',
       });
       link.report.fenced = true;
-      link.isDirty = true;
+      this._links.markDirty(link);
       this._refuseStarts(order, StartRefusal.FENCED);
       return;
     }
@@ -605,22 +539,22 @@
       });
       this._fenced.set(owner, link.incarnation);
     }
-    for (const run of this._runs.values()) {
-      if (run.owner === owner) {
-        run.owner = link.incarnation;
-      }
-    }
+    this._runs.reassign(owner, link.incarnation);
     link.adopted.push(owner);
   }
 
   private _claim(owner: string, group: StartGroup): void {
     for (const { task, run } of group.runs) {
-      const tracked = this._runs.get(runKey({ task, run }));
-      if (tracked?.owner === '') {
-        tracked.owner = owner;
-        tracked.needs = group.needs ?? ZERO_ROOM;
-        tracked.isVolatile = group.volatile;
-        tracked.queue = group.queue;
+      if (this._runs.get({ task, run })?.owner === '') {
+        this._runs.claim(
+          { task, run },
+          {
+            owner,
+            needs: group.needs ?? ZERO_ROOM,
+            isVolatile: group.volatile,
+            queue: group.queue,
+          },
+        );
       }
     }
   }
@@ -631,14 +565,14 @@
       const refuse = (reason: StartRefusal): void => {
         this._links.addRefusal(link.incarnation, task, run, reason);
       };
-      const known = this._activeRunOf(task);
+      const known = this._runs.ofTask(task);
       if (known?.run === run && known.owner === link.incarnation) {
         continue;
       }
       if (known) {
         // An earlier run of the task, for example one of another entry, from
         // which the caller has since moved the job to this one.
-        if (known.phase !== Phase.Stopping) {
+        if (known.phase !== RunPhase.Stopping) {
           this._sendStop(known);
         }
         refuse(StartRefusal.STALE_RUN);
@@ -661,26 +595,17 @@
           needs,
           isVolatile: group.volatile,
           owner: link.incarnation,
-          phase: Phase.Starting,
+          phase: RunPhase.Starting,
           percent: 100,
           latestCheckpoint: checkpoint,
           sinceMs: now,
         },
       );
-      this._runs.set(runKey({ task, run }), tracked);
+      this._runs.add(tracked);
       this._sendStart(tracked, now);
     }
   }
 
-  private _activeRunOf(task: string): TrackedRun | undefined {
-    for (const tracked of this._runs.values()) {
-      if (tracked.task === task) {
-        return tracked;
-      }
-    }
-    return undefined;
-  }
-
   private _sendStart(tracked: TrackedRun, now: number): void {
     const expiryMs = this._ownerExpiryMs.get(tracked.owner) ?? 0;
     // A delayed start must not begin after its owner may have abandoned the
@@ -709,17 +634,21 @@
     owner: string,
     now: number,
   ): void {
-    const key = runKey({ task, run });
-    const tracked =
-      this._runs.get(key) ??
-      trackedRun({ task, run }, { owner, phase: Phase.Stopping, sinceMs: now });
-    this._runs.set(key, tracked);
+    let tracked = this._runs.get({ task, run });
+    if (!tracked) {
+      tracked = trackedRun(
+        { task, run },
+        { owner, phase: RunPhase.Stopping, sinceMs: now },
+      );
+      this._runs.add(tracked);
+    }
     this._sendStop(tracked);
   }
 
   private _sendStop(tracked: TrackedRun): void {
-    tracked.phase = Phase.Stopping;
+    tracked.phase = RunPhase.Stopping;
     tracked.stopRetryAtMs = undefined;
+    this._stopRetries.delete(tracked);
     this._call({
       kind: 'stop',
       id: this._worker?.id,
@@ -914,9 +843,9 @@
       if (!this._ends.add(end, now)) {
         continue;
       }
-      const tracked = this._runs.get(runKey(listed));
+      const tracked = this._runs.get(listed);
       if (tracked) {
-        this._runs.delete(runKey(listed));
+        this._runs.delete(tracked);
         if (tracked.isVolatile && this._links.has(tracked.owner)) {
           this._ends.markRecorded(end.number);
         }
@@ -934,7 +863,7 @@
     for (const listed of active) {
       const key = runKey(listed);
       seen.add(key);
-      const tracked = this._runs.get(key);
+      const tracked = this._runs.get(listed);
       if (tracked) {
         tracked.percent = listed.percent;
         tracked.latestCheckpoint = listed.checkpoint;
@@ -944,12 +873,11 @@
         task: listed.task,
         run: listed.run,
       });
-      this._runs.set(
-        key,
+      this._runs.add(
         trackedRun(listed, {
           checkpoint: listed.checkpoint,
           owner: '',
-          phase: Phase.Active,
+          phase: RunPhase.Active,
           starts: 1,
           percent: listed.percent,
           latestCheckpoint: listed.checkpoint,
@@ -958,7 +886,7 @@
       );
       this._links.requestSnapshots();
     }
-    for (const tracked of [...this._runs.values()]) {
+    for (const tracked of [...this._runs.stopped]) {
       const { stoppedAtPoll } = tracked;
       const wasPolledSince =
         stoppedAtPoll !== undefined && pollNumber > stoppedAtPoll;
@@ -976,8 +904,9 @@
    * a run does not end.
    */
   private _stopExpiredRuns(clockMs: number, now: number): void {
+    const expired = this._hasExpiredOwner(clockMs) ? this._runs.values() : [];
     let isOverdue = false;
-    for (const tracked of this._runs.values()) {
+    for (const tracked of expired) {
       const untilMs =
         tracked.owner === ''
           ? clockMs - (now - tracked.sinceMs) + CLAIM_GRACE_MS
@@ -985,7 +914,7 @@
       if (clockMs <= untilMs) {
         continue;
       }
-      if (tracked.phase !== Phase.Stopping) {
+      if (tracked.phase !== RunPhase.Stopping) {
         this._log('run stopped, its owner is silent', {
           task: tracked.task,
           run: tracked.run,
@@ -1005,19 +934,29 @@
     }
   }
 
+  /** Whether a run may be past the time limit of its owner, or has no owner. */
+  private _hasExpiredOwner(clockMs: number): boolean {
+    for (const owner of this._runs.owners) {
+      if (owner === '' || clockMs > (this._ownerExpiryMs.get(owner) ?? 0)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private _onStartReply(
     call: Extract<WorkerCall, { kind: 'start' }>,
     reply: WorkerReply,
     now: number,
   ): void {
-    const tracked = this._runs.get(runKey(call));
-    if (tracked?.phase !== Phase.Starting) {
+    const tracked = this._runs.get(call);
+    if (tracked?.phase !== RunPhase.Starting) {
       return;
     }
     switch (reply.kind) {
       case 'done':
       case 'held':
-        tracked.phase = Phase.Active;
+        tracked.phase = RunPhase.Active;
         return;
       case 'rejected':
         this._onStartRejected(tracked, reply.reason, now);
@@ -1065,35 +1004,42 @@
     reply: WorkerReply,
     now: number,
   ): void {
-    const tracked = this._runs.get(runKey(call));
+    const tracked = this._runs.get(call);
     if (!tracked) {
       return;
     }
     switch (reply.kind) {
       case 'done':
       case 'held':
-        tracked.stoppedAtPoll = this._pollCount;
+        this._runs.confirmStop(call, this._pollCount);
         return;
       case 'no-answer':
         this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
-        tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+        this._retryStopLater(tracked, now);
         return;
       case 'unreachable':
       case 'rejected':
-        tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+        this._retryStopLater(tracked, now);
     }
   }
 
+  private _retryStopLater(tracked: TrackedRun, now: number): void {
+    tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+    this._stopRetries.add(tracked);
+  }
+
   private _retryStops(now: number): void {
-    for (const tracked of this._runs.values()) {
-      if (tracked.stopRetryAtMs !== undefined && now >= tracked.stopRetryAtMs) {
+    for (const tracked of [...this._stopRetries]) {
+      if (this._runs.get(tracked) !== tracked) {
+        this._stopRetries.delete(tracked);
+      } else if (now >= (tracked.stopRetryAtMs ?? 0)) {
         this._sendStop(tracked);
       }
     }
   }
 
   private _refuse(tracked: TrackedRun, reason: StartRefusal): void {
-    this._runs.delete(runKey(tracked));
+    this._runs.delete(tracked);
     const { task, run } = tracked;
     this._log('start refused', { task, run, reason: StartRefusal[reason] });
     this._links.addRefusal(tracked.owner, task, run, reason);
@@ -1106,7 +1052,7 @@
     number: number,
   ): void {
     const { task, run } = tracked;
-    this._runs.delete(runKey({ task, run }));
+    this._runs.delete(tracked);
     const life = this._workerIncarnation;
     this._links.addEnd(tracked.owner, {
       task,
@@ -1167,7 +1113,7 @@
         unreachable: this._isUnreachable,
         silentMs: Math.round(now - this._unansweredSinceMs),
       });
-      const lost = [...this._runs.values()];
+      const lost = this._runs.values();
       if (this._isUnreachable) {
         this._recordCrash(lost, 'connection refused', now);
       } else {
@@ -1180,6 +1126,9 @@
   }
 
   private _flush(now: number): void {
+    if (!this._links.isFlushDue(now)) {
+      return;
+    }
     const workerState: WorkerState = {
       clockMs: this._clock.lowerBound(now),
       accepting: this._isAccepting,
@@ -1191,7 +1140,7 @@
         this._clock.lastReadingMs === undefined
           ? undefined
           : () => ({
-              active: [...this._runs.values()].map(toActive),
+              active: this._runs.list(),
               ends: this._ends.unrecorded,
             }),
     };
@@ -1219,35 +1168,3 @@
     this._actions.push({ kind: 'log', message, fields });
   }
 }
-
-const REFUSALS: Readonly<Record<WorkerRejection, StartRefusal>> = {
-  [WorkerRejection.Fenced]: StartRefusal.NOT_READY,
-  [WorkerRejection.StaleRun]: StartRefusal.STALE_RUN,
-  [WorkerRejection.Expired]: StartRefusal.NOT_READY,
-  [WorkerRejection.NoRoom]: StartRefusal.NO_ROOM,
-  [WorkerRejection.Invalid]: StartRefusal.INVALID,
-  [WorkerRejection.Unhealthy]: StartRefusal.UNHEALTHY,
-  [WorkerRejection.OtherIncarnation]: StartRefusal.NOT_READY,
-};
-
-const reasonOf = (reply: WorkerReply): string => {
-  switch (reply.kind) {
-    case 'rejected':
-      return reply.reason;
-    case 'no-answer':
-      return reply.detail;
-    case 'unreachable':
-      return 'connection refused';
-    case 'held':
-    case 'done':
-      return '';
-  }
-};
-
-const toActive = (tracked: TrackedRun): ActiveRun => ({
-  task: tracked.task,
-  run: tracked.run,
-  owner: tracked.owner,
-  checkpoint: tracked.latestCheckpoint,
-  percent: tracked.percent,
-});
