--- a/packages/daemon/src/lib/connection/message-socket.ts
+++ b/packages/daemon/src/lib/connection/message-socket.ts
@@ -175,10 +175,10 @@
 
   private _onData(chunk: Buffer): void {
     let start = 0;
-    while (this._state === State.Active) {
+    while (this._state === State.Active && start < chunk.length) {
       const end = chunk.indexOf(LINE_BREAK, start);
       if (end < 0) {
-        this._addPart(start === 0 ? chunk : chunk.subarray(start));
+        this._addPart(chunk.subarray(start));
         return;
       }
       if (this._addPart(chunk.subarray(start, end))) {
