--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -172,7 +172,7 @@
     if (this._core.owns(job) || !this._shedder.shouldRefuse()) {
       return undefined;
     }
-    this.metrics.replies.inc({ call: 'submit', reply: 'shed' });
+    this.metrics.replies.inc('submit', 'shed');
     this._options.log.info('job refused', {
       job,
       reason: 'entry-overload',
@@ -290,7 +290,7 @@
         void this._forwardCancel(action);
         return;
       case 'log':
-        this.metrics.decisions.inc({ decision: action.message });
+        this.metrics.decisions.inc(action.message);
         this._options.log.info(action.message, action.fields);
         return;
       case 'retire':
@@ -308,7 +308,7 @@
     this._callers.delete(replyId);
     if (caller) {
       const { call, startedAtMs } = caller;
-      this.metrics.replies.inc({ call, reply: reply.kind });
+      this.metrics.replies.inc(call, reply.kind);
       this.metrics.replyMs.observe({ call }, now() - startedAtMs);
       caller.resolve(reply);
     }
--- a/packages/daemon/src/lib/process/fleet-metrics.ts
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -1,28 +1,33 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
-import { createRegistry, openJobGauge, storeCallCounter } from './metrics.js';
+import {
+  Tally,
+  createRegistry,
+  openJobGauge,
+  storeCallCounter,
+} from './metrics.js';
 
 const LATENCY_BUCKETS_MS = [
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000,
 ];
 
-const decisionCounter = (registry: Registry): Counter<'decision'> =>
-  new Counter({
+const decisionTally = (registry: Registry): Tally<'decision'> =>
+  new Tally({
     name: 'sapphiremux_decisions_total',
     help: 'Decisions by kind, as in the log.',
     labelNames: ['decision'],
-    registers: [registry],
+    registry,
   });
 
 /** Prometheus metrics of an entry on the platform. */
 export class BatchEntryMetrics {
   readonly registry = createRegistry();
   readonly storeCalls = storeCallCounter(this.registry);
-  readonly replies = new Counter({
+  readonly replies = new Tally({
     name: 'sapphiremux_replies_total',
     help: 'Answers to callers by what they asked and got.',
     labelNames: ['call', 'reply'] as const,
-    registers: [this.registry],
+    registry: this.registry,
   });
   readonly replyMs = new Histogram({
     name: 'sapphiremux_reply_milliseconds',
@@ -31,7 +36,7 @@
     buckets: LATENCY_BUCKETS_MS,
     registers: [this.registry],
   });
-  readonly decisions = decisionCounter(this.registry);
+  readonly decisions = decisionTally(this.registry);
   readonly openJobs = openJobGauge(this.registry);
   readonly waitingJobs = new Gauge({
     name: 'sapphiremux_waiting_jobs',
@@ -71,5 +76,5 @@
     help: 'Runs that may be active.',
     registers: [this.registry],
   });
-  readonly decisions = decisionCounter(this.registry);
+  readonly decisions = decisionTally(this.registry);
 }
--- a/packages/daemon/src/lib/process/logger.ts
+++ b/packages/daemon/src/lib/process/logger.ts
@@ -70,8 +70,8 @@
 };
 
 const toJson = (line: Record<string, unknown>): string => {
-  const { fields, ...head } = toLogLine(line);
-  return JSON.stringify({ ...head, ...fields });
+  const { time, level, name, message, fields } = toLogLine(line);
+  return JSON.stringify({ time, level, name, message, ...fields });
 };
 
 const toPretty = (name: string, line: Record<string, unknown>): string => {
--- a/packages/daemon/src/lib/process/metrics.ts
+++ b/packages/daemon/src/lib/process/metrics.ts
@@ -23,6 +23,60 @@
   return registry;
 };
 
+/** Options of a {@link Tally}. */
+export interface TallyOptions<L extends string> {
+  readonly name: string;
+  readonly help: string;
+  readonly labelNames: readonly L[];
+  readonly registry: Registry;
+}
+
+/**
+ * A counter for events that occur several times per job. Increments are gathered
+ * in a map and applied to the metric when it is read, because its own look-up of
+ * labels builds a key from names and values at each increment.
+ */
+export class Tally<L extends string> {
+  private readonly _labelNames: readonly L[];
+  private readonly _counts = new Map<
+    string,
+    { readonly values: readonly string[]; count: number }
+  >();
+
+  /** @param options - Name, help, labels and registry of the metric. */
+  constructor({ name, help, labelNames, registry }: TallyOptions<L>) {
+    this._labelNames = labelNames;
+    const counter = new Counter({
+      name,
+      help,
+      labelNames: [...labelNames],
+      registers: [registry],
+      collect: () => {
+        this._applyTo(counter);
+      },
+    });
+  }
+
+  /** @param values - Values of the labels, in the order of their names. */
+  inc(...values: readonly string[]): void {
+    const key = values.join('\0');
+    const entry = this._counts.get(key);
+    if (entry) {
+      entry.count += 1;
+    } else {
+      this._counts.set(key, { values, count: 1 });
+    }
+  }
+
+  private _applyTo(counter: Counter<L>): void {
+    for (const { values, count } of this._counts.values()) {
+      const labels = this._labelNames.map((name, i) => [name, values[i] ?? '']);
+      counter.inc(Object.fromEntries(labels) as Record<L, string>, count);
+    }
+    this._counts.clear();
+  }
+}
+
 /** @returns A counter of store calls by kind and outcome. */
 export const storeCallCounter = (
   registry: Registry,
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -164,7 +164,7 @@
           ?.push(create(WorkerReportSchema, action.report));
         return;
       case 'log':
-        this.metrics.decisions.inc({ decision: action.message });
+        this.metrics.decisions.inc(action.message);
         this._options.log.info(action.message, action.fields);
         return;
       case 'stopped':
--- a/packages/daemon/src/test/process.test.ts
+++ b/packages/daemon/src/test/process.test.ts
@@ -1,6 +1,8 @@
 import { Writable } from 'node:stream';
 import { expect } from 'earl';
+import { Registry } from 'prom-client';
 import { BoundedOutput } from '../lib/process/bounded-output.js';
+import { Tally } from '../lib/process/metrics.js';
 import { PauseDetector } from '../lib/process/pause-detector.js';
 
 it('a forward jump of the wall clock against the monotonic clock is a pause', () => {
@@ -38,3 +40,54 @@
   expect(output.dropped > 900).toEqual(true);
   expect(blockedStream.writableLength < 1_100_000).toEqual(true);
 });
+
+/** A stream that keeps what is written to it, one entry for each write. */
+const recordingStream = (): { stream: Writable; writes: string[] } => {
+  const writes: string[] = [];
+  const stream = new Writable({
+    write: (chunk: Buffer, _encoding, done) => {
+      writes.push(chunk.toString('utf8'));
+      done();
+    },
+  });
+  return { stream, writes };
+};
+
+it('the lines of one turn are written together, in their order', async () => {
+  const { stream, writes } = recordingStream();
+  const output = new BoundedOutput(stream);
+  output.write('a\n');
+  output.write('b\n');
+  await new Promise((resolve) => setImmediate(resolve));
+  output.write('c\n');
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(writes).toEqual(['a\nb\n', 'c\n']);
+});
+
+it('lines of the last turn are not lost at exit, nor written twice', async () => {
+  const { stream, writes } = recordingStream();
+  const output = new BoundedOutput(stream);
+  output.write('last\n');
+  output.flush();
+  expect(writes).toEqual(['last\n']);
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(writes).toEqual(['last\n']);
+});
+
+it('a tally shows every increment once, however often it is read', async () => {
+  const registry = new Registry();
+  const tally = new Tally({
+    name: 'replies_total',
+    help: 'Replies.',
+    labelNames: ['call', 'reply'],
+    registry,
+  });
+  tally.inc('submit', 'ended');
+  tally.inc('submit', 'ended');
+  tally.inc('status', 'state');
+  await registry.metrics();
+  tally.inc('submit', 'ended');
+  const text = await registry.metrics();
+  expect(text).toInclude('replies_total{call="submit",reply="ended"} 3\n');
+  expect(text).toInclude('replies_total{call="status",reply="state"} 1');
+});
