Avoid scans over workers and peers at each tick and flush of the entry

Cause: each tick sorted the peers, listed their rows, and examined all workers; each flush examined all links for due orders; each placement summed the runs of each linked worker again.

Now the ring of peers is sorted when a peer joins or leaves, links are opened and closed when one may be due, orders go to the workers that were marked or at the next due time, and the free capacity of a worker is kept and adjusted. Peers are probed in the order of the ring instead of the order of their rows.

Ruled out: a longer interval for idle orders. Starts need a report of at most 700 ms of age; an order is sent up to 100 ms after its 500 ms, which leaves 100 ms for it and its report.

--- a/packages/core/src/lib/process/peer-monitor.ts
+++ b/packages/core/src/lib/process/peer-monitor.ts
@@ -76,6 +76,9 @@
 export class PeerMonitor {
   private readonly _incarnation: string;
   private readonly _peers = new Map<string, Peer>();
+  /** All peers in the order of the ring; unset when it has to be recomputed. */
+  private _ring: readonly Peer[] | undefined;
+  private _unsuspectedRows: readonly EntryRow[] = [];
   private _nextSweepAtMs = 0;
 
   /** @param incarnation - Incarnation of this entry. */
@@ -83,9 +86,15 @@
     this._incarnation = incarnation;
   }
 
-  /** All incarnations with a member row, except the current one of this entry. */
+  /**
+   * All incarnations with a member row, except the current one of this entry, in
+   * the order of the ring, from the one that follows this entry.
+   */
   get peers(): readonly Peer[] {
-    return [...this._peers.values()];
+    this._ring ??= [...this._peers.values()].sort((a, b) =>
+      this._comesFirst(a.incarnation, b.incarnation) ? -1 : 1,
+    );
+    return this._ring;
   }
 
   /** @returns The peer with this incarnation. */
@@ -120,12 +129,16 @@
     if (row.hasLeft === true) {
       peer.goneSinceMs ??= now;
     }
+    if (!this._peers.has(incarnation)) {
+      this._ring = undefined;
+    }
     this._peers.set(incarnation, peer);
     return peer;
   }
 
   /** @param incarnation - A peer whose member row is gone. */
   delete(incarnation: string): void {
+    this._ring = undefined;
     this._peers.delete(incarnation);
   }
 
@@ -137,21 +150,31 @@
    * @returns Peers to probe now.
    */
   due(scope: ProbeScope, now: number): Peer[] {
-    const watched = this._watched();
-    const isFrequent = ({ incarnation }: Peer): boolean =>
-      scope === ProbeScope.All || watched.has(incarnation);
-    const idle = this.peers.filter(
-      (peer) => !peer.isProbing && peer.goneSinceMs === undefined,
-    );
-    const probed = idle.filter(
-      (peer) =>
-        isFrequent(peer) && now - peer.lastProbeAtMs >= PROBE_INTERVAL_MS,
-    );
+    const probed: Peer[] = [];
+    /** Peer that is not watched and was probed the longest time ago. */
+    let longestAgo: Peer | undefined;
+    let responsive = 0;
+    for (const peer of this.peers) {
+      if (peer.goneSinceMs !== undefined) {
+        continue;
+      }
+      // Watched are unresponsive peers and the next responsive ones on the ring.
+      const isUnresponsive = peer.unresponsiveSinceMs !== undefined;
+      const isWatched = isUnresponsive || responsive < WATCHED_PEERS;
+      responsive += isUnresponsive ? 0 : 1;
+      if (peer.isProbing) {
+        continue;
+      }
+      if (isWatched || scope === ProbeScope.All) {
+        if (now - peer.lastProbeAtMs >= PROBE_INTERVAL_MS) {
+          probed.push(peer);
+        }
+      } else if (peer.lastProbeAtMs < (longestAgo?.lastProbeAtMs ?? Infinity)) {
+        longestAgo = peer;
+      }
+    }
     if (now >= this._nextSweepAtMs) {
       this._nextSweepAtMs = now + SWEEP_INTERVAL_MS;
-      const [longestAgo] = idle
-        .filter((peer) => !isFrequent(peer))
-        .sort((a, b) => a.lastProbeAtMs - b.lastProbeAtMs);
       probed.push(...(longestAgo ? [longestAgo] : []));
     }
     for (const peer of probed) {
@@ -192,26 +215,6 @@
     );
   }
 
-  /** Unresponsive peers, and the next responsive ones on the ring. */
-  private _watched(): Set<string> {
-    const ring = this.peers
-      .filter((peer) => peer.goneSinceMs === undefined)
-      .sort((a, b) =>
-        this._comesFirst(a.incarnation, b.incarnation) ? -1 : 1,
-      );
-    const watched = new Set<string>();
-    let responsive = 0;
-    for (const { incarnation, unresponsiveSinceMs } of ring) {
-      if (unresponsiveSinceMs !== undefined) {
-        watched.add(incarnation);
-      } else if (responsive < WATCHED_PEERS) {
-        watched.add(incarnation);
-        responsive += 1;
-      }
-    }
-    return watched;
-  }
-
   /** Whether one incarnation follows this entry on the ring before another. */
   private _comesFirst(incarnation: string, other: string): boolean {
     const isAfter = incarnation > this._incarnation;
@@ -264,11 +267,27 @@
     }
   }
 
-  /** @returns Member rows of the peers that are not suspected to have failed. */
-  unsuspectedRows(now: number): EntryRow[] {
-    return this.peers
-      .filter((peer) => !this.isSuspect(peer, now))
-      .map((peer) => peer.row);
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Member rows of the peers that are not suspected to have failed; the
+   *   same array as before if none has changed.
+   */
+  unsuspectedRows(now: number): readonly EntryRow[] {
+    const known = this._unsuspectedRows;
+    let count = 0;
+    let isUnchanged = true;
+    for (const peer of this.peers) {
+      if (!this.isSuspect(peer, now)) {
+        isUnchanged &&= known[count] === peer.row;
+        count += 1;
+      }
+    }
+    if (!isUnchanged || count !== known.length) {
+      this._unsuspectedRows = this.peers
+        .filter((peer) => !this.isSuspect(peer, now))
+        .map((peer) => peer.row);
+    }
+    return this._unsuspectedRows;
   }
 
   /**
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -77,7 +77,10 @@
    */
   pump(now: number): void {
     for (const view of this._options.fleet.views) {
-      if (view.placed.size > 0 && view.haveRunsEnded(now)) {
+      if (view.placed.size === 0) {
+        continue;
+      }
+      if (view.haveRunsEnded(now)) {
         for (const key of [...view.placed.keys()]) {
           this._abandon(view, key, now);
         }
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -14,9 +14,23 @@
   readonly emit: (action: BatchAction) => void;
 }
 
+/** Values that all orders of a flush carry. */
+export interface CommonOrder {
+  /** Whether orders extend the time until which runs may continue. */
+  readonly grants: boolean;
+  /** Version of the operators' table. */
+  readonly operatorVersion: number;
+  /** Whether that table has a data centre out of service. */
+  readonly isOutOfService: (dataCentre: string) => boolean;
+}
+
 /** Interval between orders to a worker that has runs of this entry. */
 const ORDER_INTERVAL_MS = 250;
-/** Interval between orders to a worker that has none. */
+/**
+ * Interval between orders to a worker that has none. A worker is usable while its
+ * last report is at most 700 ms old. The order is sent at the next tick, up to
+ * 100 ms later when idle, which leaves 100 ms for the order and its report.
+ */
 const IDLE_ORDER_INTERVAL_MS = 500;
 /** Initial backoff before a link to a worker is opened again. */
 const REOPEN_BACKOFF_MS = 100;
@@ -41,6 +55,16 @@
   private readonly _options: WorkerFleetOptions;
   private readonly _views = new Map<string, WorkerView>();
   private readonly _links = new Map<number, WorkerView>();
+  /** Values of the two maps; unset when they have to be listed again. */
+  private _viewList: readonly WorkerView[] | undefined;
+  private _linkedList: readonly WorkerView[] | undefined;
+  /** Workers whose order is to be sent at the next flush. */
+  private readonly _dirty = new Set<WorkerView>();
+  /** Time at which the next periodic order is due, at the earliest. */
+  private _nextOrderAtMs = 0;
+  /** Time at which links may have to be opened or closed, at the earliest. */
+  private _nextLinkUpdateAtMs = 0;
+  private _areAllNeeded = false;
   private readonly _subset: WorkerSubset;
   /** Recent acknowledgements, which may not have reached their workers. */
   private readonly _acknowledged = new Map<
@@ -49,7 +73,8 @@
   >();
   /** All workers, preferred ones first; unset when it has to be recomputed. */
   private _preferenceOrder: readonly WorkerView[] | undefined;
-  /** Names of the other entries at the last update of the preferences. */
+  /** The other entries at the last update of the preferences, and their names. */
+  private _others: readonly FleetEntry[] = [];
   private _entryNames = '';
   /** Names of the workers to keep links to, and what they were chosen from. */
   private _choice: {
@@ -69,12 +94,14 @@
 
   /** Every worker that has a row. */
   get views(): readonly WorkerView[] {
-    return [...this._views.values()];
+    this._viewList ??= [...this._views.values()];
+    return this._viewList;
   }
 
   /** The workers that have an open link. */
   get linked(): readonly WorkerView[] {
-    return [...this._links.values()];
+    this._linkedList ??= [...this._links.values()];
+    return this._linkedList;
   }
 
   /** @returns The worker on a VM. */
@@ -95,6 +122,7 @@
     const row = value === null ? undefined : decodeWorkerRow(value);
     const view = this._views.get(name);
     this._preferenceOrder = undefined;
+    this._nextLinkUpdateAtMs = 0;
     if (!row) {
       if (view) {
         view.isRemoved = true;
@@ -103,7 +131,11 @@
       return;
     }
     if (!view) {
-      this._views.set(name, new WorkerView(name, row));
+      const onOrderDue = (due: WorkerView): void => {
+        this._dirty.add(due);
+      };
+      this._views.set(name, new WorkerView(name, row, onOrderDue));
+      this._viewList = undefined;
       return;
     }
     if (view.row.incarnation !== row.incarnation) {
@@ -115,7 +147,8 @@
 
   /**
    * Opens missing links, replaces links to unresponsive workers and closes
-   * links that are not needed.
+   * links that are not needed. All workers are examined only when a link may
+   * have to be opened or closed, at other times only the linked ones.
    *
    * @param linkNeeds - State that decides which links are needed.
    * @param linkNeeds.fenced - Fenced incarnations that the first order on a new
@@ -141,19 +174,39 @@
       }
       this._acknowledged.delete(key);
     }
-    const { others } = linkNeeds;
+    for (const view of this.linked) {
+      this._replaceUnresponsiveLink(view, now);
+    }
+    const { others, all } = linkNeeds;
     const ordered = this._orderByPreference(others);
-    const chosen = this._chooseLinks(ordered, others.length + 1, now);
+    const { chosen, isNew } = this._chooseLinks(
+      ordered,
+      others.length + 1,
+      now,
+    );
+    const isUnchanged = !isNew && all === this._areAllNeeded;
+    if (isUnchanged && now < this._nextLinkUpdateAtMs) {
+      return;
+    }
+    this._areAllNeeded = all;
+    this._nextLinkUpdateAtMs = Number.POSITIVE_INFINITY;
     for (const view of ordered) {
       const isChosen = view.isPreferred || chosen.has(view.name);
-      const isNeeded = !view.isRemoved && (linkNeeds.all || isChosen);
-      this._replaceUnresponsiveLink(view, now);
-      if (view.linkId === undefined) {
-        if (isNeeded && now >= view.reopenAtMs) {
-          this._open(view, linkNeeds.fenced, now);
+      const isNeeded = !view.isRemoved && (all || isChosen);
+      if (view.placed.size > 0) {
+        view.lastBusyAtMs = now;
+      }
+      if (view.linkId !== undefined) {
+        if (!isNeeded) {
+          this._closeIfIdle(view, view.linkId, now);
         }
-      } else if (!isNeeded) {
-        this._closeIfIdle(view, view.linkId, now);
+      } else if (isNeeded && now >= view.reopenAtMs) {
+        this._open(view, linkNeeds.fenced, now);
+      } else if (isNeeded) {
+        this._nextLinkUpdateAtMs = Math.min(
+          this._nextLinkUpdateAtMs,
+          view.reopenAtMs,
+        );
       }
     }
   }
@@ -249,43 +302,46 @@
    * Sends the gathered orders, and periodic orders to workers that are due one.
    *
    * @param common - Values that all orders carry.
-   * @param common.grants - Whether orders extend the time until which runs
-   *   may continue.
-   * @param common.operatorVersion - Version of the operators' table.
-   * @param common.isOutOfService - Whether that table has a data centre out of
-   *   service.
    * @param now - Current time in milliseconds.
    */
-  sendOrders(
-    common: {
-      readonly grants: boolean;
-      readonly operatorVersion: number;
-      readonly isOutOfService: (dataCentre: string) => boolean;
-    },
-    now: number,
-  ): void {
-    for (const [linkId, view] of this._links) {
-      const intervalMs =
-        view.placed.size > 0 ? ORDER_INTERVAL_MS : IDLE_ORDER_INTERVAL_MS;
-      const isDue = view.isDirty || now - view.sentAtMs >= intervalMs;
-      if (view.placed.size > 0) {
-        view.lastBusyAtMs = now;
-      }
-      if (!isDue) {
+  sendOrders(common: CommonOrder, now: number): void {
+    const isPeriodic = now >= this._nextOrderAtMs;
+    if (isPeriodic) {
+      this._nextOrderAtMs = Number.POSITIVE_INFINITY;
+    }
+    for (const view of isPeriodic ? this.linked : this._dirty) {
+      const { linkId } = view;
+      if (linkId === undefined) {
         continue;
       }
-      const order = view.takeOrder();
-      order.entry = this._options.name;
-      order.incarnation = this._options.incarnation;
-      order.life = view.hello?.life ?? '';
-      order.holdUntilMs = common.grants ? view.extendGrant(now) : 0;
-      order.operatorVersion = common.operatorVersion;
-      order.out = common.isOutOfService(
-        view.hello?.dataCentre ?? view.dataCentre,
-      );
-      view.sentAtMs = now;
-      this._options.emit({ kind: 'order', linkId, order });
+      if (view.isDirty || now >= dueAtMs(view)) {
+        this._sendOrder(view, linkId, common, now);
+      }
+      this._nextOrderAtMs = Math.min(this._nextOrderAtMs, dueAtMs(view));
     }
+    this._dirty.clear();
+  }
+
+  private _sendOrder(
+    view: WorkerView,
+    linkId: number,
+    common: CommonOrder,
+    now: number,
+  ): void {
+    const order = view.takeOrder();
+    order.entry = this._options.name;
+    order.incarnation = this._options.incarnation;
+    order.life = view.hello?.life ?? '';
+    order.holdUntilMs = common.grants ? view.extendGrant(now) : 0;
+    order.operatorVersion = common.operatorVersion;
+    order.out = common.isOutOfService(
+      view.hello?.dataCentre ?? view.dataCentre,
+    );
+    view.sentAtMs = now;
+    if (view.placed.size > 0) {
+      view.lastBusyAtMs = now;
+    }
+    this._options.emit({ kind: 'order', linkId, order });
   }
 
   /**
@@ -295,6 +351,10 @@
   private _orderByPreference(
     others: readonly FleetEntry[],
   ): readonly WorkerView[] {
+    if (this._preferenceOrder && others === this._others) {
+      return this._preferenceOrder;
+    }
+    this._others = others;
     const entryNames = others.map(({ name }) => name).join(' ');
     if (this._preferenceOrder && entryNames === this._entryNames) {
       return this._preferenceOrder;
@@ -317,7 +377,7 @@
     ordered: readonly WorkerView[],
     entries: number,
     now: number,
-  ): ReadonlySet<string> {
+  ): { readonly chosen: ReadonlySet<string>; readonly isNew: boolean } {
     const { growth } = this._subset;
     const isCurrent =
       this._choice.ordered === ordered &&
@@ -327,7 +387,7 @@
       const chosen = this._subset.choose(ordered, entries);
       this._choice = { ordered, growth, atMs: now, chosen };
     }
-    return this._choice.chosen;
+    return { chosen: this._choice.chosen, isNew: !isCurrent };
   }
 
   private _replaceUnresponsiveLink(view: WorkerView, now: number): void {
@@ -360,6 +420,8 @@
   private _close(linkId: number, now: number): void {
     const view = this._links.get(linkId);
     this._links.delete(linkId);
+    this._linkedList = undefined;
+    this._nextLinkUpdateAtMs = 0;
     if (view?.linkId !== linkId) {
       return;
     }
@@ -380,6 +442,7 @@
     const isUnused = view.linkId === undefined && view.placed.size === 0;
     if (view.isRemoved && isUnused) {
       this._views.delete(view.name);
+      this._viewList = undefined;
       this._preferenceOrder = undefined;
     }
   }
@@ -397,11 +460,16 @@
     view.resetForLink(linkId, now);
     view.order.adopt = [...fenced];
     this._links.set(linkId, view);
+    this._linkedList = undefined;
     const { address } = view.row;
     this._options.emit({ kind: 'open-link', linkId, address });
   }
 }
 
+/** Time at which the next periodic order to a worker is due. */
+const dueAtMs = ({ placed, sentAtMs }: WorkerView): number =>
+  sentAtMs + (placed.size > 0 ? ORDER_INTERVAL_MS : IDLE_ORDER_INTERVAL_MS);
+
 const endKey = (
   end: Pick<UnacknowledgedEnd, 'worker' | 'life' | 'number'>,
 ): string => `${end.worker} ${end.life} ${String(end.number)}`;
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -59,6 +59,53 @@
   readonly sequence: number;
 }
 
+/** Runs at one worker, by run key; reports changes that affect its capacity. */
+class PlacedRuns extends Map<string, PlacedRun> {
+  /** Number of runs of tasks under which a worker has crashed before. */
+  suspects = 0;
+  private readonly _onChange: (
+    added: PlacedRun | undefined,
+    removed: PlacedRun | undefined,
+  ) => void;
+
+  /** @param onChange - Called with the run that was added or removed. */
+  constructor(
+    onChange: (
+      added: PlacedRun | undefined,
+      removed: PlacedRun | undefined,
+    ) => void,
+  ) {
+    super();
+    this._onChange = onChange;
+  }
+
+  override set(key: string, run: PlacedRun): this {
+    const replaced = this.get(key);
+    super.set(key, run);
+    this.suspects +=
+      Number(run.isSuspect) - Number(replaced?.isSuspect ?? false);
+    this._onChange(run, replaced);
+    return this;
+  }
+
+  override delete(key: string): boolean {
+    const run = this.get(key);
+    if (!run) {
+      return false;
+    }
+    super.delete(key);
+    this.suspects -= Number(run.isSuspect);
+    this._onChange(undefined, run);
+    return true;
+  }
+
+  override clear(): void {
+    for (const key of [...this.keys()]) {
+      this.delete(key);
+    }
+  }
+}
+
 type MutableOrder = { -readonly [K in keyof WorkerOrder]: WorkerOrder[K] };
 
 const emptyOrder = (): MutableOrder => ({
@@ -110,29 +157,52 @@
   private readonly _clock = new WorkerClock();
   isAccepting = false;
   /** Runs that have been sent and have not ended. */
-  readonly placed = new Map<string, PlacedRun>();
+  readonly placed = new PlacedRuns((added, removed) => {
+    this._onPlacedChanged(added, removed);
+  });
   /**
    * Fenced incarnations whose orders this worker has confirmed to refuse on the
    * open link.
    */
   readonly adopted = new Set<string>();
   order = emptyOrder();
-  /** Whether the order being gathered is to be sent at the next flush. */
-  isDirty = false;
+  private _isDirty = false;
   /** Time at which the last order was sent. */
   sentAtMs = 0;
   /** Number of the order that is being gathered. */
   nextSequence = 1;
   private _reportedSequence = 0;
   private _reportedFree: Room = ZERO_ROOM;
+  /** Free capacity; unset when it has to be recomputed. */
+  private _free: Room | undefined;
+  private readonly _onOrderDue: ((view: WorkerView) => void) | undefined;
 
   /**
    * @param name - Name of the VM.
    * @param row - Row of the worker driver process.
+   * @param onOrderDue - Called when an order is to be sent at the next flush, or
+   *   when the worker gets its first run and orders are due more often.
    */
-  constructor(name: string, row: WorkerRow) {
+  constructor(
+    name: string,
+    row: WorkerRow,
+    onOrderDue?: (view: WorkerView) => void,
+  ) {
     this.name = name;
     this.row = row;
+    this._onOrderDue = onOrderDue;
+  }
+
+  /** Whether the order being gathered is to be sent at the next flush. */
+  get isDirty(): boolean {
+    return this._isDirty;
+  }
+
+  set isDirty(isDirty: boolean) {
+    this._isDirty = isDirty;
+    if (isDirty) {
+      this._onOrderDue?.(this);
+    }
   }
 
   /** Data centre according to the row. */
@@ -155,16 +225,16 @@
 
   /** Whether a task runs there under which a worker has crashed before. */
   get hasSuspect(): boolean {
-    for (const run of this.placed.values()) {
-      if (run.isSuspect) {
-        return true;
-      }
-    }
-    return false;
+    return this.placed.suspects > 0;
   }
 
   /** Reported remaining capacity, less the needs of runs sent since. */
   get free(): Room {
+    this._free ??= this._computeFree();
+    return this._free;
+  }
+
+  private _computeFree(): Room {
     let free = this._reportedFree;
     for (const run of this.placed.values()) {
       if (run.sequence > this._reportedSequence) {
@@ -174,6 +244,22 @@
     return free;
   }
 
+  private _onPlacedChanged(
+    added: PlacedRun | undefined,
+    removed: PlacedRun | undefined,
+  ): void {
+    const isUnreported = (run: PlacedRun | undefined): boolean =>
+      run !== undefined && run.sequence > this._reportedSequence;
+    if (isUnreported(removed)) {
+      this._free = undefined;
+    } else if (added && this._free && isUnreported(added)) {
+      this._free = subtractRoom(this._free, added.needs);
+    }
+    if (added && this.placed.size === 1) {
+      this._onOrderDue?.(this);
+    }
+  }
+
   /**
    * @param now - Current time in milliseconds.
    * @returns Whether starts may be sent.
@@ -248,6 +334,7 @@
     }
     this.isAccepting = report.accepting;
     this._reportedFree = report.free ?? ZERO_ROOM;
+    this._free = undefined;
     this.hello = report.hello ?? this.hello;
     this._reportedSequence = report.sequence;
     for (const owner of report.adopted) {
@@ -270,6 +357,7 @@
     this.order = emptyOrder();
     this.nextSequence = 1;
     this._reportedSequence = 0;
+    this._free = undefined;
   }
 
   /** @returns The gathered order; an empty one takes its place. */
