Report the peak memory of the processes under fleet load

Node options trade memory for processor time, and memory is limited and paid for at its peak. The fleet command now prints the greatest resident size by role. No figure that it printed before changes.

--- a/packages/standins/src/bin/fleet-load.ts
+++ b/packages/standins/src/bin/fleet-load.ts
@@ -75,6 +75,12 @@
   return (Number(fields[13]) + Number(fields[14])) / TICKS_PER_SECOND;
 };
 
+/** Greatest resident size of a process so far, in megabytes. */
+const peakMegabytesOf = (pid: number): number => {
+  const text = readFileSync(`/proc/${String(pid)}/status`, 'utf8');
+  return Number(/VmHWM:\s+(\d+) kB/.exec(text)?.[1] ?? 0) / 1024;
+};
+
 await cluster.start();
 const readCpuSeconds = (): number[] =>
   cluster.processes.map(({ child }) => cpuSecondsOf(child.pid ?? 0));
@@ -95,13 +101,15 @@
   role,
   share:
     ((cpuSecondsAfter[i] ?? 0) - (cpuSecondsBefore[i] ?? 0)) / DURATION_SECONDS,
+  peakMegabytes: peakMegabytesOf(cluster.processes[i]?.child.pid ?? 0),
 }));
 for (const role of ['entry', 'worker']) {
-  const roleShares = cpuShares
-    .filter((s) => s.role === role)
-    .map((s) => s.share);
-  const mean = roleShares.reduce((a, b) => a + b, 0) / roleShares.length;
-  console.log(`${role}: ${(mean * 100).toFixed(2)}% of a core each`);
+  const ofRole = cpuShares.filter((s) => s.role === role);
+  const mean = ofRole.reduce((sum, s) => sum + s.share, 0) / ofRole.length;
+  const peak = Math.max(...ofRole.map((s) => s.peakMegabytes));
+  console.log(
+    `${role}: ${(mean * 100).toFixed(2)}% of a core each, at most ${peak.toFixed(0)} MB`,
+  );
 }
 overheadsMs.sort((a, b) => a - b);
 const percentile = (q: number): string =>
