Delay and refuse by priority while capacity is short

Cause: under overload all queues of a service shared the losses, jobs were held and answered later than three times their objective, and an entry without any usable worker held its callers.

Waiting jobs of a service whose queues differ in priority are ordered by their latest start; what would start too late removes the job with the lowest weight per work (Moore 1968, weighted greedy), with a guaranteed minimum per queue. The rate comes from the entry's own starts while jobs wait and is unknown while reports are late. Lower priorities leave a share of each worker free. Jobs that are too late get no capacity; an entry cut off from the workers refuses volatile jobs with the reason no-workers. Retry delays follow backlog and rate, with jitter.

Conclusion: the loss falls on what is worth least per work.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,6 +29,9 @@
 export { BatchEntry } from './lib/process/batch-entry.js';
 export { LoadShedder } from './lib/process/load-shedder.js';
 export type { BatchEntryOptions } from './lib/process/batch-entry.js';
+export type { ServiceLoad } from './lib/scheduling/overload-control.js';
+export { OVERLOAD_DEFAULTS } from './lib/scheduling/priority-levels.js';
+export type { OverloadOptions } from './lib/scheduling/priority-levels.js';
 export * from './lib/process/batch-events.js';
 export {
   MEMBER_TABLE,
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -4,13 +4,11 @@
   TaskPhase,
   isFinal,
 } from '../request/batch-job.js';
-import type {
-  BatchContent,
-  BatchProgress,
-  TaskCrash,
-} from '../request/batch-job.js';
+import type { BatchProgress, TaskCrash } from '../request/batch-job.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
+import type { ServiceLoad } from '../scheduling/overload-control.js';
+import type { OverloadOptions } from '../scheduling/priority-levels.js';
 import type { ChangedRow } from '../store.js';
 import { SubmitRefusal } from './batch-events.js';
 import type {
@@ -36,6 +34,11 @@
 import { PeerMonitor, ProbeScope } from './peer-monitor.js';
 import { RunReports } from './run-reports.js';
 import { TakeoverCoordinator } from './takeover-coordinator.js';
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  REPLY_MARGIN_MS,
+  VolatileAdmission,
+} from './volatile-admission.js';
 import { WorkerFleet } from './worker-fleet.js';
 import { WorkerHealth } from './worker-health.js';
 
@@ -56,18 +59,14 @@
   readonly stateRetentionMs?: number;
   /** Factor on the run time of a task whose data is remote. */
   readonly remoteDataFactor?: number;
+  /** Decisions by priority while capacity is short. */
+  readonly overload?: Partial<OverloadOptions>;
 }
 
 const DEFAULT_STATE_RETENTION_MS = 120_000;
 const DEFAULT_REMOTE_DATA_FACTOR = 1.5;
 /** Delay after which the run ends of an unfinished job are recorded. */
 const PROGRESS_DELAY_MS = 500;
-/** Part of a caller's deadline that is reserved for delivering the reply. */
-const REPLY_MARGIN_MS = 100;
-/** Retry-after of a refusal for any reason except overload. */
-const DEFAULT_RETRY_AFTER_MS = 1000;
-/** Retry-after of a refusal because of overload. */
-const OVERLOAD_RETRY_AFTER_MS = 2000;
 /** Minimum duration of a planned stop, in which callers notice the stop. */
 const STOP_MIN_MS = 2500;
 /**
@@ -75,14 +74,6 @@
  * to the other entries; volatile jobs are answered as in doubt.
  */
 const STOP_MAX_MS = 5500;
-/**
- * A volatile job that arrives during a planned stop is accepted only if it is
- * expected to end within this time after the stop began.
- */
-const STOP_JOB_LIMIT_MS = 5000;
-/** Safety factor on the estimated duration of such a job. */
-const STOP_ESTIMATE_FACTOR = 1.6;
-
 /** Greatest age of the statuses of other entries in a count of pending jobs. */
 const MAX_STATUS_AGE_MS = 1000;
 /** Maximum wait of a count for recent statuses. */
@@ -125,6 +116,7 @@
   private readonly _placer: JobPlacer;
   private readonly _lookups: JobLookups;
   private readonly _reports: RunReports;
+  private readonly _volatile: VolatileAdmission;
   private readonly _takeovers: TakeoverCoordinator;
   private readonly _jobs = new Map<string, OwnedJob>();
   private readonly _ended = new Map<string, EndedJob>();
@@ -147,6 +139,7 @@
     this._options = {
       stateRetentionMs: DEFAULT_STATE_RETENTION_MS,
       remoteDataFactor: DEFAULT_REMOTE_DATA_FACTOR,
+      overload: {},
       ...options,
     };
     this._nowMs = now;
@@ -187,6 +180,7 @@
       routes: this.routes,
       dataCentre,
       remoteDataFactor: this._options.remoteDataFactor,
+      overload: this._options.overload,
       random,
       log,
     });
@@ -220,6 +214,30 @@
       },
       log,
     });
+    this._volatile = new VolatileAdmission({
+      routes: this.routes,
+      placer: this._placer,
+      jobs: this._jobs,
+      ended: this._ended,
+      stopState: () => ({
+        sinceMs: this._stoppingSinceMs,
+        isLeaving: this._isLeaving,
+      }),
+      add: (job, record, deadlineMs) => this._addJob(job, record, deadlineMs),
+      onAccepted: (ownedJob, at) => {
+        this._reports.giveUpCrashing(ownedJob, at);
+      },
+      remove: (ownedJob, at) => {
+        this._removeAndAcknowledge(ownedJob, at);
+      },
+      abandon: (ownedJob, reason, at) => {
+        this._abandon(ownedJob, reason, at);
+      },
+      reply: (replyId, reply) => {
+        this._reply(replyId, reply);
+      },
+      log,
+    });
     this._takeovers = new TakeoverCoordinator({
       name,
       incarnation,
@@ -279,6 +297,19 @@
     return this._placer.size;
   }
 
+  /** @returns Weight of the jobs of a queue, see {@link JobPlacer.weightOf}. */
+  weightOf(queue: {
+    readonly service: string;
+    readonly priority: number;
+  }): number | undefined {
+    return this._placer.weightOf(queue);
+  }
+
+  /** Load of each service that is treated by priority. */
+  loads(now: number): ReadonlyMap<string, ServiceLoad> {
+    return this._placer.overload.loads(now);
+  }
+
   /** @returns Whether this entry runs the job or retains its final state. */
   owns(id: string): boolean {
     return this._jobs.has(id) || this._ended.has(id);
@@ -461,7 +492,7 @@
   ): void {
     const { id, replyId, content } = event;
     if (content.isVolatile) {
-      this._onSubmitVolatile(event, now);
+      this._volatile.onSubmit(event, now);
       return;
     }
     if (this._jobs.has(id) || this._ended.has(id)) {
@@ -522,62 +553,6 @@
     });
   }
 
-  /**
-   * Accepts or refuses a volatile job. It is not recorded, and is abandoned when
-   * its last caller disconnects.
-   */
-  private _onSubmitVolatile(
-    event: Extract<BatchEvent, { kind: 'submit' }>,
-    now: number,
-  ): void {
-    const { id, replyId, content, deadlineMs } = event;
-    const known = this._jobs.get(id);
-    if (known) {
-      known.endReplies.push(replyId);
-      return;
-    }
-    const ended = this._ended.get(id);
-    if (ended) {
-      this._reply(replyId, { kind: 'ended', state: ended.state });
-      return;
-    }
-    const refusal = this._refusalOfVolatile(content, now);
-    if (refusal) {
-      this._log('job refused', { job: id, reason: refusal });
-      this._reply(replyId, {
-        kind: 'refused',
-        reason: refusal,
-        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-      });
-      return;
-    }
-    const ownedJob = this._addJob(
-      new BatchJob({ id, content, epoch: 0, acceptedAtMs: now }),
-      { id, version: 0, hasProgressRow: false },
-      deadlineMs - REPLY_MARGIN_MS,
-    );
-    ownedJob.endReplies.push(replyId);
-    this._log('job accepted', {
-      job: id,
-      queue: content.queue,
-      config: this.routes.version ?? 0,
-      tasks: ownedJob.job.tasks.length,
-      waitMs: Math.round(deadlineMs - now),
-    });
-    // The job may have been sent to another entry before.
-    this._reports.giveUpCrashing(ownedJob, now);
-  }
-
-  private _refusalOfVolatile(
-    content: BatchContent,
-    now: number,
-  ): SubmitRefusal | undefined {
-    if (this._isLeaving || this._wouldOutlastStop(content, now)) {
-      return SubmitRefusal.Stopping;
-    }
-    return undefined;
-  }
-
   /**
    * Whether this entry may place runs and extend the time until which its runs
    * may continue. Only recorded jobs can be taken over, so an entry without
@@ -587,16 +562,6 @@
     return this._lease.isHeld || this._recordedJobCount === 0;
   }
 
-  /** Whether the job would outlast a planned stop that has begun. */
-  private _wouldOutlastStop(content: BatchContent, now: number): boolean {
-    if (this._stoppingSinceMs === undefined) {
-      return false;
-    }
-    const expectedMs = this._placer.expectedMs(content);
-    const endsMs = now + STOP_ESTIMATE_FACTOR * expectedMs;
-    return endsMs > this._stoppingSinceMs + STOP_JOB_LIMIT_MS;
-  }
-
   private _onCallerDisconnected(replyId: number, now: number): void {
     this._lookups.remove(replyId);
     for (const ownedJob of this._jobs.values()) {
@@ -679,6 +644,7 @@
     };
     this._jobs.set(job.id, ownedJob);
     this._placer.add(ownedJob);
+    this._placer.overload.onSubmitted(job.content, job.acceptedAtMs);
     this._recordedJobCount += job.content.isVolatile ? 0 : 1;
     return ownedJob;
   }
@@ -921,7 +887,7 @@
     );
     this._monitorPeers(now);
     this._reports.pump(now);
-    this._refuseTooLate(now);
+    this._volatile.refuse(this._placer.tooLate(now), now);
     this._saveProgress(now);
     this._deleteExpired(now);
     this._checkDeadlines(now);
@@ -981,7 +947,7 @@
   private _flush(now: number): void {
     this._lease.update(now);
     if (this._mayPlaceRuns && !this._isLeaving) {
-      this._placer.place(now);
+      this._volatile.refuse(this._placer.place(now), now);
     }
     this._recorder.pump(now);
     this._stores.pump(now);
@@ -998,27 +964,6 @@
     );
   }
 
-  /**
-   * Refuses volatile jobs whose results would probably come too late for their
-   * callers.
-   */
-  private _refuseTooLate(now: number): void {
-    for (const ownedJob of this._placer.jobsToRefuse(now)) {
-      this._log('job refused', {
-        job: ownedJob.id,
-        reason: SubmitRefusal.Overload,
-        waitedMs: Math.round(now - ownedJob.job.acceptedAtMs),
-        waitingJobs: this._placer.size,
-      });
-      this._removeAndAcknowledge(ownedJob, now);
-      this._replyAll(ownedJob.endReplies, {
-        kind: 'refused',
-        reason: SubmitRefusal.Overload,
-        retryAfterMs: OVERLOAD_RETRY_AFTER_MS,
-      });
-    }
-  }
-
   private _log(message: string, fields: LogFields): void {
     this._actions.push({ kind: 'log', message, fields });
   }
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -16,6 +16,8 @@
   StoreUnavailable = 'store-unavailable',
   /** The job would not end in time to be of use to its caller. */
   Overload = 'overload',
+  /** The entry has had no worker for the job for some time. */
+  NoWorkers = 'no-workers',
   /** The entry does not hold its lease, so another entry may have replaced it. */
   NoLease = 'no-tenure',
   /** A planned stop has begun. */
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -24,10 +24,15 @@
 /** A waiting job with its sort key. */
 export interface RankedJob<J> extends CompletionRank {
   readonly job: J;
+  /** Whether it is placed after the others, because capacity is short. */
+  readonly isDeferred?: boolean;
 }
 
 /** A job is of use to its caller up to this multiple of its objective. */
-const MAX_USEFUL_FACTOR = 3;
+export const MAX_USEFUL_FACTOR = 3;
+/** Position of deferred jobs among the estimates. */
+const DEFERRED_TURN =
+  (CompletionEstimate.Late + CompletionEstimate.TooLate) / 2;
 
 /** Times from which the estimated completion of a job is derived. */
 export interface JobTimes {
@@ -76,15 +81,26 @@
  * Bursts, lost workers and restarts cause a backlog for some seconds.
  * First come, first served would make every job late while there is a backlog.
  * Therefore jobs that can still meet their objective go first, the one with the
- * earliest latest start ahead, and late jobs get the remaining capacity.
+ * earliest latest start ahead, and late jobs get the remaining capacity. Deferred
+ * jobs follow, and jobs that are too late to be of use come last.
  *
  * @param jobs - Waiting jobs.
  * @returns The same jobs in placement order.
  */
-export const orderJobs = <J>(jobs: readonly RankedJob<J>[]): RankedJob<J>[] =>
-  [...jobs].sort(
-    (a, b) => a.estimate - b.estimate || a.latestStartMs - b.latestStartMs,
-  );
+export const orderJobs = <R extends RankedJob<unknown>>(
+  jobs: readonly R[],
+): R[] => [...jobs].sort(compareJobs);
+
+/** @returns Negative if the first job is placed before the second one. */
+export const compareJobs = (
+  a: RankedJob<unknown>,
+  b: RankedJob<unknown>,
+): number => turnOf(a) - turnOf(b) || a.latestStartMs - b.latestStartMs;
+
+const turnOf = ({ estimate, isDeferred }: RankedJob<unknown>): number =>
+  isDeferred === true && estimate !== CompletionEstimate.TooLate
+    ? DEFERRED_TURN
+    : estimate;
 
 /** Share of a worker's capacity that late jobs leave free. */
 const RESERVED_SHARE = 0.2;
@@ -99,21 +115,27 @@
  *
  * After an outage several entries have a backlog, and each one orders only its
  * own jobs. Without a reserve, an entry that has only late jobs takes the
- * capacity that another entry needs for jobs that can still end in time.
+ * capacity that another entry needs for jobs that can still end in time. The same
+ * holds for jobs of lower priorities (trunk reservation, from telephony).
  *
  * @param estimate - Estimated completion of the job.
  * @param waitedMs - How long the job has waited.
  * @param capacityMilli - CPU capacity of the worker, in millicores.
+ * @param priorityShare - Share of the capacity that the job leaves to jobs of
+ *   higher priorities.
  * @returns CPU capacity to leave free, in millicores.
  */
 export const reservedCapacity = (
   estimate: CompletionEstimate,
   waitedMs: number,
   capacityMilli: number,
+  priorityShare = 0,
 ): number => {
-  const mustLeaveReserve =
-    estimate !== CompletionEstimate.OnTime && waitedMs < RESERVE_TIMEOUT_MS;
-  return mustLeaveReserve ? RESERVED_SHARE * capacityMilli : 0;
+  if (waitedMs >= RESERVE_TIMEOUT_MS) {
+    return 0;
+  }
+  const lateShare = estimate === CompletionEstimate.OnTime ? 0 : RESERVED_SHARE;
+  return Math.max(lateShare, priorityShare) * capacityMilli;
 };
 
 /** Share of its caller's timeout after which a late job is refused. */
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -10,20 +10,30 @@
   BatchJob,
   BatchTask,
 } from '../request/batch-job.js';
+import { groupBy } from '../group-by.js';
 import { ZERO_ROOM, subtractRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
 import type { RouteTable } from '../version/route-table.js';
+import { OverloadControl, isUseless } from '../scheduling/overload-control.js';
+import {
+  OVERLOAD_DEFAULTS,
+  PriorityLevels,
+  valueOf,
+} from '../scheduling/priority-levels.js';
+import type { OverloadOptions } from '../scheduling/priority-levels.js';
+import { WaitingJobs } from '../scheduling/waiting-jobs.js';
+import type { WaitingJob } from '../scheduling/waiting-jobs.js';
+import { WorkerAbsence } from '../scheduling/worker-absence.js';
+import { SubmitRefusal } from './batch-events.js';
 import type { LogFields } from './batch-events.js';
 import type { CrashBulkhead } from './crash-bulkhead.js';
 import type { CrashLedger } from './crash-ledger.js';
 import {
+  CompletionEstimate,
   mayHaveBegun,
-  orderJobs,
-  rankOf,
   reservedCapacity,
   shouldRefuse,
 } from './batch-order.js';
-import type { CompletionRank, RankedJob } from './batch-order.js';
 import type { OwnedJob } from './owned-job.js';
 import { chooseWorker } from './worker-choice.js';
 import type { Candidate } from './worker-choice.js';
@@ -45,9 +55,19 @@
   readonly remoteDataFactor: number;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
+  readonly overload?: Partial<OverloadOptions> | undefined;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
+/** A volatile job that is not served, and why. */
+export interface UnservedJob {
+  readonly ownedJob: OwnedJob;
+  readonly reason: SubmitRefusal;
+}
+
+/** Age of the last reports of most workers above which the rate is unknown. */
+const MAX_REPORT_AGE_MS = 400;
+
 interface PlacementCandidate extends Candidate {
   readonly view: WorkerView;
   readonly service: string;
@@ -61,20 +81,50 @@
   readonly candidates: readonly PlacementCandidate[];
   /** Workers to which queues with tasks that crash workers are confined. */
   readonly bulkhead: ReadonlySet<string>;
+  /** Work started in this round, by service. */
+  readonly started: Map<string, StartedWork>;
 }
 
+interface StartedWork {
+  /** In core-milliseconds. */
+  work: number;
+  starts: number;
+}
+
+const MILLI = 1000;
+
 /**
  * Holds the jobs that have tasks to place and places these tasks on workers,
  * most urgent jobs first, as far as the workers have capacity.
  */
 export class JobPlacer {
   private readonly _options: JobPlacerOptions;
-  private readonly _waiting = new Set<OwnedJob>();
+  private readonly _weights: readonly number[];
+  private readonly _levels: PriorityLevels;
+  private readonly _waiting: WaitingJobs;
+  private readonly _absence = new WorkerAbsence();
+  /** Decisions while capacity is short. */
+  readonly overload: OverloadControl;
   private _shortage = Shortage.None;
 
   /** @param options - Workers, their health, routes and random numbers. */
   constructor(options: JobPlacerOptions) {
     this._options = options;
+    const { routes, health, bulkhead, random, overload } = options;
+    this._weights = overload?.weights ?? OVERLOAD_DEFAULTS.weights;
+    this._levels = new PriorityLevels(routes);
+    this._waiting = new WaitingJobs({
+      expectedMs: (queue, estimateMs) => health.expectedMs(queue, estimateMs),
+      isPrioritised: (service) => this._levels.isPrioritised(service),
+      weightOf: (priority) => valueOf(this._weights, priority),
+    });
+    this.overload = new OverloadControl({
+      waiting: this._waiting,
+      levels: this._levels,
+      isConfined: (content) => bulkhead.confines(content),
+      random,
+      settings: overload,
+    });
   }
 
   /** Number of jobs that may have tasks to place. */
@@ -97,6 +147,19 @@
     this._waiting.delete(ownedJob);
   }
 
+  /**
+   * @param job - A job.
+   * @param task - A task of it whose start a worker has refused.
+   */
+  onStartRefused(job: BatchJob, task: BatchTask): void {
+    this.overload.onStartRefused(job.content.service, this._workOf(job, task));
+  }
+
+  /** @returns Work of the job that has yet to start, in core-milliseconds. */
+  workOf(ownedJob: OwnedJob): number {
+    return this._waiting.get(ownedJob)?.workCoreMs ?? 0;
+  }
+
   /** @returns Expected run time of a job's critical path in milliseconds. */
   expectedMs(content: BatchContent): number {
     return this._options.health.expectedMs(
@@ -105,58 +168,158 @@
     );
   }
 
+  /**
+   * @param content - A job.
+   * @returns Weight by its priority if its service has queues of different
+   *   priorities.
+   */
+  weightOf(
+    content: Pick<BatchContent, 'service' | 'priority'>,
+  ): number | undefined {
+    return this._levels.isPrioritised(content.service)
+      ? valueOf(this._weights, content.priority)
+      : undefined;
+  }
+
   /**
    * @param now - Current time in milliseconds.
-   * @returns Volatile jobs that have not begun and are to be refused, because
-   *   their results would probably come too late for their callers.
+   * @returns Volatile jobs that are not served, because their results would
+   *   probably come too late for their callers.
    */
-  jobsToRefuse(now: number): OwnedJob[] {
-    return [...this._waiting].filter(({ job, deadlineMs }) => {
-      const { estimate } = this._estimateCompletion(job, now);
-      return (
-        job.content.isVolatile &&
-        !mayHaveBegun(job) &&
-        shouldRefuse(estimate, {
+  tooLate(now: number): UnservedJob[] {
+    return this._waiting
+      .ordered(now)
+      .filter((waiting) => {
+        const { job, deadlineMs } = waiting.job;
+        if (!job.content.isVolatile) {
+          return false;
+        }
+        if (mayHaveBegun(job)) {
+          return waiting.isPrioritised && isUseless(waiting, now);
+        }
+        return shouldRefuse(waiting.estimate, {
           waitedMs: now - job.acceptedAtMs,
           timeoutMs: deadlineMs - job.acceptedAtMs,
-        })
-      );
-    });
+        });
+      })
+      .map(({ job }) => ({ ownedJob: job, reason: SubmitRefusal.Overload }));
   }
 
   /**
    * Places the tasks that fit on the workers.
    *
    * @param now - Current time in milliseconds.
+   * @returns Volatile jobs that are not served, because no worker can be used,
+   *   capacity is short or their results would come too late.
    */
-  place(now: number): void {
+  place(now: number): UnservedJob[] {
     this._shortage = Shortage.None;
     if (this._waiting.size === 0) {
-      return;
+      this._observeRates([], new Map(), now);
+      return [];
     }
     const candidates = this._candidates(now);
+    const unserved = this._withoutWorkers(candidates, now);
+    const started = new Map<string, StartedWork>();
     if (candidates.length === 0) {
       // The linked workers have yet to answer, or none may be used.
       this._shortage = Shortage.Capacity;
-      return;
+      this._observeRates(candidates, started, now);
+      return unserved;
     }
     const { bulkhead, fleet } = this._options;
-    const round = { candidates, bulkhead: bulkhead.workers(fleet.views) };
-    for (const ranked of this._rankJobs(now)) {
-      this._placeJob(ranked, round, now);
+    const round = {
+      candidates,
+      bulkhead: bulkhead.workers(fleet.views),
+      started,
+    };
+    for (const waiting of this._waiting.ordered(now)) {
+      if (mustLeaveCapacity(waiting, now)) {
+        const { job: ownedJob } = waiting;
+        unserved.push({ ownedJob, reason: SubmitRefusal.Overload });
+      } else if (this._waiting.has(waiting.job)) {
+        this._placeJob(waiting, round, now);
+      }
+    }
+    this._observeRates(candidates, started, now);
+    for (const { job } of this.overload.select(now)) {
+      unserved.push({ ownedJob: job, reason: SubmitRefusal.Overload });
+    }
+    return unserved;
+  }
+
+  /** Volatile jobs of services without a usable worker for some time. */
+  private _withoutWorkers(
+    candidates: readonly PlacementCandidate[],
+    now: number,
+  ): UnservedJob[] {
+    const services = new Set(candidates.map(({ service }) => service));
+    const jobs = this._waiting.ordered(now);
+    const waitingServices = groupBy(jobs, ({ job }) => job.job.content.service);
+    const unserved: UnservedJob[] = [];
+    for (const [service, group] of waitingServices) {
+      this._absence.observe(service, services.has(service), now);
+      if (this._absence.isAbsent(service, now)) {
+        for (const { job: ownedJob } of group) {
+          const { job } = ownedJob;
+          if (job.content.isVolatile && !mayHaveBegun(job)) {
+            unserved.push({ ownedJob, reason: SubmitRefusal.NoWorkers });
+          }
+        }
+      }
+    }
+    return unserved;
+  }
+
+  /** Updates the service rates after a placement round. */
+  private _observeRates(
+    candidates: readonly PlacementCandidate[],
+    started: ReadonlyMap<string, StartedWork>,
+    now: number,
+  ): void {
+    const isWaiting = new Set<string>();
+    for (const { job, isPrioritised } of this._waiting.ordered(now)) {
+      if (isPrioritised && this._waiting.has(job)) {
+        isWaiting.add(job.job.content.service);
+      }
+    }
+    for (const service of new Set([...isWaiting, ...this.overload.services])) {
+      const workers = candidates.filter((worker) => worker.service === service);
+      const recent = workers.filter(
+        ({ view }) => now - view.lastReportAtMs <= MAX_REPORT_AGE_MS,
+      );
+      const { work = 0, starts = 0 } = started.get(service) ?? {};
+      this.overload.observe(
+        service,
+        {
+          startedWork: work,
+          starts,
+          isWaiting: isWaiting.has(service),
+          // Without waiting jobs, the workers are not looked at.
+          areReportsRecent:
+            !isWaiting.has(service) || 2 * recent.length > workers.length,
+        },
+        now,
+      );
     }
   }
 
   private _placeJob(
-    { job: ownedJob, estimate }: RankedJob<OwnedJob>,
+    { job: ownedJob, estimate, isPrioritised }: WaitingJob,
     round: PlacementRound,
     now: number,
   ): void {
-    const { ready } = ownedJob.job;
+    const { job } = ownedJob;
+    const { ready } = job;
+    if (isFinal(job.state) || ready.length === 0) {
+      this._waiting.delete(ownedJob);
+      return;
+    }
     const placed: string[] = [];
-    const waitedMs = now - ownedJob.job.acceptedAtMs;
+    const waitedMs = now - job.acceptedAtMs;
+    const share = this.overload.reservedShare(job.content, now);
     const reserve = (capacityMilli: number): number =>
-      reservedCapacity(estimate, waitedMs, capacityMilli);
+      reservedCapacity(estimate, waitedMs, capacityMilli, share);
     for (const task of ready) {
       const placedRun = this._placeTask(
         ownedJob,
@@ -165,13 +328,16 @@
         now,
       );
       if (placedRun === undefined) {
-        this._updateShortage(ownedJob.job, task, round.candidates);
+        this._updateShortage(job, task, round.candidates);
         break;
       }
+      if (isPrioritised) {
+        this._countStart(job, task, round.started);
+      }
       placed.push(placedRun);
     }
     if (placed.length > 0) {
-      ownedJob.job.state = BatchState.Running;
+      job.state = BatchState.Running;
       this._options.log('runs placed', {
         job: ownedJob.id,
         runs: placed.join(' '),
@@ -182,9 +348,30 @@
     }
     if (placed.length === ready.length) {
       this._waiting.delete(ownedJob);
+    } else if (placed.length > 0) {
+      this._waiting.onPlaced(ownedJob);
     }
   }
 
+  private _countStart(
+    job: BatchJob,
+    task: BatchTask,
+    started: Map<string, StartedWork>,
+  ): void {
+    const { service } = job.content;
+    const sum = started.get(service) ?? { work: 0, starts: 0 };
+    sum.work += this._workOf(job, task);
+    sum.starts += 1;
+    started.set(service, sum);
+  }
+
+  private _workOf(job: BatchJob, task: BatchTask): number {
+    const { needs, estimateMs } = job.stepOf(task);
+    const { queue } = job.content;
+    const expectedMs = this._options.health.expectedMs(queue, estimateMs);
+    return (needs.cpuMilli / MILLI) * expectedMs;
+  }
+
   private _updateShortage(
     job: BatchJob,
     task: BatchTask,
@@ -207,35 +394,6 @@
     }
   }
 
-  private _rankJobs(now: number): RankedJob<OwnedJob>[] {
-    const ranked: RankedJob<OwnedJob>[] = [];
-    for (const ownedJob of this._waiting) {
-      if (isFinal(ownedJob.job.state) || ownedJob.job.ready.length === 0) {
-        this._waiting.delete(ownedJob);
-        continue;
-      }
-      ranked.push({
-        job: ownedJob,
-        ...this._estimateCompletion(ownedJob.job, now),
-      });
-    }
-    return orderJobs(ranked);
-  }
-
-  private _estimateCompletion(job: BatchJob, now: number): CompletionRank {
-    const { content, acceptedAtMs } = job;
-    const criticalPathMs = this.expectedMs(content);
-    const { stretch, slackMs } = content;
-    const times = {
-      acceptedAtMs,
-      criticalPathMs,
-      remainingMs: criticalPathMs,
-      stretch,
-      slackMs,
-    };
-    return rankOf(times, now);
-  }
-
   private _candidates(now: number): PlacementCandidate[] {
     const { fleet, health, routes } = this._options;
     return fleet.linked.flatMap((view): PlacementCandidate[] => {
@@ -312,6 +470,17 @@
   }
 }
 
+/** Whether a job gets no capacity, since its result is of no use any more. */
+const mustLeaveCapacity = (waiting: WaitingJob, now: number): boolean => {
+  const { job } = waiting.job;
+  return (
+    waiting.estimate === CompletionEstimate.TooLate &&
+    waiting.isPrioritised &&
+    job.content.isVolatile &&
+    (isUseless(waiting, now) || !mayHaveBegun(job))
+  );
+};
+
 /** Returns the union of two sets: one of them, if the other one is empty. */
 const unite = (
   a: ReadonlySet<string>,
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -459,6 +459,7 @@
         break;
     }
     ownedJob.job.requeue(task, now);
+    this._options.placer.onStartRefused(ownedJob.job, task);
     this._options.placer.add(ownedJob);
   }
 
--- /dev/null
+++ b/packages/core/src/lib/process/volatile-admission.ts
@@ -0,0 +1,169 @@
+import { BatchJob } from '../request/batch-job.js';
+import type { BatchContent } from '../request/batch-job.js';
+import type { RouteTable } from '../version/route-table.js';
+import type { ServiceLoad } from '../scheduling/overload-control.js';
+import { SubmitRefusal } from './batch-events.js';
+import type { BatchEvent, BatchReply, LogFields } from './batch-events.js';
+import { mayHaveBegun } from './batch-order.js';
+import type { JobPlacer, UnservedJob } from './job-placer.js';
+import type { RecordedJob } from './job-recorder.js';
+import type { EndedJob, OwnedJob } from './owned-job.js';
+
+/** Retry-after of a refusal for any reason except overload. */
+export const DEFAULT_RETRY_AFTER_MS = 1000;
+/** Part of a caller's deadline that is reserved for delivering the reply. */
+export const REPLY_MARGIN_MS = 100;
+/**
+ * A volatile job that arrives during a planned stop is accepted only if it is
+ * expected to end within this time after the stop began.
+ */
+const STOP_JOB_LIMIT_MS = 5000;
+/** Safety factor on the estimated duration of such a job. */
+const STOP_ESTIMATE_FACTOR = 1.6;
+
+/** Progress of a planned stop. */
+export interface StopState {
+  /** Time at which the stop began, if it has. */
+  readonly sinceMs: number | undefined;
+  /** Whether the entry takes no jobs any more. */
+  readonly isLeaving: boolean;
+}
+
+/** Options of {@link VolatileAdmission}. */
+export interface VolatileAdmissionOptions {
+  readonly routes: RouteTable;
+  readonly placer: JobPlacer;
+  /** Jobs that the entry runs, by id. */
+  readonly jobs: ReadonlyMap<string, OwnedJob>;
+  /** Jobs that have ended, by id. */
+  readonly ended: ReadonlyMap<string, EndedJob>;
+  readonly stopState: () => StopState;
+  readonly add: (
+    job: BatchJob,
+    record: RecordedJob,
+    deadlineMs: number,
+  ) => OwnedJob;
+  /** Called with each accepted job. */
+  readonly onAccepted: (ownedJob: OwnedJob, now: number) => void;
+  /** Removes a job that is refused. */
+  readonly remove: (ownedJob: OwnedJob, now: number) => void;
+  /** Ends a job whose runs may have begun. */
+  readonly abandon: (ownedJob: OwnedJob, reason: string, now: number) => void;
+  readonly reply: (replyId: number, reply: BatchReply) => void;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+/**
+ * Accepts and refuses volatile jobs: at their submission, and while they wait,
+ * as soon as it is known that they can't be served in time.
+ */
+export class VolatileAdmission {
+  private readonly _options: VolatileAdmissionOptions;
+
+  /** @param options - Jobs, placement and callbacks. */
+  constructor(options: VolatileAdmissionOptions) {
+    this._options = options;
+  }
+
+  /**
+   * Accepts or refuses a volatile job. It is not recorded, and is abandoned when
+   * its last caller disconnects.
+   *
+   * @param event - The submission.
+   * @param now - Current time in milliseconds.
+   */
+  onSubmit(event: Extract<BatchEvent, { kind: 'submit' }>, now: number): void {
+    const { id, replyId, content, deadlineMs } = event;
+    const { jobs, ended, routes, reply, log } = this._options;
+    const known = jobs.get(id);
+    if (known) {
+      known.endReplies.push(replyId);
+      return;
+    }
+    const endedJob = ended.get(id);
+    if (endedJob) {
+      reply(replyId, { kind: 'ended', state: endedJob.state });
+      return;
+    }
+    if (this._isStopping(content, now)) {
+      const reason = SubmitRefusal.Stopping;
+      const retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+      log('job refused', { job: id, reason, queue: content.queue });
+      reply(replyId, { kind: 'refused', reason, retryAfterMs });
+      return;
+    }
+    const ownedJob = this._options.add(
+      new BatchJob({ id, content, epoch: 0, acceptedAtMs: now }),
+      { id, version: 0, hasProgressRow: false },
+      deadlineMs - REPLY_MARGIN_MS,
+    );
+    ownedJob.endReplies.push(replyId);
+    log('job accepted', {
+      job: id,
+      queue: content.queue,
+      config: routes.version ?? 0,
+      tasks: ownedJob.job.tasks.length,
+      waitMs: Math.round(deadlineMs - now),
+    });
+    // The job may have been sent to another entry before.
+    this._options.onAccepted(ownedJob, now);
+  }
+
+  /**
+   * Answers the callers of jobs that are not served.
+   *
+   * @param unserved - Volatile jobs and the reasons; a job may occur twice.
+   * @param now - Current time in milliseconds.
+   */
+  refuse(unserved: readonly UnservedJob[], now: number): void {
+    const { jobs, placer, abandon, remove, reply, log } = this._options;
+    const loads = new Map<string, ServiceLoad>();
+    for (const { ownedJob, reason } of unserved) {
+      const { job, id, endReplies } = ownedJob;
+      if (jobs.get(id) !== ownedJob) {
+        continue;
+      }
+      if (mayHaveBegun(job)) {
+        abandon(ownedJob, 'too late to be of use', now);
+        continue;
+      }
+      const { queue, service, priority } = job.content;
+      const load = loads.get(service) ?? placer.overload.loadOf(service, now);
+      loads.set(service, load);
+      const retryAfterMs =
+        reason === SubmitRefusal.Overload
+          ? placer.overload.retryAfterMs(load)
+          : DEFAULT_RETRY_AFTER_MS;
+      log('job refused', {
+        job: id,
+        reason,
+        queue,
+        priority,
+        waitedMs: Math.round(now - job.acceptedAtMs),
+        waitingJobs: placer.size,
+        workCoreMs: Math.round(placer.workOf(ownedJob)),
+        backlogCoreMs: Math.round(load.backlog),
+        ...(load.serviceRate === undefined
+          ? {}
+          : { serviceRate: Number(load.serviceRate.toFixed(1)) }),
+        retryAfterMs,
+      });
+      placer.overload.onRefused(job.content, now);
+      remove(ownedJob, now);
+      for (const replyId of endReplies) {
+        reply(replyId, { kind: 'refused', reason, retryAfterMs });
+      }
+    }
+  }
+
+  /** Whether a planned stop has begun that the job would outlast. */
+  private _isStopping(content: BatchContent, now: number): boolean {
+    const { sinceMs, isLeaving } = this._options.stopState();
+    if (isLeaving || sinceMs === undefined) {
+      return isLeaving;
+    }
+    const expectedMs = this._options.placer.expectedMs(content);
+    const endsMs = now + STOP_ESTIMATE_FACTOR * expectedMs;
+    return endsMs > sinceMs + STOP_JOB_LIMIT_MS;
+  }
+}
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -45,15 +45,27 @@
  * @param content - Content of a job.
  * @returns Estimated run time of its critical path in milliseconds.
  */
-export const criticalPathEstimateMs = (content: BatchContent): number => {
+export const criticalPathEstimateMs = (content: BatchContent): number =>
+  pathMs(content, () => true);
+
+/**
+ * @param content - Content of a job.
+ * @param isOpen - Whether a step counts, by its index.
+ * @returns Estimated run time of the critical path over these steps, in
+ *   milliseconds.
+ */
+export const pathMs = (
+  content: BatchContent,
+  isOpen: (step: number) => boolean,
+): number => {
   const ends: number[] = [];
-  for (const step of content.steps) {
+  content.steps.forEach((step, index) => {
     const startMs = Math.max(
       0,
       ...step.after.map((number) => ends[number] ?? 0),
     );
-    ends.push(startMs + step.estimateMs);
-  }
+    ends.push(startMs + (isOpen(index) ? step.estimateMs : 0));
+  });
   return Math.max(0, ...ends);
 };
 
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -12,6 +12,16 @@
 export const CAPACITY = { cpuMilli: 16_000, memoryMb: 65_536, accelerators: 0 };
 export const ID = '00000000000000a1';
 
+export const helloOf = (worker: string) => ({
+  worker,
+  incarnation: 'w',
+  dataCentre: 'dc',
+  service: 'svc',
+  life: '1',
+  labels: [],
+  capacity: CAPACITY,
+});
+
 /** In-memory store with rows by part and key. */
 export class FakeRows {
   isUnavailable = false;
@@ -153,15 +163,7 @@
         adopted: [],
         fenced: false,
         crashes: [],
-        hello: {
-          worker,
-          incarnation: 'w',
-          dataCentre: 'dc',
-          service: 'svc',
-          life: '1',
-          labels: [],
-          capacity: CAPACITY,
-        },
+        hello: helloOf(worker),
         ...fields,
       },
     });
