Shed the lowest weights first and count refusals by queue

Cause: an entry whose event loop lags refused submissions at random, so urgent ones as often as others, and metrics did not show which queues were refused.

The load shedder takes the weight of the queue, which is known from the path before the body is read. The lowest weight is refused up to 0.7 of its submissions before the next one is. Queues of services without different priorities are refused as before. New metrics: refused jobs by queue and reason, service rate, backlog by priority.

Test with a refused share of 0.2: about 0.7 of the lowest weight (a tenth of the submissions), a quarter of the middle one and none of the highest are refused; without weights, each at the same share.

--- a/packages/core/src/test/load-shedder.test.ts
+++ b/packages/core/src/test/load-shedder.test.ts
@@ -73,3 +73,37 @@
   const { useful, offered } = replay(100, shedder);
   expect(useful).toEqual(offered);
 });
+
+/** Refused share of each weight, of which a tenth, a half and 0.4 are offered. */
+const refusedShares = (delayMs: number, hasWeights: boolean): number[] => {
+  const random = evenRandom();
+  const shedder = new LoadShedder(random);
+  shedder.observe(delayMs);
+  const weights = [1, 2, 4, 2, 4, 2, 4, 2, 4, 2];
+  const offered = new Map<number, number>();
+  const refused = new Map<number, number>();
+  for (let n = 0; n < 5000; n += 1) {
+    const weight = weights[n % weights.length] ?? 0;
+    const isRefused = shedder.shouldRefuse(hasWeights ? weight : undefined);
+    offered.set(weight, (offered.get(weight) ?? 0) + 1);
+    refused.set(weight, (refused.get(weight) ?? 0) + (isRefused ? 1 : 0));
+  }
+  return [1, 2, 4].map(
+    (weight) => (refused.get(weight) ?? 0) / (offered.get(weight) ?? 1),
+  );
+};
+
+// Guards against an entry that refuses urgent jobs while it accepts others.
+it('submissions of low weight are refused first, but not all of them', () => {
+  const [low = 0, middle = 0, high = 0] = refusedShares(300, true);
+  expect([low > 0.6, low < 0.8]).toEqual([true, true]);
+  // A fifth of all: 0.7 of the tenth, and the rest of the half.
+  expect([middle > 0.2, middle < 0.33]).toEqual([true, true]);
+  expect(high).toBeLessThan(0.02);
+});
+
+it('submissions without a weight are refused irrespective of their queue', () => {
+  for (const share of refusedShares(300, false)) {
+    expect([share > 0.15, share < 0.25]).toEqual([true, true]);
+  }
+});
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -6,6 +6,7 @@
   BatchEntryOptions,
   BatchEvent,
   BatchReply,
+  QueueRoute,
 } from '@sapphiremux/core';
 import {
   CancelJobReplySchema,
@@ -166,16 +167,29 @@
    * this process can't keep up. Jobs that the entry knows are never refused.
    *
    * @param job - Id of the job.
+   * @param findQueue - Returns the queue that it is submitted to, if any; called
+   *   only while submissions are being refused.
    * @returns When to come back in milliseconds; `undefined` if it is accepted.
    */
-  refuseForLoad(job: string): number | undefined {
-    if (this._core.owns(job) || !this._shedder.shouldRefuse()) {
+  refuseForLoad(
+    job: string,
+    findQueue: () => QueueRoute | undefined,
+  ): number | undefined {
+    if (this._shedder.share === 0 || this._core.owns(job)) {
       return undefined;
     }
+    const queue = findQueue();
+    const weight = queue && this._core.weightOf(queue);
+    if (!this._shedder.shouldRefuse(weight)) {
+      return undefined;
+    }
+    const reason = 'entry-overload';
     this.metrics.replies.inc({ call: 'submit', reply: 'shed' });
+    this.metrics.refusedJobs.inc({ queue: queue?.name ?? '', reason });
     this._options.log.info('job refused', {
       job,
-      reason: 'entry-overload',
+      reason,
+      queue: queue?.name ?? '',
       delayMs: Math.round(this._delayMs),
       refusedShare: Number(this._shedder.share.toFixed(2)),
     });
@@ -225,6 +239,7 @@
     this.metrics.openJobs.set(this._core.openJobs);
     this.metrics.waitingJobs.set(this._core.waitingJobs);
     this.metrics.configVersion.set(this._core.routes.version ?? 0);
+    this.metrics.setLoads(this._core.loads(now()));
     this._tickIntervalMs = this._core.openJobs > 0 ? TICK_MS : IDLE_TICK_MS;
     this._timer = new IoTimeout(() => {
       this._tick();
@@ -290,7 +305,7 @@
         void this._forwardCancel(action);
         return;
       case 'log':
-        this.metrics.decisions.inc({ decision: action.message });
+        this.metrics.onDecision(action.message, action.fields);
         this._options.log.info(action.message, action.fields);
         return;
       case 'retire':
--- a/packages/daemon/src/lib/process/fleet-metrics.ts
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
+import type { LogFields, ServiceLoad } from '@sapphiremux/core';
 import { createRegistry, openJobGauge, storeCallCounter } from './metrics.js';
 
 const LATENCY_BUCKETS_MS = [
@@ -17,6 +18,8 @@
 /** Prometheus metrics of an entry on the platform. */
 export class BatchEntryMetrics {
   readonly registry = createRegistry();
+  /** Priorities for which a backlog has been shown. */
+  private readonly _priorities = new Set<number>();
   readonly storeCalls = storeCallCounter(this.registry);
   readonly replies = new Counter({
     name: 'sapphiremux_replies_total',
@@ -32,6 +35,24 @@
     registers: [this.registry],
   });
   readonly decisions = decisionCounter(this.registry);
+  readonly refusedJobs = new Counter({
+    name: 'sapphiremux_refused_jobs_total',
+    help: 'Refused jobs by queue and reason.',
+    labelNames: ['queue', 'reason'] as const,
+    registers: [this.registry],
+  });
+  readonly serviceRate = new Gauge({
+    name: 'sapphiremux_service_rate_cores',
+    help: 'Work started per millisecond while jobs wait, in cores.',
+    labelNames: ['service'] as const,
+    registers: [this.registry],
+  });
+  readonly backlog = new Gauge({
+    name: 'sapphiremux_backlog_core_milliseconds',
+    help: 'Work that waits to be started.',
+    labelNames: ['service', 'priority'] as const,
+    registers: [this.registry],
+  });
   readonly openJobs = openJobGauge(this.registry);
   readonly waitingJobs = new Gauge({
     name: 'sapphiremux_waiting_jobs',
@@ -48,6 +69,38 @@
     help: 'Version of the configuration in force.',
     registers: [this.registry],
   });
+
+  /**
+   * Counts a decision of the entry.
+   *
+   * @param decision - Message of its log line.
+   * @param fields - Fields of the log line.
+   */
+  onDecision(decision: string, fields: LogFields): void {
+    this.decisions.inc({ decision });
+    if (decision === 'job refused') {
+      const { queue = '', reason = '' } = fields;
+      this.refusedJobs.inc({ queue: String(queue), reason: String(reason) });
+    }
+  }
+
+  /** @param loads - Load of each service that is treated by priority. */
+  setLoads(loads: ReadonlyMap<string, ServiceLoad>): void {
+    for (const [service, { byPriority, serviceRate }] of loads) {
+      if (serviceRate === undefined) {
+        this.serviceRate.remove({ service });
+      } else {
+        this.serviceRate.set({ service }, serviceRate);
+      }
+      for (const priority of this._priorities) {
+        this.backlog.set({ service, priority }, byPriority.get(priority) ?? 0);
+      }
+      for (const [priority, work] of byPriority) {
+        this._priorities.add(priority);
+        this.backlog.set({ service, priority }, work);
+      }
+    }
+  }
 }
 
 /** Prometheus metrics of a worker driver process. */
