--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -305,6 +305,53 @@
   expect(health.slowness('w1') < 1.3).toEqual(true);
 });
 
+/** Health after runs on workers of speeds 0.6, 1 and 1.6, by name. */
+const healthAfter = (runs: number): WorkerHealth => {
+  const health = new WorkerHealth();
+  const speeds = [0.6, 1, 1.6];
+  for (let i = 0; i < runs; i += 1) {
+    const index = i % 9;
+    const queue = i % 2 === 0 ? 'q' : 'r';
+    // Errors of the estimates by a factor of up to 1.6, independent of both.
+    const error = 1.6 ** (((i * 7) % 13) / 6 - 1);
+    const factor = queue === 'q' ? 1.4 : 0.8;
+    const tookMs = (100 * factor * error) / (speeds[index % 3] ?? 1);
+    health.onDone({ queue, worker: `w${String(index)}` }, 100, tookMs);
+  }
+  return health;
+};
+
+// Guards against a bound that hides fast workers, and against factors of queues
+// and workers that drift away in opposite directions.
+it('fast workers are known as such, however many runs have completed', () => {
+  for (const runs of [300, 30_000]) {
+    const health = healthAfter(runs);
+    const errors = [1.667, 1, 0.625].map((expected, index) =>
+      Math.abs(health.slowness(`w${String(index)}`) / expected - 1),
+    );
+    expect(Math.max(...errors)).toBeLessThan(0.25);
+    expect(Math.abs(health.expectedMs('q', 100) / 140 - 1)).toBeLessThan(0.2);
+    expect(Math.abs(health.expectedMs('r', 100) / 80 - 1)).toBeLessThan(0.2);
+  }
+});
+
+it('a single run that takes seven times as long does not make its worker slow', () => {
+  const health = healthAfter(300);
+  const before = health.slowness('w1');
+  health.onDone({ queue: 'q', worker: 'w1' }, 100, 980);
+  expect(health.slowness('w1') / before).toBeLessThan(1.2);
+});
+
+it('a worker that is replaced by one of another speed is learned anew', () => {
+  const health = healthAfter(300);
+  health.reset('w0');
+  expect(health.slowness('w0')).toEqual(1);
+  for (let i = 0; i < 10; i += 1) {
+    health.onDone({ queue: 'q', worker: 'w0' }, 100, 140 / 1.6);
+  }
+  expect(health.slowness('w0')).toBeLessThan(0.85);
+});
+
 it('a clock reading gives a lower bound of later clock values', () => {
   const clock = new WorkerClock();
   clock.observe(1000, 50);
