Match the slack of tasks to the speed of workers

Cause: on a worker of speed 0.6, a task of 1,086 ms misses its objective, which tasks of 73 ms can meet there; workers were chosen by speed alone.

Each task has a greatest slowness at which it probably ends in time. Workers beyond it cost more; if only these are free, the task is held back while it can still end in time on one of the others and less than 0.8 of the CPU is in use.

No existing test is changed.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -4,6 +4,7 @@
   TaskPhase,
   criticalPathEstimateMs,
   isFinal,
+  laterEstimateMs,
 } from '../request/batch-job.js';
 import type {
   BatchContent,
@@ -25,8 +26,8 @@
 } from './batch-order.js';
 import type { CompletionRank, RankedJob } from './batch-order.js';
 import type { OwnedJob } from './owned-job.js';
-import { chooseWorker } from './worker-choice.js';
-import type { Candidate } from './worker-choice.js';
+import { chooseWorker, isHeldBack, maxSlownessOf } from './worker-choice.js';
+import type { Candidate, TaskRequirements } from './worker-choice.js';
 import type { WorkerFleet } from './worker-fleet.js';
 import type { WorkerHealth } from './worker-health.js';
 import type { WorkerView } from './worker-view.js';
@@ -61,6 +62,16 @@
   readonly candidates: readonly PlacementCandidate[];
   /** Workers to which queues with tasks that crash workers are confined. */
   readonly bulkhead: ReadonlySet<string>;
+  /** Share of the workers' CPU that is in use. */
+  readonly usedShare: number;
+}
+
+/** Limits on the workers of the tasks of one job. */
+interface JobLimits {
+  /** CPU to leave free at a worker of the given capacity, in millicores. */
+  readonly reserve: (capacityMilli: number) => number;
+  /** Time until the job has to end. */
+  readonly dueInMs: number;
 }
 
 /**
@@ -141,31 +152,32 @@
       return;
     }
     const { bulkhead, fleet } = this._options;
-    const round = { candidates, bulkhead: bulkhead.workers(fleet.views) };
+    const round = {
+      candidates,
+      bulkhead: bulkhead.workers(fleet.views),
+      usedShare: usedShareOf(candidates),
+    };
     for (const ranked of this._rankJobs(now)) {
       this._placeJob(ranked, round, now);
     }
   }
 
   private _placeJob(
-    { job: ownedJob, estimate }: RankedJob<OwnedJob>,
+    { job: ownedJob, estimate, latestStartMs }: RankedJob<OwnedJob>,
     round: PlacementRound,
     now: number,
   ): void {
     const { ready } = ownedJob.job;
     const placed: string[] = [];
     const waitedMs = now - ownedJob.job.acceptedAtMs;
-    const reserve = (capacityMilli: number): number =>
-      reservedCapacity(estimate, waitedMs, capacityMilli);
+    const limits: JobLimits = {
+      reserve: (capacityMilli) =>
+        reservedCapacity(estimate, waitedMs, capacityMilli),
+      dueInMs: latestStartMs + this.expectedMs(ownedJob.job.content) - now,
+    };
     for (const task of ready) {
-      const placedRun = this._placeTask(
-        ownedJob,
-        task,
-        { ...round, reserve },
-        now,
-      );
+      const placedRun = this._placeTask(ownedJob, task, round, limits, now);
       if (placedRun === undefined) {
-        this._updateShortage(ownedJob.job, task, round.candidates);
         break;
       }
       placed.push(placedRun);
@@ -267,38 +279,46 @@
   private _placeTask(
     ownedJob: OwnedJob,
     task: BatchTask,
-    round: PlacementRound & {
-      readonly reserve: (capacityMilli: number) => number;
-    },
+    round: PlacementRound,
+    limits: JobLimits,
     now: number,
   ): string | undefined {
     const { job } = ownedJob;
     const step = job.stepOf(task);
-    const { remoteDataFactor, dataCentre, random } = this._options;
+    const { remoteDataFactor, dataCentre, health, random } = this._options;
+    const { queue, steps } = job.content;
     const isConfined = this._options.bulkhead.confines(job.content);
     // The bulkhead is for confined queues; others use it only if they have to.
     const avoidedWorkers = isConfined
       ? task.avoidedWorkers
       : unite(task.avoidedWorkers, round.bulkhead);
-    const chosen = chooseWorker(
-      {
-        needs: step.needs,
-        requires: step.requires,
-        affinity: step.affinity,
-        remoteDataFactor,
-        avoidedWorkers,
-        reserve: round.reserve,
-        dataCentre,
-      },
-      round.candidates.filter(
-        (candidate) =>
-          candidate.service === job.content.service &&
-          (!isConfined || round.bulkhead.has(candidate.name)) &&
-          satisfiesAntiAffinity(job, task, candidate.name),
-      ),
-      random,
+    const requirements: TaskRequirements = {
+      needs: step.needs,
+      requires: step.requires,
+      affinity: step.affinity,
+      remoteDataFactor,
+      avoidedWorkers,
+      reserve: limits.reserve,
+      dataCentre,
+      usedShare: round.usedShare,
+      maxSlowness: maxSlownessOf({
+        dueInMs: limits.dueInMs,
+        expectedMs: health.expectedMs(queue, step.estimateMs),
+        laterMs: health.expectedMs(queue, laterEstimateMs(steps, task.step)),
+        width: step.count,
+      }),
+    };
+    const candidates = round.candidates.filter(
+      (candidate) =>
+        candidate.service === job.content.service &&
+        (!isConfined || round.bulkhead.has(candidate.name)) &&
+        satisfiesAntiAffinity(job, task, candidate.name),
     );
+    const chosen = chooseWorker(requirements, candidates, random);
     if (!chosen) {
+      if (!isHeldBack(requirements, candidates)) {
+        this._updateShortage(job, task, round.candidates);
+      }
       return undefined;
     }
     chosen.free = subtractRoom(chosen.free, step.needs);
@@ -312,6 +332,17 @@
   }
 }
 
+/** Returns the share of the workers' CPU that is in use. */
+const usedShareOf = (candidates: readonly PlacementCandidate[]): number => {
+  let capacityMilli = 0;
+  let freeMilli = 0;
+  for (const { capacity, free } of candidates) {
+    capacityMilli += capacity.cpuMilli;
+    freeMilli += free.cpuMilli;
+  }
+  return capacityMilli > 0 ? 1 - freeMilli / capacityMilli : 0;
+};
+
 /** Returns the union of two sets: one of them, if the other one is empty. */
 const unite = (
   a: ReadonlySet<string>,
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -57,6 +57,28 @@
   return Math.max(0, ...ends);
 };
 
+/**
+ * @param steps - Steps of a job.
+ * @param number - Index of one of them.
+ * @returns Estimated run time of the longest chain of steps after it, in
+ *   milliseconds.
+ */
+export const laterEstimateMs = (
+  steps: readonly JobStepContent[],
+  number: number,
+): number => {
+  const laterMs: number[] = [];
+  for (let later = steps.length - 1; later > number; later -= 1) {
+    // Steps only depend on earlier ones, so the chains after it are known.
+    const step = steps[later];
+    const chainMs = (step?.estimateMs ?? 0) + (laterMs[later] ?? 0);
+    for (const earlier of step?.after ?? []) {
+      laterMs[earlier] = Math.max(laterMs[earlier] ?? 0, chainMs);
+    }
+  }
+  return laterMs[number] ?? 0;
+};
+
 /** State of a job as reported to its desk. */
 export enum BatchState {
   Queued = 'queued',
--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { PeerMonitor, ProbeScope } from '../lib/process/peer-monitor.js';
 import { TableFollower } from '../lib/process/table-follower.js';
-import { chooseWorker } from '../lib/process/worker-choice.js';
+import { chooseWorker, maxSlownessOf } from '../lib/process/worker-choice.js';
 import type { Candidate } from '../lib/process/worker-choice.js';
 import { WorkerClock } from '../lib/process/worker-clock.js';
 import { WorkerHealth } from '../lib/process/worker-health.js';
@@ -259,6 +259,42 @@
   );
 });
 
+// Guards against tasks that start where they will be late although another
+// worker will soon have free capacity.
+it('a task avoids workers at which it would be late, and waits for others if it can', () => {
+  const full = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
+  const pick = (
+    maxSlowness: number,
+    candidates: Candidate[],
+    usedShare = 0.5,
+  ): string | undefined =>
+    chooseWorker(
+      { ...requirementsOf(), maxSlowness, usedShare },
+      candidates,
+      () => 0.5,
+    )?.name;
+  const slow = candidate('slow', { slowness: 1.7, isPreferred: true });
+  const fast = candidate('fast', { slowness: 0.6, free: full });
+  expect(pick(1.4, [slow, candidate('a')])).toEqual('a');
+  expect(pick(1.4, [slow, fast])).toEqual(undefined);
+  expect(pick(1.4, [slow, fast], 0.9)).toEqual('slow');
+  expect(pick(2, [slow, fast])).toEqual('slow');
+  // It would be late at the fast worker as well, or no other one is usable.
+  expect(pick(0.5, [slow, fast])).toEqual('slow');
+  expect(pick(1.4, [slow])).toEqual('slow');
+  expect(pick(1.4, [slow, { ...fast, isEjected: true }])).toEqual('slow');
+});
+
+it('the suitable slowness falls with the width of a step and the steps after it', () => {
+  const times = { dueInMs: 180, expectedMs: 100, laterMs: 0, width: 1 };
+  const single = maxSlownessOf(times) ?? 0;
+  const wide = maxSlownessOf({ ...times, width: 8 }) ?? 0;
+  expect(single > 1.3 && single < 1.6).toEqual(true);
+  expect(wide > 1.1 && wide < single).toEqual(true);
+  expect(maxSlownessOf({ ...times, laterMs: 160 })).toEqual(0);
+  expect(maxSlownessOf({ ...times, expectedMs: 0 })).toEqual(undefined);
+});
+
 it('a worker that fails runs while others complete theirs is ejected', () => {
   const health = new WorkerHealth();
   for (let i = 0; i < 30; i += 1) {
