Tell tasks that take long from stalled ones

Cause: three tasks in a hundred take seven times as long at any worker. They were stopped at four times the expected time and started from the beginning, which made them later and threw their work away.

An overdue run is long if its worker goes on completing runs that started later, has had no stalled run in the last 3 s, and has few overdue runs; it may then take up to 12 times the expected time. Any other is stopped as before. Estimates for tasks with remote data are multiplied by the factor for remote data.

No existing test is changed; two mutations are added.

--- a/packages/cli/src/lib/job-report.ts
+++ b/packages/cli/src/lib/job-report.ts
@@ -167,6 +167,14 @@
       return [
         `${run} stopped at ${text(fields, 'worker')}: stalled, still running after ${text(fields, 'sinceMs')} ms with a limit of ${text(fields, 'limitMs')} ms`,
       ];
+    case 'run takes long':
+      return [
+        `${run} takes long at ${text(fields, 'worker')}, which completes other runs: still running after ${text(fields, 'sinceMs')} ms`,
+      ];
+    case 'run stopped, it takes too long':
+      return [
+        `${run} stopped at ${text(fields, 'worker')}: long, still running after ${text(fields, 'sinceMs')} ms with a limit of ${text(fields, 'limitMs')} ms`,
+      ];
     case 'run stopped, its owner is silent':
       return [
         `${run} stopped at ${name}: message from its entry overdue by ${text(fields, 'overdueMs')} ms`,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,13 @@
 } from './lib/version/route-table.js';
 export { CrashBulkhead } from './lib/process/crash-bulkhead.js';
 export { CrashLedger } from './lib/process/crash-ledger.js';
-export { chooseWorker } from './lib/process/worker-choice.js';
+export { chooseWorker, maxSlownessOf } from './lib/process/worker-choice.js';
 export type { Candidate } from './lib/process/worker-choice.js';
+export { WorkerHealth } from './lib/process/worker-health.js';
+export {
+  OverdueReason,
+  StallDetector,
+  longAfterMs,
+  stalledAfterMs,
+} from './lib/request/stalled-runs.js';
 export { WorkerSubset } from './lib/process/worker-subset.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -207,6 +207,7 @@
       health: this._health,
       crashes: this._crashes,
       bulkhead: this._bulkhead,
+      remoteDataFactor: this._options.remoteDataFactor,
       jobs: this._jobs,
       isEnded: (id) => this._ended.has(id),
       onAbandon: (ownedJob, reason, at) => {
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -8,7 +8,13 @@
 } from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
 import { jobIdOf, runKey } from '../request/run-key.js';
-import { stalledAfterMs } from '../request/stalled-runs.js';
+import {
+  OverdueReason,
+  StallDetector,
+  longAfterMs,
+  stalledAfterMs,
+} from '../request/stalled-runs.js';
+import type { RunTiming } from '../request/stalled-runs.js';
 import type { LogFields } from './batch-events.js';
 import type { CrashBulkhead } from './crash-bulkhead.js';
 import type { CrashLedger } from './crash-ledger.js';
@@ -16,6 +22,7 @@
 import type { JobPlacer } from './job-placer.js';
 import type { OwnedJob, UnacknowledgedEnd } from './owned-job.js';
 import type { PartStores } from './part-stores.js';
+import { dataFactorOf } from './worker-choice.js';
 import type { WorkerFleet } from './worker-fleet.js';
 import type { WorkerHealth } from './worker-health.js';
 import type { PlacedRun, WorkerView } from './worker-view.js';
@@ -30,6 +37,8 @@
   readonly health: WorkerHealth;
   readonly crashes: CrashLedger;
   readonly bulkhead: CrashBulkhead;
+  /** Ratio of a task's run time with remote data to that with local data. */
+  readonly remoteDataFactor: number;
   /** Jobs that the entry runs, by id. */
   readonly jobs: ReadonlyMap<string, OwnedJob>;
   /** Whether the entry knows that the job has ended. */
@@ -46,6 +55,12 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
+/** A current run that takes far longer than expected. */
+interface OverdueRun {
+  readonly task: BatchTask;
+  readonly timing: RunTiming;
+}
+
 /** Tasks that a log line about a crash names. */
 const MAX_LOGGED_TASKS = 20;
 /** How long abandoned runs are remembered. */
@@ -63,6 +78,7 @@
    * ends of these runs.
    */
   private readonly _abandoned = new Map<string, number>();
+  private readonly _stalls = new StallDetector();
 
   /** @param options - Jobs, workers and callbacks. */
   constructor(options: RunReportsOptions) {
@@ -115,6 +131,7 @@
       before !== undefined && before.incarnation !== view.hello?.incarnation;
     if (before?.life !== view.hello?.life) {
       this._options.health.reset(view.name);
+      this._stalls.reset(view.name);
     }
     const crashing = report.crashes.flatMap((crash) =>
       this._recordCrash(view, crash, now),
@@ -134,43 +151,121 @@
     }
   }
 
-  /** Stops stalled runs, so that their tasks start again on other workers. */
+  /**
+   * Stops stalled runs, so that their tasks start again on other workers. Runs
+   * of tasks that take long at any worker may go on for longer.
+   */
   private _stopStalledRuns(view: WorkerView, now: number): void {
-    const { health, fleet, log } = this._options;
+    const overdue: OverdueRun[] = [];
     for (const placed of view.placed.values()) {
       const ownedJob = this._options.jobs.get(placed.job);
       const task = ownedJob?.job.task(placed.task);
-      const isCurrent = task && isPlacedAs(task, placed.run, view.name);
-      if (!ownedJob || !isCurrent || task.isStalled) {
+      if (!ownedJob || !task || !isPlacedAs(task, placed.run, view.name)) {
         continue;
       }
-      const { queue } = ownedJob.job.content;
-      const { estimateMs } = ownedJob.job.stepOf(task);
-      const limitMs = stalledAfterMs({
-        expectedMs: health.expectedMs(queue, estimateMs),
-        slowness: health.slowness(view.name),
-        earlierStops: task.stalledStops,
-      });
-      if (now - task.sinceMs <= limitMs) {
+      const timing = this._timingOf(ownedJob, task, view);
+      if (task.isStalled || now - task.sinceMs > stalledAfterMs(timing)) {
+        overdue.push({ task, timing });
+      }
+    }
+    const runs = {
+      worker: view.name,
+      active: view.placed.size,
+      overdue: overdue.length,
+    };
+    for (const { task, timing } of overdue) {
+      if (task.isStalled) {
         continue;
       }
-      task.isStalled = true;
-      task.stalledStops += 1;
-      task.avoidedWorkers.add(view.name);
-      fleet.stop(view, task.name, task.run);
-      log('run stopped, it stands still', {
-        task: task.name,
-        run: task.run,
-        worker: view.name,
-        sinceMs: Math.round(now - task.sinceMs),
-        limitMs: Math.round(limitMs),
-      });
-      if (health.onFailed(view.name, now)) {
-        log('worker set aside', { worker: view.name });
+      const reason = this._stalls.reasonOf(runs, task.sinceMs, now);
+      switch (reason) {
+        case OverdueReason.Stalled:
+          this._stopRun(view, task, {
+            message: 'run stopped, it stands still',
+            limitMs: stalledAfterMs(timing),
+            now,
+          });
+          this._stalls.onStalled(view.name, now);
+          if (this._options.health.onFailed(view.name, now)) {
+            this._options.log('worker set aside', { worker: view.name });
+          }
+          break;
+        case OverdueReason.Long:
+          if (!task.isLong) {
+            task.isLong = true;
+            this._logLongRun(view, task, now);
+          }
+          if (now - task.sinceMs > longAfterMs(timing)) {
+            this._stopRun(view, task, {
+              message: 'run stopped, it takes too long',
+              limitMs: longAfterMs(timing),
+              now,
+            });
+          }
+          break;
       }
     }
   }
 
+  private _timingOf(
+    ownedJob: OwnedJob,
+    task: BatchTask,
+    view: WorkerView,
+  ): RunTiming {
+    const { health } = this._options;
+    const { content } = ownedJob.job;
+    const estimateMs = this._estimateMs(ownedJob, task, view);
+    return {
+      expectedMs: health.expectedMs(content.queue, estimateMs),
+      slowness: health.slowness(view.name),
+      earlierStops: task.stalledStops,
+    };
+  }
+
+  /** Returns the estimate for a task, given its access to its data there. */
+  private _estimateMs(
+    ownedJob: OwnedJob,
+    task: BatchTask,
+    view: WorkerView,
+  ): number {
+    const { affinity, estimateMs } = ownedJob.job.stepOf(task);
+    const { remoteDataFactor } = this._options;
+    const labels = view.hello?.labels ?? [];
+    return estimateMs * dataFactorOf(affinity, labels, remoteDataFactor);
+  }
+
+  private _stopRun(
+    view: WorkerView,
+    task: BatchTask,
+    options: {
+      readonly message: string;
+      readonly limitMs: number;
+      readonly now: number;
+    },
+  ): void {
+    const { message, limitMs, now } = options;
+    task.isStalled = true;
+    task.stalledStops += 1;
+    task.avoidedWorkers.add(view.name);
+    this._options.fleet.stop(view, task.name, task.run);
+    this._options.log(message, {
+      task: task.name,
+      run: task.run,
+      worker: view.name,
+      sinceMs: Math.round(now - task.sinceMs),
+      limitMs: Math.round(limitMs),
+    });
+  }
+
+  private _logLongRun(view: WorkerView, task: BatchTask, now: number): void {
+    this._options.log('run takes long', {
+      task: task.name,
+      run: task.run,
+      worker: view.name,
+      sinceMs: Math.round(now - task.sinceMs),
+    });
+  }
+
   /** @returns The jobs of this entry that had active runs at a new crash. */
   private _recordCrash(
     view: WorkerView,
@@ -332,10 +427,15 @@
     }
     if (end.kind === EndKind.DONE) {
       this._options.health.onDone(
-        { queue: ownedJob.job.content.queue, worker: view.name },
-        ownedJob.job.stepOf(task).estimateMs,
+        {
+          queue: ownedJob.job.content.queue,
+          worker: view.name,
+          job: ownedJob.id,
+        },
+        this._estimateMs(ownedJob, task, view),
         now - task.sinceMs,
       );
+      this._stalls.onDone(view.name, task.sinceMs, now);
     } else if (end.kind === EndKind.FAILED) {
       if (this._options.health.onFailed(view.name, now)) {
         this._options.log('worker set aside', { worker: view.name });
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -136,6 +136,8 @@
   isGivenUp: boolean;
   /** Whether the placed run is being stopped because it has stalled. */
   isStalled: boolean;
+  /** Whether the placed run was found to take long at any worker. */
+  isLong: boolean;
   /** VMs at which a run of the task failed or stalled. */
   readonly avoidedWorkers: Set<string>;
 }
@@ -212,6 +214,7 @@
         doneRun: 0,
         stalledStops: 0,
         isStalled: false,
+        isLong: false,
         isGivenUp: false,
         avoidedWorkers: new Set<string>(),
       })),
@@ -295,6 +298,7 @@
     task.worker = worker;
     task.sinceMs = now;
     task.isStalled = false;
+    task.isLong = false;
     return task.run;
   }
 
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -246,6 +246,28 @@
   expect(harness.started.at(-1)).toEqual(`${ID}.0.0.0#2`);
 });
 
+// Guards against restarts of tasks that take long at any worker.
+it('a long run goes on while its worker completes later runs, up to a higher limit', () => {
+  const harness = withWorker();
+  harness.submit(1);
+  harness.report('w1', { ends: [done(`${ID}.0.0.1`)] });
+  const [step] = CONTENT.steps;
+  const steps = step ? [{ ...step, count: 1 }] : [];
+  const stopsAfter: number[] = [];
+  for (let round = 1; round <= 15; round += 1) {
+    const later = `later${String(round)}`;
+    harness.submit(1 + round, { steps }, later);
+    harness.advance(50);
+    harness.report('w1');
+    harness.advance(50);
+    harness.report('w1', { ends: [done(`${later}.0.0.0`, 1, 1 + round)] });
+    stopsAfter.push(harness.stopped.length);
+  }
+  // The limit of a stalled run is 600 ms, that of a long one 1400 ms.
+  expect(stopsAfter.slice(0, 13).every((stops) => stops === 0)).toEqual(true);
+  expect(harness.stopped).toEqual([`${ID}.0.0.0#1`]);
+});
+
 it('an end at another worker does not end the current run', () => {
   const rows = new FakeRows();
   const harness = withWorker(rows);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -298,6 +298,18 @@
     from: 'run.expectedMs <= 0',
     to: 'true',
   },
+  {
+    name: 'long run stopped like a stalled one',
+    file: 'request/stalled-runs.js',
+    from: 'progress.latestStartMs > sinceMs',
+    to: 'false',
+  },
+  {
+    name: 'task placed where it is late instead of held back',
+    file: 'process/worker-choice.js',
+    from: 'isBestTooSlow && isFasterBusy',
+    to: 'false',
+  },
 ];
 
 const edit = ({ file, from, to }) => {
