--- a/packages/core/src/test/fleet-parts.test.ts
+++ b/packages/core/src/test/fleet-parts.test.ts
@@ -7,6 +7,7 @@
 import { WorkerHealth } from '../lib/process/worker-health.js';
 import { EndList } from '../lib/process/end-list.js';
 import { EndKind } from '../lib/messages.js';
+import { OverdueReason, StallDetector } from '../lib/request/stalled-runs.js';
 import { RouteTable } from '../lib/version/route-table.js';
 import type { QueueRoute } from '../lib/version/route-table.js';
 
@@ -388,6 +389,20 @@
   expect(health.slowness('w0')).toBeLessThan(0.85);
 });
 
+// Guards against runs that wait for the higher limit at a worker that began to
+// stall after it had completed a later run.
+it('an overdue run is long only while its worker goes on completing runs', () => {
+  const detector = new StallDetector();
+  const runs = { worker: 'w', active: 8, overdue: 1 };
+  const reasonAt = (now: number) => detector.reasonOf(runs, 0, now);
+  expect(reasonAt(600)).toEqual(OverdueReason.Stalled);
+  detector.onDone('w', 50, 200);
+  expect(reasonAt(300)).toEqual(OverdueReason.Long);
+  expect(reasonAt(600)).toEqual(OverdueReason.Stalled);
+  detector.onDone('w', 300, 500);
+  expect(reasonAt(600)).toEqual(OverdueReason.Long);
+});
+
 it('a clock reading gives a lower bound of later clock values', () => {
   const clock = new WorkerClock();
   clock.observe(1000, 50);
