Add the fields priority and max_wait_ms to the starts of an order

Several entries share a worker and see its free capacity late, so the worker driver refuses starts with NO_ROOM in bursts. To let a start wait there for a short time, the driver has to know the priority of its queue and how long it may wait. Both default to 0, which is omitted in the JSON and keeps the present behaviour.

Ruled out: to let queued starts of a lower priority begin while one of a higher priority does not fit. It would void the rule that new starts do not overtake them. A full queue gives way to a start of a higher priority, as otherwise whoever orders first would still win.

Two existing tests get the new fields in their start groups and are otherwise unchanged; the round trip of orders covers them too.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -1,4 +1,4 @@
-import type { Room } from '../messages.js';
+import type { Room, StartGroup } from '../messages.js';
 import {
   BatchState,
   TaskPhase,
@@ -12,6 +12,7 @@
 } from '../request/batch-job.js';
 import { ZERO_ROOM, subtractRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
+import { MAX_START_WAIT_MS } from '../scheduling/start-queue.js';
 import type { RouteTable } from '../version/route-table.js';
 import type { LogFields } from './batch-events.js';
 import type { CrashBulkhead } from './crash-bulkhead.js';
@@ -48,6 +49,11 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
+/** Fields of a start that decide about its wait at the worker driver. */
+type StartWait = Pick<StartGroup, 'priority' | 'maxWaitMs'>;
+
+const NO_WAIT: StartWait = { priority: 0, maxWaitMs: 0 };
+
 interface PlacementCandidate extends Candidate {
   readonly view: WorkerView;
   readonly service: string;
@@ -148,7 +154,7 @@
   }
 
   private _placeJob(
-    { job: ownedJob, estimate }: RankedJob<OwnedJob>,
+    { job: ownedJob, estimate, latestStartMs }: RankedJob<OwnedJob>,
     round: PlacementRound,
     now: number,
   ): void {
@@ -157,11 +163,12 @@
     const waitedMs = now - ownedJob.job.acceptedAtMs;
     const reserve = (capacityMilli: number): number =>
       reservedCapacity(estimate, waitedMs, capacityMilli);
+    const wait = this._startWait(ownedJob.job, latestStartMs - now);
     for (const task of ready) {
       const placedRun = this._placeTask(
         ownedJob,
         task,
-        { ...round, reserve },
+        { ...round, reserve, wait },
         now,
       );
       if (placedRun === undefined) {
@@ -185,6 +192,20 @@
     }
   }
 
+  /**
+   * @param job - A job to place.
+   * @param slackMs - Time until its latest start.
+   * @returns How long its starts may wait for capacity at a worker. They wait
+   *   only for a service whose queues have different priorities.
+   */
+  private _startWait({ content }: BatchJob, slackMs: number): StartWait {
+    if (!this._options.routes.hasPriorities(content.service)) {
+      return NO_WAIT;
+    }
+    const waitMs = Math.min(MAX_START_WAIT_MS, Math.floor(slackMs));
+    return { priority: content.priority, maxWaitMs: Math.max(0, waitMs) };
+  }
+
   private _updateShortage(
     job: BatchJob,
     task: BatchTask,
@@ -269,6 +290,7 @@
     task: BatchTask,
     round: PlacementRound & {
       readonly reserve: (capacityMilli: number) => number;
+      readonly wait: StartWait;
     },
     now: number,
   ): string | undefined {
@@ -307,7 +329,7 @@
     chosen.hasSuspect ||= isSuspect;
     const { view } = chosen;
     const run = job.place(task, view.name, now);
-    addStartToOrder(view, job, task, run, isSuspect);
+    addStartToOrder(view, job, task, run, isSuspect, round.wait);
     return `${task.name.slice(ownedJob.id.length)}#${String(run)}@${view.name}`;
   }
 }
@@ -330,6 +352,7 @@
   task: BatchTask,
   run: number,
   isSuspect: boolean,
+  wait: StartWait,
 ): void => {
   const { needs } = job.stepOf(task);
   const { spec, queue, isVolatile } = job.content;
@@ -344,7 +367,10 @@
   });
   const start = { task: task.name, run, checkpoint: task.checkpoint };
   const group = view.order.starts.find(
-    (other) => other.spec === spec && other.needs === needs,
+    (other) =>
+      other.spec === spec &&
+      other.needs === needs &&
+      other.maxWaitMs === wait.maxWaitMs,
   );
   if (group) {
     group.runs.push(start);
@@ -355,6 +381,7 @@
       needs,
       runs: [start],
       volatile: isVolatile,
+      ...wait,
     });
   }
   view.isDirty = true;
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -544,6 +544,8 @@
         runs: [{ task: name, run, checkpoint: '' }],
         queue: ownedJob.job.content.queue,
         volatile: ownedJob.job.content.isVolatile,
+        priority: 0,
+        maxWaitMs: 0,
       });
       view.isDirty = true;
     }
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -1,18 +1,18 @@
 import { EndKind, StartRefusal } from '../messages.js';
 import type {
   RecordedEnd,
-  Room,
   RunEnd,
   StartGroup,
   WorkerHello,
   WorkerOrder,
 } from '../messages.js';
-import { ZERO_ROOM, fits, isSameRoom } from '../request/room.js';
+import { ZERO_ROOM, isSameRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
 import { CrashHistory } from './crash-history.js';
 import { EndList } from './end-list.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
+import { StartAdmission } from './start-admission.js';
 import { RunPhase, TrackedRuns, trackedRun } from './tracked-runs.js';
 import type { TrackedRun } from './tracked-runs.js';
 import { WorkerClock } from './worker-clock.js';
@@ -149,6 +149,20 @@
   /** Runs whose stop call has failed. */
   private readonly _stopRetries = new Set<TrackedRun>();
   private readonly _links = new ReportLinks();
+  private readonly _starts = new StartAdmission({
+    runs: this._runs,
+    links: this._links,
+    isReady: () => this._isAccepting && !this._dataCentreState.isOutOfService,
+    capacity: () => this._worker?.capacity ?? ZERO_ROOM,
+    isExpired: (owner, now) =>
+      this._clock.lowerBound(now) > (this._ownerExpiryMs.get(owner) ?? 0),
+    sendStart: (run, now) => {
+      this._sendStart(run, now);
+    },
+    sendStop: (run) => {
+      this._sendStop(run);
+    },
+  });
   private readonly _calls = new Map<number, PendingCall>();
   /**
    * Time on the worker's clock until which the runs of an entry may continue,
@@ -212,9 +226,15 @@
     return this._runs.size;
   }
 
-  /** When the next poll of the worker is due; absent while one is pending. */
-  get nextPollAtMs(): number | undefined {
-    return this._pollCallId === undefined ? this._nextPollAtMs : undefined;
+  /**
+   * When the next tick is due, for a poll of the worker or the end of the wait
+   * of a queued start; absent while neither is awaited.
+   */
+  get nextDueAtMs(): number | undefined {
+    const expiryMs = this._starts.nextExpiryMs;
+    return this._pollCallId === undefined
+      ? Math.min(this._nextPollAtMs, expiryMs ?? this._nextPollAtMs)
+      : expiryMs;
   }
 
   /**
@@ -259,6 +279,7 @@
         this._flush(now);
     }
     if (event.kind !== 'flush') {
+      this._starts.update(now);
       this._pollIfDue(now);
     }
     const actions = this._actions;
@@ -282,13 +303,6 @@
     );
   }
 
-  private _freeCapacity(): Room {
-    if (!this._worker) {
-      return ZERO_ROOM;
-    }
-    return this._runs.free(this._worker.capacity);
-  }
-
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
     const known = this._worker;
     const isEarlier =
@@ -352,6 +366,7 @@
       this._recordCrash([...this._lostRuns, ...this._runs.values()], why, now);
     }
     this._lostRuns = [];
+    this._starts.removeAll(StartRefusal.NOT_READY);
     for (const run of this._runs.values()) {
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
@@ -406,6 +421,7 @@
 
   private _onLinkClosed(linkId: number, now: number): void {
     const owner = this._links.close(linkId);
+    this._starts.removeLink(linkId);
     const expiryMs =
       owner === undefined ? undefined : this._ownerExpiryMs.get(owner);
     if (owner !== undefined && expiryMs !== undefined) {
@@ -421,6 +437,10 @@
     }
     const isFirst = link.incarnation === '';
     this._links.identify(link, order.incarnation);
+    if (isFirst) {
+      // The snapshot on this link does not list its starts of earlier links.
+      this._starts.removeOwner(order.incarnation);
+    }
     link.report.sequence = order.sequence;
     // Starts and acknowledgements lead to reports of their own; an order that
     // only keeps the link alive is answered at the end of this turn.
@@ -466,7 +486,7 @@
     }
     if (isForThisIncarnation) {
       for (const group of order.starts) {
-        this._startGroup(link, group, now);
+        this._starts.startGroup(link, group, now);
       }
     } else {
       // Its time limit is on the clock of another incarnation, so the runs may
@@ -539,6 +559,7 @@
       });
       this._fenced.set(owner, link.incarnation);
     }
+    this._starts.removeOwner(owner);
     this._runs.reassign(owner, link.incarnation);
     link.adopted.push(owner);
   }
@@ -559,53 +580,6 @@
     }
   }
 
-  private _startGroup(link: ReportLink, group: StartGroup, now: number): void {
-    const needs = group.needs ?? ZERO_ROOM;
-    for (const { task, run, checkpoint } of group.runs) {
-      const refuse = (reason: StartRefusal): void => {
-        this._links.addRefusal(link.incarnation, task, run, reason);
-      };
-      const known = this._runs.ofTask(task);
-      if (known?.run === run && known.owner === link.incarnation) {
-        continue;
-      }
-      if (known) {
-        // An earlier run of the task, for example one of another entry, from
-        // which the caller has since moved the job to this one.
-        if (known.phase !== RunPhase.Stopping) {
-          this._sendStop(known);
-        }
-        refuse(StartRefusal.STALE_RUN);
-        continue;
-      }
-      if (!this._isAccepting || this._dataCentreState.isOutOfService) {
-        refuse(StartRefusal.NOT_READY);
-        continue;
-      }
-      if (!fits(needs, this._freeCapacity())) {
-        refuse(StartRefusal.NO_ROOM);
-        continue;
-      }
-      const tracked = trackedRun(
-        { task, run },
-        {
-          spec: group.spec,
-          queue: group.queue,
-          checkpoint,
-          needs,
-          isVolatile: group.volatile,
-          owner: link.incarnation,
-          phase: RunPhase.Starting,
-          percent: 100,
-          latestCheckpoint: checkpoint,
-          sinceMs: now,
-        },
-      );
-      this._runs.add(tracked);
-      this._sendStart(tracked, now);
-    }
-  }
-
   private _sendStart(tracked: TrackedRun, now: number): void {
     const expiryMs = this._ownerExpiryMs.get(tracked.owner) ?? 0;
     // A delayed start must not begin after its owner may have abandoned the
@@ -635,6 +609,9 @@
     now: number,
   ): void {
     let tracked = this._runs.get({ task, run });
+    if (this._starts.remove({ task, run }) && !tracked) {
+      return;
+    }
     if (!tracked) {
       tracked = trackedRun(
         { task, run },
@@ -1132,7 +1109,7 @@
     const workerState: WorkerState = {
       clockMs: this._clock.lowerBound(now),
       accepting: this._isAccepting,
-      free: this._freeCapacity(),
+      free: this._starts.reportedFree,
       capacity: this._worker?.capacity ?? ZERO_ROOM,
       hello: this._worker && this._hello(this._worker),
       crashes: () => this._crashes.recent(now),
--- a/packages/core/src/lib/version/route-table.ts
+++ b/packages/core/src/lib/version/route-table.ts
@@ -54,6 +54,8 @@
   private _config: RouteConfig | undefined;
   /** Routes of each host, the longest path prefix first. */
   private _routesByHost: ReadonlyMap<string, readonly QueueRoute[]> = new Map();
+  /** Services whose queues have different priorities. */
+  private _servicesWithPriorities: ReadonlySet<string> = new Set();
   private readonly _dataCentresOutOfService = new Set<string>();
 
   /** Version in force, or `undefined` before the first configuration. */
@@ -78,6 +80,7 @@
         }
         this._config = change.config;
         this._routesByHost = groupByHost(change.config.routes);
+        this._servicesWithPriorities = withPriorities(change.config.routes);
         return true;
       case 'data-centre':
         if (
@@ -107,6 +110,11 @@
     return this._dataCentresOutOfService.has(dataCentre);
   }
 
+  /** @returns Whether the queues of the service have different priorities. */
+  hasPriorities(service: string): boolean {
+    return this._servicesWithPriorities.has(service);
+  }
+
   /**
    * @param host - Host of the call, without the port.
    * @param path - Path of the call.
@@ -128,3 +136,14 @@
   }
   return byHost;
 };
+
+const withPriorities = (routes: readonly QueueRoute[]): ReadonlySet<string> => {
+  const byService = groupBy(routes, (route) => route.service);
+  return new Set(
+    [...byService.keys()].filter((service) =>
+      byService
+        .get(service)
+        ?.some((route, _, group) => route.priority !== group[0]?.priority),
+    ),
+  );
+};
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -357,7 +357,12 @@
   const runs = [{ task: 'j.0.0.0', run: 1, checkpoint: '' }];
   harness.order({
     holdUntilMs: 5700,
-    claims: [{ queue: 'q', spec: '', needs: NEEDS, runs, volatile: true }],
+    claims: [
+      {
+        ...{ queue: 'q', spec: '', needs: NEEDS, runs, volatile: true },
+        ...{ priority: 0, maxWaitMs: 0 },
+      },
+    ],
   });
   harness.order({ holdUntilMs: 5700 });
   expect(harness.reports.at(-1)?.free?.cpuMilli).toEqual(2400);
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -36,6 +36,8 @@
     needs: NEEDS,
     queue: 'q',
     volatile: true,
+    priority: 0,
+    maxWaitMs: 0,
     runs: names.map((task) => ({ task, run: 1, checkpoint: '' })),
   },
 ];
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -48,10 +48,11 @@
   private readonly _links = new Map<number, Link>();
   private _server: MessageServer | undefined;
   private _timer: IoTimeout | undefined;
-  private _pollTimer: NodeJS.Timeout | undefined;
+  private _dueTimer: NodeJS.Timeout | undefined;
+  private _dueTimerMs = Number.POSITIVE_INFINITY;
   private readonly _flush = new TurnFlush(() => {
     this.dispatch({ kind: 'flush' });
-    this._schedulePoll();
+    this._scheduleDueTick();
   });
   private _nextLinkId = 1;
 
@@ -84,7 +85,7 @@
   /** Closes all connections and stops the timers. */
   async close(): Promise<void> {
     this._timer?.clear();
-    clearTimeout(this._pollTimer);
+    clearTimeout(this._dueTimer);
     await this._server?.close();
     await this._options.worker.close();
   }
@@ -98,17 +99,19 @@
   }
 
   /**
-   * Schedules a tick for the driver's next poll of the worker, which can be due
-   * before the next periodic tick.
+   * Schedules a tick for the driver's next poll of the worker or the end of the
+   * wait of a start, which can be due before the next periodic tick.
    */
-  private _schedulePoll(): void {
-    const dueMs = this._driver.nextPollAtMs;
-    if (dueMs === undefined || this._pollTimer !== undefined) {
+  private _scheduleDueTick(): void {
+    const dueMs = this._driver.nextDueAtMs;
+    if (dueMs === undefined || dueMs >= this._dueTimerMs) {
       return;
     }
-    this._pollTimer = setTimeout(
+    clearTimeout(this._dueTimer);
+    this._dueTimerMs = dueMs;
+    this._dueTimer = setTimeout(
       () => {
-        this._pollTimer = undefined;
+        this._dueTimerMs = Number.POSITIVE_INFINITY;
         this.dispatch({ kind: 'tick' });
       },
       Math.max(1, dueMs - now()),
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -38,7 +38,7 @@
   private _incarnation = '';
   private _lastHeartbeat: WorkerHeartbeat | undefined;
   private _isFlushScheduled = false;
-  private _isPollScheduled = false;
+  private _dueTickAtMs = Number.POSITIVE_INFINITY;
 
   /** @param options - Names, store, worker and receiver of reports. */
   constructor(options: SimDriverOptions) {
@@ -83,14 +83,14 @@
       this.schedule(0, () => {
         this._isFlushScheduled = false;
         this.dispatch({ kind: 'flush' });
-        this._schedulePoll();
+        this._scheduleDueTick();
       });
     }
   }
 
   protected boot(): void {
     this._isFlushScheduled = false;
-    this._isPollScheduled = false;
+    this._dueTickAtMs = Number.POSITIVE_INFINITY;
     this._incarnation = `${this.name}.${String(this.generation)}`;
     this._lastHeartbeat = undefined;
     this._driver = new WorkerDriver({
@@ -112,15 +112,15 @@
     });
   }
 
-  /** Sends a tick when the next poll of the worker is due. */
-  private _schedulePoll(): void {
-    const dueMs = this._driver.nextPollAtMs;
-    if (dueMs === undefined || this._isPollScheduled) {
+  /** Sends a tick when the next poll or the end of a start's wait is due. */
+  private _scheduleDueTick(): void {
+    const dueMs = this._driver.nextDueAtMs;
+    if (dueMs === undefined || dueMs >= this._dueTickAtMs) {
       return;
     }
-    this._isPollScheduled = true;
+    this._dueTickAtMs = dueMs;
     this.schedule(Math.max(1, dueMs - this.nowMs), () => {
-      this._isPollScheduled = false;
+      this._dueTickAtMs = Number.POSITIVE_INFINITY;
       this.dispatch({ kind: 'tick' });
     });
   }
--- a/packages/wire/src/fleet-json.ts
+++ b/packages/wire/src/fleet-json.ts
@@ -118,6 +118,8 @@
   runs: encodeList(group.runs, encodeRunStart),
   volatile: group.volatile || undefined,
   queue: group.queue || undefined,
+  priority: group.priority || undefined,
+  maxWaitMs: group.maxWaitMs || undefined,
 });
 
 const encodeRecordedEnd = (end: PlainMessage<RecordedEnd>) => ({
@@ -342,6 +344,8 @@
   runs: toMessages(json, 'runs', toRunStart),
   volatile: toFlag(json, 'volatile'),
   queue: toText(json, 'queue'),
+  priority: toUint(json, 'priority'),
+  maxWaitMs: toUint(json, 'maxWaitMs'),
 });
 
 const toRecordedEnd = (json: Json): PlainMessage<RecordedEnd> => ({
--- a/packages/wire/src/test/fleet-json.test.ts
+++ b/packages/wire/src/test/fleet-json.test.ts
@@ -33,6 +33,8 @@
   runs: list(record({ task: text, run: uint, checkpoint: text })),
   volatile: flag,
   queue: text,
+  priority: uint,
+  maxWaitMs: uint,
 });
 const anyOrder = record({
   entry: text,
