--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,8 +30,8 @@
 export { LoadShedder } from './lib/process/load-shedder.js';
 export type { BatchEntryOptions } from './lib/process/batch-entry.js';
 export type { ServiceLoad } from './lib/scheduling/overload-control.js';
-export { OVERLOAD_DEFAULTS } from './lib/scheduling/priority-levels.js';
-export type { OverloadOptions } from './lib/scheduling/priority-levels.js';
+export { OVERLOAD_DEFAULTS } from './lib/scheduling/overload-options.js';
+export type { OverloadOptions } from './lib/scheduling/overload-options.js';
 export * from './lib/process/batch-events.js';
 export {
   MEMBER_TABLE,
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -8,7 +8,7 @@
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
 import type { ServiceLoad } from '../scheduling/overload-control.js';
-import type { OverloadOptions } from '../scheduling/priority-levels.js';
+import type { OverloadOptions } from '../scheduling/overload-options.js';
 import type { ChangedRow } from '../store.js';
 import { SubmitRefusal } from './batch-events.js';
 import type {
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -1,4 +1,4 @@
-import type { Room } from '../messages.js';
+import type { Room, StartGroup } from '../messages.js';
 import {
   BatchState,
   TaskPhase,
@@ -14,14 +14,11 @@
 import { groupBy } from '../group-by.js';
 import { ZERO_ROOM, subtractRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
+import { MAX_START_WAIT_MS } from '../scheduling/start-queue.js';
 import type { RouteTable } from '../version/route-table.js';
 import { OverloadControl, isUseless } from '../scheduling/overload-control.js';
-import {
-  OVERLOAD_DEFAULTS,
-  PriorityLevels,
-  valueOf,
-} from '../scheduling/priority-levels.js';
-import type { OverloadOptions } from '../scheduling/priority-levels.js';
+import { OVERLOAD_DEFAULTS, valueOf } from '../scheduling/overload-options.js';
+import type { OverloadOptions } from '../scheduling/overload-options.js';
 import { WaitingJobs } from '../scheduling/waiting-jobs.js';
 import type { WaitingJob } from '../scheduling/waiting-jobs.js';
 import { WorkerAbsence } from '../scheduling/worker-absence.js';
@@ -69,6 +66,11 @@
 /** Age of the last reports of most workers above which the rate is unknown. */
 const MAX_REPORT_AGE_MS = 400;
 
+/** Fields of a start that decide about its wait at the worker driver. */
+type StartWait = Pick<StartGroup, 'priority' | 'maxWaitMs'>;
+
+const NO_WAIT: StartWait = { priority: 0, maxWaitMs: 0 };
+
 interface PlacementCandidate extends Candidate {
   readonly view: WorkerView;
   readonly service: string;
@@ -96,6 +98,7 @@
   readonly reserve: (capacityMilli: number) => number;
   /** Time until the job has to end. */
   readonly dueInMs: number;
+  readonly wait: StartWait;
 }
 
 /** What a round tells of the service rates. */
@@ -125,7 +128,6 @@
 export class JobPlacer {
   private readonly _options: JobPlacerOptions;
   private readonly _weights: readonly number[];
-  private readonly _levels: PriorityLevels;
   private readonly _waiting: WaitingJobs;
   private readonly _absence = new WorkerAbsence();
   /** Decisions while capacity is short. */
@@ -137,15 +139,14 @@
     this._options = options;
     const { routes, health, bulkhead, random, overload } = options;
     this._weights = overload?.weights ?? OVERLOAD_DEFAULTS.weights;
-    this._levels = new PriorityLevels(routes);
     this._waiting = new WaitingJobs({
       expectedMs: (queue, estimateMs) => health.expectedMs(queue, estimateMs),
-      isPrioritised: (service) => this._levels.isPrioritised(service),
+      isPrioritised: (service) => this._options.routes.hasPriorities(service),
       weightOf: (priority) => valueOf(this._weights, priority),
     });
     this.overload = new OverloadControl({
       waiting: this._waiting,
-      levels: this._levels,
+      routes,
       isConfined: (content) => bulkhead.confines(content),
       random,
       settings: overload,
@@ -201,7 +202,7 @@
   weightOf(
     content: Pick<BatchContent, 'service' | 'priority'>,
   ): number | undefined {
-    return this._levels.isPrioritised(content.service)
+    return this._options.routes.hasPriorities(content.service)
       ? valueOf(this._weights, content.priority)
       : undefined;
   }
@@ -330,10 +331,11 @@
   }
 
   private _placeJob(
-    { job: ownedJob, estimate, isPrioritised, latestStartMs }: WaitingJob,
+    waiting: WaitingJob,
     round: PlacementRound,
     now: number,
   ): void {
+    const { job: ownedJob, estimate, isPrioritised, latestStartMs } = waiting;
     const { job } = ownedJob;
     const { ready } = job;
     if (isFinal(job.state) || ready.length === 0) {
@@ -347,6 +349,7 @@
       reserve: (capacityMilli) =>
         reservedCapacity(estimate, waitedMs, capacityMilli, share),
       dueInMs: latestStartMs + this.expectedMs(job.content) - now,
+      wait: startWaitOf(waiting, now),
     };
     for (const task of ready) {
       const placedRun = this._placeTask(ownedJob, task, round, limits, now);
@@ -497,11 +500,27 @@
     chosen.hasSuspect ||= isSuspect;
     const { view } = chosen;
     const run = job.place(task, view.name, now);
-    addStartToOrder(view, job, task, run, isSuspect);
+    addStartToOrder(view, job, task, run, isSuspect, limits.wait);
     return `${task.name.slice(ownedJob.id.length)}#${String(run)}@${view.name}`;
   }
 }
 
+/**
+ * Returns how long the starts of a job may wait for capacity at a worker. Only
+ * jobs of services whose queues differ in priority wait there.
+ */
+const startWaitOf = (
+  { job, isPrioritised, latestStartMs }: WaitingJob,
+  now: number,
+): StartWait => {
+  if (!isPrioritised) {
+    return NO_WAIT;
+  }
+  const waitMs = Math.min(MAX_START_WAIT_MS, Math.floor(latestStartMs - now));
+  const { priority } = job.job.content;
+  return { priority, maxWaitMs: Math.max(0, waitMs) };
+};
+
 /** Whether a job gets no capacity, since its result is of no use any more. */
 const mustLeaveCapacity = (waiting: WaitingJob, now: number): boolean => {
   const { job } = waiting.job;
@@ -542,6 +561,7 @@
   task: BatchTask,
   run: number,
   isSuspect: boolean,
+  wait: StartWait,
 ): void => {
   const { needs } = job.stepOf(task);
   const { spec, queue, isVolatile } = job.content;
@@ -556,7 +576,10 @@
   });
   const start = { task: task.name, run, checkpoint: task.checkpoint };
   const group = view.order.starts.find(
-    (other) => other.spec === spec && other.needs === needs,
+    (other) =>
+      other.spec === spec &&
+      other.needs === needs &&
+      other.maxWaitMs === wait.maxWaitMs,
   );
   if (group) {
     group.runs.push(start);
@@ -567,6 +590,7 @@
       needs,
       runs: [start],
       volatile: isVolatile,
+      ...wait,
     });
   }
   view.isDirty = true;
--- a/packages/core/src/lib/scheduling/overload-control.ts
+++ b/packages/core/src/lib/scheduling/overload-control.ts
@@ -1,4 +1,5 @@
 import type { BatchContent } from '../request/batch-job.js';
+import type { RouteTable } from '../version/route-table.js';
 import {
   CompletionEstimate,
   MAX_USEFUL_FACTOR,
@@ -6,12 +7,8 @@
 } from '../process/batch-order.js';
 import { OfferedLoad } from './offered-load.js';
 import { selectRemovals } from './overload-policy.js';
-import {
-  OVERLOAD_DEFAULTS,
-  PriorityLevels,
-  valueOf,
-} from './priority-levels.js';
-import type { OverloadOptions } from './priority-levels.js';
+import { OVERLOAD_DEFAULTS, valueOf } from './overload-options.js';
+import type { OverloadOptions } from './overload-options.js';
 import { retryDelayMs } from './retry-delay.js';
 import { ServiceRate } from './service-rate.js';
 import type { ServiceRound } from './service-rate.js';
@@ -44,7 +41,7 @@
 /** Options of {@link OverloadControl}. */
 export interface OverloadControlOptions {
   readonly waiting: WaitingJobs;
-  readonly levels: PriorityLevels;
+  readonly routes: RouteTable;
   /** @returns Whether the job may use some workers of its service only. */
   readonly isConfined: (content: BatchContent) => boolean;
   /** Returns uniform random numbers from 0 to 1. */
@@ -58,7 +55,7 @@
  */
 export class OverloadControl {
   private readonly _waiting: WaitingJobs;
-  private readonly _levels: PriorityLevels;
+  private readonly _routes: RouteTable;
   private readonly _isConfined: (content: BatchContent) => boolean;
   private readonly _settings: OverloadOptions;
   private readonly _random: () => number;
@@ -70,7 +67,7 @@
   /** @param options - Waiting jobs, priorities, settings and random numbers. */
   constructor(options: OverloadControlOptions) {
     this._waiting = options.waiting;
-    this._levels = options.levels;
+    this._routes = options.routes;
     this._isConfined = options.isConfined;
     this._random = options.random;
     this._settings = { ...OVERLOAD_DEFAULTS, ...options.settings };
@@ -81,7 +78,7 @@
    * @param now - Current time in milliseconds.
    */
   onSubmitted(content: BatchContent, now: number): void {
-    if (this._levels.isPrioritised(content.service)) {
+    if (this._routes.hasPriorities(content.service)) {
       this._offered.onOffered(content, now);
       this._hasNewJobs = true;
     }
@@ -103,7 +100,7 @@
    */
   reservedShare(content: BatchContent, now: number): number {
     const isReserved =
-      this._levels.isPrioritised(content.service) &&
+      this._routes.hasPriorities(content.service) &&
       this._offered.isHigherOffered(content, now);
     return isReserved ? valueOf(this._settings.reserved, content.priority) : 0;
   }
@@ -114,7 +111,7 @@
    * @param now - Current time in milliseconds.
    */
   observe(service: string, round: ServiceRound, now: number): void {
-    if (!this._levels.isPrioritised(service)) {
+    if (!this._routes.hasPriorities(service)) {
       this._rates.delete(service);
       return;
     }
