Mutations: patterns follow the split of the worker driver

The capacity check and the check of readiness moved to the queue of starts and to the admission of starts; two other patterns had not matched the build since their fields were renamed.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -57,7 +57,7 @@
   {
     name: 'runner used before the member row records it',
     file: 'process/membership.js',
-    from: 'return this._storedRunners.has(key);',
+    from: 'return this._storedRunners.has(runnerKey(ref));',
     to: 'return true;',
   },
   {
@@ -147,9 +147,9 @@
 const FLEET_MUTATIONS = [
   {
     name: 'start beyond the remaining capacity',
-    file: 'process/worker-driver.js',
-    from: '!fits(needs, this._freeCapacity())',
-    to: 'false',
+    file: 'scheduling/start-queue.js',
+    from: '!isHeldBack && fits(start.needs, capacity.free)',
+    to: '!isHeldBack',
   },
   {
     name: 'superseded end acknowledged before the lease expires',
@@ -171,8 +171,8 @@
   {
     name: 'data centre out of service still used',
     file: 'process/worker-driver.js',
-    from: '!this._isAccepting || this._dataCentreState.isOutOfService',
-    to: '!this._isAccepting',
+    from: 'this._isAccepting && !this._dataCentreState.isOutOfService',
+    to: 'this._isAccepting',
     and: {
       file: 'process/job-placer.js',
       from: '&& !routes.isOutOfService(hello.dataCentre)',
@@ -200,8 +200,8 @@
   {
     name: 'one run beyond the maximum attempts',
     file: 'request/batch-job.js',
-    from: 'task.failures >= this.content.attempts',
-    to: 'task.failures > this.content.attempts',
+    from: 'task.failedRuns.size >= this.content.attempts',
+    to: 'task.failedRuns.size > this.content.attempts',
   },
   {
     name: 'runs abandoned before they have provably ended',
