--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -17,7 +17,6 @@
 import { MAX_START_WAIT_MS } from '../scheduling/start-queue.js';
 import type { RouteTable } from '../version/route-table.js';
 import { OverloadControl, isUseless } from '../scheduling/overload-control.js';
-import { OVERLOAD_DEFAULTS, valueOf } from '../scheduling/overload-options.js';
 import type { OverloadOptions } from '../scheduling/overload-options.js';
 import { WaitingJobs } from '../scheduling/waiting-jobs.js';
 import type { WaitingJob } from '../scheduling/waiting-jobs.js';
@@ -127,7 +126,6 @@
  */
 export class JobPlacer {
   private readonly _options: JobPlacerOptions;
-  private readonly _weights: readonly number[];
   private readonly _waiting: WaitingJobs;
   private readonly _absence = new WorkerAbsence();
   /** Decisions while capacity is short. */
@@ -138,11 +136,10 @@
   constructor(options: JobPlacerOptions) {
     this._options = options;
     const { routes, health, bulkhead, random, overload } = options;
-    this._weights = overload?.weights ?? OVERLOAD_DEFAULTS.weights;
     this._waiting = new WaitingJobs({
       expectedMs: (queue, estimateMs) => health.expectedMs(queue, estimateMs),
       isPrioritised: (service) => this._options.routes.hasPriorities(service),
-      weightOf: (priority) => valueOf(this._weights, priority),
+      weightOf: (priority) => this.overload.weightOf(priority),
     });
     this.overload = new OverloadControl({
       waiting: this._waiting,
@@ -203,7 +200,7 @@
     content: Pick<BatchContent, 'service' | 'priority'>,
   ): number | undefined {
     return this._options.routes.hasPriorities(content.service)
-      ? valueOf(this._weights, content.priority)
+      ? this.overload.weightOf(content.priority)
       : undefined;
   }
 
--- a/packages/core/src/lib/scheduling/overload-control.ts
+++ b/packages/core/src/lib/scheduling/overload-control.ts
@@ -73,6 +73,11 @@
     this._settings = { ...OVERLOAD_DEFAULTS, ...options.settings };
   }
 
+  /** @returns Weight of a job of the priority. */
+  weightOf(priority: number): number {
+    return valueOf(this._settings.weights, priority);
+  }
+
   /**
    * @param content - A job that was submitted.
    * @param now - Current time in milliseconds.
