Log how late an entry reads messages and how long stops take

The logs could not tell whether a submission was read late, how soon after the placement its caller was found to be gone, how long a stopped run went on, and to which entry a worker driver refused a start.

- entry: 'slow turn of the event loop' (above 200 ms), histogram sapphiremux_event_loop_turn_milliseconds
- entry: 'job abandoned' has the active runs and the time since the last placement
- worker driver: 'stopped run ended' with its owner and the time since the first stop call; 'start refused' has the owner

No decision changes.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -584,11 +584,21 @@
    * to another entry.
    */
   private _abandon(ownedJob: OwnedJob, reason: string, now: number): void {
+    const { job } = ownedJob;
+    const placed = job.tasks.filter((task) => task.phase === TaskPhase.Placed);
     this._log('job abandoned', {
       job: ownedJob.id,
       reason,
-      ageMs: Math.round(now - ownedJob.job.acceptedAtMs),
+      ageMs: Math.round(now - job.acceptedAtMs),
       callers: ownedJob.endReplies.length,
+      activeRuns: placed.length,
+      ...(placed.length === 0
+        ? {}
+        : {
+            sincePlacedMs: Math.round(
+              now - Math.max(...placed.map((task) => task.sinceMs)),
+            ),
+          }),
     });
     this._stopRuns(ownedJob);
     this._removeAndAcknowledge(ownedJob, now);
--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -38,6 +38,8 @@
   readonly sinceMs: number;
   /** Number of the latest poll when the worker confirmed the stop. */
   readonly stoppedAtPoll: number | undefined;
+  /** Local time of the first stop call; absent before it. */
+  stopSentAtMs: number | undefined;
   /** Local time at which a stop call that failed is sent again. */
   stopRetryAtMs: number | undefined;
 }
@@ -71,6 +73,7 @@
   percent: 0,
   latestCheckpoint: '',
   stoppedAtPoll: undefined,
+  stopSentAtMs: undefined,
   stopRetryAtMs: undefined,
   ...known,
 });
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -172,6 +172,7 @@
   /** Fenced incarnations of entries, with the incarnation that adopted each. */
   private readonly _fenced = new Map<string, string>();
   private _actions: WorkerAction[] = [];
+  private _nowMs = 0;
   private _worker: WorkerHeartbeat | undefined;
   /** Start time of the worker's incarnation, from polls or announcements. */
   private _workerBornMs: number | undefined;
@@ -245,6 +246,7 @@
    * @returns The actions to perform, in order.
    */
   handle(event: WorkerEvent, now: number): WorkerAction[] {
+    this._nowMs = now;
     switch (event.kind) {
       case 'announce':
         this._onAnnounce(event.worker, now);
@@ -624,6 +626,7 @@
 
   private _sendStop(tracked: TrackedRun): void {
     tracked.phase = RunPhase.Stopping;
+    tracked.stopSentAtMs ??= this._nowMs;
     tracked.stopRetryAtMs = undefined;
     this._stopRetries.delete(tracked);
     this._call({
@@ -823,6 +826,7 @@
       const tracked = this._runs.get(listed);
       if (tracked) {
         this._runs.delete(tracked);
+        this._logStopped(tracked, end.kind, now);
         if (tracked.isVolatile && this._links.has(tracked.owner)) {
           this._ends.markRecorded(end.number);
         }
@@ -831,6 +835,19 @@
     }
   }
 
+  private _logStopped(tracked: TrackedRun, kind: EndKind, now: number): void {
+    const { task, run, owner, stopSentAtMs } = tracked;
+    if (stopSentAtMs !== undefined) {
+      this._log('stopped run ended', {
+        task,
+        run,
+        owner,
+        how: EndKind[kind],
+        afterMs: Math.round(now - stopSentAtMs),
+      });
+    }
+  }
+
   private _handleActiveRuns(
     active: readonly ListedRun[],
     pollNumber: number,
@@ -1017,9 +1034,14 @@
 
   private _refuse(tracked: TrackedRun, reason: StartRefusal): void {
     this._runs.delete(tracked);
-    const { task, run } = tracked;
-    this._log('start refused', { task, run, reason: StartRefusal[reason] });
-    this._links.addRefusal(tracked.owner, task, run, reason);
+    const { task, run, owner } = tracked;
+    this._log('start refused', {
+      task,
+      run,
+      owner,
+      reason: StartRefusal[reason],
+    });
+    this._links.addRefusal(owner, task, run, reason);
   }
 
   private _endRun(
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -58,6 +58,8 @@
 const TICK_MS = 50;
 /** Tick period while the entry has no jobs. */
 const IDLE_TICK_MS = 100;
+/** Duration above which a turn of the event loop is logged. */
+const SLOW_TURN_MS = 200;
 /** When callers may come back to an entry that can't keep up. */
 const SHED_RETRY_AFTER_MS = 2000;
 const PROBE_TIMEOUT_MS = 400;
@@ -94,8 +96,9 @@
   private _generation = 1;
   private _server: RpcServer | undefined;
   private _timer: IoTimeout | undefined;
-  private readonly _flush = new TurnFlush(() => {
+  private readonly _flush = new TurnFlush((turnMs) => {
     this.dispatch({ kind: 'flush' });
+    this._observeTurn(turnMs);
   });
   private _nextReplyId = 1;
 
@@ -241,6 +244,16 @@
     this._lastTickAtMs = at;
   }
 
+  private _observeTurn(turnMs: number): void {
+    this.metrics.turnMs.observe(turnMs);
+    if (turnMs > SLOW_TURN_MS) {
+      this._options.log.info('slow turn of the event loop', {
+        turnMs: Math.round(turnMs),
+        openJobs: this._core.openJobs,
+      });
+    }
+  }
+
   private _addRoutes(router: ConnectRouter): void {
     router.service(EntryPeerService, {
       probe: () => create(ProbeReplySchema, this._core.statusOf(now())),
--- a/packages/daemon/src/lib/process/fleet-metrics.ts
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -69,6 +69,12 @@
     help: 'Delay of the event loop at the last tick.',
     registers: [this.registry],
   });
+  readonly turnMs = new Histogram({
+    name: 'sapphiremux_event_loop_turn_milliseconds',
+    help: 'Time from the first event of a turn of the event loop to its end.',
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
   readonly configVersion = new Gauge({
     name: 'sapphiremux_config_version',
     help: 'Version of the configuration in force.',
--- a/packages/daemon/src/lib/process/turn-flush.ts
+++ b/packages/daemon/src/lib/process/turn-flush.ts
@@ -1,14 +1,19 @@
+import { now } from './clock.js';
+
 /**
  * Runs a callback at most once per turn of the event loop. The hosts dispatch
  * their `flush` event in it, so that the messages that result from all events of
  * a turn are sent in one batch.
  */
 export class TurnFlush {
-  private readonly _run: () => void;
+  private readonly _run: (turnMs: number) => void;
   private _isScheduled = false;
 
-  /** @param run - Called at the end of the turn. */
-  constructor(run: () => void) {
+  /**
+   * @param run - Called at the end of the turn with the milliseconds since its
+   *   first event. Messages that arrived in that time have not been read yet.
+   */
+  constructor(run: (turnMs: number) => void) {
     this._run = run;
   }
 
@@ -18,9 +23,10 @@
       return;
     }
     this._isScheduled = true;
+    const startedAtMs = now();
     setImmediate(() => {
       this._isScheduled = false;
-      this._run();
+      this._run(now() - startedAtMs);
     });
   }
 }
