--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -1,35 +1,19 @@
-import { randomBytes } from 'node:crypto';
-import { mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { expect } from 'earl';
-import { CONNECTION_FAILED, sendJson } from '../lib/platform/desk-client.js';
-import { FleetCluster } from '../lib/platform/fleet-cluster.js';
-import { FLEET_HOST } from '../lib/platform/fleet-settings.js';
+import { CONNECTION_FAILED } from '../lib/platform/desk-client.js';
+import type { FleetCluster } from '../lib/platform/fleet-cluster.js';
 import { TableStoreMode } from '../lib/platform/table-store.js';
+import {
+  countOverlaps,
+  delay,
+  job,
+  newId,
+  submit,
+  withCluster,
+} from './cluster-checks.js';
 
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
-const newId = (): string => randomBytes(8).toString('hex');
-
-const job = (runMs: number, count = 2, isVolatile = true): object => ({
-  ...(isVolatile ? { best_effort: true } : {}),
-  spec: String(runMs),
-  steps: [{ count, cpu: 1600, mem_mb: 64, estimate_ms: runMs }],
-});
-
-const submit = (
-  cluster: FleetCluster,
-  entry: number,
-  body: object,
-  id = newId(),
-): Promise<number> =>
-  sendJson(`${cluster.frontUrl(entry)}/short/${id}`, FLEET_HOST, body);
-
-const delay = (ms: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, ms));
-
 const readState = async (
   cluster: FleetCluster,
   entry: number,
@@ -55,45 +39,6 @@
   }
 };
 
-/** Number of runs that overlap a later run of the same task on any worker. */
-const countOverlaps = (cluster: FleetCluster): number => {
-  const starts = cluster.workers.flatMap((worker) => worker.starts);
-  return starts.filter((a) =>
-    starts.some(
-      (b) =>
-        a !== b &&
-        a.task === b.task &&
-        a.startedAtMs <= b.startedAtMs &&
-        b.startedAtMs < a.endedAtMs,
-    ),
-  ).length;
-};
-
-/** Runs a check on a cluster, and keeps the logs of the processes if it fails. */
-const withCluster = async (
-  check: (cluster: FleetCluster) => Promise<void>,
-): Promise<void> => {
-  const lines: string[] = [];
-  const cluster = new FleetCluster({
-    entries: 2,
-    workers: 3,
-    onLine: (_name, line) => lines.push(line),
-  });
-  try {
-    await cluster.start();
-    // Leaves time for the heartbeats of the workers to register them.
-    await delay(800);
-    await check(cluster);
-  } catch (err) {
-    const file = join(mkdtempSync(join(tmpdir(), 'sapphiremux-')), 'fleet.log');
-    writeFileSync(file, lines.join('\n'));
-    const { message } = err as Error;
-    throw new Error(`${message} (logs: ${file})`, { cause: err });
-  } finally {
-    await cluster.close();
-  }
-};
-
 it('fleet: a volatile job is answered when it ends, and each task runs once', () =>
   withCluster(async (cluster) => {
     // Each wave fits into the capacity of the workers, so no job may be refused.
