Drop submissions whose callers have gone before they were read

Cause: Node.js 20 accepts one connection per turn of the event loop (libuv 1.46). At a busy entry, connections wait in the accept queue with their requests, and with the reset of a caller that has sent the job to another entry meanwhile. The entry read the submission, accepted it and placed its runs at the end of the same turn; it read the reset in the next one.

Six jobs were accepted by two entries, all of them first by the entry that got the resend and 0.05 to 0.6 s later by the one whose connections had been reset at 5.6; five were abandoned there with 'caller gone' 17 to 44 ms after the acceptance, two of these after their runs had been placed. No turn of the event loop took over 200 ms. A test program with 50 waiting connections shows one accepted per turn.

Ruled out: slow stops (the stops followed the placement by 20 ms, and the stopped runs ended 20 to 40 ms later, while the other entry had begun before); refused starts that run all the same (all run numbers are 1, of two owners).

Change: a submission is passed to the entry only after the event loop has polled all sockets once more, if its caller is still connected then.

--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -4,6 +4,8 @@
  * roles of `sapphiremuxd`, an entry of another kind and the runner, are not part
  * of it.
  */
+export { callerOf } from './lib/connection/caller.js';
+export type { Caller } from './lib/connection/caller.js';
 export { BatchHost } from './lib/process/batch-host.js';
 export type { BatchHostOptions } from './lib/process/batch-host.js';
 export { BoundedOutput } from './lib/process/bounded-output.js';
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -17,6 +17,7 @@
   decodeWorkerReport,
   encodeWorkerOrder,
 } from '@sapphiremux/wire';
+import type { Caller } from '../connection/caller.js';
 import { MessageSocket } from '../connection/message-socket.js';
 import { RpcClients } from '../connection/rpc-clients.js';
 import { connectPeer, startRpcServer } from '../connection/rpc.js';
@@ -26,6 +27,7 @@
 import type { StorePort } from './fleet-ports.js';
 import { IoTimeout } from './io-timeout.js';
 import type { Log } from './logger.js';
+import { NextPoll } from './next-poll.js';
 import { PauseDetector } from './pause-detector.js';
 import { TurnFlush } from './turn-flush.js';
 
@@ -100,6 +102,9 @@
     this.dispatch({ kind: 'flush' });
     this._observeTurn(turnMs);
   });
+  private readonly _nextPoll = new NextPoll(() => {
+    this._flush.runScheduled();
+  });
   private _nextReplyId = 1;
 
   /** @param options - Settings, store, log and callbacks. */
@@ -129,19 +134,19 @@
    * Passes a caller's call to the entry and waits for the reply.
    *
    * @param toEvent - Creates the event from the id that the reply will carry.
-   * @param onDisconnect - Registers a listener for the caller's disconnection.
+   * @param caller - Absent if it does not matter whether the caller disconnects.
    * @returns The reply; never settles when the caller disconnects first.
    */
   dispatchCall(
     toEvent: (replyId: number) => BatchEvent,
-    onDisconnect?: (listener: () => void) => void,
+    caller?: Caller,
   ): Promise<BatchReply> {
     const replyId = this._nextReplyId++;
     const event = toEvent(replyId);
     return new Promise((resolve) => {
       const startedAtMs = now();
       this._callers.set(replyId, { call: event.kind, startedAtMs, resolve });
-      onDisconnect?.(() => {
+      caller?.onGone(() => {
         if (this._callers.delete(replyId)) {
           this.dispatch({ kind: 'caller-gone', replyId });
         }
@@ -150,6 +155,39 @@
     });
   }
 
+  /**
+   * Passes a submission to the entry, unless its caller has disconnected. A busy
+   * process may read a submission long after it was sent. The caller may have
+   * disconnected meanwhile and have sent the job to another entry, so the tasks
+   * of the job must not start here as well.
+   *
+   * @param job - Id of the job.
+   * @param toEvent - Creates the event from the id that the reply will carry.
+   * @param caller - Connection of the caller.
+   * @returns The reply; never settles when the caller disconnects first.
+   */
+  dispatchSubmission(
+    job: string,
+    toEvent: (replyId: number) => BatchEvent,
+    caller: Caller,
+  ): Promise<BatchReply> {
+    return new Promise((resolve) => {
+      this._nextPoll.schedule(() => {
+        if (caller.isGone) {
+          this._drop(job);
+        } else {
+          resolve(this.dispatchCall(toEvent, caller));
+        }
+      });
+    });
+  }
+
+  private _drop(job: string): void {
+    const message = 'submission dropped, its caller has gone';
+    this.metrics.decisions.inc(message);
+    this._options.log.info(message, { job });
+  }
+
   /**
    * Decides whether a submission is refused, before its body is read, because
    * this process can't keep up. Jobs that the entry knows are never refused.
--- a/packages/daemon/src/lib/process/turn-flush.ts
+++ b/packages/daemon/src/lib/process/turn-flush.ts
@@ -7,7 +7,8 @@
  */
 export class TurnFlush {
   private readonly _run: (turnMs: number) => void;
-  private _isScheduled = false;
+  private _scheduled: NodeJS.Immediate | undefined;
+  private _startedAtMs = 0;
 
   /**
    * @param run - Called at the end of the turn with the milliseconds since its
@@ -19,14 +20,22 @@
 
   /** Schedules the callback for this turn, unless it is scheduled already. */
   schedule(): void {
-    if (this._isScheduled) {
+    if (this._scheduled) {
       return;
     }
-    this._isScheduled = true;
-    const startedAtMs = now();
-    setImmediate(() => {
-      this._isScheduled = false;
-      this._run(now() - startedAtMs);
+    this._startedAtMs = now();
+    this._scheduled = setImmediate(() => {
+      this.runScheduled();
     });
   }
+
+  /** Runs the callback now if it is scheduled, in place of later. */
+  runScheduled(): void {
+    if (!this._scheduled) {
+      return;
+    }
+    clearImmediate(this._scheduled);
+    this._scheduled = undefined;
+    this._run(now() - this._startedAtMs);
+  }
 }
