Stop runs of an abandoned job that a restarted driver reports

Callers saw a task run twice at the same time if a worker driver process was restarted while the caller of a volatile job went away. The stop that the entry queued was dropped with the link. A restarted driver does not know the owner of the runs that it finds, and the entry ignored such runs of a job that it no longer had. They went on until the claim grace of 1.5 s plus a poll had passed, which is longer than the 1.3 s after which the caller submits the job again.

The entry still has these runs in its view of the worker, as volatile ones, and now stops those without an owner over the new link, as it does with runs that the driver reports as its own. Runs of recorded jobs are left alone: another entry may have adopted them.

The test of the restarted driver failed before; that of a mere link loss passed and is kept as the other half of the rule.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -607,7 +607,12 @@
     const task = ownedJob?.job.task(name);
     const id = jobIdOf(name);
     if (!ownedJob || !task) {
-      if (owner === this._options.incarnation || this._options.isEnded(id)) {
+      // A restarted worker driver process does not know the owner of a run.
+      const isAbandoned =
+        owner === '' &&
+        view.placed.get(runKey({ task: name, run }))?.isVolatile === true;
+      const isOwn = owner === this._options.incarnation || isAbandoned;
+      if (isOwn || this._options.isEnded(id)) {
         this._options.fleet.stop(view, name, run);
       }
       return;
