Begin no start whose order is read after the time limit of its entry

A worker driver process that was not scheduled for a while began runs for entries that had been gone for up to 1,100 ms: the start call bounds the begin by the limit of the entry plus 400 ms, and only queued starts were checked against the limit itself. Such a run was stopped again after the next poll, so it could be active until about 1,100 + 258 + 50 ms after the last order of its entry. The caller of a volatile job submits it again after 1,300 ms, and two runs of a task could overlap.

An immediate start now has to meet the same condition as one that leaves the queue; it is refused as not ready, which proves that it never began. The test failed before: the start was sent.

--- a/packages/core/src/lib/process/start-admission.ts
+++ b/packages/core/src/lib/process/start-admission.ts
@@ -140,7 +140,7 @@
   }
 
   private _admit(start: OrderedStart, now: number): void {
-    const { runs, isReady, capacity } = this._options;
+    const { runs, isReady, isExpired, capacity } = this._options;
     const { task, run, owner } = start;
     const known = runs.ofTask(task);
     if (known?.run === run && known.owner === owner) {
@@ -155,7 +155,8 @@
       this._refuseStale(start, known);
       return;
     }
-    if (!isReady()) {
+    if (!isReady() || isExpired(owner, now)) {
+      // A start that was read late must not begin for an entry that may be gone.
       this._refuse(start, StartRefusal.NOT_READY);
       return;
     }
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -90,6 +90,16 @@
   expectRemoved(harness, StartRefusal.NOT_READY);
 });
 
+// The caller of an entry that is gone has submitted the job to another entry.
+it('a start that is read after the time limit of its owner does not begin', () => {
+  const harness = ready();
+  const order = { ...hold(harness), starts: starts('a.0.0.0') };
+  harness.advance(750);
+  harness.answerPoll();
+  harness.order(order);
+  expectRemoved(harness, StartRefusal.NOT_READY);
+});
+
 it('a queued start is refused at the end of its wait', () => {
   const harness = withQueuedStart({ maxWaitMs: 30 });
   harness.takeCall('hold');
