Send start calls at the end of the turn that reads their order

A worker driver process that was frozen or not scheduled began runs whose stop it had already received: both orders come out of one read, but the start call left as soon as the first line was decoded. The worker then ran a task for up to the time of a stop although the entry had given it up, and the task may have been started elsewhere by then.

With a cluster of real processes whose three drivers were frozen while a job of six tasks was submitted and its caller left, six runs began after they resumed; none does now, and the workers are used again at once. The orders of one read are handled before the flush of the turn, so a stop, the end of a lease or a data centre taken out of service in the same read cancels the start, which is refused with a reason that proves that it never began. Start calls leave in the same turn as before, so nothing waits for longer.

--- a/packages/core/src/lib/process/start-admission.ts
+++ b/packages/core/src/lib/process/start-admission.ts
@@ -17,8 +17,8 @@
   readonly capacity: () => Room;
   /** Returns whether the time limit of the runs of an entry has passed. */
   readonly isExpired: (owner: string, now: number) => boolean;
-  /** Sends a tracked run to the worker. */
-  readonly sendStart: (run: TrackedRun, now: number) => void;
+  /** Sends a tracked run to the worker at the end of this turn. */
+  readonly sendStart: (run: TrackedRun) => void;
   /** Has the worker stop a tracked run. */
   readonly sendStop: (run: TrackedRun) => void;
 }
@@ -201,7 +201,7 @@
       sinceMs: now,
     });
     this._options.runs.add(tracked);
-    this._options.sendStart(tracked, now);
+    this._options.sendStart(tracked);
   }
 
   /**
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -146,18 +146,24 @@
    */
   private _lostRuns: TrackedRun[] = [];
   private readonly _runs = new TrackedRuns();
+  /**
+   * Runs whose start call is sent at the end of this turn. A process that reads
+   * late may have received the stop of a run, or the end of a permission, right
+   * behind its start.
+   */
+  private readonly _unsentStarts = new Set<TrackedRun>();
   /** Runs whose stop call has failed. */
   private readonly _stopRetries = new Set<TrackedRun>();
   private readonly _links = new ReportLinks();
   private readonly _starts = new StartAdmission({
     runs: this._runs,
     links: this._links,
-    isReady: () => this._isAccepting && !this._dataCentreState.isOutOfService,
+    isReady: () => this._mayBegin,
     capacity: () => this._worker?.capacity ?? ZERO_ROOM,
     isExpired: (owner, now) =>
       this._clock.lowerBound(now) > (this._ownerExpiryMs.get(owner) ?? 0),
-    sendStart: (run, now) => {
-      this._sendStart(run, now);
+    sendStart: (run) => {
+      this._unsentStarts.add(run);
     },
     sendStop: (run) => {
       this._sendStop(run);
@@ -238,7 +244,8 @@
   }
 
   /**
-   * Processes one event. Reports are only sent by the event `flush`.
+   * Processes one event. Reports and the calls of new starts are only sent by the
+   * event `flush`.
    *
    * @param event - The event to process.
    * @param now - Current time in milliseconds.
@@ -303,6 +310,10 @@
     );
   }
 
+  private get _mayBegin(): boolean {
+    return this._isAccepting && !this._dataCentreState.isOutOfService;
+  }
+
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
     const known = this._worker;
     const isEarlier =
@@ -367,6 +378,7 @@
     }
     this._lostRuns = [];
     this._starts.removeAll(StartRefusal.NOT_READY);
+    this._unsentStarts.clear();
     for (const run of this._runs.values()) {
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
@@ -580,6 +592,21 @@
     }
   }
 
+  /** Sends the start calls of this turn. */
+  private _sendStarts(now: number): void {
+    for (const tracked of this._unsentStarts) {
+      if (this._runs.get(tracked) !== tracked) {
+        continue;
+      }
+      if (this._mayBegin) {
+        this._sendStart(tracked, now);
+      } else {
+        this._refuse(tracked, StartRefusal.NOT_READY);
+      }
+    }
+    this._unsentStarts.clear();
+  }
+
   private _sendStart(tracked: TrackedRun, now: number): void {
     const expiryMs = this._ownerExpiryMs.get(tracked.owner) ?? 0;
     // A delayed start must not begin after its owner may have abandoned the
@@ -623,6 +650,10 @@
   }
 
   private _sendStop(tracked: TrackedRun): void {
+    if (this._unsentStarts.delete(tracked)) {
+      this._refuse(tracked, StartRefusal.NO_ROOM);
+      return;
+    }
     tracked.phase = RunPhase.Stopping;
     tracked.stopRetryAtMs = undefined;
     this._stopRetries.delete(tracked);
@@ -1103,6 +1134,7 @@
   }
 
   private _flush(now: number): void {
+    this._sendStarts(now);
     if (!this._links.isFlushDue(now)) {
       return;
     }
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -100,6 +100,36 @@
   expectRemoved(harness, StartRefusal.NOT_READY);
 });
 
+/** Handles two orders that a driver reads in the same turn. */
+const readTogether = (
+  first: Partial<WorkerOrder>,
+  second: Partial<WorkerOrder>,
+): DriverHarness => {
+  const harness = ready();
+  const read = (fields: Partial<WorkerOrder>): void => {
+    harness.read({ ...hold(harness), ...fields });
+  };
+  read(first);
+  read(second);
+  harness.handle({ kind: 'flush' });
+  return harness;
+};
+
+// A driver that was not scheduled finds both orders in one read; the run would
+// begin although its task may have been started elsewhere.
+it('a start does not begin if its stop is read in the same turn', () => {
+  const stops = [{ task: 'a.0.0.0', run: 1 }];
+  const harness = readTogether({ starts: starts('a.0.0.0') }, { stops });
+  expectRemoved(harness, StartRefusal.NO_ROOM);
+  expect(harness.count('stop')).toEqual(0);
+});
+
+it('a start does not begin if its data centre goes out of service in that turn', () => {
+  const out = { operatorVersion: 8, out: true };
+  const harness = readTogether({ starts: starts('a.0.0.0') }, out);
+  expectRemoved(harness, StartRefusal.NOT_READY);
+});
+
 it('a queued start is refused at the end of its wait', () => {
   const harness = withQueuedStart({ maxWaitMs: 30 });
   harness.takeCall('hold');
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -86,10 +86,15 @@
   }
 
   order(fields: Partial<WorkerOrder>, linkId = 1): void {
-    this.handle({ kind: 'order', linkId, order: order(fields) });
+    this.read(fields, linkId);
     this.handle({ kind: 'flush' });
   }
 
+  /** Handles an order whose turn goes on. */
+  read(fields: Partial<WorkerOrder>, linkId = 1): void {
+    this.handle({ kind: 'order', linkId, order: order(fields) });
+  }
+
   advance(ms: number): void {
     this.now += ms;
     this.clock += ms;
--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { mkdtempSync, writeFileSync } from 'node:fs';
+import { request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { expect } from 'earl';
@@ -30,6 +31,23 @@
 const delay = (ms: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, ms));
 
+/** Submits a job and closes the connection after some time. */
+const submitAndLeave = async (
+  cluster: FleetCluster,
+  entry: number,
+  body: object,
+  afterMs: number,
+): Promise<void> => {
+  const req = request(`${cluster.frontUrl(entry)}/short/${newId()}`, {
+    method: 'POST',
+    headers: { host: FLEET_HOST, 'content-type': 'application/json' },
+  });
+  req.on('error', () => undefined);
+  req.end(JSON.stringify(body));
+  await delay(afterMs);
+  req.destroy();
+};
+
 const readState = async (
   cluster: FleetCluster,
   entry: number,
@@ -181,3 +199,21 @@
     expect(new Set(statuses)).toEqual(new Set([HTTP_OK]));
     expect(countOverlaps(cluster)).toEqual(0);
   }));
+
+// A driver that was not scheduled reads the start and the stop together.
+it('fleet: a frozen driver begins no run whose stop it has received', () =>
+  withCluster(async (cluster) => {
+    const drivers = cluster.workers.map((_, index) => index);
+    for (const index of drivers) {
+      cluster.signal('worker', index, 'SIGSTOP');
+    }
+    await submitAndLeave(cluster, 0, job(500, 6), 150);
+    await delay(100);
+    for (const index of drivers) {
+      cluster.signal('worker', index, 'SIGCONT');
+    }
+    await delay(800);
+    expect(cluster.workers.flatMap(({ starts }) => starts)).toEqual([]);
+    // The workers are served again.
+    expect(await submit(cluster, 0, job(50, 6))).toEqual(HTTP_OK);
+  }));
