Place a resubmitted task only after its abandoned run has ended

An entry that gave up a volatile job forgot it at once. When the caller submitted it to the same entry again while a worker had not yet confirmed the stop of a run, the entry placed the task at another worker, beside the run that was still active. Workers that leave calls unanswered stop a run up to seconds late, which exceeds the 1.3 s after which callers submit again. At the same worker the driver took the start for a repeated one and ignored it, since the new job numbers its runs from 1 again.

The view of a worker keeps a run until its end, its refusal or its provable expiry, so the entry only has to remember which tasks it has had stopped. Their placement waits until none of those runs is left there; the other tasks of the job are placed as before.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -33,6 +33,7 @@
 import { PartStores } from './part-stores.js';
 import { PeerMonitor, ProbeScope } from './peer-monitor.js';
 import { RunReports } from './run-reports.js';
+import { StoppingRuns } from './stopping-runs.js';
 import { TakeoverCoordinator } from './takeover-coordinator.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
@@ -113,6 +114,7 @@
   private readonly _crashes = new CrashLedger();
   private readonly _bulkhead = new CrashBulkhead();
   private readonly _fleet: WorkerFleet;
+  private readonly _stoppingRuns: StoppingRuns;
   private readonly _placer: JobPlacer;
   private readonly _lookups: JobLookups;
   private readonly _reports: RunReports;
@@ -172,8 +174,10 @@
         this._actions.push(action);
       },
     });
+    this._stoppingRuns = new StoppingRuns(this._fleet);
     this._placer = new JobPlacer({
       fleet: this._fleet,
+      stoppingRuns: this._stoppingRuns,
       health: this._health,
       crashes: this._crashes,
       bulkhead: this._bulkhead,
@@ -757,6 +761,10 @@
         if (view) {
           this._fleet.stop(view, task.name, task.run);
         }
+        if (ownedJob.job.content.isVolatile) {
+          const { name, run, worker } = task;
+          this._stoppingRuns.add({ task: name, run }, worker);
+        }
       }
     }
   }
@@ -888,6 +896,7 @@
     );
     this._monitorPeers(now);
     this._reports.pump(now);
+    this._stoppingRuns.prune();
     this._volatile.refuse(this._placer.tooLate(now), now);
     this._saveProgress(now);
     this._deleteExpired(now);
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -32,6 +32,7 @@
   shouldRefuse,
 } from './batch-order.js';
 import type { OwnedJob } from './owned-job.js';
+import type { StoppingRuns } from './stopping-runs.js';
 import { chooseWorker, isHeldBack, maxSlownessOf } from './worker-choice.js';
 import type { Candidate, TaskRequirements } from './worker-choice.js';
 import type { WorkerFleet } from './worker-fleet.js';
@@ -42,6 +43,8 @@
 /** Options of {@link JobPlacer}. */
 export interface JobPlacerOptions {
   readonly fleet: WorkerFleet;
+  /** Runs whose tasks are not placed again before they have ended. */
+  readonly stoppingRuns: StoppingRuns;
   readonly health: WorkerHealth;
   readonly crashes: CrashLedger;
   readonly bulkhead: CrashBulkhead;
@@ -335,6 +338,7 @@
     const { job: ownedJob, estimate, isPrioritised, latestStartMs } = waiting;
     const { job } = ownedJob;
     const { ready } = job;
+    const { stoppingRuns } = this._options;
     if (isFinal(job.state) || ready.length === 0) {
       this._waiting.delete(ownedJob);
       return;
@@ -349,6 +353,9 @@
       wait: startWaitOf(waiting, now),
     };
     for (const task of ready) {
+      if (stoppingRuns.has(task.name)) {
+        continue;
+      }
       const placedRun = this._placeTask(ownedJob, task, round, limits, now);
       if (placedRun === undefined) {
         break;
--- a/packages/core/src/test/abandoned-runs.test.ts
+++ b/packages/core/src/test/abandoned-runs.test.ts
@@ -1,9 +1,17 @@
 import { expect } from 'earl';
-import type { ActiveRun } from '../lib/messages.js';
-import { ID, helloOf, withWorker } from './entry-harness.js';
+import { EndKind, StartRefusal } from '../lib/messages.js';
+import type { ActiveRun, WorkerReport } from '../lib/messages.js';
+import {
+  ID,
+  done,
+  helloOf,
+  withTwoWorkers,
+  withWorker,
+} from './entry-harness.js';
 import type { EntryHarness } from './entry-harness.js';
 
 const TASK = `${ID}.0.0.0`;
+const OTHER_TASK = `${ID}.0.0.1`;
 
 const active = (owner: string): ActiveRun => ({
   task: TASK,
@@ -42,3 +50,56 @@
   const harness = relinkAfterAbandoning('', 'w-2');
   expect(harness.stopped.includes(`${TASK}#1`)).toEqual(true);
 });
+
+/**
+ * Submits an abandoned job again to the same entry while its first worker has
+ * not confirmed the end of its runs.
+ */
+const resubmitWhileStopping = (): EntryHarness => {
+  const harness = withTwoWorkers();
+  harness.submit(1);
+  expect(harness.started).toEqual([`${TASK}#1`, `${OTHER_TASK}#1`]);
+  harness.handle({ kind: 'caller-gone', replyId: 1 });
+  for (let passed = 0; passed < 1300; passed += 100) {
+    harness.advance(100);
+    harness.report('w1');
+  }
+  harness.report('w2', { snapshot: true });
+  // Its objective is loose, so it is not refused while it waits.
+  harness.submit(2, { slackMs: 8000 });
+  return harness;
+};
+
+/** Returns the runs that begin after the report of a stopped or refused run. */
+const startedAfter = (fields: Partial<WorkerReport>): string[] => {
+  const harness = resubmitWhileStopping();
+  expect(harness.started.length).toEqual(2);
+  harness.report('w1', fields);
+  return harness.started.slice(2);
+};
+
+// A worker may leave stops unanswered for longer than the caller waits. Both
+// runs have the number 1, since the entry has forgotten the first job.
+it('a resubmitted task waits until its abandoned run has stopped', () => {
+  const ends = [{ ...done(TASK), kind: EndKind.STOPPED }];
+  expect(startedAfter({ ends })).toEqual([`${TASK}#1`]);
+});
+
+it('a resubmitted task waits until its abandoned run was refused', () => {
+  const refused = [{ task: TASK, run: 1, reason: StartRefusal.NO_ANSWER }];
+  expect(startedAfter({ refused })).toEqual([`${TASK}#1`]);
+});
+
+it('a resubmitted task waits until the runs of a silent worker have expired', () => {
+  const harness = resubmitWhileStopping();
+  for (let passed = 0; passed < 2000; passed += 100) {
+    harness.advance(100);
+    harness.report('w2');
+  }
+  expect(harness.started.length).toEqual(2);
+  for (let passed = 0; passed < 1000; passed += 100) {
+    harness.advance(100);
+    harness.report('w2');
+  }
+  expect(harness.started.slice(2)).toEqual([`${TASK}#1`, `${OTHER_TASK}#1`]);
+});
