Repeat a stop call that the worker has not confirmed after 100 ms

A worker that left a stop call unanswered kept the run active for 0.3 s more for each lost call: the driver waited for the 200 ms timeout, 50 ms and the next tick. Callers of a volatile job whose entry is gone submit it again after 1.3 s, so two lost stops after the death of an entry, or one after it was cut off, let two runs of a task overlap.

A stop is idempotent, and a confirmed one is not repeated, so a healthy worker gets no further calls unless it takes longer than 100 ms to answer. No call is repeated while eight stops are pending, which leaves half of the connections to polls and starts. A repeated call is due by itself and does not wait for a tick.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -70,6 +70,17 @@
 const CALL_TIMEOUT_MS = 200;
 /** Delay before a stop call that failed is sent again. */
 const STOP_RETRY_DELAY_MS = 50;
+/**
+ * Time after which a stop call is repeated while it is pending. Callers wait
+ * only 1.3 s before they submit a job again, and a worker may leave several
+ * calls unanswered.
+ */
+const STOP_REPEAT_DELAY_MS = 100;
+/**
+ * Pending stop calls beyond which none is repeated, so that connections to the
+ * worker remain for polls and starts.
+ */
+const MAX_PENDING_STOPS = 8;
 /** Start calls that may time out before the run is stopped instead. */
 const MAX_START_ATTEMPTS = 2;
 /**
@@ -152,7 +163,7 @@
    * behind its start.
    */
   private readonly _unsentStarts = new Set<TrackedRun>();
-  /** Runs whose stop call has failed. */
+  /** Runs whose stop the worker has not confirmed. */
   private readonly _stopRetries = new Set<TrackedRun>();
   private readonly _links = new ReportLinks();
   private readonly _starts = new StartAdmission({
@@ -183,6 +194,8 @@
   private _workerBornMs: number | undefined;
   /** Incarnation that has left last, by the time of its start. */
   private _leftBornMs = Number.NEGATIVE_INFINITY;
+  /** Time of the event that is being processed. */
+  private _nowMs = 0;
   private _token: number;
   private _nextCallId = 1;
   private _pollCallId: number | undefined;
@@ -233,14 +246,16 @@
   }
 
   /**
-   * When the next tick is due, for a poll of the worker or the end of the wait
-   * of a queued start; absent while neither is awaited.
+   * When the next tick is due, for a poll of the worker, the end of the wait of
+   * a queued start or another stop call; absent while none is awaited.
    */
   get nextDueAtMs(): number | undefined {
-    const expiryMs = this._starts.nextExpiryMs;
-    return this._pollCallId === undefined
-      ? Math.min(this._nextPollAtMs, expiryMs ?? this._nextPollAtMs)
-      : expiryMs;
+    const dueMs = Math.min(
+      this._pollCallId === undefined ? this._nextPollAtMs : Infinity,
+      this._starts.nextExpiryMs ?? Infinity,
+      ...[...this._stopRetries].map((run) => run.stopRetryAtMs ?? Infinity),
+    );
+    return dueMs === Infinity ? undefined : dueMs;
   }
 
   /**
@@ -252,6 +267,7 @@
    * @returns The actions to perform, in order.
    */
   handle(event: WorkerEvent, now: number): WorkerAction[] {
+    this._nowMs = now;
     switch (event.kind) {
       case 'announce':
         this._onAnnounce(event.worker, now);
@@ -655,8 +671,8 @@
       return;
     }
     tracked.phase = RunPhase.Stopping;
-    tracked.stopRetryAtMs = undefined;
-    this._stopRetries.delete(tracked);
+    tracked.stopRetryAtMs = this._nowMs + STOP_REPEAT_DELAY_MS;
+    this._stopRetries.add(tracked);
     this._call({
       kind: 'stop',
       id: this._worker?.id,
@@ -1020,6 +1036,7 @@
       case 'done':
       case 'held':
         this._runs.confirmStop(call, this._pollCount);
+        this._stopRetries.delete(tracked);
         return;
       case 'no-answer':
         this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
@@ -1032,8 +1049,10 @@
   }
 
   private _retryStopLater(tracked: TrackedRun, now: number): void {
-    tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
-    this._stopRetries.add(tracked);
+    if (this._stopRetries.has(tracked)) {
+      const dueMs = tracked.stopRetryAtMs ?? Infinity;
+      tracked.stopRetryAtMs = Math.min(dueMs, now + STOP_RETRY_DELAY_MS);
+    }
   }
 
   private _retryStops(now: number): void {
@@ -1041,11 +1060,25 @@
       if (this._runs.get(tracked) !== tracked) {
         this._stopRetries.delete(tracked);
       } else if (now >= (tracked.stopRetryAtMs ?? 0)) {
-        this._sendStop(tracked);
+        if (this._mayRepeatStop(tracked)) {
+          this._sendStop(tracked);
+        } else {
+          tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+        }
       }
     }
   }
 
+  private _mayRepeatStop({ task, run }: TrackedRun): boolean {
+    const pending = [...this._calls.values()].flatMap(({ call }) =>
+      call.kind === 'stop' ? [call] : [],
+    );
+    return (
+      pending.length < MAX_PENDING_STOPS ||
+      !pending.some((call) => call.task === task && call.run === run)
+    );
+  }
+
   private _refuse(tracked: TrackedRun, reason: StartRefusal): void {
     this._runs.delete(tracked);
     const { task, run } = tracked;
--- /dev/null
+++ b/packages/core/src/test/orphan-bounds.test.ts
@@ -0,0 +1,18 @@
+import { expect } from 'earl';
+import { Loss, RESUBMIT_MS, longestMs } from './orphaned-run.js';
+
+// A worker that leaves stops unanswered keeps a run active until its caller has
+// submitted the job to another entry.
+for (const ignoredStops of [0, 1, 2, 3]) {
+  const stops = `${String(ignoredStops)} lost stops`;
+
+  it(`a run ends before it is repeated: entry killed, ${stops}`, () => {
+    expect(longestMs(Loss.LinkClosed, ignoredStops) < RESUBMIT_MS).toEqual(
+      true,
+    );
+  });
+
+  it(`a run ends before it is repeated: entry cut off, ${stops}`, () => {
+    expect(longestMs(Loss.Silence, ignoredStops) < RESUBMIT_MS).toEqual(true);
+  });
+}
--- /dev/null
+++ b/packages/core/src/test/orphaned-run.ts
@@ -0,0 +1,111 @@
+import type { WorkerCall } from '../lib/process/worker-events.js';
+import { DriverHarness, ready, starts } from './worker-harness.js';
+
+/** Time after which the caller of a volatile job submits it again. */
+export const RESUBMIT_MS = 1300;
+const STOP_MS = 50;
+const POLL_WAIT_MS = 250;
+const CALL_TIMEOUT_MS = 200;
+const TICK_MS = 100;
+const STEP_MS = 10;
+const TASK = 'j.0.0.0';
+const RUN = { task: TASK, run: 1, checkpoint: '', percent: 100 };
+
+/** How the worker driver process loses the entry of a run. */
+export enum Loss {
+  /** The entry was killed: its link closes. */
+  LinkClosed,
+  /** The entry was cut off: no order arrives any more. */
+  Silence,
+  /** The driver was restarted too, and no entry claims the run. */
+  Unclaimed,
+}
+
+/** A worker that runs one task and leaves some stop calls unanswered. */
+class OrphanedRun {
+  private readonly _harness: DriverHarness;
+  private readonly _sentAtMs = new Map<number, number>();
+  private _ignoredStops: number;
+  private _leaseMs = Number.POSITIVE_INFINITY;
+  private _isStopped = false;
+
+  constructor(loss: Loss, ignoredStops: number, phaseMs: number) {
+    this._ignoredStops = ignoredStops;
+    if (loss === Loss.Unclaimed) {
+      this._harness = new DriverHarness();
+      this._harness.active = [RUN];
+      this._harness.announce();
+      return;
+    }
+    this._harness = ready();
+    const order = () => ({ holdUntilMs: this._harness.clock + 700 });
+    this._harness.order({ ...order(), starts: starts(TASK) });
+    this._harness.answer('start');
+    this._harness.active = [RUN];
+    for (let passed = 0; passed < phaseMs; passed += STEP_MS) {
+      this._step();
+    }
+    this._harness.order(order());
+    if (loss === Loss.LinkClosed) {
+      this._harness.handle({ kind: 'link-closed', linkId: 1 });
+    }
+  }
+
+  /** @returns Time from the loss of the entry to the end of the run. */
+  timeToEnd(): number {
+    const lostAtMs = this._harness.now;
+    while (!this._isStopped && this._harness.clock < this._leaseMs) {
+      this._step();
+    }
+    const passedMs = this._harness.now - lostAtMs;
+    return this._isStopped ? passedMs + STOP_MS : passedMs;
+  }
+
+  private _step(): void {
+    const harness = this._harness;
+    harness.now += STEP_MS;
+    harness.clock += STEP_MS;
+    for (const { callId, call } of [...harness.calls]) {
+      if (!this._sentAtMs.has(callId)) {
+        this._sentAtMs.set(callId, harness.now);
+        this._onSent(call);
+      }
+      const ageMs = harness.now - (this._sentAtMs.get(callId) ?? 0);
+      if (call.kind === 'hold' && ageMs >= POLL_WAIT_MS) {
+        harness.answerPoll();
+      } else if (call.kind === 'stop' && ageMs >= CALL_TIMEOUT_MS) {
+        harness.answer('stop', { kind: 'no-answer', detail: 'timed out' });
+      }
+    }
+    const dueMs = harness.driver.nextDueAtMs ?? Number.POSITIVE_INFINITY;
+    if (harness.now % TICK_MS === 0 || dueMs <= harness.now) {
+      harness.handle({ kind: 'tick' });
+    }
+    harness.handle({ kind: 'flush' });
+  }
+
+  private _onSent(call: WorkerCall): void {
+    if (call.kind !== 'stop') {
+      this._leaseMs = call.untilMs ?? this._leaseMs;
+    } else if (this._ignoredStops > 0) {
+      this._ignoredStops -= 1;
+    } else {
+      this._isStopped = true;
+    }
+  }
+}
+
+/**
+ * @param loss - How the driver loses the entry.
+ * @param ignoredStops - Stop calls that the worker does not carry out.
+ * @returns Longest time to the end of a run over all phases of the polls, in
+ *   milliseconds.
+ */
+export const longestMs = (loss: Loss, ignoredStops: number): number => {
+  const phases = Array.from({ length: 30 }, (_, index) => index * STEP_MS);
+  return Math.max(
+    ...phases.map((phaseMs) =>
+      new OrphanedRun(loss, ignoredStops, phaseMs).timeToEnd(),
+    ),
+  );
+};
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -265,6 +265,29 @@
   expect(harness.count('stop')).toEqual(1);
 });
 
+/** Returns the stop calls that are sent until some time after the order. */
+const stopCallsAfter = (runs: number, ms: number): number => {
+  const harness = ready();
+  const stops = Array.from({ length: runs }, (_, index) => ({
+    task: `j.0.0.${String(index)}`,
+    run: 1,
+  }));
+  harness.order({ holdUntilMs: harness.clock + 700, stops });
+  harness.advance(ms);
+  return harness.count('stop');
+};
+
+// A single lost call would keep a run active for 0.3 s more.
+it('a stop that is not confirmed is sent again before its call times out', () => {
+  expect(stopCallsAfter(1, 90)).toEqual(1);
+  expect(stopCallsAfter(1, 100)).toEqual(2);
+});
+
+// The polls of the worker need a connection, too.
+it('no stop is repeated while many stop calls are pending', () => {
+  expect(stopCallsAfter(8, 100)).toEqual(8);
+});
+
 it('runs at an unreliable worker are lost only after the delayed-call limit', () => {
   const harness = ready();
   harness.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
