Test that runs of a frozen entry end before its callers submit again

Guards the chain of time limits with real processes: an entry is stopped by a signal while it has runs, its callers leave and submit the jobs to another entry 1.3 s later, and the first entry resumes while these run.

--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -37,8 +37,9 @@
   entry: number,
   body: object,
   afterMs: number,
+  id = newId(),
 ): Promise<void> => {
-  const req = request(`${cluster.frontUrl(entry)}/short/${newId()}`, {
+  const req = request(`${cluster.frontUrl(entry)}/short/${id}`, {
     method: 'POST',
     headers: { host: FLEET_HOST, 'content-type': 'application/json' },
   });
@@ -217,3 +218,24 @@
     // The workers are served again.
     expect(await submit(cluster, 0, job(50, 6))).toEqual(HTTP_OK);
   }));
+
+// The entry can't tell that its caller has left and has gone elsewhere.
+it('fleet: the runs of a frozen entry end before its callers submit again', () =>
+  withCluster(async (cluster) => {
+    const ids = Array.from({ length: 3 }, newId);
+    const gone = ids.map((id) =>
+      submitAndLeave(cluster, 0, job(2500, 2), 200, id),
+    );
+    await delay(150);
+    cluster.signal('entry', 0, 'SIGSTOP');
+    await Promise.all(gone);
+    await delay(1300);
+    const again = ids.map((id) => submit(cluster, 1, job(600, 2), id));
+    await delay(300);
+    cluster.signal('entry', 0, 'SIGCONT');
+    const statuses = new Set(await Promise.all(again));
+    expect(statuses).toEqual(new Set([HTTP_OK]));
+    const starts = cluster.workers.flatMap((worker) => worker.starts);
+    expect(starts.length >= 12).toEqual(true);
+    expect(countOverlaps(cluster)).toEqual(0);
+  }));
