--- a/packages/core/src/lib/process/start-admission.ts
+++ b/packages/core/src/lib/process/start-admission.ts
@@ -17,8 +17,8 @@
   readonly capacity: () => Room;
   /** Returns whether the time limit of the runs of an entry has passed. */
   readonly isExpired: (owner: string, now: number) => boolean;
-  /** Sends a tracked run to the worker. */
-  readonly sendStart: (run: TrackedRun, now: number) => void;
+  /** Sends a tracked run to the worker at the end of this turn. */
+  readonly sendStart: (run: TrackedRun) => void;
   /** Has the worker stop a tracked run. */
   readonly sendStop: (run: TrackedRun) => void;
 }
@@ -140,7 +140,7 @@
   }
 
   private _admit(start: OrderedStart, now: number): void {
-    const { runs, isReady, capacity } = this._options;
+    const { runs, isReady, isExpired, capacity } = this._options;
     const { task, run, owner } = start;
     const known = runs.ofTask(task);
     if (known?.run === run && known.owner === owner) {
@@ -155,7 +155,8 @@
       this._refuseStale(start, known);
       return;
     }
-    if (!isReady()) {
+    if (!isReady() || isExpired(owner, now)) {
+      // A start that was read late must not begin for an entry that may be gone.
       this._refuse(start, StartRefusal.NOT_READY);
       return;
     }
@@ -200,7 +201,7 @@
       sinceMs: now,
     });
     this._options.runs.add(tracked);
-    this._options.sendStart(tracked, now);
+    this._options.sendStart(tracked);
   }
 
   /**
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -70,6 +70,17 @@
 const CALL_TIMEOUT_MS = 200;
 /** Delay before a stop call that failed is sent again. */
 const STOP_RETRY_DELAY_MS = 50;
+/**
+ * Time after which a stop call is repeated while it is pending. Callers wait
+ * only 1.3 s before they submit a job again, and a worker may leave several
+ * calls unanswered.
+ */
+const STOP_REPEAT_DELAY_MS = 100;
+/**
+ * Pending stop calls beyond which none is repeated, so that connections to the
+ * worker remain for polls and starts.
+ */
+const MAX_PENDING_STOPS = 8;
 /** Start calls that may time out before the run is stopped instead. */
 const MAX_START_ATTEMPTS = 2;
 /**
@@ -146,18 +157,24 @@
    */
   private _lostRuns: TrackedRun[] = [];
   private readonly _runs = new TrackedRuns();
-  /** Runs whose stop call has failed. */
+  /**
+   * Runs whose start call is sent at the end of this turn. A process that reads
+   * late may have received the stop of a run, or the end of a permission, right
+   * behind its start.
+   */
+  private readonly _unsentStarts = new Set<TrackedRun>();
+  /** Runs whose stop the worker has not confirmed. */
   private readonly _stopRetries = new Set<TrackedRun>();
   private readonly _links = new ReportLinks();
   private readonly _starts = new StartAdmission({
     runs: this._runs,
     links: this._links,
-    isReady: () => this._isAccepting && !this._dataCentreState.isOutOfService,
+    isReady: () => this._mayBegin,
     capacity: () => this._worker?.capacity ?? ZERO_ROOM,
     isExpired: (owner, now) =>
       this._clock.lowerBound(now) > (this._ownerExpiryMs.get(owner) ?? 0),
-    sendStart: (run, now) => {
-      this._sendStart(run, now);
+    sendStart: (run) => {
+      this._unsentStarts.add(run);
     },
     sendStop: (run) => {
       this._sendStop(run);
@@ -172,12 +189,13 @@
   /** Fenced incarnations of entries, with the incarnation that adopted each. */
   private readonly _fenced = new Map<string, string>();
   private _actions: WorkerAction[] = [];
-  private _nowMs = 0;
   private _worker: WorkerHeartbeat | undefined;
   /** Start time of the worker's incarnation, from polls or announcements. */
   private _workerBornMs: number | undefined;
   /** Incarnation that has left last, by the time of its start. */
   private _leftBornMs = Number.NEGATIVE_INFINITY;
+  /** Time of the event that is being processed. */
+  private _nowMs = 0;
   private _token: number;
   private _nextCallId = 1;
   private _pollCallId: number | undefined;
@@ -228,18 +246,21 @@
   }
 
   /**
-   * When the next tick is due, for a poll of the worker or the end of the wait
-   * of a queued start; absent while neither is awaited.
+   * When the next tick is due, for a poll of the worker, the end of the wait of
+   * a queued start or another stop call; absent while none is awaited.
    */
   get nextDueAtMs(): number | undefined {
-    const expiryMs = this._starts.nextExpiryMs;
-    return this._pollCallId === undefined
-      ? Math.min(this._nextPollAtMs, expiryMs ?? this._nextPollAtMs)
-      : expiryMs;
+    const dueMs = Math.min(
+      this._pollCallId === undefined ? this._nextPollAtMs : Infinity,
+      this._starts.nextExpiryMs ?? Infinity,
+      ...[...this._stopRetries].map((run) => run.stopRetryAtMs ?? Infinity),
+    );
+    return dueMs === Infinity ? undefined : dueMs;
   }
 
   /**
-   * Processes one event. Reports are only sent by the event `flush`.
+   * Processes one event. Reports and the calls of new starts are only sent by the
+   * event `flush`.
    *
    * @param event - The event to process.
    * @param now - Current time in milliseconds.
@@ -305,6 +326,10 @@
     );
   }
 
+  private get _mayBegin(): boolean {
+    return this._isAccepting && !this._dataCentreState.isOutOfService;
+  }
+
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
     const known = this._worker;
     const isEarlier =
@@ -369,6 +394,7 @@
     }
     this._lostRuns = [];
     this._starts.removeAll(StartRefusal.NOT_READY);
+    this._unsentStarts.clear();
     for (const run of this._runs.values()) {
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
@@ -582,6 +608,21 @@
     }
   }
 
+  /** Sends the start calls of this turn. */
+  private _sendStarts(now: number): void {
+    for (const tracked of this._unsentStarts) {
+      if (this._runs.get(tracked) !== tracked) {
+        continue;
+      }
+      if (this._mayBegin) {
+        this._sendStart(tracked, now);
+      } else {
+        this._refuse(tracked, StartRefusal.NOT_READY);
+      }
+    }
+    this._unsentStarts.clear();
+  }
+
   private _sendStart(tracked: TrackedRun, now: number): void {
     const expiryMs = this._ownerExpiryMs.get(tracked.owner) ?? 0;
     // A delayed start must not begin after its owner may have abandoned the
@@ -625,10 +666,14 @@
   }
 
   private _sendStop(tracked: TrackedRun): void {
+    if (this._unsentStarts.delete(tracked)) {
+      this._refuse(tracked, StartRefusal.NO_ROOM);
+      return;
+    }
     tracked.phase = RunPhase.Stopping;
     tracked.stopSentAtMs ??= this._nowMs;
-    tracked.stopRetryAtMs = undefined;
-    this._stopRetries.delete(tracked);
+    tracked.stopRetryAtMs = this._nowMs + STOP_REPEAT_DELAY_MS;
+    this._stopRetries.add(tracked);
     this._call({
       kind: 'stop',
       id: this._worker?.id,
@@ -1006,6 +1051,7 @@
       case 'done':
       case 'held':
         this._runs.confirmStop(call, this._pollCount);
+        this._stopRetries.delete(tracked);
         return;
       case 'no-answer':
         this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
@@ -1018,8 +1064,10 @@
   }
 
   private _retryStopLater(tracked: TrackedRun, now: number): void {
-    tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
-    this._stopRetries.add(tracked);
+    if (this._stopRetries.has(tracked)) {
+      const dueMs = tracked.stopRetryAtMs ?? Infinity;
+      tracked.stopRetryAtMs = Math.min(dueMs, now + STOP_RETRY_DELAY_MS);
+    }
   }
 
   private _retryStops(now: number): void {
@@ -1027,11 +1075,25 @@
       if (this._runs.get(tracked) !== tracked) {
         this._stopRetries.delete(tracked);
       } else if (now >= (tracked.stopRetryAtMs ?? 0)) {
-        this._sendStop(tracked);
+        if (this._mayRepeatStop(tracked)) {
+          this._sendStop(tracked);
+        } else {
+          tracked.stopRetryAtMs = now + STOP_RETRY_DELAY_MS;
+        }
       }
     }
   }
 
+  private _mayRepeatStop({ task, run }: TrackedRun): boolean {
+    const pending = [...this._calls.values()].flatMap(({ call }) =>
+      call.kind === 'stop' ? [call] : [],
+    );
+    return (
+      pending.length < MAX_PENDING_STOPS ||
+      !pending.some((call) => call.task === task && call.run === run)
+    );
+  }
+
   private _refuse(tracked: TrackedRun, reason: StartRefusal): void {
     this._runs.delete(tracked);
     const { task, run, owner } = tracked;
@@ -1125,6 +1187,7 @@
   }
 
   private _flush(now: number): void {
+    this._sendStarts(now);
     if (!this._links.isFlushDue(now)) {
       return;
     }
--- a/packages/daemon/src/lib/process/turn-flush.ts
+++ b/packages/daemon/src/lib/process/turn-flush.ts
@@ -1,5 +1,11 @@
 import { now } from './clock.js';
 
+/** Options of {@link TurnFlush}. */
+export interface TurnFlushOptions {
+  /** Whether the callback takes half of the time at most. */
+  readonly isPaced?: boolean;
+}
+
 /** Shortest wait for which a timer is set, in milliseconds. */
 const MIN_WAIT_MS = 1;
 
@@ -8,13 +14,14 @@
  * dispatch their `flush` event in it, so that the messages that result from all
  * events of a turn are sent in one batch.
  *
- * The callback takes half of the time at most: after a run that took long, the
- * next one waits as long. Node.js accepts one connection per turn, so that
+ * A paced callback takes half of the time at most: after a run that took long,
+ * the next one waits as long. Node.js accepts one connection per turn, so that
  * connections would otherwise wait in the accept queue of a busy process while
  * it runs the callback after each of them.
  */
 export class TurnFlush {
   private readonly _run: (turnMs: number) => void;
+  private readonly _isPaced: boolean;
   private _cancel: (() => void) | undefined;
   private _startedAtMs = 0;
   /** Time before which the callback does not run again. */
@@ -23,9 +30,14 @@
   /**
    * @param run - Called with the milliseconds since the first event after its
    *   last call.
+   * @param options - Whether the callback is paced; it is not by default.
    */
-  constructor(run: (turnMs: number) => void) {
+  constructor(
+    run: (turnMs: number) => void,
+    { isPaced = false }: TurnFlushOptions = {},
+  ) {
     this._run = run;
+    this._isPaced = isPaced;
   }
 
   /** Schedules the callback, unless it is scheduled already. */
@@ -63,7 +75,9 @@
     this._cancel = undefined;
     const startedAtMs = now();
     this._run(startedAtMs - this._startedAtMs);
-    const endedAtMs = now();
-    this._notBeforeMs = endedAtMs + (endedAtMs - startedAtMs);
+    if (this._isPaced) {
+      const endedAtMs = now();
+      this._notBeforeMs = endedAtMs + (endedAtMs - startedAtMs);
+    }
   }
 }
--- a/packages/daemon/src/test/turn-flush.test.ts
+++ b/packages/daemon/src/test/turn-flush.test.ts
@@ -15,10 +15,13 @@
 it('a slow callback leaves half of the time to other turns', async () => {
   let runs = 0;
   let turns = 0;
-  const flush = new TurnFlush(() => {
-    runs += 1;
-    blockFor(10);
-  });
+  const flush = new TurnFlush(
+    () => {
+      runs += 1;
+      blockFor(10);
+    },
+    { isPaced: true },
+  );
   const endsAt = performance.now() + 200;
   await new Promise<void>((resolve) => {
     const turn = (): void => {
@@ -51,10 +54,13 @@
 
 it('an early run waits until its turn after a slow one', async () => {
   let runs = 0;
-  const flush = new TurnFlush(() => {
-    runs += 1;
-    blockFor(20);
-  });
+  const flush = new TurnFlush(
+    () => {
+      runs += 1;
+      blockFor(20);
+    },
+    { isPaced: true },
+  );
   flush.schedule();
   flush.runScheduled();
   flush.schedule();
--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -1,6 +1,8 @@
+import { request } from 'node:http';
 import { expect } from 'earl';
 import { CONNECTION_FAILED } from '../lib/platform/desk-client.js';
 import type { FleetCluster } from '../lib/platform/fleet-cluster.js';
+import { FLEET_HOST } from '../lib/platform/fleet-settings.js';
 import { TableStoreMode } from '../lib/platform/table-store.js';
 import {
   countOverlaps,
@@ -14,6 +16,24 @@
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
+/** Submits a job and closes the connection after some time. */
+const submitAndLeave = async (
+  cluster: FleetCluster,
+  entry: number,
+  body: object,
+  afterMs: number,
+  id = newId(),
+): Promise<void> => {
+  const req = request(`${cluster.frontUrl(entry)}/short/${id}`, {
+    method: 'POST',
+    headers: { host: FLEET_HOST, 'content-type': 'application/json' },
+  });
+  req.on('error', () => undefined);
+  req.end(JSON.stringify(body));
+  await delay(afterMs);
+  req.destroy();
+};
+
 const readState = async (
   cluster: FleetCluster,
   entry: number,
@@ -126,3 +146,42 @@
     expect(new Set(statuses)).toEqual(new Set([HTTP_OK]));
     expect(countOverlaps(cluster)).toEqual(0);
   }));
+
+// A driver that was not scheduled reads the start and the stop together.
+it('fleet: a frozen driver begins no run whose stop it has received', () =>
+  withCluster(async (cluster) => {
+    const drivers = cluster.workers.map((_, index) => index);
+    for (const index of drivers) {
+      cluster.signal('worker', index, 'SIGSTOP');
+    }
+    await submitAndLeave(cluster, 0, job(500, 6), 150);
+    await delay(100);
+    for (const index of drivers) {
+      cluster.signal('worker', index, 'SIGCONT');
+    }
+    await delay(800);
+    expect(cluster.workers.flatMap(({ starts }) => starts)).toEqual([]);
+    // The workers are served again.
+    expect(await submit(cluster, 0, job(50, 6))).toEqual(HTTP_OK);
+  }));
+
+// The entry can't tell that its caller has left and has gone elsewhere.
+it('fleet: the runs of a frozen entry end before its callers submit again', () =>
+  withCluster(async (cluster) => {
+    const ids = Array.from({ length: 3 }, newId);
+    const gone = ids.map((id) =>
+      submitAndLeave(cluster, 0, job(2500, 2), 200, id),
+    );
+    await delay(150);
+    cluster.signal('entry', 0, 'SIGSTOP');
+    await Promise.all(gone);
+    await delay(1300);
+    const again = ids.map((id) => submit(cluster, 1, job(600, 2), id));
+    await delay(300);
+    cluster.signal('entry', 0, 'SIGCONT');
+    const statuses = new Set(await Promise.all(again));
+    expect(statuses).toEqual(new Set([HTTP_OK]));
+    const starts = cluster.workers.flatMap((worker) => worker.starts);
+    expect(starts.length >= 12).toEqual(true);
+    expect(countOverlaps(cluster)).toEqual(0);
+  }));
