Drop single requests whose callers have gone before they were read

What callers saw: a request that is not idempotent ran although its caller had left before the entry read it, and may have been sent to another entry meanwhile.

Cause: as for submissions: the reset or close of the connection is read one poll after the request, when its start has been sent.

--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -23,6 +23,7 @@
   EntryMessage as WireEntryMessage,
   RunnerMessage,
 } from '@sapphiremux/wire';
+import type { Caller } from '../connection/caller.js';
 import { RpcClients } from '../connection/rpc-clients.js';
 import {
   connectEntry,
@@ -36,6 +37,7 @@
 import { now } from './clock.js';
 import type { Log } from './logger.js';
 import { EntryMetrics } from './metrics.js';
+import { NextPoll } from './next-poll.js';
 import { StoreHttpClient } from './store-http-client.js';
 import { TurnFlush } from './turn-flush.js';
 
@@ -91,6 +93,9 @@
   private readonly _flush = new TurnFlush(() => {
     this.dispatch({ kind: 'flush' });
   });
+  private readonly _nextPoll = new NextPoll(() => {
+    this._flush.runScheduled();
+  });
   private _nextReplyId = 1;
 
   /** @param options - Settings, log and callbacks. */
@@ -177,6 +182,34 @@
     });
   }
 
+  /**
+   * Passes a single request to the entry, unless its caller has disconnected. A
+   * busy process may read a request long after it was sent, and the caller may
+   * have turned to another entry meanwhile.
+   *
+   * @param toEvent - Creates the event from the id that the reply will carry.
+   * @param caller - Connection of the caller.
+   * @returns The reply; never settles when the caller disconnects first.
+   */
+  dispatchRequest(
+    toEvent: (replyId: number) => EntryEvent,
+    caller: Caller,
+  ): Promise<Reply> {
+    const disconnected = new AbortController();
+    caller.onGone(() => {
+      disconnected.abort();
+    });
+    return new Promise((resolve) => {
+      this._nextPoll.schedule(() => {
+        if (caller.isGone) {
+          this._options.log.info('request dropped, its caller has gone');
+        } else {
+          resolve(this.dispatchCall(toEvent, disconnected.signal));
+        }
+      });
+    });
+  }
+
   /** @param event - Event that the entry handles now. */
   dispatch(event: EntryEvent): void {
     for (const action of this._core.handle(event, now())) {
--- a/packages/daemon/src/lib/request/requests.controller.ts
+++ b/packages/daemon/src/lib/request/requests.controller.ts
@@ -1,8 +1,8 @@
 import { Body, Controller, Inject, Post, Res } from '@nestjs/common';
 import type { FastifyReply } from 'fastify';
+import { callerOf } from '../connection/caller.js';
 import { now } from '../process/clock.js';
 import { EntryHost } from '../process/entry-host.js';
-import { disconnectSignal } from './disconnect-signal.js';
 import { sendReply } from './replies.js';
 import { requestSchema } from './schemas.js';
 import { validate } from './validate.js';
@@ -23,7 +23,7 @@
     @Res() res: FastifyReply,
   ): Promise<void> {
     const { payload, deadlineMs, ...rest } = validate(requestSchema, body);
-    const reply = await this._host.dispatchCall(
+    const reply = await this._host.dispatchRequest(
       (replyId) => ({
         kind: 'request',
         replyId,
@@ -34,7 +34,7 @@
           deadlineMs: now() + deadlineMs,
         },
       }),
-      disconnectSignal(res),
+      callerOf(res.raw),
     );
     await sendReply(res, reply);
   }
