Acknowledge an end that comes too late for a takeover as superseded

Cause: the end of a run whose task waits for a worker was neither applied nor counted as superseded; only a later run that had begun already did. The end of such a task now counts as superseded, so that the lease of its worker expires before it is acknowledged. To take the task as done instead would save the second run, but another worker that has not reported may have run it later.

The new test failed before (superseded: false) and passes. Only recorded jobs are affected: ends of volatile jobs are acknowledged without being counted.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -682,16 +682,20 @@
   }
 }
 
-/** Whether a run of the task has begun after the given one. */
+/**
+ * Whether a run of the task has begun after the given one, or is about to: a
+ * task that waits for a worker is started whatever ends are listed meanwhile.
+ */
 const hasLaterRun = (task: BatchTask | undefined, run: number): boolean => {
   switch (task?.phase) {
+    case TaskPhase.Blocked:
+    case TaskPhase.Ready:
+      return true;
     case TaskPhase.Placed:
       return task.run > run;
     case TaskPhase.Done:
       return task.doneRun !== run;
     case undefined:
-    case TaskPhase.Blocked:
-    case TaskPhase.Ready:
     case TaskPhase.Unknown:
       return false;
   }
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -3,6 +3,7 @@
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import { partName, partOf } from '../lib/process/fleet-rows.js';
 import { BatchState } from '../lib/request/batch-job.js';
+import { ZERO_ROOM } from '../lib/request/room.js';
 import {
   CAPACITY,
   CONTENT,
@@ -328,6 +329,29 @@
   expect(row?.value.includes('"owner":"e1b"')).toEqual(true);
 });
 
+// Guards against a task that starts again after its end was acknowledged, because
+// its worker answered between the end of the takeover and that start.
+it('an end that comes too late for a takeover is acknowledged as superseded', () => {
+  const rows = new FakeRows();
+  withWorker(rows).submit(1, { isVolatile: false });
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  next.answerChanges();
+  next.advance(300);
+  // Without free capacity the tasks wait.
+  const report = { adopted: ['e1'], free: ZERO_ROOM };
+  next.report('w1', { ...report, snapshot: true });
+  next.advance(100);
+  next.report('w1', { ...report, ends: [done(`${ID}.0.0.0`)] });
+  next.advance(1200);
+  expect(next.started).toEqual([]);
+  expect(next.orders.flatMap(({ order }) => order.recorded)).toEqual([
+    { life: '1', number: 1, superseded: true },
+  ]);
+  next.report('w1');
+  expect(next.started).toEqual([`${ID}.0.0.0#10001`, `${ID}.0.0.1#10001`]);
+});
+
 it('an entry whose owner row is gone retires', () => {
   const harness = withWorker();
   harness.rows.rows.delete(`${partName(partOf(ID))}|owner/e1`);
