Stop a stalled run again when a worker lists it on a new link

Trace: two runs stall at vm-3. Its worker driver process is killed at 7,073 ms. The entry finds the runs stalled at 7,850 ms, while it has no link, and queues their stops. The next link, 50 ms later, discards what was queued. The new process lists both runs as active; they are current, so the entry claims them. They count as being stopped from then on, so no further stop is sent, and their tasks never start elsewhere.

Cause: whether a stop was requested was remembered, whether it arrived was not. A stop that is sent to a process which ends before it carries it out is lost in the same way.

The new test failed before (one stop) and passes, as does the counterexample.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -640,6 +640,10 @@
       isVolatile: ownedJob.job.content.isVolatile,
       sequence: 0,
     });
+    if (task.isStalled) {
+      // Its stop was lost with the link or the worker driver process before.
+      this._options.fleet.stop(view, name, run);
+    }
     if (owner === '') {
       // The worker driver process has found the run at the worker and does not
       // know its owner.
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -247,6 +247,27 @@
   expect(harness.started.at(-1)).toEqual(`${ID}.0.0.0#2`);
 });
 
+// Guards against a stalled run that goes on for good, because its stop was lost
+// with the link or the worker driver process.
+it('a stalled run whose stop was lost is stopped again', () => {
+  const harness = withTwoWorkers();
+  harness.submit(1);
+  harness.report('w2');
+  for (let passed = 0; passed < 700; passed += 50) {
+    harness.advance(50);
+    harness.report('w1');
+    harness.report('w2');
+  }
+  const task = `${ID}.0.0.0`;
+  const linkId = harness.links.get('w1') ?? 0;
+  harness.handle({ kind: 'link-closed', linkId, detail: 'reset' });
+  harness.advance(200);
+  const active = { task, run: 1, owner: '', checkpoint: '', percent: 100 };
+  harness.report('w1', { snapshot: true, active: [active] });
+  const stops = harness.stopped.filter((name) => name === `${task}#1`);
+  expect(stops.length).toEqual(2);
+});
+
 // Guards against restarts of tasks that take long at any worker.
 it('a long run goes on while its worker completes later runs, up to a higher limit', () => {
   const harness = withWorker();
