Blame no task for a crash before its run has begun

Cause: a run counted as active at a crash from the time its start was sent. The driver now remembers whether the worker has confirmed the start or listed the run, and reports a run that may not have begun as such (its uncertainty exceeds its run time). Such a crash still counts towards the fourth, at which a task is given up in any case, because the run may have begun; it says nothing about the cause.

--- a/packages/core/src/lib/process/crash-ledger.ts
+++ b/packages/core/src/lib/process/crash-ledger.ts
@@ -135,11 +135,15 @@
     Math.min(...crashes.map(({ activeMs }) => activeMs));
   const shorterMs = Math.min(earlier.activeMs, later.activeMs);
   return (
-    crashes.every((crash) => uncertaintyOf(crash) <= MAX_UNCERTAINTY_MS) &&
+    crashes.every(isInformative) &&
     gapMs <= Math.max(SAME_TIME_MS, SAME_TIME_SHARE * shorterMs)
   );
 };
 
+/** Whether the run has begun for certain, and its time is known well enough. */
+const isInformative = (crash: TaskCrash): boolean =>
+  leastActiveMs(crash) >= 0 && uncertaintyOf(crash) <= MAX_UNCERTAINTY_MS;
+
 const uncertaintyOf = ({ uncertaintyMs = 0 }: TaskCrash): number =>
   uncertaintyMs;
 
--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -30,6 +30,8 @@
   starts: number;
   /** Start calls that provably did not reach the worker. */
   undeliveredStarts: number;
+  /** Whether the worker has confirmed that the run has begun. */
+  hasBegun: boolean;
   /** Share of its full pace at which the run works. */
   percent: number;
   /** Latest known checkpoint. */
@@ -68,6 +70,7 @@
   isVolatile: false,
   starts: 0,
   undeliveredStarts: 0,
+  hasBegun: false,
   percent: 0,
   latestCheckpoint: '',
   stoppedAtPoll: undefined,
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -863,6 +863,7 @@
       seen.add(key);
       const tracked = this._runs.get(listed);
       if (tracked) {
+        tracked.hasBegun = true;
         tracked.percent = listed.percent;
         tracked.latestCheckpoint = listed.checkpoint;
         continue;
@@ -877,6 +878,7 @@
           owner: '',
           phase: RunPhase.Active,
           starts: 1,
+          hasBegun: true,
           percent: listed.percent,
           latestCheckpoint: listed.checkpoint,
           sinceMs: now,
@@ -948,6 +950,9 @@
     now: number,
   ): void {
     const tracked = this._runs.get(call);
+    if (tracked && reply.kind === 'done') {
+      tracked.hasBegun = true;
+    }
     if (tracked?.phase !== RunPhase.Starting) {
       return;
     }
@@ -1169,18 +1174,18 @@
 
 /** Returns a run that may have been active when its worker crashed. */
 const toCrashedRun = (
-  { task, run, queue, isVolatile, phase, sinceMs }: TrackedRun,
+  { task, run, queue, isVolatile, hasBegun, sinceMs }: TrackedRun,
   { earliestMs, latestMs }: CrashBounds,
 ): CrashedRun => {
   const activeMs = Math.max(0, Math.round(latestMs - sinceMs));
-  // While its start is not confirmed, a run may have begun at any time.
-  const leastMs =
-    phase === RunPhase.Starting ? 0 : Math.round(earliestMs - sinceMs);
+  const leastMs = Math.max(0, Math.round(earliestMs - sinceMs));
   return {
     task,
     run,
     queue: isVolatile ? queue : '',
     activeMs,
-    uncertaintyMs: activeMs - Math.min(activeMs, Math.max(0, leastMs)),
+    uncertaintyMs: hasBegun
+      ? activeMs - Math.min(activeMs, leastMs)
+      : activeMs + 1,
   };
 };
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -161,8 +161,8 @@
   /** How long the run of the task had been active at most, in milliseconds. */
   readonly activeMs: number;
   /**
-   * By how much it may have been active for less, in milliseconds; rows of
-   * earlier versions lack it.
+   * By how much it may have been active for less, in milliseconds; greater than
+   * `activeMs` if it may not have begun. Rows of earlier versions lack it.
    */
   readonly uncertaintyMs?: number;
 }
--- a/packages/core/src/test/crash-loops.test.ts
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -120,6 +120,8 @@
     [1, 403, true],
     [403, 403, false],
     [0, 3000, false],
+    // The run may not have begun.
+    [-1, 161, false],
   ] as const) {
     const ledger = new CrashLedger();
     ledger.add('w1', uncertainCrash('1', 1, 161));
--- a/packages/core/src/test/crash-reports.test.ts
+++ b/packages/core/src/test/crash-reports.test.ts
@@ -126,6 +126,15 @@
   expect(activeTimes(harness)).toEqual([[10, 470]]);
 });
 
+// Guards against tasks that are blamed for a crash before they began: a driver
+// that was stalled sends starts after the worker has crashed and come back.
+it('a run whose start was not confirmed may not have begun at a crash', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 9000, starts: starts('j.0.0.0') });
+  harness.answer('hold', OTHER_INCARNATION);
+  expect(activeTimes(harness)).toEqual([[-1, 0]]);
+});
+
 /** Returns a driver whose worker has not answered until its run was lost. */
 const withLostRun = (): DriverHarness => {
   const harness = withRun();
