--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -331,7 +331,11 @@
         names: givenUp
           .slice(0, MAX_LOGGED_TASKS)
           .map(({ name }) => {
-            const times = crashes.crashesOf(name).map((c) => c.activeMs);
+            const times = crashes
+              .crashesOf(name)
+              .map(({ activeMs, uncertaintyMs = 0 }) =>
+                [activeMs - uncertaintyMs, activeMs].join('-'),
+              );
             return `${name} (${times.join(', ')} ms)`;
           })
           .join(' '),
@@ -641,6 +645,10 @@
       isVolatile: ownedJob.job.content.isVolatile,
       sequence: 0,
     });
+    if (task.isStalled) {
+      // Its stop was lost with the link or the worker driver process before.
+      this._options.fleet.stop(view, name, run);
+    }
     if (owner === '') {
       // The worker driver process has found the run at the worker and does not
       // know its owner.
@@ -683,16 +691,20 @@
   }
 }
 
-/** Whether a run of the task has begun after the given one. */
+/**
+ * Whether a run of the task has begun after the given one, or is about to: a
+ * task that waits for a worker is started whatever ends are listed meanwhile.
+ */
 const hasLaterRun = (task: BatchTask | undefined, run: number): boolean => {
   switch (task?.phase) {
+    case TaskPhase.Blocked:
+    case TaskPhase.Ready:
+      return true;
     case TaskPhase.Placed:
       return task.run > run;
     case TaskPhase.Done:
       return task.doneRun !== run;
     case undefined:
-    case TaskPhase.Blocked:
-    case TaskPhase.Ready:
     case TaskPhase.Unknown:
       return false;
   }
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -3,6 +3,7 @@
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import { partName, partOf } from '../lib/process/fleet-rows.js';
 import { BatchState } from '../lib/request/batch-job.js';
+import { ZERO_ROOM } from '../lib/request/room.js';
 import {
   CAPACITY,
   CONTENT,
@@ -246,6 +247,27 @@
   expect(harness.started.at(-1)).toEqual(`${ID}.0.0.0#2`);
 });
 
+// Guards against a stalled run that goes on for good, because its stop was lost
+// with the link or the worker driver process.
+it('a stalled run whose stop was lost is stopped again', () => {
+  const harness = withTwoWorkers();
+  harness.submit(1);
+  harness.report('w2');
+  for (let passed = 0; passed < 700; passed += 50) {
+    harness.advance(50);
+    harness.report('w1');
+    harness.report('w2');
+  }
+  const task = `${ID}.0.0.0`;
+  const linkId = harness.links.get('w1') ?? 0;
+  harness.handle({ kind: 'link-closed', linkId, detail: 'reset' });
+  harness.advance(200);
+  const active = { task, run: 1, owner: '', checkpoint: '', percent: 100 };
+  harness.report('w1', { snapshot: true, active: [active] });
+  const stops = harness.stopped.filter((name) => name === `${task}#1`);
+  expect(stops.length).toEqual(2);
+});
+
 // Guards against restarts of tasks that take long at any worker.
 it('a long run goes on while its worker completes later runs, up to a higher limit', () => {
   const harness = withWorker();
@@ -328,6 +350,29 @@
   expect(row?.value.includes('"owner":"e1b"')).toEqual(true);
 });
 
+// Guards against a task that starts again after its end was acknowledged, because
+// its worker answered between the end of the takeover and that start.
+it('an end that comes too late for a takeover is acknowledged as superseded', () => {
+  const rows = new FakeRows();
+  withWorker(rows).submit(1, { isVolatile: false });
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  next.answerChanges();
+  next.advance(300);
+  // Without free capacity the tasks wait.
+  const report = { adopted: ['e1'], free: ZERO_ROOM };
+  next.report('w1', { ...report, snapshot: true });
+  next.advance(100);
+  next.report('w1', { ...report, ends: [done(`${ID}.0.0.0`)] });
+  next.advance(1200);
+  expect(next.started).toEqual([]);
+  expect(next.orders.flatMap(({ order }) => order.recorded)).toEqual([
+    { life: '1', number: 1, superseded: true },
+  ]);
+  next.report('w1');
+  expect(next.started).toEqual([`${ID}.0.0.0#10001`, `${ID}.0.0.1#10001`]);
+});
+
 it('an entry whose owner row is gone retires', () => {
   const harness = withWorker();
   harness.rows.rows.delete(`${partName(partOf(ID))}|owner/e1`);
