Let the fleet simulation delay entries and reset their callers

New commands: slow turns of the event loop of an entry or a worker driver process (callbacks run at the begin of a turn, the flush at its end, a close one turn after the data before it), a reset of the callers of an entry, and where and when a caller sends its job again.

--- a/packages/standins/src/bin/fuzz.ts
+++ b/packages/standins/src/bin/fuzz.ts
@@ -27,6 +27,11 @@
     world: { type: 'string', default: 'estate' },
     /** Prints the log lines of the entries; only for `fleet`. */
     log: { type: 'boolean', default: false },
+    /**
+     * Entries handle a submission in the turn in which they read it, before they
+     * can notice that its caller has gone; only for `fleet`.
+     */
+    'immediate-submissions': { type: 'boolean', default: false },
     /** Maximum time to search for a smaller failing scenario. */
     'shrink-seconds': { type: 'string', default: '20' },
   },
@@ -98,7 +103,10 @@
 const failure =
   values.world === 'fleet'
     ? findFailure(fleetScenarios(), (scenario) =>
-        runFleetScenario(scenario, values.log ? printLine : undefined),
+        runFleetScenario(scenario, {
+          ...(values.log ? { onLog: printLine } : {}),
+          defersSubmissions: !values['immediate-submissions'],
+        }),
       )
     : findFailure(scenarios(), runScenario);
 
--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -12,6 +12,33 @@
       readonly kind: 'submit';
       readonly entry: number;
       readonly job: number;
+      /**
+       * Entry to which the caller of a volatile job sends it again if the
+       * connection breaks or the job may have run, and the delay beyond the time
+       * that callers wait at least.
+       */
+      readonly resend?: { readonly to: number; readonly delayMs: number };
+    }
+  | {
+      /** Resets the connections of callers that wait for the end of a job. */
+      readonly kind: 'reset-callers';
+      readonly entry: number;
+      /** Whether every second connection is spared. */
+      readonly isPartial: boolean;
+    }
+  /**
+   * Slow turns of the event loop of an entry or a worker driver process, which
+   * gets too little processor time but isn't paused.
+   */
+  | {
+      readonly kind: 'slow-entry';
+      readonly entry: number;
+      readonly turnsMs: readonly number[];
+    }
+  | {
+      readonly kind: 'slow-driver';
+      readonly worker: number;
+      readonly turnsMs: readonly number[];
     }
   | {
       readonly kind: 'status' | 'cancel';
@@ -110,6 +137,10 @@
 export const DEADLY_JOBS = [JOB_COUNT, JOB_COUNT + 1] as const;
 const MAX_STEPS = 24;
 const MAX_GAP_MS = 1500;
+const MIN_SLOW_TURN_MS = 100;
+const MAX_SLOW_TURN_MS = 2000;
+const MAX_SLOW_TURNS = 3;
+const MAX_RESEND_DELAY_MS = 1000;
 
 /**
  * Generates scenarios for the fleet simulation with fast-check.
@@ -138,8 +169,9 @@
 
 const commands = (): fc.Arbitrary<FleetCommand> =>
   fc.oneof(
-    { weight: 10, arbitrary: callCommands('submit') },
+    { weight: 10, arbitrary: submitCommands() },
     { weight: 3, arbitrary: callCommands('status', 'cancel') },
+    { weight: 4, arbitrary: slowProcessCommands() },
     { weight: 3, arbitrary: operatorCommands() },
     { weight: 8, arbitrary: faultCommands() },
     { weight: 4, arbitrary: workerFaultCommands() },
@@ -156,15 +188,54 @@
     },
   );
 
+const jobIndex = (): fc.Arbitrary<number> =>
+  fc.nat(JOB_COUNT + DEADLY_JOBS.length - 1);
+
+const submitCommands = (): fc.Arbitrary<FleetCommand> =>
+  fc.record({
+    kind: oneOfKinds('submit'),
+    entry: entryIndex(),
+    job: jobIndex(),
+    resend: fc.record({
+      to: entryIndex(),
+      delayMs: fc.oneof(fc.nat(20), fc.nat(MAX_RESEND_DELAY_MS)),
+    }),
+  });
+
 const callCommands = (
-  ...kinds: ('submit' | 'status' | 'cancel')[]
+  ...kinds: ('status' | 'cancel')[]
 ): fc.Arbitrary<FleetCommand> =>
   fc.record({
     kind: fc.constantFrom(...kinds),
     entry: entryIndex(),
-    job: fc.nat(JOB_COUNT + DEADLY_JOBS.length - 1),
+    job: jobIndex(),
   });
 
+/** Processes that get little processor time, and callers that break off. */
+const slowProcessCommands = (): fc.Arbitrary<FleetCommand> => {
+  const turnsMs = fc.array(
+    fc.integer({ min: MIN_SLOW_TURN_MS, max: MAX_SLOW_TURN_MS }),
+    { minLength: 1, maxLength: MAX_SLOW_TURNS },
+  );
+  return fc.oneof(
+    fc.record({
+      kind: oneOfKinds('reset-callers'),
+      entry: entryIndex(),
+      isPartial: fc.boolean(),
+    }),
+    fc.record({
+      kind: oneOfKinds('slow-entry'),
+      entry: entryIndex(),
+      turnsMs,
+    }),
+    fc.record({
+      kind: oneOfKinds('slow-driver'),
+      worker: workerIndex(),
+      turnsMs,
+    }),
+  );
+};
+
 const operatorCommands = (): fc.Arbitrary<FleetCommand> =>
   fc.oneof(
     fc.record({ kind: oneOfKinds('configure'), renewal: fc.boolean() }),
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -26,15 +26,14 @@
  * every accepted job ends. Runs of the same scenario are identical.
  *
  * @param scenario - Seed and commands.
- * @param onLog - Receives the log lines of the entries.
+ * @param options - Further options of the simulated fleet.
  * @returns The rules that were broken.
  */
 export const runFleetScenario = (
   scenario: FleetScenario,
-  onLog?: FleetWorldOptions['onLog'],
+  options: Omit<FleetWorldOptions, 'seed' | 'size'> = {},
 ): readonly Violation[] => {
-  const { seed } = scenario;
-  const world = new FleetWorld(onLog ? { seed, onLog } : { seed });
+  const world = new FleetWorld({ ...options, seed: scenario.seed });
   const { queue } = world;
   world.configure('levy');
   queue.runUntil(STARTUP_MS);
@@ -64,8 +63,24 @@
         entryOf(world, command.entry),
         jobId(command.job),
         jobContent(command.job),
+        command.resend && {
+          ...command.resend,
+          to: entryOf(world, command.resend.to),
+        },
       );
       return;
+    case 'reset-callers': {
+      const entry = entryOf(world, command.entry);
+      world.oracle.onFault(entry.name, false);
+      world.resetCallers(entry, command.isPartial);
+      return;
+    }
+    case 'slow-entry':
+      slowDown(world, entryOf(world, command.entry), command.turnsMs);
+      return;
+    case 'slow-driver':
+      slowDown(world, driverOf(world, command.worker), command.turnsMs);
+      return;
     case 'status':
     case 'cancel':
       world.sendJobRequest(
@@ -133,6 +148,15 @@
   }
 };
 
+const slowDown = (
+  world: FleetWorld,
+  process: SimBatchEntry | SimDriver,
+  turnsMs: readonly number[],
+): void => {
+  world.oracle.onFault(process.name, false);
+  process.slowDown(turnsMs);
+};
+
 const injectEntryFault = (
   world: FleetWorld,
   kind:
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -26,6 +26,11 @@
   readonly seed: number;
   /** Number of entries and workers; the fleet of the fuzzer if absent. */
   readonly size?: { readonly entries: number; readonly workers: number };
+  /**
+   * Whether entries handle a submission only after they have polled for events
+   * once more; true if absent.
+   */
+  readonly defersSubmissions?: boolean;
   /** Receives the number of actions of each kind that a process carries out. */
   readonly onAction?: (role: 'entry' | 'driver', kind: string) => void;
   /** Receives the log lines of the entries. */
@@ -46,6 +51,13 @@
   isOpen: boolean;
 }
 
+/** Where and when a caller sends a job again. */
+export interface Resend {
+  readonly to: SimBatchEntry;
+  /** Time beyond {@link RESEND_DELAY_MS}. */
+  readonly delayMs: number;
+}
+
 const ENTRY_NAMES = ['entry-1', 'entry-2', 'entry-3'];
 /** Name, data centre and service of each worker. */
 const WORKER_PLACEMENTS: readonly (readonly [string, string, string])[] = [
@@ -70,7 +82,7 @@
 const RESET_DELAY_MS = 2;
 const CALL_DEADLINE_MS = 4000;
 /** Callers of volatile jobs wait this long before they submit again. */
-const RESEND_DELAY_MS = 1300;
+export const RESEND_DELAY_MS = 1300;
 
 /**
  * A simulated fleet in virtual time: entries, worker drivers, workers, the
@@ -94,6 +106,8 @@
    * volatile job is open, because its caller waits for the reply.
    */
   private readonly _resendAtMs = new Map<string, number>();
+  /** Functions that reset the connections of callers, by entry. */
+  private readonly _callerResets = new Map<SimBatchEntry, Set<() => void>>();
 
   /** @param options - Seed of the random numbers, and the log receiver. */
   constructor(options: FleetWorldOptions) {
@@ -191,11 +205,14 @@
    * @param entry - The entry that receives the call.
    * @param id - Id of the job.
    * @param content - The job without the service, which its queue determines.
+   * @param resend - Where and when the caller of a volatile job sends it again
+   *   if the connection breaks or the job may have run; never if absent.
    */
   submit(
     entry: SimBatchEntry,
     id: string,
     content: Omit<BatchContent, 'service'>,
+    resend?: Resend,
   ): void {
     const route = entry.core.routes.match('desk.example', '/q/');
     const { oracle, queue } = this;
@@ -213,34 +230,62 @@
     oracle.onSubmit(id, fullContent);
     let isOpen = true;
     const onReply = (reply: BatchReply | undefined): void => {
-      if (isOpen) {
-        isOpen = false;
-        oracle.onSubmitReply(id, reply);
-        this._resendAtMs.set(
-          id,
-          isVolatile ? queue.nowMs + RESEND_DELAY_MS : 0,
-        );
+      if (!isOpen) {
+        return;
+      }
+      isOpen = false;
+      this._callerResets.get(entry)?.delete(reset);
+      oracle.onSubmitReply(id, reply);
+      this._resendAtMs.set(id, isVolatile ? queue.nowMs + RESEND_DELAY_MS : 0);
+      const mayHaveRun = reply === undefined || reply.kind === 'in-doubt';
+      if (isVolatile && resend && mayHaveRun) {
+        queue.after(RESEND_DELAY_MS + resend.delayMs, () => {
+          this.submit(resend.to, id, content);
+        });
       }
     };
-    const deadlineMs = entry.nowMs + CALL_DEADLINE_MS;
+    const reset = (): void => {
+      onReply(undefined);
+      disconnect();
+    };
+    this._callerResets.set(
+      entry,
+      (this._callerResets.get(entry) ?? new Set()).add(reset),
+    );
     const disconnect = entry.sendRequest(
       (replyId) => ({
         kind: 'submit',
         replyId,
         id,
         content: fullContent,
-        deadlineMs,
+        // Counted from when the entry reads the call, as by the real server.
+        deadlineMs: entry.nowMs + CALL_DEADLINE_MS,
       }),
       onReply,
     );
     queue.after(CALL_DEADLINE_MS, () => {
       if (isOpen) {
-        onReply(undefined);
-        disconnect();
+        reset();
       }
     });
   }
 
+  /**
+   * Resets the connections of callers that wait for the reply to a submission.
+   * They learn of it at once, the entry when it next polls for events.
+   *
+   * @param entry - The entry that the callers are connected to.
+   * @param isPartial - Whether every second connection is spared.
+   */
+  resetCallers(entry: SimBatchEntry, isPartial: boolean): void {
+    const resets = [...(this._callerResets.get(entry) ?? [])];
+    resets
+      .filter((_, index) => !isPartial || index % 2 === 0)
+      .forEach((reset) => {
+        reset();
+      });
+  }
+
   /**
    * Requests the state of a job, or cancels the job.
    *
@@ -309,6 +354,7 @@
     this.setStore(StoreMode.Up);
     for (const process of [...this.entries, ...this.drivers]) {
       process.resume();
+      process.speedUp();
       process.restart();
       this.oracle.onFault(process.name, true);
     }
@@ -328,7 +374,7 @@
     name: string,
     index: number,
     random: () => number,
-    { onLog, onAction }: FleetWorldOptions,
+    { onLog, onAction, defersSubmissions = true }: FleetWorldOptions,
   ): SimBatchEntry {
     const { queue } = this;
     const entry: SimBatchEntry = new SimBatchEntry({
@@ -338,6 +384,7 @@
       store: this.store,
       skewMs: (random() - 0.5) * 2 * MAX_CLOCK_SKEW_MS,
       random,
+      defersSubmissions,
       isDisconnectedFromStore: () => this._disconnectedFromStore.has(name),
       onAction: (kind) => onAction?.('entry', kind),
       onOpenLink: (linkId, address) => {
@@ -442,7 +489,7 @@
       return;
     }
     this.network.sendOnConnection(link.name, name, address, () => {
-      this._runAtDriver(link, () => {
+      this._runAtDriver(link, false, () => {
         driver.dispatch({ kind: 'link-open', linkId: link.driverLinkId });
       });
     });
@@ -466,7 +513,7 @@
     }
     const { driver, driverLinkId } = link;
     this.network.sendOnConnection(link.name, name, driver.name, () => {
-      this._runAtDriver(link, () => {
+      this._runAtDriver(link, false, () => {
         driver.dispatch({ kind: 'order', linkId: driverLinkId, order });
       });
     });
@@ -488,7 +535,7 @@
     }
     const { entry, entryLinkId } = link;
     this.network.sendOnConnection(link.name, name, entry.name, () => {
-      this._runAtEntry(link, () => {
+      this._runAtEntry(link, false, () => {
         entry.dispatch({ kind: 'report', linkId: entryLinkId, report });
       });
     });
@@ -505,7 +552,7 @@
     this._links.delete(link.name);
     const { driver, driverLinkId } = link;
     this.network.sendOnConnection(link.name, name, driver.name, () => {
-      this._runAtDriver(link, () => {
+      this._runAtDriver(link, true, () => {
         driver.dispatch({ kind: 'link-closed', linkId: driverLinkId });
       });
     });
@@ -517,11 +564,11 @@
       link.isOpen = false;
       this._links.delete(link.name);
       this.queue.after(RESET_DELAY_MS, () => {
-        this._runAtDriver(link, () => {
+        this._runAtDriver(link, true, () => {
           const { driver, driverLinkId } = link;
           driver.dispatch({ kind: 'link-closed', linkId: driverLinkId });
         });
-        this._runAtEntry(link, () => {
+        this._runAtEntry(link, true, () => {
           const { entry, entryLinkId } = link;
           entry.dispatch({
             kind: 'link-closed',
@@ -533,18 +580,21 @@
     }
   }
 
-  private _runAtDriver(link: Link, run: () => void): void {
+  private _runAtDriver(link: Link, isClose: boolean, run: () => void): void {
     if (link.driver.generation === link.driverGeneration) {
-      link.driver.post(run);
+      link.driver.post(run, { connection: link.name, isClose });
     }
   }
 
-  private _runAtEntry(link: Link, run: () => void): void {
-    link.entry.post(() => {
-      if (link.entry.incarnation === link.entryIncarnation) {
-        run();
-      }
-    });
+  private _runAtEntry(link: Link, isClose: boolean, run: () => void): void {
+    link.entry.post(
+      () => {
+        if (link.entry.incarnation === link.entryIncarnation) {
+          run();
+        }
+      },
+      { connection: link.name, isClose },
+    );
   }
 }
 
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -22,6 +22,11 @@
   readonly skewMs: number;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
+  /**
+   * Whether a submission is handled only after the process has polled for events
+   * once more, and dropped if its caller has disconnected by then.
+   */
+  readonly defersSubmissions: boolean;
   readonly isDisconnectedFromStore: () => boolean;
   /** Receives the kind of each action that the process carries out. */
   readonly onAction: (kind: string) => void;
@@ -60,7 +65,6 @@
   private _incarnation = '';
   private _incarnationNumber = 0;
   private _nextReplyId = 1;
-  private _isFlushScheduled = false;
   private _pausedAtMs: number | undefined;
 
   /** @param options - Names, store and receivers of actions. */
@@ -97,15 +101,22 @@
       return () => undefined;
     }
     this._pendingCalls.set(replyId, onReply);
-    this.post(() => {
-      this.dispatch(toEvent(replyId));
-    });
+    const connection = `call ${String(replyId)}`;
+    this.post(
+      () => {
+        this._receive(toEvent(replyId), replyId);
+      },
+      { connection, isClose: false },
+    );
     return () => {
-      this.post(() => {
-        if (this._pendingCalls.delete(replyId)) {
-          this.dispatch({ kind: 'caller-gone', replyId });
-        }
-      });
+      this.post(
+        () => {
+          if (this._pendingCalls.delete(replyId)) {
+            this.dispatch({ kind: 'caller-gone', replyId });
+          }
+        },
+        { connection, isClose: true },
+      );
     };
   }
 
@@ -121,13 +132,8 @@
         this._execute(action);
       }
     }
-    // Events at the same virtual time share one flush.
-    if (!this._isFlushScheduled && event.kind !== 'flush' && this.isAlive) {
-      this._isFlushScheduled = true;
-      this.schedule(0, () => {
-        this._isFlushScheduled = false;
-        this.dispatch({ kind: 'flush' });
-      });
+    if (event.kind !== 'flush') {
+      this.requestFlush();
     }
   }
 
@@ -158,11 +164,26 @@
   }
 
   protected boot(): void {
-    this._isFlushScheduled = false;
     this._beginIncarnation();
     this._tick();
   }
 
+  protected override flush(): void {
+    this.dispatch({ kind: 'flush' });
+  }
+
+  private _receive(event: BatchEvent, replyId: number): void {
+    if (event.kind !== 'submit' || !this._options.defersSubmissions) {
+      this.dispatch(event);
+      return;
+    }
+    this.runAfterNextPoll(() => {
+      if (this._pendingCalls.has(replyId)) {
+        this.dispatch(event);
+      }
+    });
+  }
+
   private _beginIncarnation(): void {
     const { name, dataCentre, random } = this._options;
     this._incarnationNumber += 1;
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -37,7 +37,6 @@
   private _driver!: WorkerDriver;
   private _incarnation = '';
   private _lastHeartbeat: WorkerHeartbeat | undefined;
-  private _isFlushScheduled = false;
   private _dueTickAtMs = Number.POSITIVE_INFINITY;
 
   /** @param options - Names, store, worker and receiver of reports. */
@@ -48,13 +47,13 @@
   }
 
   /**
-   * Receives a heartbeat of the worker. A paused process handles it on resume.
+   * Receives a heartbeat of the worker. A paused or busy process handles it later.
    *
    * @param worker - The heartbeat.
    * @returns Whether the heartbeat is acknowledged immediately.
    */
   heartbeat(worker: WorkerHeartbeat): boolean {
-    const isAcknowledged = this.isAlive && !this.isPaused;
+    const isAcknowledged = this.isAlive && !this.isPaused && !this.isBusy;
     this.post(() => {
       const previous = this._lastHeartbeat;
       this._lastHeartbeat = worker;
@@ -78,18 +77,17 @@
     for (const action of this._driver.handle(event, this.nowMs)) {
       this._execute(action);
     }
-    if (!this._isFlushScheduled && event.kind !== 'flush') {
-      this._isFlushScheduled = true;
-      this.schedule(0, () => {
-        this._isFlushScheduled = false;
-        this.dispatch({ kind: 'flush' });
-        this._scheduleDueTick();
-      });
+    if (event.kind !== 'flush') {
+      this.requestFlush();
     }
   }
 
+  protected override flush(): void {
+    this.dispatch({ kind: 'flush' });
+    this._scheduleDueTick();
+  }
+
   protected boot(): void {
-    this._isFlushScheduled = false;
     this._dueTickAtMs = Number.POSITIVE_INFINITY;
     this._incarnation = `${this.name}.${String(this.generation)}`;
     this._lastHeartbeat = undefined;
--- a/packages/standins/src/lib/sim/sim-process.ts
+++ b/packages/standins/src/lib/sim/sim-process.ts
@@ -1,14 +1,41 @@
 import type { EventQueue } from './event-queue.js';
 
-/** Simulated process that can be killed, paused and restarted. */
+/** What a callback to a process stands for, if it arrives on a connection. */
+export interface Arrival {
+  /** Unique name of the connection. */
+  readonly connection: string;
+  /** Whether it is the close of the connection rather than data. */
+  readonly isClose: boolean;
+}
+
+interface PendingCallback {
+  readonly run: () => void;
+  readonly arrival: Arrival | undefined;
+}
+
+/**
+ * Simulated process that can be killed, paused, slowed down and restarted. Like
+ * a process with an event loop, it handles callbacks that have waited in turns
+ * with a flush after each, and sees the close of a connection one turn after the
+ * data that came before it.
+ */
 export abstract class SimProcess {
   readonly name: string;
   protected readonly queue: EventQueue;
   private readonly _clockSkewMs: number;
   private _isAlive = true;
   private _isPaused = false;
-  private _pendingCallbacks: (() => void)[] = [];
+  private _pendingCallbacks: PendingCallback[] = [];
   private _generation = 1;
+  /** Duration of the slow turns that follow the current one. */
+  private _nextTurnsMs: readonly number[] = [];
+  /** Identifies the current turn, between its callbacks and its flush. */
+  private _turn: object | undefined;
+  private _isTurnOver = false;
+  private _isHandling = false;
+  private _isFlushRequested = false;
+  /** Callbacks that run after those of the next turn. */
+  private _afterNextPoll: (() => void)[] = [];
 
   /**
    * @param name - Unique name, which is also the address.
@@ -31,6 +58,11 @@
     return this._isPaused;
   }
 
+  /** Whether events that arrive now wait for the end of a slow turn. */
+  get isBusy(): boolean {
+    return this._turn !== undefined && !this._isHandling;
+  }
+
   /** Number of the current run, which increases with each restart. */
   get generation(): number {
     return this._generation;
@@ -42,15 +74,19 @@
   }
 
   /**
-   * Runs a callback in the process: immediately, or on {@link resume} while the
-   * process is paused. A callback for a killed process is dropped.
+   * Runs a callback in the process: immediately, on {@link resume} while the
+   * process is paused, or in the next turn while a slow turn lasts. A callback
+   * for a killed process is dropped.
+   *
+   * @param run - The callback.
+   * @param arrival - Connection on which it arrives, if any.
    */
-  post(run: () => void): void {
+  post(run: () => void, arrival?: Arrival): void {
     if (!this._isAlive) {
       return;
     }
-    if (this._isPaused) {
-      this._pendingCallbacks.push(run);
+    if (this._isPaused || this.isBusy) {
+      this._pendingCallbacks.push({ run, arrival });
     } else {
       run();
     }
@@ -61,6 +97,35 @@
     this._isAlive = false;
     this._isPaused = false;
     this._pendingCallbacks = [];
+    this._afterNextPoll = [];
+    this._nextTurnsMs = [];
+    this._turn = undefined;
+    this._isFlushRequested = false;
+  }
+
+  /**
+   * Makes the next turns last long, as those of a process that gets little
+   * processor time. The process is not told: its clock runs on. The callbacks of
+   * a turn run at its begin, and the flush at its end.
+   *
+   * @param turnsMs - Duration of each turn.
+   */
+  slowDown(turnsMs: readonly number[]): void {
+    if (!this._isAlive) {
+      return;
+    }
+    this._nextTurnsMs = [...this._nextTurnsMs, ...turnsMs];
+    if (!this._turn && !this._isPaused) {
+      this._beginTurn();
+    }
+  }
+
+  /** Ends the slow turns at once. */
+  speedUp(): void {
+    this._nextTurnsMs = [];
+    if (this._turn && !this._isPaused) {
+      this._endTurn();
+    }
   }
 
   /** Suspends the process until {@link resume}. */
@@ -74,11 +139,11 @@
       return;
     }
     this._isPaused = false;
-    const callbacks = this._pendingCallbacks;
-    this._pendingCallbacks = [];
-    callbacks.forEach((run) => {
-      this.post(run);
-    });
+    if (!this._turn) {
+      this._beginTurn();
+    } else if (this._isTurnOver) {
+      this._endTurn();
+    }
   }
 
   /** Starts the process again if it has ended. */
@@ -100,6 +165,119 @@
     });
   }
 
+  /** Runs a callback after the process has polled for events once more. */
+  protected runAfterNextPoll(run: () => void): void {
+    this._afterNextPoll.push(run);
+    if (!this._turn) {
+      this.schedule(0, () => {
+        this._runDeferred(this._takeDeferred());
+      });
+    }
+  }
+
+  /** Calls {@link flush} once at the end of this turn. */
+  protected requestFlush(): void {
+    if (!this._isAlive || this._isFlushRequested) {
+      return;
+    }
+    this._isFlushRequested = true;
+    // Events at the same virtual time share one flush, unless they have waited.
+    if (!this._turn) {
+      this.schedule(0, () => {
+        this._flushIfRequested();
+      });
+    }
+  }
+
   /** Creates the state of a new run. */
   protected abstract boot(): void;
+
+  /** Sends what has been gathered during a turn. */
+  protected flush(): void {
+    // A process without a gathered output has none to send.
+  }
+
+  private _beginTurn(): void {
+    const turn = {};
+    const generation = this._generation;
+    this._turn = turn;
+    this._isTurnOver = false;
+    const deferred = this._takeDeferred();
+    this._isHandling = true;
+    for (const { run } of this._takeReady()) {
+      if (this._isAlive) {
+        run();
+      }
+    }
+    this._runDeferred(deferred);
+    this._isHandling = false;
+    if (this._turn !== turn) {
+      return;
+    }
+    const [durationMs = 0, ...nextTurnsMs] = this._nextTurnsMs;
+    this._nextTurnsMs = nextTurnsMs;
+    if (durationMs === 0) {
+      this._endTurn();
+      return;
+    }
+    this.queue.after(durationMs, () => {
+      if (this._turn !== turn || this._generation !== generation) {
+        return;
+      }
+      this._isTurnOver = true;
+      if (!this._isPaused) {
+        this._endTurn();
+      }
+    });
+  }
+
+  private _endTurn(): void {
+    this._flushIfRequested();
+    if (!this._isAlive) {
+      return;
+    }
+    this._turn = undefined;
+    const isWorkLeft =
+      this._pendingCallbacks.length > 0 ||
+      this._afterNextPoll.length > 0 ||
+      this._nextTurnsMs.length > 0;
+    if (isWorkLeft) {
+      this._beginTurn();
+    }
+  }
+
+  /** Takes the callbacks of a turn; closes wait until data has been read. */
+  private _takeReady(): PendingCallback[] {
+    const pending = this._pendingCallbacks;
+    const withData = new Set(
+      pending
+        .filter(({ arrival }) => arrival?.isClose === false)
+        .map(({ arrival }) => arrival?.connection),
+    );
+    const isLater = ({ arrival }: PendingCallback): boolean =>
+      arrival?.isClose === true && withData.has(arrival.connection);
+    this._pendingCallbacks = pending.filter(isLater);
+    return pending.filter((callback) => !isLater(callback));
+  }
+
+  private _takeDeferred(): (() => void)[] {
+    const deferred = this._afterNextPoll;
+    this._afterNextPoll = [];
+    return deferred;
+  }
+
+  private _runDeferred(deferred: readonly (() => void)[]): void {
+    for (const run of deferred) {
+      if (this._isAlive) {
+        run();
+      }
+    }
+  }
+
+  private _flushIfRequested(): void {
+    if (this._isFlushRequested) {
+      this._isFlushRequested = false;
+      this.flush();
+    }
+  }
 }
