Show runs of volatile jobs that outlast the wait of their callers

Callers send a volatile job again 1.3 s after a broken connection. The bounds of entry (grant of 700 ms, counted from a flush), worker driver (400 ms until it stops to renew the lease) and worker (lease of 1 s) add up to 2.4 s, and a restarted driver keeps runs without an owner for 1.5 s.

The fuzzer had no volatile job whose runs last longer than 1.5 s, so runs ended by themselves before their job was resent; job 10 lasts for 3 s.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -135,6 +135,11 @@
  * of them is volatile, the second is recorded.
  */
 export const DEADLY_JOBS = [JOB_COUNT, JOB_COUNT + 1] as const;
+/**
+ * A volatile job whose runs last longer than its callers wait before they send
+ * it again.
+ */
+export const LONG_VOLATILE_JOB = JOB_COUNT + DEADLY_JOBS.length;
 const MAX_STEPS = 24;
 const MAX_GAP_MS = 1500;
 const MIN_SLOW_TURN_MS = 100;
@@ -188,8 +193,7 @@
     },
   );
 
-const jobIndex = (): fc.Arbitrary<number> =>
-  fc.nat(JOB_COUNT + DEADLY_JOBS.length - 1);
+const jobIndex = (): fc.Arbitrary<number> => fc.nat(LONG_VOLATILE_JOB);
 
 const submitCommands = (): fc.Arbitrary<FleetCommand> =>
   fc.record({
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -2,7 +2,7 @@
 import type { BatchContent, JobStepContent } from '@sapphiremux/core';
 import type { NetworkFault } from '../sim/network.js';
 import type { Violation } from '../sim/oracle.js';
-import { JOB_COUNT } from './fleet-commands.js';
+import { DEADLY_JOBS, JOB_COUNT, LONG_VOLATILE_JOB } from './fleet-commands.js';
 import type { FleetCommand, FleetScenario } from './fleet-commands.js';
 import { FleetWorld } from './fleet-world.js';
 import type { FleetWorldOptions } from './fleet-world.js';
@@ -316,13 +316,18 @@
 const LONG_RUN_MS = 2000;
 /** The longest run exceeds the time within which a cancelled job must stop. */
 const RUN_MS = [80, 400, 1500, 3600];
+const LONG_VOLATILE_RUN_MS = 3000;
 
 /**
  * Returns the content of a job: every third is volatile, every second has two
- * steps, and those after the first {@link JOB_COUNT} are deadly.
+ * steps, and the {@link DEADLY_JOBS} are deadly. {@link LONG_VOLATILE_JOB} is
+ * volatile and has one step.
  */
 const jobContent = (job: number): Omit<BatchContent, 'service'> => {
-  const runMs = RUN_MS[job % RUN_MS.length] ?? 0;
+  const isLongVolatile = job === LONG_VOLATILE_JOB;
+  const runMs = isLongVolatile
+    ? LONG_VOLATILE_RUN_MS
+    : (RUN_MS[job % RUN_MS.length] ?? 0);
   const step: JobStepContent = {
     count: runMs > LONG_RUN_MS ? 2 : 1 + (job % JOB_COUNT),
     needs: { cpuMilli: 1600, memoryMb: 64, accelerators: 0 },
@@ -332,10 +337,13 @@
   };
   return {
     queue: 'q',
-    spec: encodeSpec(runMs, job >= JOB_COUNT),
+    spec: encodeSpec(
+      runMs,
+      DEADLY_JOBS.some((deadly) => deadly === job),
+    ),
     steps: job % 2 === 0 ? [step] : [step, { ...step, count: 2, after: [0] }],
     attempts: 2,
-    isVolatile: job % 3 === 2,
+    isVolatile: isLongVolatile || job % 3 === 2,
     priority: 0,
     stretch: 1.6,
     slackMs: 60,
