Count the grant of runs from the begin of the turn, not from its flush

A busy entry handled events, took half a second until the flush of the same turn, and extended its runs by 700 ms from the time of that flush, although the connection of their caller had been reset meanwhile. It saw the close one poll later, and its stop waited for the next slow flush. The caller sent the job again after 1.3 s while the runs were still going on (rule TWICE).

The grant now counts from the first event since the last flush: what the entry knows of its callers is not newer than that.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -123,6 +123,11 @@
   private readonly _submissions = new Map<string, Submission>();
   private _actions: BatchAction[] = [];
   private _nowMs: number;
+  /**
+   * Time of the first event since the last flush. The close of a caller's
+   * connection that came later may not have been noticed yet.
+   */
+  private _turnBeganAtMs: number | undefined;
   private _recordedJobCount = 0;
   private _isRetired = false;
   private _stoppingSinceMs: number | undefined;
@@ -371,9 +376,13 @@
    */
   handle(event: BatchEvent, now: number): BatchAction[] {
     this._nowMs = now;
+    this._turnBeganAtMs ??= now;
     if (!this._isRetired) {
       this._handle(event, now);
     }
+    if (event.kind === 'flush') {
+      this._turnBeganAtMs = undefined;
+    }
     const actions = this._actions;
     this._actions = [];
     return actions;
@@ -957,7 +966,9 @@
     }
     this._fleet.sendOrders(
       {
-        grants: this._mayPlaceRuns,
+        grantsFromMs: this._mayPlaceRuns
+          ? (this._turnBeganAtMs ?? now)
+          : undefined,
         operatorVersion: this._lease.operatorVersion,
         isOutOfService: (dataCentre) => this.routes.isOutOfService(dataCentre),
       },
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -16,8 +16,11 @@
 
 /** Values that all orders of a flush carry. */
 export interface CommonOrder {
-  /** Whether orders extend the time until which runs may continue. */
-  readonly grants: boolean;
+  /**
+   * Time from which the orders extend the time until which runs may continue;
+   * absent if they don't.
+   */
+  readonly grantsFromMs: number | undefined;
   /** Version of the operators' table. */
   readonly operatorVersion: number;
   /** Whether that table has a data centre out of service. */
@@ -332,7 +335,9 @@
     order.entry = this._options.name;
     order.incarnation = this._options.incarnation;
     order.life = view.hello?.life ?? '';
-    order.holdUntilMs = common.grants ? view.extendGrant(now) : 0;
+    const { grantsFromMs } = common;
+    order.holdUntilMs =
+      grantsFromMs === undefined ? 0 : view.extendGrant(grantsFromMs, now);
     order.operatorVersion = common.operatorVersion;
     order.out = common.isOutOfService(
       view.hello?.dataCentre ?? view.dataCentre,
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -289,18 +289,20 @@
   /**
    * Extends the time until which runs may continue.
    *
+   * @param fromMs - Time from which the extension counts. Earlier than `now` if
+   *   the host has been busy since, because callers may have disconnected.
    * @param now - Current time in milliseconds.
    * @returns New end of that time on the worker's clock; 0 without a clock
    *   reading or without a recent report.
    */
-  extendGrant(now: number): number {
+  extendGrant(fromMs: number, now: number): number {
     if (
       this._clock.lastReadingMs === undefined ||
       now - this.lastReportAtMs > MAX_REPORT_AGE_MS
     ) {
       return 0;
     }
-    const untilMs = this._clock.lowerBound(now) + RUN_GRANT_MS;
+    const untilMs = this._clock.lowerBound(fromMs) + RUN_GRANT_MS;
     this._grantedUntilMs = Math.max(this._grantedUntilMs, untilMs);
     return untilMs;
   }
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -113,7 +113,7 @@
   send(now: number): number {
     const before = this.actions.length;
     this.fleet.sendOrders(
-      { grants: true, operatorVersion: 1, isOutOfService: () => false },
+      { grantsFromMs: now, operatorVersion: 1, isOutOfService: () => false },
       now,
     );
     return this.actions
