--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -2,7 +2,7 @@
 import type { BatchContent, JobStepContent } from '@sapphiremux/core';
 import type { NetworkFault } from '../sim/network.js';
 import type { Violation } from '../sim/oracle.js';
-import { JOB_COUNT } from './fleet-commands.js';
+import { DEADLY_JOBS, JOB_COUNT, LONG_VOLATILE_JOB } from './fleet-commands.js';
 import type { FleetCommand, FleetScenario } from './fleet-commands.js';
 import { FleetWorld } from './fleet-world.js';
 import type { FleetWorldOptions } from './fleet-world.js';
@@ -26,15 +26,14 @@
  * every accepted job ends. Runs of the same scenario are identical.
  *
  * @param scenario - Seed and commands.
- * @param onLog - Receives the log lines of the entries.
+ * @param options - Further options of the simulated fleet.
  * @returns The rules that were broken.
  */
 export const runFleetScenario = (
   scenario: FleetScenario,
-  onLog?: FleetWorldOptions['onLog'],
+  options: Omit<FleetWorldOptions, 'seed' | 'size'> = {},
 ): readonly Violation[] => {
-  const { seed } = scenario;
-  const world = new FleetWorld(onLog ? { seed, onLog } : { seed });
+  const world = new FleetWorld({ ...options, seed: scenario.seed });
   const { queue } = world;
   world.configure('levy');
   queue.runUntil(STARTUP_MS);
@@ -64,8 +63,24 @@
         entryOf(world, command.entry),
         jobId(command.job),
         jobContent(command.job),
+        command.resend && {
+          ...command.resend,
+          to: entryOf(world, command.resend.to),
+        },
       );
       return;
+    case 'reset-callers': {
+      const entry = entryOf(world, command.entry);
+      world.oracle.onFault(entry.name, false);
+      world.resetCallers(entry, command.isPartial);
+      return;
+    }
+    case 'slow-entry':
+      slowDown(world, entryOf(world, command.entry), command.turnsMs);
+      return;
+    case 'slow-driver':
+      slowDown(world, driverOf(world, command.worker), command.turnsMs);
+      return;
     case 'status':
     case 'cancel':
       world.sendJobRequest(
@@ -133,6 +148,15 @@
   }
 };
 
+const slowDown = (
+  world: FleetWorld,
+  process: SimBatchEntry | SimDriver,
+  turnsMs: readonly number[],
+): void => {
+  world.oracle.onFault(process.name, false);
+  process.slowDown(turnsMs);
+};
+
 const injectEntryFault = (
   world: FleetWorld,
   kind:
@@ -292,13 +316,18 @@
 const LONG_RUN_MS = 2000;
 /** The longest run exceeds the time within which a cancelled job must stop. */
 const RUN_MS = [80, 400, 1500, 3600];
+const LONG_VOLATILE_RUN_MS = 3000;
 
 /**
  * Returns the content of a job: every third is volatile, every second has two
- * steps, and those after the first {@link JOB_COUNT} are deadly.
+ * steps, and the {@link DEADLY_JOBS} are deadly. {@link LONG_VOLATILE_JOB} is
+ * volatile and has one step.
  */
 const jobContent = (job: number): Omit<BatchContent, 'service'> => {
-  const runMs = RUN_MS[job % RUN_MS.length] ?? 0;
+  const isLongVolatile = job === LONG_VOLATILE_JOB;
+  const runMs = isLongVolatile
+    ? LONG_VOLATILE_RUN_MS
+    : (RUN_MS[job % RUN_MS.length] ?? 0);
   const step: JobStepContent = {
     count: runMs > LONG_RUN_MS ? 2 : 1 + (job % JOB_COUNT),
     needs: { cpuMilli: 1600, memoryMb: 64, accelerators: 0 },
@@ -308,10 +337,13 @@
   };
   return {
     queue: 'q',
-    spec: encodeSpec(runMs, job >= JOB_COUNT),
+    spec: encodeSpec(
+      runMs,
+      DEADLY_JOBS.some((deadly) => deadly === job),
+    ),
     steps: job % 2 === 0 ? [step] : [step, { ...step, count: 2, after: [0] }],
     attempts: 2,
-    isVolatile: job % 3 === 2,
+    isVolatile: isLongVolatile || job % 3 === 2,
     priority: 0,
     stretch: 1.6,
     slackMs: 60,
