Make each write of progress conditional on the progress row

Trace: the store is slow, so a write of progress (1 task done) has to be repeated and is recorded after 1,111 ms; the next one (2 done) is recorded 94 ms later and its end is acknowledged. 0.3 s later another entry fences the owner, and the next owner reads 1 task as done and starts the other one again.

Cause: an attempt of the first write that had been given up for lost took effect after the second write. Its conditions, the owner row and the job row, still held, so it reverted the progress.

A write of progress now has the version of the progress row as a condition, which the owner knows from its last write or from the takeover. A late attempt of its own is recognized by the read-back, as with all other writes; any other late attempt conflicts. The other writes of a job change the job row that they have as a condition, so they can't be reverted this way.

The new test failed before (the late attempt was committed) and passes.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -524,7 +524,12 @@
         case 'committed':
           this._addJob(
             new BatchJob({ id, content, epoch: 0, acceptedAtMs: at }),
-            { id, version: outcome.version, hasProgressRow: false },
+            {
+              id,
+              version: outcome.version,
+              hasProgressRow: false,
+              progressVersion: 0,
+            },
           );
           this._log('job accepted', {
             job: id,
--- a/packages/core/src/lib/process/entry-takeover.ts
+++ b/packages/core/src/lib/process/entry-takeover.ts
@@ -227,6 +227,7 @@
           id,
           version: found.version,
           hasProgressRow: saved !== undefined,
+          progressVersion: saved?.version ?? 0,
         },
         row: {
           ...row,
--- a/packages/core/src/lib/process/job-recorder.ts
+++ b/packages/core/src/lib/process/job-recorder.ts
@@ -33,6 +33,8 @@
   /** Version of the job's row. */
   version: number;
   hasProgressRow: boolean;
+  /** Version of the progress row; 0 until it is written. */
+  progressVersion: number;
 }
 
 /**
@@ -166,7 +168,9 @@
   }
 
   /**
-   * Records the progress of an unfinished job.
+   * Records the progress of an unfinished job. Called again only when the last
+   * write has ended. The progress row is a condition as well, so that an earlier
+   * attempt that takes effect late does not revert a later write.
    *
    * @param job - The job.
    * @param progress - All run ends so far.
@@ -186,10 +190,18 @@
       dueMs: now + BATCH_DELAY_MS,
       part: partOf(job.id),
       write: {
-        conditions: [{ key: fleetKeys.job(job.id), version: job.version }],
+        conditions: [
+          { key: fleetKeys.job(job.id), version: job.version },
+          { key, version: job.progressVersion },
+        ],
         writes: [{ key, value }],
         readBackKey: key,
-        onDone,
+        onDone: (outcome, at) => {
+          if (outcome.kind === 'committed') {
+            job.progressVersion = outcome.version;
+          }
+          onDone(outcome, at);
+        },
       },
     });
   }
--- a/packages/core/src/lib/process/volatile-admission.ts
+++ b/packages/core/src/lib/process/volatile-admission.ts
@@ -94,7 +94,7 @@
     }
     const ownedJob = this._options.add(
       new BatchJob({ id, content, epoch: 0, acceptedAtMs: now }),
-      { id, version: 0, hasProgressRow: false },
+      { id, version: 0, hasProgressRow: false, progressVersion: 0 },
       deadlineMs - REPLY_MARGIN_MS,
     );
     ownedJob.endReplies.push(replyId);
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -4,6 +4,7 @@
 import { partName, partOf } from '../lib/process/fleet-rows.js';
 import { BatchState } from '../lib/request/batch-job.js';
 import { ZERO_ROOM } from '../lib/request/room.js';
+import type { StoreRequest } from '../lib/store.js';
 import {
   CAPACITY,
   CONTENT,
@@ -373,6 +374,32 @@
   expect(next.started).toEqual([`${ID}.0.0.0#10001`, `${ID}.0.0.1#10001`]);
 });
 
+// Guards against a task that starts again after its end was acknowledged, because
+// a lost attempt of an earlier write took effect late and reverted the progress.
+it('an earlier write of progress that takes effect late changes nothing', () => {
+  const rows = new FakeRows();
+  const requests: { part: string; req: StoreRequest }[] = [];
+  const answer = rows.answer.bind(rows);
+  rows.answer = (part, req) => {
+    requests.push({ part, req });
+    return answer(part, req);
+  };
+  const harness = withWorker(rows);
+  const steps = CONTENT.steps.map((step) => ({ ...step, count: 3 }));
+  harness.submit(1, { isVolatile: false, steps });
+  harness.report('w1', { ends: [done(`${ID}.0.0.0`)] });
+  harness.advance(650);
+  const first = requests.at(-1);
+  harness.report('w1', { ends: [done(`${ID}.0.0.1`, 1, 2)] });
+  harness.advance(650);
+  const progress = (): string | undefined =>
+    [...rows.rows].find(([key]) => key.includes('progress/'))?.[1].value;
+  const before = progress();
+  expect(before?.includes('"done":[0,1]')).toEqual(true);
+  expect(first && answer(first.part, first.req).kind).toEqual('conflict');
+  expect(progress()).toEqual(before);
+});
+
 it('an entry whose owner row is gone retires', () => {
   const harness = withWorker();
   harness.rows.rows.delete(`${partName(partOf(ID))}|owner/e1`);
