Renew a worker's lease only as far as its entries have extended their runs

Callers send a volatile job again 1.3 s after their connection has broken. The runs of an entry that went silent could go on for up to 2.4 s: 700 ms of grant, 400 ms until the driver stopped to renew the lease, and a lease of 1 s. That much was used when the stop was not answered, or when the driver was busy at the time. A restarted driver renewed the lease of runs without an owner for 1.5 s.

The driver now requests no lease beyond the earliest limit of its entries plus 400 ms, and none while a run has no owner. A lease that was requested before such a fault ends after 1 s at the latest.

Core tests, the fleet fuzzer and the tests with the real processes pass.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -303,6 +303,24 @@
     );
   }
 
+  /**
+   * Latest end of the lease, on the worker's clock, at which the runs of an entry
+   * that goes silent end in time even if this process is busy or the worker does
+   * not confirm their stop. Runs without an owner may belong to an entry that is
+   * gone, so the lease is not renewed until they are claimed or have ended.
+   */
+  private get _leaseLimitMs(): number {
+    let limitMs = Number.POSITIVE_INFINITY;
+    for (const owner of this._runs.owners) {
+      const expiryMs = this._ownerExpiryMs.get(owner);
+      limitMs = Math.min(
+        limitMs,
+        expiryMs === undefined ? 0 : expiryMs + EXPIRY_GRACE_MS,
+      );
+    }
+    return limitMs;
+  }
+
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
     const known = this._worker;
     const isEarlier =
@@ -581,12 +599,11 @@
   }
 
   private _sendStart(tracked: TrackedRun, now: number): void {
-    const expiryMs = this._ownerExpiryMs.get(tracked.owner) ?? 0;
     // A delayed start must not begin after its owner may have abandoned the
     // run.
     const untilMs = Math.min(
       this._clock.lowerBound(now) + this._options.maxLeaseMs,
-      expiryMs + EXPIRY_GRACE_MS,
+      this._leaseLimitMs,
     );
     tracked.starts += 1;
     this._call({
@@ -669,13 +686,20 @@
       }
     }
     const clockMs = this._clock.lastReadingMs;
+    const limitMs = this._leaseLimitMs;
     const renews =
       clockMs !== undefined &&
       now - this._clock.lastReadingAtMs < RENEWAL_MAX_READING_AGE_MS &&
       !this._leaseSuspended &&
+      this._clock.lowerBound(now) < limitMs &&
       !this._awaitLeaseExpiry(now);
     const untilMs = renews
-      ? Math.floor(this._clock.lowerBound(now) + this._options.maxLeaseMs)
+      ? Math.floor(
+          Math.min(
+            this._clock.lowerBound(now) + this._options.maxLeaseMs,
+            limitMs,
+          ),
+        )
       : undefined;
     this._pollCount += 1;
     this._lastPollAtMs = now;
