Don't renew the lease of inherited runs before they are claimed

What callers saw: a volatile job whose entry had gone ran on for up to 1,630 ms after a restart of the worker driver, plus the time for which the driver was down. Its caller submits it again after 1,300 ms, and the task then runs twice at the same time (TWICE).

Cause: the second poll of the new driver process renewed the lease of the whole worker, also for runs without an owner. These were stopped only after the claim grace of 1,500 ms.

Fix: runs in the first reply of a worker incarnation are inherited. Until all of them are claimed, polls and start calls don't renew the lease, so that they end with the lease of the earlier driver process, at most 1 s after its last poll. The end of that lease is not known, so the driver assumes the latest one. The claim grace is 1,000 ms, the longest lease. A run that turns up in a later reply is a start that was carried out after its refusal. It can't be claimed any more and is stopped at once; it costs the other runs their lease only if its stop is not confirmed within the 400 ms that expired runs have, as before.

Cost: runs of other entries end with an unclaimed one if it isn't claimed before the lease expires; the worker starts nothing in that time.

--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -25,6 +25,8 @@
   readonly isVolatile: boolean;
   /** Incarnation of the entry that owns the run; empty while unknown. */
   readonly owner: string;
+  /** Whether an earlier worker driver process has started it. */
+  readonly isInherited: boolean;
   phase: RunPhase;
   /** Start calls sent so far. */
   starts: number;
@@ -68,6 +70,7 @@
   checkpoint: '',
   needs: ZERO_ROOM,
   isVolatile: false,
+  isInherited: false,
   starts: 0,
   undeliveredStarts: 0,
   percent: 0,
@@ -102,6 +105,14 @@
     return this._countByOwner.has('');
   }
 
+  /** Whether an inherited run has not been claimed by an entry. */
+  get hasUnclaimed(): boolean {
+    return (
+      this.hasUnowned &&
+      this.values().some((run) => run.owner === '' && run.isInherited)
+    );
+  }
+
   /** Incarnations that own a run; the empty one stands for an unknown owner. */
   get owners(): Iterable<string> {
     return this._countByOwner.keys();
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -92,8 +92,11 @@
 const MAX_REPORT_INTERVAL_MS = 250;
 /** Time that an entry has to open a new link before its runs expire. */
 const RECONNECT_GRACE_MS = 450;
-/** Time that an entry has to claim a run without an owner. */
-const CLAIM_GRACE_MS = 1500;
+/**
+ * Time that an entry has to claim a run of an earlier driver process. The lease
+ * of that process has expired by then.
+ */
+const CLAIM_GRACE_MS = 1000;
 /** Ends that stay unrecorded are reported to all entries at this interval. */
 const UNRECORDED_REPORT_INTERVAL_MS = 2000;
 /** Increment of the fencing token when the worker has seen a higher one. */
@@ -115,6 +118,10 @@
 /** Longest time that a planned stop waits for runs to end. */
 const DRAIN_TIMEOUT_MS = 4500;
 
+/** Only runs of an earlier driver process can be claimed. */
+const claimGraceMs = (run: TrackedRun): number =>
+  run.isInherited ? CLAIM_GRACE_MS : 0;
+
 /** Why an incarnation of the worker is gone, as logged. */
 enum GoneReason {
   Left = 'left',
@@ -326,8 +333,13 @@
     );
   }
 
+  /** A start call renews the lease, which unclaimed runs must not share. */
   private get _mayBegin(): boolean {
-    return this._isAccepting && !this._dataCentreState.isOutOfService;
+    return (
+      this._isAccepting &&
+      !this._dataCentreState.isOutOfService &&
+      !this._runs.hasUnclaimed
+    );
   }
 
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
@@ -721,6 +733,7 @@
       clockMs !== undefined &&
       now - this._clock.lastReadingAtMs < RENEWAL_MAX_READING_AGE_MS &&
       !this._leaseSuspended &&
+      !this._runs.hasUnclaimed &&
       !this._awaitLeaseExpiry(now);
     const untilMs = renews
       ? Math.floor(this._clock.lowerBound(now) + this._options.maxLeaseMs)
@@ -824,12 +837,16 @@
       this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
       this._links.markAllDirty();
     }
-    if (this._clock.lastReadingMs === undefined) {
+    const isFirst = this._clock.lastReadingMs === undefined;
+    if (isFirst) {
+      // An earlier driver process may have renewed the lease just before.
+      this._leaseEndMs = reply.clockMs + this._options.maxLeaseMs;
       this._links.markAllDirty();
     }
     this._clock.observe(reply.clockMs, now);
     this._handleListedEnds(reply.ends, now);
-    this._handleActiveRuns(reply.active, pending.pollNumber, now);
+    this._addUnknownRuns(reply.active, isFirst, now);
+    this._handleActiveRuns(reply.active, pending.pollNumber);
     this._stopExpiredRuns(reply.clockMs, now);
   }
 
@@ -893,37 +910,54 @@
     }
   }
 
-  private _handleActiveRuns(
+  /**
+   * Tracks the active runs that this process does not know. Those in the first
+   * reply of the worker are inherited from an earlier driver process and wait
+   * for a claim. Later ones are starts that were carried out after this process
+   * had refused them; they are stopped.
+   */
+  private _addUnknownRuns(
     active: readonly ListedRun[],
-    pollNumber: number,
+    isInherited: boolean,
     now: number,
   ): void {
-    const seen = new Set<string>();
     for (const listed of active) {
-      const key = runKey(listed);
-      seen.add(key);
-      const tracked = this._runs.get(listed);
-      if (tracked) {
-        tracked.percent = listed.percent;
-        tracked.latestCheckpoint = listed.checkpoint;
+      if (this._runs.get(listed)) {
         continue;
       }
       this._log('run found at the worker', {
         task: listed.task,
         run: listed.run,
+        inherited: isInherited,
       });
-      this._runs.add(
-        trackedRun(listed, {
-          checkpoint: listed.checkpoint,
-          owner: '',
-          phase: RunPhase.Active,
-          starts: 1,
-          percent: listed.percent,
-          latestCheckpoint: listed.checkpoint,
-          sinceMs: now,
-        }),
-      );
+      const found = trackedRun(listed, {
+        checkpoint: listed.checkpoint,
+        owner: '',
+        phase: RunPhase.Active,
+        starts: 1,
+        isInherited,
+        sinceMs: now,
+      });
+      this._runs.add(found);
       this._links.requestSnapshots();
+      if (!isInherited) {
+        this._sendStop(found);
+      }
+    }
+  }
+
+  private _handleActiveRuns(
+    active: readonly ListedRun[],
+    pollNumber: number,
+  ): void {
+    const seen = new Set<string>();
+    for (const listed of active) {
+      seen.add(runKey(listed));
+      const tracked = this._runs.get(listed);
+      if (tracked) {
+        tracked.percent = listed.percent;
+        tracked.latestCheckpoint = listed.checkpoint;
+      }
     }
     for (const tracked of [...this._runs.stopped]) {
       const { stoppedAtPoll } = tracked;
@@ -948,7 +982,7 @@
     for (const tracked of expired) {
       const untilMs =
         tracked.owner === ''
-          ? clockMs - (now - tracked.sinceMs) + CLAIM_GRACE_MS
+          ? clockMs - (now - tracked.sinceMs) + claimGraceMs(tracked)
           : (this._ownerExpiryMs.get(tracked.owner) ?? 0);
       if (clockMs <= untilMs) {
         continue;
--- a/packages/core/src/test/orphan-bounds.red.ts
+++ b/packages/core/src/test/orphan-bounds.red.ts
@@ -7,11 +7,6 @@
   expect(longestMs(loss, ignoredStops)).toBeBetween(0, RESUBMIT_MS);
 };
 
-// A driver that was restarted waits for a claim for longer than callers wait.
-it('a run that nobody claims ends before it is repeated', () => {
-  expectInTime(Loss.Unclaimed, 0);
-});
-
 // The lease is renewed until the run is overdue, and then has to expire.
 it('a run that ignores stops ends before it is repeated: entry killed', () => {
   expectInTime(Loss.LinkClosed, NEVER);
--- a/packages/core/src/test/orphan-bounds.test.ts
+++ b/packages/core/src/test/orphan-bounds.test.ts
@@ -16,3 +16,8 @@
     expect(longestMs(Loss.Silence, ignoredStops) < RESUBMIT_MS).toEqual(true);
   });
 }
+
+// A driver that was restarted waits for a claim for longer than callers wait.
+it('a run that nobody claims ends before it is repeated', () => {
+  expect(longestMs(Loss.Unclaimed, 0)).toBeBetween(0, RESUBMIT_MS);
+});
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -391,6 +391,56 @@
   expect(harness.reports.at(-1)?.free?.cpuMilli).toEqual(2400);
 });
 
+const leaseEndOfNextPoll = (harness: DriverHarness): number | undefined => {
+  harness.advance(10);
+  const poll = harness.calls.find(({ call }) => call.kind === 'hold')?.call;
+  harness.answerPoll();
+  return poll?.kind === 'hold' ? poll.untilMs : undefined;
+};
+
+// Guards against runs of an earlier driver process that went on for 1.6 s while
+// no entry claimed them, after their callers had submitted the jobs again.
+it('the lease of inherited runs is renewed only after they are claimed', () => {
+  const harness = new DriverHarness();
+  const run = { task: 'j.0.0.0', run: 1, checkpoint: '', percent: 100 };
+  harness.active = [run];
+  harness.announce();
+  harness.openLink();
+  expect(leaseEndOfNextPoll(harness)).toEqual(undefined);
+  expect(leaseEndOfNextPoll(harness)).toEqual(undefined);
+  harness.order({ holdUntilMs: 5700, claims: starts('j.0.0.0') });
+  expect(leaseEndOfNextPoll(harness) !== undefined).toEqual(true);
+});
+
+// Guards against a start call that renews the lease of runs without an owner.
+it('no run begins beside inherited runs that are not claimed', () => {
+  const harness = new DriverHarness();
+  harness.active = [{ task: 'j.0.0.0', run: 1, checkpoint: '', percent: 100 }];
+  harness.announce();
+  harness.openLink();
+  const withoutNeeds = starts('j.0.0.1').map((group) => ({
+    ...group,
+    needs: undefined,
+  }));
+  harness.order({ holdUntilMs: 5700, starts: withoutNeeds });
+  expect(harness.count('start')).toEqual(0);
+});
+
+// Guards against a lease that expires for all runs because of one that nobody
+// can claim, and against such a run going on for the time of a claim.
+it('a start that is carried out after its refusal is stopped at once', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  harness.answer('start');
+  harness.active = ['j.0.0.0', 'j.0.0.1'].map((task) => ({
+    ...{ task, run: 1, checkpoint: '', percent: 100 },
+  }));
+  harness.answerPoll();
+  const { call } = harness.takeCall('stop');
+  expect(call.kind === 'stop' && call.task).toEqual('j.0.0.1');
+  expect(leaseEndOfNextPoll(harness) !== undefined).toEqual(true);
+});
+
 const doneEnd = (task: string, number: number): ListedEnd => ({
   number,
   task,
