--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -101,8 +101,11 @@
 const MAX_REPORT_INTERVAL_MS = 250;
 /** Time that an entry has to open a new link before its runs expire. */
 const RECONNECT_GRACE_MS = 450;
-/** Time that an entry has to claim a run without an owner. */
-const CLAIM_GRACE_MS = 1500;
+/**
+ * Time that an entry has to claim a run of an earlier driver process. The lease
+ * of that process has expired by then.
+ */
+const CLAIM_GRACE_MS = 1000;
 /** Ends that stay unrecorded are reported to all entries at this interval. */
 const UNRECORDED_REPORT_INTERVAL_MS = 2000;
 /** Increment of the fencing token when the worker has seen a higher one. */
@@ -124,6 +127,10 @@
 /** Longest time that a planned stop waits for runs to end. */
 const DRAIN_TIMEOUT_MS = 4500;
 
+/** Only runs of an earlier driver process can be claimed. */
+const claimGraceMs = (run: TrackedRun): number =>
+  run.isInherited ? CLAIM_GRACE_MS : 0;
+
 /** Why an incarnation of the worker is gone, as logged. */
 enum GoneReason {
   Left = 'left',
@@ -337,24 +344,27 @@
     );
   }
 
+  /** A start call renews the lease, which unclaimed runs must not share. */
   private get _mayBegin(): boolean {
-    return this._isAccepting && !this._dataCentreState.isOutOfService;
+    return (
+      this._isAccepting &&
+      !this._dataCentreState.isOutOfService &&
+      !this._runs.hasUnclaimed
+    );
   }
 
   /**
    * Latest end of the lease, on the worker's clock, at which the runs of an entry
    * that goes silent end in time even if this process is busy or the worker does
-   * not confirm their stop. Runs without an owner may belong to an entry that is
-   * gone, so the lease is not renewed until they are claimed or have ended.
+   * not confirm their stop.
    */
   private get _leaseLimitMs(): number {
     let limitMs = Number.POSITIVE_INFINITY;
     for (const owner of this._runs.owners) {
-      const expiryMs = this._ownerExpiryMs.get(owner);
-      limitMs = Math.min(
-        limitMs,
-        expiryMs === undefined ? 0 : expiryMs + EXPIRY_GRACE_MS,
-      );
+      if (owner !== '') {
+        const expiryMs = this._ownerExpiryMs.get(owner) ?? 0;
+        limitMs = Math.min(limitMs, expiryMs + EXPIRY_GRACE_MS);
+      }
     }
     return limitMs;
   }
@@ -675,6 +685,9 @@
     owner: string,
     now: number,
   ): void {
+    if (this._starts.isStale({ task, run }, owner)) {
+      return;
+    }
     let tracked = this._runs.get({ task, run });
     if (this._starts.remove({ task, run }) && !tracked) {
       return;
@@ -746,6 +759,7 @@
       clockMs !== undefined &&
       now - this._clock.lastReadingAtMs < RENEWAL_MAX_READING_AGE_MS &&
       !this._leaseSuspended &&
+      !this._runs.hasUnclaimed &&
       this._clock.lowerBound(now) < limitMs &&
       !this._awaitLeaseExpiry(now);
     const untilMs = renews
@@ -855,13 +869,17 @@
       this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
       this._links.markAllDirty();
     }
-    if (this._clock.lastReadingMs === undefined) {
+    const isFirst = this._clock.lastReadingMs === undefined;
+    if (isFirst) {
+      // An earlier driver process may have renewed the lease just before.
+      this._leaseEndMs = reply.clockMs + this._options.maxLeaseMs;
       this._links.markAllDirty();
     }
     this._clock.observe(reply.clockMs, now);
     this._crashTime.onAnswer(now);
     this._handleListedEnds(reply.ends, now);
-    this._handleActiveRuns(reply.active, pending.pollNumber, now);
+    this._addUnknownRuns(reply.active, isFirst, now);
+    this._handleActiveRuns(reply.active, pending.pollNumber);
     this._stopExpiredRuns(reply.clockMs, now);
   }
 
@@ -938,39 +956,56 @@
     }
   }
 
+  /**
+   * Tracks the active runs that this process does not know. Those in the first
+   * reply of the worker are inherited from an earlier driver process and wait
+   * for a claim. Later ones are starts that were carried out after this process
+   * had refused them; they are stopped.
+   */
+  private _addUnknownRuns(
+    active: readonly ListedRun[],
+    isInherited: boolean,
+    now: number,
+  ): void {
+    for (const listed of active) {
+      if (this._runs.get(listed)) {
+        continue;
+      }
+      this._log('run found at the worker', {
+        task: listed.task,
+        run: listed.run,
+        inherited: isInherited,
+      });
+      const found = trackedRun(listed, {
+        checkpoint: listed.checkpoint,
+        owner: '',
+        phase: RunPhase.Active,
+        starts: 1,
+        hasBegun: true,
+        isInherited,
+        sinceMs: now,
+      });
+      this._runs.add(found);
+      this._links.requestSnapshots();
+      if (!isInherited) {
+        this._sendStop(found);
+      }
+    }
+  }
+
   private _handleActiveRuns(
     active: readonly ListedRun[],
     pollNumber: number,
-    now: number,
   ): void {
     const seen = new Set<string>();
     for (const listed of active) {
-      const key = runKey(listed);
-      seen.add(key);
+      seen.add(runKey(listed));
       const tracked = this._runs.get(listed);
       if (tracked) {
         tracked.hasBegun = true;
         tracked.percent = listed.percent;
         tracked.latestCheckpoint = listed.checkpoint;
-        continue;
       }
-      this._log('run found at the worker', {
-        task: listed.task,
-        run: listed.run,
-      });
-      this._runs.add(
-        trackedRun(listed, {
-          checkpoint: listed.checkpoint,
-          owner: '',
-          phase: RunPhase.Active,
-          starts: 1,
-          hasBegun: true,
-          percent: listed.percent,
-          latestCheckpoint: listed.checkpoint,
-          sinceMs: now,
-        }),
-      );
-      this._links.requestSnapshots();
     }
     for (const tracked of [...this._runs.stopped]) {
       const { stoppedAtPoll } = tracked;
@@ -995,7 +1030,7 @@
     for (const tracked of expired) {
       const untilMs =
         tracked.owner === ''
-          ? clockMs - (now - tracked.sinceMs) + CLAIM_GRACE_MS
+          ? clockMs - (now - tracked.sinceMs) + claimGraceMs(tracked)
           : (this._ownerExpiryMs.get(tracked.owner) ?? 0);
       if (clockMs <= untilMs) {
         continue;
--- a/packages/core/src/test/orphan-bounds.test.ts
+++ b/packages/core/src/test/orphan-bounds.test.ts
@@ -16,3 +16,18 @@
     expect(longestMs(Loss.Silence, ignoredStops) < RESUBMIT_MS).toEqual(true);
   });
 }
+
+// A driver that was restarted waits for a claim for longer than callers wait.
+it('a run that nobody claims ends before it is repeated', () => {
+  expect(longestMs(Loss.Unclaimed, 0)).toBeBetween(0, RESUBMIT_MS);
+});
+
+// A lease beyond the limit of an entry keeps its runs active at a worker that
+// ignores stops.
+for (const loss of [Loss.LinkClosed, Loss.Silence]) {
+  const name = loss === Loss.LinkClosed ? 'entry killed' : 'entry cut off';
+  it(`a run that ignores stops ends before it is repeated: ${name}`, () => {
+    const ms = longestMs(loss, Number.POSITIVE_INFINITY);
+    expect(ms).toBeBetween(0, RESUBMIT_MS);
+  });
+}
