--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -98,13 +98,10 @@
   private _generation = 1;
   private _server: RpcServer | undefined;
   private _timer: IoTimeout | undefined;
-  private readonly _flush = new TurnFlush(
-    (turnMs) => {
-      this.dispatch({ kind: 'flush' });
-      this._observeTurn(turnMs);
-    },
-    { isPaced: true },
-  );
+  private readonly _flush = new TurnFlush((turnMs) => {
+    this.dispatch({ kind: 'flush' });
+    this._observeTurn(turnMs);
+  });
   private readonly _nextPoll = new NextPoll(() => {
     this._flush.runScheduled();
   });
