Add a fault soak of the real programs

npm run soak runs entries and worker drivers as processes under seeded, overlapping faults. Callers and workers check the promises from what they see.

A failed job needs three failed runs of a task, or two crashes of its workers: PROMISES.md documents that a task which crashes its workers is given up after the second crash.

--- a/packages/standins/src/lib/platform/fleet-worker.ts
+++ b/packages/standins/src/lib/platform/fleet-worker.ts
@@ -44,6 +44,8 @@
   endedAtMs: number;
   /** Kind of the end; empty until the run has ended. */
   endKind: string;
+  /** Whether the end was acknowledged before the worker's lease lapsed. */
+  isAcknowledged: boolean;
 }
 
 /**
@@ -62,6 +64,8 @@
   /** Highest run number of each task that has ended or was stopped. */
   private readonly _highestClosedRun = new Map<string, number>();
   private _listedEnds: ListedEnd[] = [];
+  /** Records of the ends listed since the last lapse, by number. */
+  private readonly _listedRecords = new Map<number, StartRecord>();
   private _nextEndNumber = 1;
   private _fencingToken = 0;
   private _leaseUntilMs = 0;
@@ -204,6 +208,7 @@
       startedAtMs: active.startedAtMs,
       endedAtMs: Number.POSITIVE_INFINITY,
       endKind: '',
+      isAcknowledged: false,
     });
     return this._createResponse(200, {});
   }
@@ -222,6 +227,12 @@
 
   private async _hold(body: Record<string, unknown>): Promise<JsonResponse> {
     const ackedThrough = Number(body.acked_through ?? 0);
+    for (const [number, record] of this._listedRecords) {
+      if (number <= ackedThrough) {
+        record.isAcknowledged = true;
+        this._listedRecords.delete(number);
+      }
+    }
     this._listedEnds = this._listedEnds.filter(
       ([number]) => number > ackedThrough,
     );
@@ -257,6 +268,7 @@
     this._leaseUntilMs = until;
     clearTimeout(this._leaseTimer);
     this._leaseTimer = setTimeout(() => {
+      this._listedRecords.clear();
       for (const run of [...this._activeRuns.values()]) {
         this._endRun(run, 'lapsed');
       }
@@ -278,6 +290,9 @@
       record.endKind = endKind;
     }
     if (isListed) {
+      if (record) {
+        this._listedRecords.set(this._nextEndNumber, record);
+      }
       this._listedEnds.push([
         this._nextEndNumber,
         run.task,
--- a/packages/standins/src/lib/platform/table-store.ts
+++ b/packages/standins/src/lib/platform/table-store.ts
@@ -28,6 +28,9 @@
 /** Maximum wait of a call for changes. */
 const MAX_FEED_WAIT_MS = 30_000;
 
+/** Delay of each call in {@link TableStoreMode.Slow}. */
+const SLOW_CALL_MS = 400;
+
 /** How the fake handles calls. */
 export enum TableStoreMode {
   Serving = 'serving',
@@ -35,6 +38,8 @@
   Unavailable = 'unavailable',
   /** Neither replies to calls nor executes them. */
   Unresponsive = 'unresponsive',
+  /** Executes calls after a delay. */
+  Slow = 'slow',
   /** Executes calls and does not reply to them. */
   LosingReplies = 'losing-answers',
 }
@@ -120,6 +125,9 @@
         return undefined;
       case TableStoreMode.Serving:
         return this._execute(req);
+      case TableStoreMode.Slow:
+        await new Promise((resolve) => setTimeout(resolve, SLOW_CALL_MS));
+        return this._execute(req);
       case TableStoreMode.LosingReplies:
         await this._execute(req);
         return undefined;
--- /dev/null
+++ b/packages/standins/src/lib/soak/fault-injector.ts
@@ -0,0 +1,210 @@
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { FleetCluster, FleetProcess } from '../platform/fleet-cluster.js';
+import type { StartRecord } from '../platform/fleet-worker.js';
+import { TableStoreMode } from '../platform/table-store.js';
+import type { Callers } from './callers.js';
+import type { Disturbances } from './disturbances.js';
+import type { Fault, Role } from './plan.js';
+
+/** Time after SIGTERM until a process is killed (`grace_s` of the platform). */
+const GRACE_MS = 6000;
+/** Time after which a stopped process certainly reads nothing. */
+const STOP_SIGNAL_MS = 50;
+
+/** Injects faults into a cluster, and undoes them after their durations. */
+export class FaultInjector {
+  /** Starts on workers that have crashed. */
+  readonly startsOfCrashed: StartRecord[] = [];
+  /** Processes that were told to end. */
+  readonly expectedExits = new Set<ChildProcess>();
+  private readonly _cluster: FleetCluster;
+  private readonly _callers: Callers;
+  private readonly _disturbances: Disturbances;
+  private readonly _pending = new Set<Promise<void>>();
+  private readonly _restarting = new Set<FleetProcess>();
+  private readonly _crashedWorkers = new Set<number>();
+  private readonly _pauseCounts = new Map<ChildProcess, number>();
+  private _storeFaults = 0;
+  private _incarnation = 0;
+  private _version = 1;
+
+  /**
+   * @param cluster - The cluster.
+   * @param callers - Callers of the entries.
+   * @param disturbances - Records when faults are at work.
+   */
+  constructor(
+    cluster: FleetCluster,
+    callers: Callers,
+    disturbances: Disturbances,
+  ) {
+    this._cluster = cluster;
+    this._callers = callers;
+    this._disturbances = disturbances;
+  }
+
+  /** @param fault - Begins now. */
+  inject(fault: Fault): void {
+    const work = this._inject(fault);
+    this._pending.add(work);
+    void work.finally(() => this._pending.delete(work));
+  }
+
+  /** Restarts a process that has ended by itself. */
+  restartEnded(name: string): void {
+    const [role = '', index] = name.split('-');
+    if (role === 'entry' || role === 'worker') {
+      const fault = { role, index: Number(index), durationMs: 0 } as const;
+      this.inject({ kind: 'kill', ...fault });
+    }
+  }
+
+  /** Waits until all faults are undone. */
+  async settle(): Promise<void> {
+    while (this._pending.size > 0) {
+      await Promise.all(this._pending);
+    }
+  }
+
+  private async _inject(fault: Fault): Promise<void> {
+    switch (fault.kind) {
+      case 'kill':
+        return this._restart(fault, 'SIGKILL');
+      case 'planned-stop':
+        return this._restart(fault, 'SIGTERM');
+      case 'pause': {
+        const { child, name } = this._find(fault.role, fault.index);
+        const end = this._disturbances.begin(name);
+        this._pause(child);
+        await delay(fault.durationMs);
+        this._resume(child);
+        end();
+        return;
+      }
+      case 'store':
+        return this._disturbStore(fault.mode, fault.durationMs);
+      case 'configuration':
+        this._version += fault.step;
+        this._cluster.configure(this._version);
+        return;
+      case 'lost-replies':
+      case 'failing-runs': {
+        const worker = this._cluster.workers[fault.index];
+        const flag =
+          fault.kind === 'lost-replies' ? 'losesStartReplies' : 'failsAllRuns';
+        if (worker) {
+          worker[flag] = true;
+          await delay(fault.durationMs);
+          worker[flag] = false;
+        }
+        return;
+      }
+      case 'worker-crash':
+        return this._crashWorker(fault.index, fault.durationMs);
+      case 'abandoned-calls': {
+        const { name } = this._find('entry', fault.index);
+        const end = this._disturbances.begin(name);
+        this._callers.abandon(fault.index, fault.how);
+        end();
+        return;
+      }
+      case 'unread-submissions':
+        return this._abandonUnread(fault);
+    }
+  }
+
+  private _find(role: Role, index: number): FleetProcess {
+    return this._cluster.processOf(role, index);
+  }
+
+  private async _restart(
+    fault: { role: Role; index: number; durationMs: number },
+    signal: NodeJS.Signals,
+  ): Promise<void> {
+    const process = this._find(fault.role, fault.index);
+    if (this._restarting.has(process)) {
+      return;
+    }
+    this._restarting.add(process);
+    const end = this._disturbances.begin(process.name);
+    const { child } = process;
+    this.expectedExits.add(child);
+    if (child.exitCode === null && child.signalCode === null) {
+      const exited = once(child, 'exit');
+      child.kill(signal);
+      const grace = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
+      await exited;
+      clearTimeout(grace);
+    }
+    await delay(fault.durationMs);
+    this._cluster.restart(fault.role, fault.index);
+    this._restarting.delete(process);
+    end();
+  }
+
+  /** A process that several faults pause goes on when the last one ends. */
+  private _pause(child: ChildProcess): void {
+    this._pauseCounts.set(child, (this._pauseCounts.get(child) ?? 0) + 1);
+    child.kill('SIGSTOP');
+  }
+
+  private _resume(child: ChildProcess): void {
+    const count = (this._pauseCounts.get(child) ?? 1) - 1;
+    this._pauseCounts.set(child, count);
+    if (count === 0) {
+      child.kill('SIGCONT');
+    }
+  }
+
+  private async _disturbStore(
+    mode: TableStoreMode,
+    durationMs: number,
+  ): Promise<void> {
+    const end = this._disturbances.begin('store');
+    this._storeFaults += 1;
+    this._cluster.store.mode = mode;
+    await delay(durationMs);
+    this._storeFaults -= 1;
+    if (this._storeFaults === 0) {
+      this._cluster.store.mode = TableStoreMode.Serving;
+    }
+    end();
+  }
+
+  private async _crashWorker(index: number, downMs: number): Promise<void> {
+    const worker = this._cluster.workers[index];
+    if (!worker || this._crashedWorkers.has(index)) {
+      return;
+    }
+    this._crashedWorkers.add(index);
+    await worker.close();
+    this.startsOfCrashed.push(...worker.starts);
+    await delay(downMs);
+    this._incarnation += 1;
+    const id = `i-${String(index)}-${String(this._incarnation)}`;
+    await this._cluster.replaceWorker(index, id);
+    this._crashedWorkers.delete(index);
+  }
+
+  private async _abandonUnread(
+    fault: Extract<Fault, { kind: 'unread-submissions' }>,
+  ): Promise<void> {
+    const process = this._find('entry', fault.index);
+    if (this._restarting.has(process)) {
+      return;
+    }
+    const end = this._disturbances.begin(process.name);
+    const { child } = process;
+    this._pause(child);
+    await delay(STOP_SIGNAL_MS);
+    const { index, count, how } = fault;
+    const resend = await this._callers.submitUnread(index, count, how);
+    await delay(fault.durationMs);
+    // The entry has read nothing, so the callers may send the jobs at once.
+    resend();
+    this._resume(child);
+    end();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/test/soak.test.ts
@@ -0,0 +1,17 @@
+import { expect } from 'earl';
+import { Soak } from '../lib/soak/soak.js';
+
+const DURATION_MS = 20_000;
+
+// Guards against promises that are broken only by real signals, sockets and
+// clocks: tasks that run twice at a time, forgotten jobs, silent callers.
+it('soak: no promise is broken while processes, the store and callers fail', async () => {
+  const soak = new Soak({
+    seed: 2,
+    durationMs: DURATION_MS,
+    entries: 3,
+    workers: 4,
+  });
+  const { violations, logFolder } = await soak.run();
+  expect({ violations, logFolder }).toEqual({ violations: [], logFolder: '' });
+});
