Keep an error listener on the sessions of RPC clients

Cause: connect-node destroys a session with an error when a GOAWAY arrives and no stream is open. The error is emitted when the socket has closed. A session that is aborted in between, for example after a failed call, loses the error listener of the session manager, so the event ends the process. The session manager of connect-node guards only sessions that are not yet destroyed.

--- a/packages/daemon/src/lib/connection/rpc.ts
+++ b/packages/daemon/src/lib/connection/rpc.ts
@@ -1,5 +1,10 @@
 import { createServer, createSecureServer } from 'node:http2';
-import type { Http2SecureServer, Http2Server } from 'node:http2';
+import type {
+  ClientHttp2Stream,
+  Http2SecureServer,
+  Http2Server,
+  Http2Session,
+} from 'node:http2';
 import { createClient } from '@connectrpc/connect';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import {
@@ -106,12 +111,35 @@
   return { client: createClient(EntryPeerService, transport), close };
 };
 
+/**
+ * Keeps an error listener on each session. The base class removes its own when a
+ * session is aborted; one that is being destroyed because of a GOAWAY still
+ * emits an error afterwards, which would end the process.
+ */
+class GuardedSessionManager extends Http2SessionManager {
+  private readonly _guarded = new WeakSet<Http2Session>();
+
+  override async request(
+    ...args: Parameters<Http2SessionManager['request']>
+  ): Promise<ClientHttp2Stream> {
+    const stream = await super.request(...args);
+    const { session } = stream;
+    if (session && !this._guarded.has(session)) {
+      this._guarded.add(session);
+      session.on('error', () => {
+        session.destroy();
+      });
+    }
+    return stream;
+  }
+}
+
 const connect = (options: RpcClientOptions) => {
   const baseUrl = `${options.tls ? 'https' : 'http'}://${options.address}`;
   const nodeOptions = options.tls ?? {};
   // Each client has its own session: the replacement of an unresponsive
   // connection must not reuse that connection.
-  const sessionManager = new Http2SessionManager(baseUrl, {}, nodeOptions);
+  const sessionManager = new GuardedSessionManager(baseUrl, {}, nodeOptions);
   const transport = createConnectTransport({
     httpVersion: '2',
     baseUrl,
--- a/packages/standins/src/test/soak.test.ts
+++ b/packages/standins/src/test/soak.test.ts
@@ -7,7 +7,7 @@
 // clocks: tasks that run twice at a time, forgotten jobs, silent callers.
 it('soak: no promise is broken while processes, the store and callers fail', async () => {
   const soak = new Soak({
-    seed: 2,
+    seed: 11,
     durationMs: DURATION_MS,
     entries: 3,
     workers: 4,
