Compare the owner before a run is stopped for an entry

What callers saw: a job ended late or ran again although nothing was wrong with it. A caller had moved the job to another entry, and the first entry, which had been refused the start, stopped the run of the second one. Its stop also removed queued starts of other entries.

Cause: entries number the runs of a task independently, mostly from 1, and the worker driver looked runs up by task and number only.

Fix: a stop applies to runs of the entry that sends it and to runs without an owner. A stop that is ignored is answered once no run of the task is left, as the entry waits for the end of its own run. Until both sides are updated, an older entry's stop of a foreign run has no effect, and its start of the task is refused as stale after the driver has stopped that run.

--- a/packages/core/src/lib/messages.ts
+++ b/packages/core/src/lib/messages.ts
@@ -75,6 +75,8 @@
 export type Room = wire.PlainMessage<wire.Room>;
 /** Reference to one run of a task. */
 export type RunRef = wire.PlainMessage<wire.RunRef>;
+/** Order to stop one run. */
+export type RunStop = wire.PlainMessage<wire.RunStop>;
 /** Run starts that share a specification. */
 export type StartGroup = wire.PlainMessage<wire.StartGroup>;
 /** The end of a run that its owner has recorded. */
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -613,7 +613,7 @@
         view.placed.get(runKey({ task: name, run }))?.isVolatile === true;
       const isOwn = owner === this._options.incarnation || isAbandoned;
       if (isOwn || this._options.isEnded(id)) {
-        this._options.fleet.stop(view, name, run);
+        this._options.fleet.stop(view, name, run, owner);
       }
       return;
     }
@@ -628,7 +628,7 @@
     const isCurrent =
       isPlacedAs(task, run, view.name) && !isFinal(ownedJob.job.state);
     if (!isCurrent) {
-      this._options.fleet.stop(view, name, run);
+      this._options.fleet.stop(view, name, run, owner);
       return;
     }
     const { needs } = ownedJob.job.stepOf(task);
--- a/packages/core/src/lib/process/start-admission.ts
+++ b/packages/core/src/lib/process/start-admission.ts
@@ -114,16 +114,30 @@
    * Removes a start that its entry has stopped.
    *
    * @param ref - Task and number of the run.
+   * @param owner - Incarnation of the entry.
    * @returns Whether the start was queued.
    */
-  remove(ref: RunRef): boolean {
+  remove(ref: RunRef, owner: string): boolean {
     const removed = this._queue.take(
-      ({ task, run }) => task === ref.task && run === ref.run,
+      (start) =>
+        start.task === ref.task &&
+        start.run === ref.run &&
+        start.owner === owner,
     );
     this._refuseAll(removed, StartRefusal.NO_ROOM);
     return removed.length > 0;
   }
 
+  /**
+   * Refuses a start once no run of its task is left.
+   *
+   * @param ref - Task and number of the run that was to be started.
+   * @param owner - Incarnation of the entry.
+   */
+  refuseWhenEnded({ task, run }: RunRef, owner: string): void {
+    this._stale.set(staleKey({ task, run }, owner), { task, run, owner });
+  }
+
   /**
    * @param ref - Task and number of a run.
    * @param owner - Incarnation of the entry that has ordered its start.
@@ -232,12 +246,7 @@
     if (known.phase !== RunPhase.Stopping) {
       this._options.sendStop(known);
     }
-    this._refuseLater(start);
-  }
-
-  private _refuseLater({ owner, task, run }: StaleStart): void {
-    const start = { owner, task, run };
-    this._stale.set(staleKey(start, owner), start);
+    this.refuseWhenEnded(start, start.owner);
   }
 
   private _refuseEnded(): void {
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -2,6 +2,7 @@
 import type {
   RecordedEnd,
   RunEnd,
+  RunStop,
   StartGroup,
   WorkerHello,
   WorkerOrder,
@@ -533,8 +534,8 @@
       // have been taken for ended already.
       this._refuseStarts(order, StartRefusal.NOT_READY);
     }
-    for (const { task, run } of order.stops) {
-      this._stopRun(task, run, order.incarnation, now);
+    for (const stop of order.stops) {
+      this._stopRun(stop, order.incarnation, now);
     }
     link.needsSnapshot ||= isFirst || order.adopt.length > 0;
   }
@@ -657,24 +658,33 @@
     });
   }
 
-  private _stopRun(
-    task: string,
-    run: number,
-    owner: string,
-    now: number,
-  ): void {
-    if (this._starts.isStale({ task, run }, owner)) {
+  /** Stops a run for an entry, which is its owner unless the order names one. */
+  private _stopRun(stop: RunStop, sender: string, now: number): void {
+    const { task, run } = stop;
+    if (this._starts.isStale(stop, sender)) {
       return;
     }
-    let tracked = this._runs.get({ task, run });
-    if (this._starts.remove({ task, run }) && !tracked) {
+    let tracked = this._runs.get(stop);
+    if (this._starts.remove(stop, sender) && !tracked) {
+      return;
+    }
+    if (tracked && !['', sender, stop.owner].includes(tracked.owner)) {
+      // The sender waits for an answer about its own run of this number.
+      this._starts.refuseWhenEnded(stop, sender);
+      this._log('stop of a run of another entry ignored', {
+        task,
+        run,
+        owner: tracked.owner,
+        entry: sender,
+      });
       return;
     }
     if (!tracked) {
-      tracked = trackedRun(
-        { task, run },
-        { owner, phase: RunPhase.Stopping, sinceMs: now },
-      );
+      tracked = trackedRun(stop, {
+        owner: sender,
+        phase: RunPhase.Stopping,
+        sinceMs: now,
+      });
       this._runs.add(tracked);
     }
     this._sendStop(tracked);
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -249,9 +249,10 @@
    * @param view - The worker.
    * @param task - Name of the task.
    * @param run - Number of the run.
+   * @param owner - Incarnation of the entry whose run is meant, if another one.
    */
-  stop(view: WorkerView, task: string, run: number): void {
-    view.order.stops.push({ task, run });
+  stop(view: WorkerView, task: string, run: number, owner?: string): void {
+    view.order.stops.push({ task, run, owner });
     view.isDirty = true;
   }
 
--- a/packages/core/src/test/abandoned-runs.test.ts
+++ b/packages/core/src/test/abandoned-runs.test.ts
@@ -51,6 +51,16 @@
   expect(harness.stopped.includes(`${TASK}#1`)).toEqual(true);
 });
 
+// Worker drivers ignore a stop of a foreign run that does not name its owner.
+it('a stop of a run of another entry names its owner', () => {
+  const harness = withWorker();
+  harness.submit(1);
+  const run = { ...active('e2'), run: 7 };
+  harness.report('w1', { snapshot: true, active: [run] });
+  const stops = harness.orders.flatMap(({ order }) => order.stops);
+  expect(stops).toEqual([{ task: TASK, run: 7, owner: 'e2' }]);
+});
+
 /**
  * Submits an abandoned job again to the same entry while its first worker has
  * not confirmed the end of its runs.
--- a/packages/core/src/test/foreign-runs.test.ts
+++ b/packages/core/src/test/foreign-runs.test.ts
@@ -1,10 +1,12 @@
 import { expect } from 'earl';
-import { StartRefusal } from '../lib/messages.js';
+import { EndKind, StartRefusal } from '../lib/messages.js';
 import { ready, refusals, starts } from './worker-harness.js';
 import type { DriverHarness } from './worker-harness.js';
 
 const TASK = 'j.0.0.0';
 
+const STOPS = [{ task: TASK, run: 1 }];
+
 /** Returns a driver that runs a task for the second of two entries. */
 const withRunOfSecondEntry = (): DriverHarness => {
   const harness = ready();
@@ -15,6 +17,34 @@
   return harness;
 };
 
+// The first entry was refused the start, and stops the run as its caller left;
+// both entries number their runs from 1.
+it('a stop of one entry does not stop the run of another', () => {
+  const harness = withRunOfSecondEntry();
+  harness.order({ holdUntilMs: harness.clock + 700, stops: STOPS });
+  expect(harness.count('stop')).toEqual(0);
+});
+
+// An entry to which the caller has moved the job finds the run in a snapshot.
+it('a stop that names the owner stops the run of another entry', () => {
+  const harness = withRunOfSecondEntry();
+  const stops = [{ task: TASK, run: 1, owner: 'b1' }];
+  harness.order({ holdUntilMs: harness.clock + 700, stops });
+  expect(harness.count('stop')).toEqual(1);
+});
+
+// Otherwise the entry would wait for the end of its own run without limit.
+it('a stop for the run of another entry is answered after its end', () => {
+  const harness = withRunOfSecondEntry();
+  harness.order({ holdUntilMs: harness.clock + 700, stops: STOPS });
+  expect(refusals(harness)).toEqual([]);
+  harness.ends = [
+    { number: 1, task: TASK, run: 1, kind: EndKind.DONE, checkpoint: '' },
+  ];
+  harness.answerPoll();
+  expect(refusals(harness)).toEqual([StartRefusal.STALE_RUN]);
+});
+
 // The entry places the task elsewhere at once, beside the run that is active.
 it('a start is refused for an earlier run only after that has ended', () => {
   const harness = withRunOfSecondEntry();
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -263,6 +263,15 @@
   expectRemoved(harness, StartRefusal.STALE_RUN);
 });
 
+// Both entries number their runs from 1.
+it('a stop of another entry does not remove a queued start', () => {
+  const harness = withQueuedStart();
+  harness.openLink(2, 'b1');
+  const stops = [{ task: WAITING, run: 1 }];
+  harness.order({ ...hold(harness), incarnation: 'b1', stops }, 2);
+  expect(refusals(harness)).toEqual([]);
+});
+
 it('a later run of a queued task replaces the queued start', () => {
   const harness = withQueuedStart();
   const runs = [{ task: WAITING, run: 2, checkpoint: '' }];
--- a/packages/wire/src/fleet-json.ts
+++ b/packages/wire/src/fleet-json.ts
@@ -6,7 +6,7 @@
   RefusedRun,
   Room,
   RunEnd,
-  RunRef,
+  RunStop,
   RunStart,
   StartGroup,
   WorkerCrash,
@@ -37,7 +37,7 @@
     holdUntilMs: order.holdUntilMs || undefined,
     adopt: nonEmpty(order.adopt),
     starts: encodeList(order.starts, encodeStartGroup),
-    stops: encodeList(order.stops, encodeRunRef),
+    stops: encodeList(order.stops, encodeRunStop),
     recorded: encodeList(order.recorded, encodeRecordedEnd),
     claims: encodeList(order.claims, encodeStartGroup),
     sequence: order.sequence || undefined,
@@ -101,9 +101,10 @@
   accelerators: room.accelerators || undefined,
 });
 
-const encodeRunRef = (ref: PlainMessage<RunRef>) => ({
-  task: ref.task || undefined,
-  run: ref.run || undefined,
+const encodeRunStop = (stop: PlainMessage<RunStop>) => ({
+  task: stop.task || undefined,
+  run: stop.run || undefined,
+  owner: stop.owner,
 });
 
 const encodeRunStart = (start: PlainMessage<RunStart>) => ({
@@ -297,7 +298,7 @@
   holdUntilMs: toDouble(json, 'holdUntilMs'),
   adopt: toTexts(json, 'adopt'),
   starts: toMessages(json, 'starts', toStartGroup),
-  stops: toMessages(json, 'stops', toRunRef),
+  stops: toMessages(json, 'stops', toRunStop),
   recorded: toMessages(json, 'recorded', toRecordedEnd),
   claims: toMessages(json, 'claims', toStartGroup),
   sequence: toUint(json, 'sequence'),
@@ -327,9 +328,10 @@
   accelerators: toUint(json, 'accelerators'),
 });
 
-const toRunRef = (json: Json): PlainMessage<RunRef> => ({
+const toRunStop = (json: Json): PlainMessage<RunStop> => ({
   task: toText(json, 'task'),
   run: toUint(json, 'run'),
+  owner: json.owner === undefined ? undefined : toText(json, 'owner'),
 });
 
 const toRunStart = (json: Json): PlainMessage<RunStart> => ({
--- a/packages/wire/src/test/fleet-json.test.ts
+++ b/packages/wire/src/test/fleet-json.test.ts
@@ -42,7 +42,7 @@
   holdUntilMs: double,
   adopt: list(text),
   starts: list(group),
-  stops: list(record({ task: text, run: uint })),
+  stops: list(record({ task: text, run: uint, owner: maybe(text) })),
   recorded: list(record({ life: text, number: uint, superseded: flag })),
   claims: list(group),
   sequence: uint,
@@ -171,6 +171,7 @@
     ['{"adopt":["a",1]}', 'adopt: expected a list of strings'],
     ['{"stops":{}}', 'stops: expected a list'],
     ['{"stops":[[]]}', 'stops: expected an object'],
+    ['{"stops":[{"owner":1}]}', 'owner: expected a string'],
     ['{"starts":[{"needs":1}]}', 'needs: expected an object'],
   ];
   for (const [line, detail] of orders) {
