Don't take the caller of a pipelined request for gone

A response to a pipelined request has no socket until the one before it has ended, and callerOf took that for a closed connection: the submission would have been dropped and never answered. The new test failed before.

--- a/packages/daemon/src/lib/connection/caller.ts
+++ b/packages/daemon/src/lib/connection/caller.ts
@@ -15,9 +15,10 @@
  */
 export const callerOf = (res: ServerResponse): Caller => ({
   get isGone() {
-    const { socket } = res;
+    // A response to a pipelined request has no socket of its own yet.
+    const { socket } = res.req;
     // The event `close` follows only after the callbacks of the next poll.
-    return !socket || socket.destroyed || socket.readableEnded;
+    return socket.destroyed || socket.readableEnded;
   },
   onGone: (listener) => {
     res.once('close', listener);
