Revert 'Keep the best reading of a worker's clock when a later one arrives late'

The change is safe only if a worker's clock is never more than 2% slow. The steady clock of a machine that is suspended stands still; a bound that was extrapolated from before would then stay seconds too high, and runs of an entry that is gone could go on for longer than their callers wait (TWICE). Before the change each reading corrected the bound. Found by reading, no run shows it; the gain was fewer stops of runs whose processes are all stalled again and again.

--- a/packages/core/src/lib/process/worker-clock.ts
+++ b/packages/core/src/lib/process/worker-clock.ts
@@ -2,18 +2,15 @@
 export const WORKER_CLOCK_MIN_RATE = 0.98;
 
 /**
- * Computes a lower bound of a worker's clock from its readings. The clock is
+ * Computes a lower bound of a worker's clock from its last reading. The clock is
  * assumed to run at least at the rate {@link WORKER_CLOCK_MIN_RATE}.
  *
- * A reading that is processed late, because this process or the sender was
- * stalled, gives a bound that is lower than necessary, never too high. The bound
- * therefore keeps to an earlier reading while that one gives a higher value.
+ * If this process pauses before it processes a reading, the bound is lower than
+ * necessary, never too high.
  */
 export class WorkerClock {
   private _lastReadingMs: number | undefined;
   private _lastReadingAtMs = 0;
-  /** The reading that gives the highest bound, and its local time. */
-  private _best = { readingMs: 0, atMs: 0 };
 
   /** Last reading in milliseconds, or `undefined` before the first. */
   get lastReadingMs(): number | undefined {
@@ -37,12 +34,6 @@
    * @param now - Current time in milliseconds.
    */
   observe(readingMs: number, now: number): void {
-    if (
-      this._lastReadingMs === undefined ||
-      readingMs >= this.lowerBound(now)
-    ) {
-      this._best = { readingMs, atMs: now };
-    }
     if (this._lastReadingMs === undefined || readingMs >= this._lastReadingMs) {
       this._lastReadingMs = readingMs;
       this._lastReadingAtMs = now;
@@ -58,7 +49,7 @@
     if (this._lastReadingMs === undefined) {
       return 0;
     }
-    const elapsedMs = Math.max(0, now - this._best.atMs);
-    return this._best.readingMs + WORKER_CLOCK_MIN_RATE * elapsedMs;
+    const elapsedMs = Math.max(0, now - this._lastReadingAtMs);
+    return this._lastReadingMs + WORKER_CLOCK_MIN_RATE * elapsedMs;
   }
 }
