Answer submissions that are held when a planned stop ends

If the planned stop ended meanwhile, it was dispatched to an entry that had retired and answered nothing; the process ended 300 ms later.

Such a submission is refused now, as one that arrives earlier in the stop. There is no directed test yet.

--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
-import { BatchEntry, LoadShedder } from '@sapphiremux/core';
+import { BatchEntry, LoadShedder, SubmitRefusal } from '@sapphiremux/core';
 import type {
   BatchAction,
   BatchEntryOptions,
@@ -64,6 +64,8 @@
 const SLOW_TURN_MS = 200;
 /** When callers may come back to an entry that can't keep up. */
 const SHED_RETRY_AFTER_MS = 2000;
+/** When callers may come back after a planned stop. */
+const STOPPED_RETRY_AFTER_MS = 1000;
 const PROBE_TIMEOUT_MS = 400;
 const FORWARD_TIMEOUT_MS = 600;
 /**
@@ -106,6 +108,8 @@
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
+  /** Whether the planned stop is complete; the entry then answers no more. */
+  private _hasStopped = false;
 
   /** @param options - Settings, store, log and callbacks. */
   constructor(options: BatchHostOptions) {
@@ -175,6 +179,12 @@
       this._nextPoll.schedule(() => {
         if (caller.isGone) {
           this._drop(job);
+        } else if (this._hasStopped) {
+          resolve({
+            kind: 'refused',
+            reason: SubmitRefusal.Stopping,
+            retryAfterMs: STOPPED_RETRY_AFTER_MS,
+          });
         } else {
           resolve(this.dispatchCall(toEvent, caller));
         }
@@ -348,6 +358,7 @@
         this._core = this._createCore();
         return;
       case 'stopped':
+        this._hasStopped = true;
         this._options.onStopped();
     }
   }
