Log the phases of a planned stop of an entry

The hypotheses on the incident LOST could not be told apart: the log did not say what was open when a stop ended, how long the write that marks the member row as left took, whether an incarnation was replaced during a stop, and when the last call of a stopping process arrived. No decision changes.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -471,7 +471,16 @@
       return;
     }
     this._isRetired = true;
-    this._log('standing down', { reason, jobs: this._jobs.size });
+    this._log('standing down', {
+      reason,
+      jobs: this._jobs.size,
+      ...(this._stoppingSinceMs === undefined
+        ? {}
+        : {
+            stoppingMs: Math.round(this._nowMs - this._stoppingSinceMs),
+            hasBegunToLeave: this._isLeaving,
+          }),
+    });
     for (const ownedJob of this._jobs.values()) {
       if (ownedJob.job.content.isVolatile) {
         const reply = abandonedReply(ownedJob, 'this entry was replaced');
@@ -971,8 +980,19 @@
     }
     this._isLeaving = true;
     this._abandonVolatile('this entry has stopped', now);
-    this._log('leaving', { jobs: this._jobs.size });
-    this._lease.leave(() => {
+    this._log('leaving', {
+      stoppingMs: Math.round(sinceMs),
+      jobs: this._jobs.size,
+      submissions: this._submissions.size,
+      lookups: this._lookups.replyIds.length,
+      counts: this._countCalls.length,
+    });
+    this._lease.leave((outcome, at) => {
+      this._log('left', {
+        outcome: outcome.kind,
+        tookMs: Math.round(at - now),
+        openReplies: this._openReplies().length,
+      });
       this._isRetired = true;
       this._actions.push({ kind: 'stopped' });
     }, now);
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -13,6 +13,7 @@
 import type { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS } from './peer-monitor.js';
 import type { PeerMonitor } from './peer-monitor.js';
+import type { WriteOutcome } from './store-writer.js';
 import { TableFollower } from './table-follower.js';
 import type { WorkerFleet } from './worker-fleet.js';
 
@@ -140,10 +141,13 @@
   /**
    * Marks the member row as left, so that other entries take over at once.
    *
-   * @param onDone - Called when the row is marked or the write has failed.
+   * @param onDone - Called with the outcome of the write.
    * @param now - Current time in milliseconds.
    */
-  leave(onDone: () => void, now: number): void {
+  leave(
+    onDone: (outcome: WriteOutcome, now: number) => void,
+    now: number,
+  ): void {
     const { incarnation, stores } = this._options;
     const key = fleetKeys.entry(incarnation);
     const row: EntryRow = { ...this._options.row, hasLeft: true };
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -56,6 +56,13 @@
   readonly resolve: (reply: BatchReply) => void;
 }
 
+/** What has happened since a planned stop began; logged when it ends. */
+interface PlannedStop {
+  readonly sinceMs: number;
+  calls: number;
+  lastCallAtMs: number;
+}
+
 const LINK_FORMAT = { encode: encodeWorkerOrder, decode: decodeWorkerReport };
 const TICK_MS = 50;
 /** Tick period while the entry has no jobs. */
@@ -108,6 +115,7 @@
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
+  private _plannedStop: PlannedStop | undefined;
   /** Whether the planned stop is complete; the entry then answers no more. */
   private _hasStopped = false;
 
@@ -149,6 +157,10 @@
     const event = toEvent(replyId);
     return new Promise((resolve) => {
       const startedAtMs = now();
+      if (this._plannedStop) {
+        this._plannedStop.calls += 1;
+        this._plannedStop.lastCallAtMs = startedAtMs;
+      }
       this._callers.set(replyId, { call: event.kind, startedAtMs, resolve });
       caller?.onGone(() => {
         if (this._callers.delete(replyId)) {
@@ -244,6 +256,18 @@
     }
   }
 
+  /** Begins the planned stop of the process. */
+  stop(): void {
+    const at = now();
+    this._plannedStop ??= { sinceMs: at, calls: 0, lastCallAtMs: at };
+    this.dispatch({ kind: 'stop' });
+  }
+
+  /** Number of calls without a reply. */
+  get openCalls(): number {
+    return this._callers.size;
+  }
+
   /** Closes all connections and stops the ticks. */
   async close(): Promise<void> {
     this._timer?.clear();
@@ -359,10 +383,23 @@
         return;
       case 'stopped':
         this._hasStopped = true;
+        this._logStop();
         this._options.onStopped();
     }
   }
 
+  private _logStop(): void {
+    if (this._plannedStop) {
+      const { sinceMs, calls, lastCallAtMs } = this._plannedStop;
+      this._options.log.info('planned stop complete', {
+        tookMs: Math.round(now() - sinceMs),
+        calls,
+        lastCallMs: Math.round(lastCallAtMs - sinceMs),
+        openCalls: this.openCalls,
+      });
+    }
+  }
+
   private _openLink({ linkId, address }: Action<'open-link'>): void {
     const link: Link = MessageSocket.connect(address, LINK_FORMAT, {
       onMessage: (report) => {
