Go on with a planned stop when the incarnation of an entry is replaced

What callers saw: a process took requests until the end of the grace of its planned stop and was killed with them; their connections closed without an answer.

Cause: the planned stop was a state of the incarnation. At its end an entry marks its member row as left, and another entry takes it over at once. If the fence is read before the reply to its own write, the incarnation retires, and the host begins one that knows of no stop: it turns ready, accepts jobs and never ends. The same holds for an entry that is suspected and fenced earlier in its stop.

The host now passes the time of the stop to a new incarnation, which refuses work, is not ready, writes no member row and ends the stop; an entry that has begun to leave ends when it is fenced.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -62,6 +62,12 @@
   readonly remoteDataFactor?: number;
   /** Decisions by priority while capacity is short. */
   readonly overload?: Partial<OverloadOptions>;
+  /**
+   * Time at which the planned stop of the process began, if it has. Such an
+   * incarnation replaces one that was fenced during the stop. It only answers
+   * reads and ends the stop.
+   */
+  readonly stoppingSinceMs?: number | undefined;
 }
 
 const DEFAULT_STATE_RETENTION_MS = 120_000;
@@ -105,7 +111,9 @@
  */
 export class BatchEntry {
   readonly routes = new RouteTable();
-  private readonly _options: Required<BatchEntryOptions>;
+  private readonly _options: Required<
+    Omit<BatchEntryOptions, 'stoppingSinceMs'>
+  >;
   private readonly _stores: PartStores;
   private readonly _recorder: JobRecorder;
   private readonly _lease: EntryLease;
@@ -133,6 +141,8 @@
   private _recordedJobCount = 0;
   private _isRetired = false;
   private _stoppingSinceMs: number | undefined;
+  /** Whether this incarnation replaces one that was fenced during a stop. */
+  private readonly _continuesStop: boolean;
   private _isLeaving = false;
   /** Calls for counts that wait for recent statuses of the peers. */
   private _countCalls: CountCall[] = [];
@@ -150,6 +160,8 @@
       ...options,
     };
     this._nowMs = now;
+    this._stoppingSinceMs = options.stoppingSinceMs;
+    this._continuesStop = options.stoppingSinceMs !== undefined;
     this._peers = new PeerMonitor(options.incarnation);
     this._stores = new PartStores(
       {
@@ -231,7 +243,7 @@
       ended: this._ended,
       stopState: () => ({
         sinceMs: this._stoppingSinceMs,
-        isLeaving: this._isLeaving,
+        isLeaving: this._refusesWork,
       }),
       add: (job, record, deadlineMs) => this._addJob(job, record, deadlineMs),
       onAccepted: (ownedJob, at) => {
@@ -277,8 +289,10 @@
       },
       log,
     });
-    this._lease.register();
-    this._recorder.start();
+    if (!this._continuesStop) {
+      this._lease.register();
+      this._recorder.start();
+    }
   }
 
   /** Whether a planned stop has begun. */
@@ -334,6 +348,11 @@
     };
   }
 
+  /** Whether the entry takes no jobs any more. */
+  private get _refusesWork(): boolean {
+    return this._isLeaving || this._continuesStop;
+  }
+
   private _onCount(
     { replyId, queue }: Extract<BatchEvent, { kind: 'count' }>,
     now: number,
@@ -494,7 +513,10 @@
         detail: 'this entry was replaced',
       });
     }
-    this._actions.push({ kind: 'retire', reason });
+    // An entry that has begun to leave has nothing left to do but to end.
+    this._actions.push(
+      this._isLeaving ? { kind: 'stopped' } : { kind: 'retire', reason },
+    );
   }
 
   private _openReplies(): number[] {
@@ -653,7 +675,7 @@
   }
 
   private _refusalOfRecorded(): SubmitRefusal | undefined {
-    if (this._isLeaving) {
+    if (this._refusesWork) {
       return SubmitRefusal.Stopping;
     }
     if (this._lease.isStoreUnavailable) {
@@ -864,7 +886,7 @@
     if (
       !this._lease.isHeld ||
       this._lease.isStoreUnavailable ||
-      this._isLeaving
+      this._refusesWork
     ) {
       return;
     }
@@ -918,6 +940,20 @@
 
   private _onTick(now: number): void {
     this._lease.update(now);
+    if (!this._continuesStop) {
+      this._updateLinks(now);
+    }
+    this._monitorPeers(now);
+    this._reports.pump(now);
+    this._stoppingRuns.prune();
+    this._volatile.refuse(this._placer.tooLate(now), now);
+    this._saveProgress(now);
+    this._deleteExpired(now);
+    this._checkDeadlines(now);
+    this._checkStop(now);
+  }
+
+  private _updateLinks(now: number): void {
     this._fleet.updateLinks(
       {
         fenced: this._takeovers.fenced,
@@ -927,14 +963,6 @@
       },
       now,
     );
-    this._monitorPeers(now);
-    this._reports.pump(now);
-    this._stoppingRuns.prune();
-    this._volatile.refuse(this._placer.tooLate(now), now);
-    this._saveProgress(now);
-    this._deleteExpired(now);
-    this._checkDeadlines(now);
-    this._checkStop(now);
   }
 
   private _deleteExpired(now: number): void {
@@ -967,7 +995,11 @@
   }
 
   private _checkStop(now: number): void {
-    if (this._stoppingSinceMs === undefined || this._isLeaving) {
+    if (
+      this._stoppingSinceMs === undefined ||
+      this._isLeaving ||
+      this._isRetired
+    ) {
       return;
     }
     const sinceMs = now - this._stoppingSinceMs;
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -139,7 +139,8 @@
   }
 
   /**
-   * Marks the member row as left, so that other entries take over at once.
+   * Marks the member row as left, so that other entries take over at once. A row
+   * that is not known to be written is not marked.
    *
    * @param onDone - Called with the outcome of the write.
    * @param now - Current time in milliseconds.
@@ -148,6 +149,10 @@
     onDone: (outcome: WriteOutcome, now: number) => void,
     now: number,
   ): void {
+    if (!this._isRegistered) {
+      onDone({ kind: 'abandoned' }, now);
+      return;
+    }
     const { incarnation, stores } = this._options;
     const key = fleetKeys.entry(incarnation);
     const row: EntryRow = { ...this._options.row, hasLeft: true };
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -1,6 +1,7 @@
 import { EndKind } from '../lib/messages.js';
 import type { WorkerOrder, WorkerReport } from '../lib/messages.js';
 import { BatchEntry } from '../lib/process/batch-entry.js';
+import type { BatchEntryOptions } from '../lib/process/batch-entry.js';
 import type {
   BatchAction,
   BatchEvent,
@@ -94,12 +95,15 @@
   readonly links = new Map<string, number>();
   readonly actionKinds: string[] = [];
   readonly entry: BatchEntry;
+  /** Whether the store carries calls out without answering them. */
+  losesStoreReplies = false;
   private _reports = 0;
 
   constructor(
     readonly rows: FakeRows,
     incarnation = 'e1',
     name = 'entry-1',
+    options: Partial<BatchEntryOptions> = {},
   ) {
     this.entry = new BatchEntry(
       {
@@ -114,6 +118,7 @@
           key: row.key,
           detail: '',
         }),
+        ...options,
       },
       this.now,
     );
@@ -201,11 +206,10 @@
         return undefined;
       case 'store': {
         const { opId, part, req } = action;
-        return {
-          kind: 'store-reply',
-          opId,
-          reply: this.rows.answer(part, req),
-        };
+        const reply = this.rows.answer(part, req);
+        return this.losesStoreReplies
+          ? undefined
+          : { kind: 'store-reply', opId, reply };
       }
       case 'follow': {
         const { req } = action;
--- /dev/null
+++ b/packages/core/src/test/planned-stop.test.ts
@@ -0,0 +1,57 @@
+import { expect } from 'earl';
+import {
+  CONTENT,
+  EntryHarness,
+  FakeRows,
+  withWorker,
+} from './entry-harness.js';
+
+/** Time that callers have to notice a planned stop. */
+const NOTICE_MS = 2500;
+const OTHER_ID = '00000000000000b2';
+
+/** Writes into the member row of the entry that another one has fenced it. */
+const fence = (harness: EntryHarness): void => {
+  const row = { name: 'entry-1', address: 'entry-1:1', dataCentre: 'dc' };
+  harness.rows.version += 1;
+  harness.rows.rows.set('|member/entry/e1', {
+    value: JSON.stringify({ ...row, fencedBy: 'e2' }),
+    version: harness.rows.version,
+  });
+  harness.answerChanges();
+};
+
+const count = (harness: EntryHarness, kind: string): number =>
+  harness.actionKinds.filter((other) => other === kind).length;
+
+// Guards against a process that serves on after its planned stop, because its
+// successor fenced it before it had read the reply to its own last write.
+it('an entry that is fenced while it leaves ends its planned stop', () => {
+  const harness = withWorker();
+  harness.handle({ kind: 'stop' });
+  harness.losesStoreReplies = true;
+  harness.advance(NOTICE_MS + 100);
+  expect(count(harness, 'stopped')).toEqual(0);
+  fence(harness);
+  expect(count(harness, 'stopped')).toEqual(1);
+  expect(count(harness, 'retire')).toEqual(0);
+});
+
+// Guards against an entry that turns ready again in the middle of its stop.
+it('an incarnation that begins during a planned stop refuses work and ends it', () => {
+  const rows = new FakeRows();
+  rows.addWorker('w1');
+  const stoppingSinceMs = 1000;
+  const harness = new EntryHarness(rows, 'e2', 'entry-1', { stoppingSinceMs });
+  harness.advance(100);
+  expect(harness.entry.isStopping).toEqual(true);
+  expect(harness.entry.isReady).toEqual(false);
+  harness.submit(1);
+  harness.submit(2, { ...CONTENT, isVolatile: false }, OTHER_ID);
+  expect(harness.replies.get(1)?.kind).toEqual('refused');
+  expect(harness.replies.get(2)?.kind).toEqual('refused');
+  expect(harness.links.size).toEqual(0);
+  expect(rows.table('member').map(({ key }) => key)).toEqual(['worker/w1']);
+  harness.advance(NOTICE_MS);
+  expect(count(harness, 'stopped')).toEqual(1);
+});
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -34,7 +34,10 @@
 /** Options of {@link BatchHost}. */
 export interface BatchHostOptions {
   /** Options of each {@link BatchEntry} that do not change between incarnations. */
-  readonly entry: Omit<BatchEntryOptions, 'incarnation' | 'random'>;
+  readonly entry: Omit<
+    BatchEntryOptions,
+    'incarnation' | 'random' | 'stoppingSinceMs'
+  >;
   /** @returns An incarnation name that no process has used before. */
   readonly newIncarnation: () => string;
   /** Address for RPC calls from other processes. */
@@ -288,7 +291,12 @@
     const incarnation = newIncarnation();
     log.info('incarnation begun', { incarnation });
     return new BatchEntry(
-      { ...entry, incarnation, random: Math.random },
+      {
+        ...entry,
+        incarnation,
+        random: Math.random,
+        stoppingSinceMs: this._plannedStop?.sinceMs,
+      },
       now(),
     );
   }
