End a planned stop of an entry within its grace whatever the store does

Cause: a planned stop could end only with the outcome of the write that marks the member row as left. It was begun up to 5.5 s after the signal with a time limit of 1.5 s, and a write without an answer has no limit at all, because it may still take effect; the grace is 6 s. The close of the servers came after.

'a planned stop ends in its grace although the store does not answer' and 'a planned stop waits for the store no longer than a lease' fail before this change.

Whether the row is marked only decides how soon others take over; an unmarked entry is taken over when it no longer responds.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -31,7 +31,7 @@
 import type { RecordedJob } from './job-recorder.js';
 import type { EndedJob, OwnedJob } from './owned-job.js';
 import { PartStores } from './part-stores.js';
-import { PeerMonitor, ProbeScope } from './peer-monitor.js';
+import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
 import { RunReports } from './run-reports.js';
 import { StoppingRuns } from './stopping-runs.js';
 import { TakeoverCoordinator } from './takeover-coordinator.js';
@@ -62,6 +62,11 @@
   readonly remoteDataFactor?: number;
   /** Decisions by priority while capacity is short. */
   readonly overload?: Partial<OverloadOptions>;
+  /**
+   * Time from the begin of a planned stop until the process is killed, in
+   * milliseconds.
+   */
+  readonly stopGraceMs?: number;
   /**
    * Time at which the planned stop of the process began, if it has. Such an
    * incarnation replaces one that was fenced during the stop. It only answers
@@ -76,11 +81,18 @@
 const PROGRESS_DELAY_MS = 500;
 /** Minimum duration of a planned stop, in which callers notice the stop. */
 const STOP_MIN_MS = 2500;
+const DEFAULT_STOP_GRACE_MS = 6000;
+/**
+ * Part of the grace of a planned stop that remains when the entry stops waiting
+ * for its jobs. Recorded jobs that are open then are left to the other entries;
+ * volatile jobs are answered as in doubt.
+ */
+const STOP_DRAIN_MARGIN_MS = 1000;
 /**
- * Maximum duration of a planned stop. Recorded jobs that are open then are left
- * to the other entries; volatile jobs are answered as in doubt.
+ * Part of the grace of a planned stop that remains when all calls have been
+ * answered, so that a busy process can still send the answers.
  */
-const STOP_MAX_MS = 5500;
+const STOP_END_MARGIN_MS = 700;
 /** Greatest age of the statuses of other entries in a count of pending jobs. */
 const MAX_STATUS_AGE_MS = 1000;
 /** Maximum wait of a count for recent statuses. */
@@ -144,6 +156,8 @@
   /** Whether this incarnation replaces one that was fenced during a stop. */
   private readonly _continuesStop: boolean;
   private _isLeaving = false;
+  /** Time at which the planned stop ends whether or not the store has replied. */
+  private _leaveUntilMs = Number.POSITIVE_INFINITY;
   /** Calls for counts that wait for recent statuses of the peers. */
   private _countCalls: CountCall[] = [];
   private _pendingAskedAtMs = Number.NEGATIVE_INFINITY;
@@ -157,6 +171,7 @@
       stateRetentionMs: DEFAULT_STATE_RETENTION_MS,
       remoteDataFactor: DEFAULT_REMOTE_DATA_FACTOR,
       overload: {},
+      stopGraceMs: DEFAULT_STOP_GRACE_MS,
       ...options,
     };
     this._nowMs = now;
@@ -242,8 +257,8 @@
       jobs: this._jobs,
       ended: this._ended,
       stopState: () => ({
-        sinceMs: this._stoppingSinceMs,
-        isLeaving: this._refusesWork,
+        drainsUntilMs: this._drainsUntilMs,
+        refusesAll: this._refusesWork,
       }),
       add: (job, record, deadlineMs) => this._addJob(job, record, deadlineMs),
       onAccepted: (ownedJob, at) => {
@@ -353,6 +368,15 @@
     return this._isLeaving || this._continuesStop;
   }
 
+  /** Time until which a planned stop waits for the jobs of the entry. */
+  private get _drainsUntilMs(): number | undefined {
+    return this._stoppingSinceMs === undefined
+      ? undefined
+      : this._stoppingSinceMs +
+          this._options.stopGraceMs -
+          STOP_DRAIN_MARGIN_MS;
+  }
+
   private _onCount(
     { replyId, queue }: Extract<BatchEvent, { kind: 'count' }>,
     now: number,
@@ -500,23 +524,22 @@
             hasBegunToLeave: this._isLeaving,
           }),
     });
+    this._answerOpenCalls('this entry was replaced');
+    // An entry that has begun to leave has nothing left to do but to end.
+    this._actions.push(
+      this._isLeaving ? { kind: 'stopped' } : { kind: 'retire', reason },
+    );
+  }
+
+  /** Answers all calls without a reply, because this incarnation ends. */
+  private _answerOpenCalls(detail: string): void {
     for (const ownedJob of this._jobs.values()) {
       if (ownedJob.job.content.isVolatile) {
-        const reply = abandonedReply(ownedJob, 'this entry was replaced');
-        this._replyAll(ownedJob.endReplies, reply);
+        this._replyAll(ownedJob.endReplies, abandonedReply(ownedJob, detail));
         ownedJob.endReplies = [];
       }
     }
-    for (const replyId of this._openReplies()) {
-      this._reply(replyId, {
-        kind: 'in-doubt',
-        detail: 'this entry was replaced',
-      });
-    }
-    // An entry that has begun to leave has nothing left to do but to end.
-    this._actions.push(
-      this._isLeaving ? { kind: 'stopped' } : { kind: 'retire', reason },
-    );
+    this._replyAll(this._openReplies(), { kind: 'in-doubt', detail });
   }
 
   private _openReplies(): number[] {
@@ -995,19 +1018,27 @@
   }
 
   private _checkStop(now: number): void {
+    const drainsUntilMs = this._drainsUntilMs;
     if (
       this._stoppingSinceMs === undefined ||
-      this._isLeaving ||
+      drainsUntilMs === undefined ||
       this._isRetired
     ) {
       return;
     }
+    if (this._isLeaving) {
+      if (now >= this._leaveUntilMs) {
+        this._endStop('no answer from the store', now);
+      }
+      return;
+    }
     const sinceMs = now - this._stoppingSinceMs;
     const isIdle =
       this._jobs.size === 0 &&
       this._submissions.size === 0 &&
       this._lookups.replyIds.length === 0;
-    if (sinceMs < STOP_MIN_MS || (!isIdle && sinceMs < STOP_MAX_MS)) {
+    const isNoticed = sinceMs >= STOP_MIN_MS && isIdle;
+    if (!isNoticed && now < drainsUntilMs) {
       return;
     }
     this._isLeaving = true;
@@ -1019,17 +1050,22 @@
       lookups: this._lookups.replyIds.length,
       counts: this._countCalls.length,
     });
+    const endMs =
+      this._stoppingSinceMs + this._options.stopGraceMs - STOP_END_MARGIN_MS;
+    this._leaveUntilMs = Math.min(now + ENTRY_LEASE_MS, endMs);
     this._lease.leave((outcome, at) => {
-      this._log('left', {
-        outcome: outcome.kind,
-        tookMs: Math.round(at - now),
-        openReplies: this._openReplies().length,
-      });
-      this._isRetired = true;
-      this._actions.push({ kind: 'stopped' });
+      this._endStop(outcome.kind, at);
     }, now);
   }
 
+  private _endStop(outcome: string, now: number): void {
+    const stoppingMs = Math.round(now - (this._stoppingSinceMs ?? now));
+    const openCalls = this._openReplies().length;
+    this._log('left', { outcome, stoppingMs, openCalls });
+    this._isRetired = true;
+    this._actions.push({ kind: 'stopped' });
+  }
+
   private _flush(now: number): void {
     this._lease.update(now);
     if (this._mayPlaceRuns && !this._isLeaving) {
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -142,7 +142,8 @@
    * Marks the member row as left, so that other entries take over at once. A row
    * that is not known to be written is not marked.
    *
-   * @param onDone - Called with the outcome of the write.
+   * @param onDone - Called with the outcome of the write. A write without an
+   *   answer may have none for as long as the store is silent.
    * @param now - Current time in milliseconds.
    */
   leave(
--- a/packages/core/src/lib/process/volatile-admission.ts
+++ b/packages/core/src/lib/process/volatile-admission.ts
@@ -14,19 +14,18 @@
 /** Part of a caller's deadline that is reserved for delivering the reply. */
 export const REPLY_MARGIN_MS = 100;
 /**
- * A volatile job that arrives during a planned stop is accepted only if it is
- * expected to end within this time after the stop began.
+ * Safety factor on the estimated duration of a volatile job that arrives during a
+ * planned stop. It is accepted only if it is expected to end while the entry still
+ * waits for its jobs.
  */
-const STOP_JOB_LIMIT_MS = 5000;
-/** Safety factor on the estimated duration of such a job. */
 const STOP_ESTIMATE_FACTOR = 1.6;
 
 /** Progress of a planned stop. */
 export interface StopState {
-  /** Time at which the stop began, if it has. */
-  readonly sinceMs: number | undefined;
+  /** Time until which the entry waits for its jobs, if a stop has begun. */
+  readonly drainsUntilMs: number | undefined;
   /** Whether the entry takes no jobs any more. */
-  readonly isLeaving: boolean;
+  readonly refusesAll: boolean;
 }
 
 /** Options of {@link VolatileAdmission}. */
@@ -158,12 +157,12 @@
 
   /** Whether a planned stop has begun that the job would outlast. */
   private _isStopping(content: BatchContent, now: number): boolean {
-    const { sinceMs, isLeaving } = this._options.stopState();
-    if (isLeaving || sinceMs === undefined) {
-      return isLeaving;
+    const { drainsUntilMs, refusesAll } = this._options.stopState();
+    if (refusesAll || drainsUntilMs === undefined) {
+      return refusesAll;
     }
     const expectedMs = this._options.placer.expectedMs(content);
     const endsMs = now + STOP_ESTIMATE_FACTOR * expectedMs;
-    return endsMs > sinceMs + STOP_JOB_LIMIT_MS;
+    return endsMs > drainsUntilMs;
   }
 }
--- a/packages/core/src/test/planned-stop.test.ts
+++ b/packages/core/src/test/planned-stop.test.ts
@@ -8,6 +8,7 @@
 
 /** Time that callers have to notice a planned stop. */
 const NOTICE_MS = 2500;
+const GRACE_MS = 6000;
 const OTHER_ID = '00000000000000b2';
 
 /** Writes into the member row of the entry that another one has fenced it. */
@@ -55,3 +56,21 @@
   harness.advance(NOTICE_MS);
   expect(count(harness, 'stopped')).toEqual(1);
 });
+
+// Guards against a process that is killed at the end of its grace.
+it('a planned stop ends in its grace although the store does not answer', () => {
+  const harness = withWorker();
+  harness.losesStoreReplies = true;
+  harness.submit(1, { ...CONTENT, isVolatile: false });
+  harness.handle({ kind: 'stop' });
+  harness.advance(GRACE_MS - 700);
+  expect(count(harness, 'stopped')).toEqual(1);
+});
+
+it('a planned stop waits for the store no longer than a lease', () => {
+  const harness = withWorker();
+  harness.handle({ kind: 'stop' });
+  harness.losesStoreReplies = true;
+  harness.advance(NOTICE_MS + 1600);
+  expect(count(harness, 'stopped')).toEqual(1);
+});
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -74,8 +74,12 @@
 const SLOW_TURN_MS = 200;
 /** When callers may come back to an entry that can't keep up. */
 const SHED_RETRY_AFTER_MS = 2000;
-/** When callers may come back after a planned stop. */
-const STOPPED_RETRY_AFTER_MS = 1000;
+/** Reply to calls that arrive between the end of a planned stop and the exit. */
+const STOPPED_REPLY: BatchReply = {
+  kind: 'refused',
+  reason: SubmitRefusal.Stopping,
+  retryAfterMs: 1000,
+};
 const PROBE_TIMEOUT_MS = 400;
 const FORWARD_TIMEOUT_MS = 600;
 /**
@@ -195,11 +199,7 @@
         if (caller.isGone) {
           this._drop(job);
         } else if (this._hasStopped) {
-          resolve({
-            kind: 'refused',
-            reason: SubmitRefusal.Stopping,
-            retryAfterMs: STOPPED_RETRY_AFTER_MS,
-          });
+          resolve(STOPPED_REPLY);
         } else {
           resolve(this.dispatchCall(toEvent, caller));
         }
