Answer all calls that wait when a planned stop of an entry ends

What callers saw: a request that waited for the store when a planned stop ended got no answer; its connection closed when the process ended.

Cause: at the end of a stop only the callers of volatile jobs were answered. Submissions that were being recorded, lookups, cancellations and counts were not, and calls that arrived between the end of the stop and the exit went to an entry that answers nothing any more.

All open calls are now answered as in doubt, as they are when an entry is replaced, in the same step that ends the stop; later ones are refused.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -1062,6 +1062,7 @@
     const stoppingMs = Math.round(now - (this._stoppingSinceMs ?? now));
     const openCalls = this._openReplies().length;
     this._log('left', { outcome, stoppingMs, openCalls });
+    this._answerOpenCalls('this entry has stopped');
     this._isRetired = true;
     this._actions.push({ kind: 'stopped' });
   }
--- a/packages/core/src/test/planned-stop.test.ts
+++ b/packages/core/src/test/planned-stop.test.ts
@@ -74,3 +74,37 @@
   harness.advance(NOTICE_MS + 1600);
   expect(count(harness, 'stopped')).toEqual(1);
 });
+
+// Guards against connections that are closed without an answer.
+it('calls that wait for the store when a planned stop ends are answered', () => {
+  const harness = withWorker();
+  harness.losesStoreReplies = true;
+  const deadlineMs = harness.now + 20_000;
+  harness.submit(1, { ...CONTENT, isVolatile: false });
+  harness.handle({ kind: 'status', replyId: 2, id: OTHER_ID, deadlineMs });
+  harness.handle({ kind: 'cancel', replyId: 3, id: OTHER_ID, deadlineMs });
+  harness.submit(4, {}, OTHER_ID);
+  harness.handle({ kind: 'stop' });
+  harness.advance(GRACE_MS - 100);
+  expect([1, 2, 3, 4].map((id) => harness.replies.get(id)?.kind)).toEqual([
+    'in-doubt',
+    'in-doubt',
+    'in-doubt',
+    'in-doubt',
+  ]);
+  expect(count(harness, 'stopped')).toEqual(1);
+});
+
+it('calls of an entry that is fenced while it leaves are answered', () => {
+  const harness = withWorker();
+  harness.handle({ kind: 'stop' });
+  harness.losesStoreReplies = true;
+  harness.advance(NOTICE_MS + 100);
+  const deadlineMs = harness.now + 20_000;
+  harness.handle({ kind: 'status', replyId: 1, id: OTHER_ID, deadlineMs });
+  harness.handle({ kind: 'count', replyId: 2, queue: 'q' });
+  fence(harness);
+  expect(harness.replies.has(1)).toEqual(true);
+  expect(harness.replies.has(2)).toEqual(true);
+  expect(harness.actionKinds.at(-1)).toEqual('stopped');
+});
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -154,12 +154,16 @@
    *
    * @param toEvent - Creates the event from the id that the reply will carry.
    * @param caller - Absent if it does not matter whether the caller disconnects.
-   * @returns The reply; never settles when the caller disconnects first.
+   * @returns The reply; never settles when the caller disconnects first. Calls
+   *   after the end of a planned stop are refused.
    */
   dispatchCall(
     toEvent: (replyId: number) => BatchEvent,
     caller?: Caller,
   ): Promise<BatchReply> {
+    if (this._hasStopped) {
+      return Promise.resolve(STOPPED_REPLY);
+    }
     const replyId = this._nextReplyId++;
     const event = toEvent(replyId);
     return new Promise((resolve) => {
@@ -198,8 +202,6 @@
       this._nextPoll.schedule(() => {
         if (caller.isGone) {
           this._drop(job);
-        } else if (this._hasStopped) {
-          resolve(STOPPED_REPLY);
         } else {
           resolve(this.dispatchCall(toEvent, caller));
         }
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -120,6 +120,23 @@
   expect(await harness.kindOf(reply)).toEqual('refused');
 });
 
+// Guards against a connection that is closed without an answer.
+it('a call that arrives after the end of a planned stop is refused', async () => {
+  const harness = new HostHarness();
+  harness.host.stop();
+  await harness.tick();
+  await delay(STOP_MS + 50);
+  await harness.tick();
+  expect(harness.hasStopped).toEqual(true);
+  const reply = harness.host.dispatchCall((replyId) => ({
+    kind: 'status',
+    replyId,
+    id: 'j',
+    deadlineMs: Date.now() + 1000,
+  }));
+  expect(await harness.kindOf(reply)).toEqual('refused');
+});
+
 // Guards against a process that turns ready again after SIGTERM.
 it('an incarnation that begins during a planned stop goes on with the stop', async () => {
   const harness = new HostHarness();
