Keep a planned stop from the first SIGTERM to the end of the process

What was seen: a second SIGTERM ended a process on the platform at once, in the middle of its planned stop, so requests that it had taken got no answer. A SIGTERM during the start ended it as well, without a log line.

Cause: the listener was added after the start of the role and removed by the first signal. Without a listener, the default action of the signal applies.

A start that hangs is given up after 2 s, so the stop does not wait for it.

--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -18,6 +18,8 @@
 export { IoTimeout } from './lib/process/io-timeout.js';
 export { createLogger } from './lib/process/logger.js';
 export type { Log } from './lib/process/logger.js';
+export { PlannedStop } from './lib/process/planned-stop.js';
+export type { PlannedStopOptions } from './lib/process/planned-stop.js';
 export { WorkerHost } from './lib/process/worker-host.js';
 export type { WorkerHostOptions } from './lib/process/worker-host.js';
 export { WorkerRegistration } from './lib/process/worker-registration.js';
--- /dev/null
+++ b/packages/daemon/src/lib/process/planned-stop.ts
@@ -0,0 +1,58 @@
+import type { Log } from './logger.js';
+
+/** Options of {@link PlannedStop}. */
+export interface PlannedStopOptions {
+  readonly log: Log;
+  /** Called when the role has not started in time after the stop began. */
+  readonly onStartTimeout: () => void;
+}
+
+/**
+ * Maximum time that a stop waits for the start of the role. A start opens
+ * servers and needs no answer of the store, so one that takes longer hangs.
+ */
+const START_TIMEOUT_MS = 2000;
+
+/**
+ * Keeps the decision to stop for the life of the process, from the first signal
+ * on: also while the role is still starting, and when the signal is repeated.
+ */
+export class PlannedStop {
+  private readonly _options: PlannedStopOptions;
+  private _hasBegun = false;
+  private _stopRole: (() => void) | undefined;
+  private _timer: NodeJS.Timeout | undefined;
+
+  /** @param options - Log and callback. */
+  constructor(options: PlannedStopOptions) {
+    this._options = options;
+  }
+
+  /** Begins the stop, unless it has begun. */
+  begin(): void {
+    const { log, onStartTimeout } = this._options;
+    if (this._hasBegun) {
+      log.info('planned stop in progress, signal ignored');
+      return;
+    }
+    this._hasBegun = true;
+    log.info('planned stop');
+    if (this._stopRole) {
+      this._stopRole();
+    } else {
+      this._timer = setTimeout(() => {
+        log.warn('stopped before the start was complete');
+        onStartTimeout();
+      }, START_TIMEOUT_MS);
+    }
+  }
+
+  /** @param stopRole - Begins the planned stop of the role, which has started. */
+  onStarted(stopRole: () => void): void {
+    this._stopRole = stopRole;
+    clearTimeout(this._timer);
+    if (this._hasBegun) {
+      stopRole();
+    }
+  }
+}
