Let a second SIGTERM not cut the requests of an entry or runner

What callers saw: a second SIGTERM during a planned stop of sapphiremuxd closed their connections without an answer. A SIGTERM during the start ended the process as well.

Cause: as on the platform, the listener was there only after the start and only for the first signal. PlannedStop now keeps the decision. A second SIGINT still ends the process, for whoever runs it in a terminal.

Evidence: planned-stop.test.ts, `stop: a second SIGTERM cuts no request of an entry`, with real processes.

--- a/packages/daemon/src/lib/process/main.ts
+++ b/packages/daemon/src/lib/process/main.ts
@@ -4,6 +4,7 @@
 import type { Settings, SettingsProblem } from '@sapphiremux/settings';
 import { createLogger } from './logger.js';
 import type { Log } from './logger.js';
+import { PlannedStop } from './planned-stop.js';
 import type { RunningRole } from './run-entry.js';
 
 /** Exit codes of the daemon. */
@@ -43,19 +44,28 @@
     return;
   }
   const log = createLogger({ ...settings.log, name: settings.id });
-  let role: RunningRole;
+  const plannedStop = new PlannedStop({
+    log,
+    onStartTimeout: () => {
+      process.exit(ExitCode.Ok);
+    },
+  });
+  const stop = (): void => {
+    plannedStop.begin();
+  };
+  // Without a listener, a signal ends the process at once. A second SIGINT does,
+  // for whoever runs the daemon in a terminal.
+  process.on('SIGTERM', stop);
+  process.once('SIGINT', stop);
   try {
-    role = await start(settings, log);
+    const role = await start(settings, log);
+    plannedStop.onStarted(() => {
+      role.stop();
+    });
   } catch (err) {
     log.error('start failed', { detail: (err as Error).message });
     process.exit(ExitCode.Failed);
   }
-  const stop = (): void => {
-    log.info('planned stop');
-    role.stop();
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
 };
 
 interface Options {
--- /dev/null
+++ b/packages/standins/src/test/planned-stop.test.ts
@@ -0,0 +1,52 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'earl';
+import { LocalCluster, call, waitUntil } from '../lib/local-cluster.js';
+import type { ClusterProcess } from '../lib/local-cluster.js';
+import { CLUSTER_TICKET } from './sample.js';
+
+const HTTP_OK = 200;
+/** Time for a process without work to end. */
+const IDLE_STOP_MS = 8000;
+
+/** Runs a check with one entry and one runner. */
+const withOne = async (
+  check: (entry: ClusterProcess, runner: ClusterProcess) => Promise<void>,
+): Promise<void> => {
+  const cluster = await LocalCluster.start({ entries: 1, runners: ['north'] });
+  try {
+    const [entry] = cluster.entries;
+    const [runner] = cluster.runners;
+    if (!entry || !runner) {
+      throw new Error('the cluster has no entry or no runner');
+    }
+    await call(entry.port, 'POST', '/v1/tickets', CLUSTER_TICKET);
+    await check(entry, runner);
+  } finally {
+    await cluster.close();
+  }
+};
+
+const exitOf = async ({ child }: ClusterProcess): Promise<unknown> => {
+  await waitUntil(
+    () => Promise.resolve(child.exitCode !== null || child.signalCode !== null),
+    IDLE_STOP_MS,
+  );
+  return child.signalCode ?? child.exitCode;
+};
+
+// Guards against a second signal that cuts the requests in progress.
+it('stop: a second SIGTERM cuts no request of an entry', () =>
+  withOne(async (entry) => {
+    const request = call(entry.port, 'POST', '/v1/requests', {
+      desk: 'dakar',
+      endpoint: 'levy',
+      deadlineMs: 10_000,
+      payload: { ms: 1500 },
+    }).catch((err: unknown) => ({ status: (err as Error).message }));
+    await sleep(300);
+    entry.child.kill('SIGTERM');
+    await sleep(200);
+    entry.child.kill('SIGTERM');
+    expect((await request).status).toEqual(HTTP_OK);
+    expect(await exitOf(entry)).toEqual(0);
+  }));
