Let one incomplete request not hold up the end of a planned stop

What was seen: an entry or runner of sapphiremuxd whose planned stop was complete did not end while a connection held a part of a request. It was killed at the end of its grace, a runner with its links to the entries still open.

Cause: the end of the stop waited for the HTTP server to close, which waits for every request that has begun. The time limit of a request is off, and a closing server checks none.

Evidence: planned-stop.test.ts, the two tests "... has sent a part of a request", with real processes.

All calls are answered when the stop is complete, so only the writing of the last replies remains; it now has a time limit (2 s at an entry, 1 s at a runner), as on the platform.

--- a/packages/daemon/src/lib/process/run-entry.ts
+++ b/packages/daemon/src/lib/process/run-entry.ts
@@ -1,10 +1,17 @@
 import { randomBytes } from 'node:crypto';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { EntrySettings } from '@sapphiremux/settings';
 import { startHttpServer } from '../request/http-server.js';
 import { EntryHost } from './entry-host.js';
 import type { Log } from './logger.js';
 
 const INCARNATION_BYTES = 6;
+/**
+ * Maximum time to send the last replies to callers. All calls are answered when
+ * the stop is complete; a caller that has sent a part of a request would hold up
+ * the end of the process otherwise, because a closing server has no time limit.
+ */
+const CLOSE_TIMEOUT_MS = 2000;
 
 /** A running role. */
 export interface RunningRole {
@@ -38,7 +45,7 @@
   const http = await startHttpServer(host, log);
   log.info('entry started', { id: settings.id, http: settings.http.port });
   const close = async (): Promise<void> => {
-    await http.close();
+    await Promise.race([http.close(), delay(CLOSE_TIMEOUT_MS)]);
     await host.close();
     onClosed();
   };
--- a/packages/daemon/src/lib/process/run-runner.ts
+++ b/packages/daemon/src/lib/process/run-runner.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { RunnerSettings } from '@sapphiremux/settings';
 import { startLocalServer } from './local-server.js';
 import type { Log } from './logger.js';
@@ -6,6 +7,11 @@
 import { RunnerHost } from './runner-host.js';
 
 const INCARNATION_BYTES = 6;
+/**
+ * Maximum time to answer announcements. A part of a request would hold up the
+ * end of the process otherwise, because a closing server has no time limit.
+ */
+const CLOSE_TIMEOUT_MS = 1000;
 
 /**
  * Runs a runner with its local HTTP interface until its planned stop is
@@ -34,7 +40,7 @@
   const local = await startLocalServer({ host, port });
   log.info('runner started', { id: settings.id, local: port });
   const close = async (): Promise<void> => {
-    await local.close();
+    await Promise.race([local.close(), delay(CLOSE_TIMEOUT_MS)]);
     await host.close();
     onClosed();
   };
--- a/packages/standins/src/test/planned-stop.test.ts
+++ b/packages/standins/src/test/planned-stop.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { LocalCluster, call, waitUntil } from '../lib/local-cluster.js';
@@ -50,3 +51,33 @@
     expect((await request).status).toEqual(HTTP_OK);
     expect(await exitOf(entry)).toEqual(0);
   }));
+
+/** Stops a process while a request whose body is incomplete is open at it. */
+const stopDuringRequest = async (
+  target: ClusterProcess,
+  path: string,
+): Promise<unknown> => {
+  const socket = connect({ host: '127.0.0.1', port: target.port });
+  socket.on('error', () => undefined);
+  socket.write(
+    `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n{`,
+  );
+  await sleep(300);
+  target.child.kill('SIGTERM');
+  const status = await exitOf(target);
+  socket.destroy();
+  return status;
+};
+
+// Guards against a stop that one slow caller holds up until the process is
+// killed.
+it('stop: an entry ends while a caller has sent a part of a request', () =>
+  withOne(async (entry) => {
+    expect(await stopDuringRequest(entry, '/v1/jobs')).toEqual(0);
+  }));
+
+// Guards against the same at the local interface, with the links still open.
+it('stop: a runner ends while an endpoint has sent a part of a request', () =>
+  withOne(async (_entry, runner) => {
+    expect(await stopDuringRequest(runner, '/v1/endpoint')).toEqual(0);
+  }));
