Refuse starts that cross the report of a worker driver's planned stop

What was seen: a worker driver process without runs closed its links at the first tick after SIGTERM, up to 100 ms later. Starts that entries had sent before they read the report of the stop were lost with the link; the entry had to wait for the next process to learn that they had not begun.

Cause: the stop ended as soon as no run was left.

The stop now takes 300 ms at least, so such starts are read and refused.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -125,8 +125,17 @@
 const UNRELIABLE_PERIOD_MS = 15_000;
 /** Runs that a log line about a crash names. */
 const MAX_LOGGED_RUNS = 20;
-/** Longest time that a planned stop waits for runs to end. */
+/**
+ * Longest time that a planned stop waits for runs to end, which leaves 1.5 s of
+ * the platform's grace of 6 s for the last write and a process that is late.
+ */
 const DRAIN_TIMEOUT_MS = 4500;
+/**
+ * Shortest planned stop. Entries learn of it from a report; starts that they send
+ * before it arrives are refused, and placed elsewhere at once. On a link that
+ * closes, their state would be unknown until the next process has started.
+ */
+const MIN_STOP_MS = 300;
 
 /** Only runs of an earlier driver process can be claimed. */
 const claimGraceMs = (run: TrackedRun): number =>
@@ -1232,14 +1241,20 @@
       }
     }
     if (this._stoppingSinceMs !== undefined && !this._isStopped) {
-      const isTimedOut = now - this._stoppingSinceMs > DRAIN_TIMEOUT_MS;
-      if (this._runs.size === 0 || isTimedOut) {
+      if (this._isStopComplete(now - this._stoppingSinceMs)) {
         this._isStopped = true;
         this._actions.push({ kind: 'stopped' });
       }
     }
   }
 
+  private _isStopComplete(stoppingMs: number): boolean {
+    return (
+      (this._runs.size === 0 && stoppingMs >= MIN_STOP_MS) ||
+      stoppingMs > DRAIN_TIMEOUT_MS
+    );
+  }
+
   /**
    * @param canBeDelayed - Whether the worker may carry out a call, and so extend
    *   the lease, long after the call has timed out.
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -50,6 +50,8 @@
   active: ListedRun[] = [];
   ends: ListedEnd[] = [];
   readonly reports: WorkerReport[] = [];
+  readonly polls: Extract<WorkerCall, { kind: 'hold' }>[] = [];
+  isStopped = false;
   readonly calls: { callId: number; call: WorkerCall }[] = [];
   readonly driver = new WorkerDriver({
     name: 'vm',
@@ -152,8 +154,13 @@
   private _collect(action: WorkerAction): void {
     if (action.kind === 'call') {
       this.calls.push(action);
+      if (action.call.kind === 'hold') {
+        this.polls.push(action.call);
+      }
     } else if (action.kind === 'report') {
       this.reports.push(action.report);
+    } else if (action.kind === 'stopped') {
+      this.isStopped = true;
     }
   }
 }
