Acknowledge the last ends before a worker driver's planned stop is complete

What was seen: a worker driver process ended while the entries were still recording the ends of its last runs. The worker kept listing these ends until the next process had started, recorded and acknowledged them, when its lease had expired in between.

Cause: the stop waited for the runs only, not for the acknowledgement of their ends.

Evidence: worker-stop.test.ts, `stop: the end of the last run is acknowledged before the process ends`. Before: stopped, nothing acknowledged; after: the last poll acknowledges the end.

A stop without runs now waits until a poll has acknowledged all listed ends, for a second at most, because an entry that has gone records none.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -136,6 +136,12 @@
  * closes, their state would be unknown until the next process has started.
  */
 const MIN_STOP_MS = 300;
+/**
+ * Longest time that a planned stop without runs waits for the acknowledgement of
+ * listed ends. Until the next process acknowledges them, the lease expires, and
+ * an entry that has gone records none.
+ */
+const ACKNOWLEDGE_TIMEOUT_MS = 1000;
 
 /** Only runs of an earlier driver process can be claimed. */
 const claimGraceMs = (run: TrackedRun): number =>
@@ -230,6 +236,8 @@
   private _nextPollAtMs = 0;
   private _pollCount = 0;
   private _lastPollAtMs = 0;
+  /** Number through which the last poll has acknowledged ends. */
+  private _sentAckThrough = 0;
   /**
    * Latest lease end that an answered call, or one that may have been carried
    * out, has requested, on the worker's clock.
@@ -256,6 +264,8 @@
   private _unreliableUntilMs = 0;
   private _unrecordedReportAtMs = 0;
   private _stoppingSinceMs: number | undefined;
+  /** Since when no run is left during a planned stop. */
+  private _idleSinceMs: number | undefined;
   private _isStopped = false;
 
   /** @param options - Names, fencing token and time limits of the worker. */
@@ -448,6 +458,7 @@
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
     this._ends.reset();
+    this._sentAckThrough = 0;
     this._clock.reset();
     this._crashTime = new CrashTime();
     this._ownerExpiryMs.clear();
@@ -791,6 +802,7 @@
       : undefined;
     this._pollCount += 1;
     this._lastPollAtMs = now;
+    this._sentAckThrough = this._ends.ackedThrough;
     this._pollCallId = this._call({
       kind: 'hold',
       id: this._worker?.id,
@@ -1249,9 +1261,21 @@
   }
 
   private _isStopComplete(stoppingMs: number): boolean {
+    if (stoppingMs > DRAIN_TIMEOUT_MS) {
+      return true;
+    }
+    if (this._runs.size > 0) {
+      this._idleSinceMs = undefined;
+      return false;
+    }
+    this._idleSinceMs ??= this._nowMs;
+    const areEndsAcknowledged =
+      !this._ends.hasUnacknowledged &&
+      this._sentAckThrough === this._ends.ackedThrough;
     return (
-      (this._runs.size === 0 && stoppingMs >= MIN_STOP_MS) ||
-      stoppingMs > DRAIN_TIMEOUT_MS
+      stoppingMs >= MIN_STOP_MS &&
+      (areEndsAcknowledged ||
+        this._nowMs - this._idleSinceMs >= ACKNOWLEDGE_TIMEOUT_MS)
     );
   }
 
--- a/packages/core/src/test/worker-stop.test.ts
+++ b/packages/core/src/test/worker-stop.test.ts
@@ -1,11 +1,25 @@
 import { expect } from 'earl';
-import { StartRefusal } from '../lib/messages.js';
-import { ready, refusals, starts } from './worker-harness.js';
+import { EndKind, StartRefusal } from '../lib/messages.js';
+import { BORN_MS, ready, refusals, starts } from './worker-harness.js';
 import type { DriverHarness } from './worker-harness.js';
 
 /** Longest time from the signal to the end of the stop; the grace is 6 s. */
 const STOP_LIMIT_MS = 5000;
 
+/** Returns a driver whose worker has listed the end of a recorded job's run. */
+const withListedEnd = (): DriverHarness => {
+  const harness = ready();
+  const groups = starts('t').map((group) => ({ ...group, volatile: false }));
+  harness.order({ holdUntilMs: 30_000, starts: groups });
+  harness.answer('start');
+  harness.ends = [
+    { number: 1, task: 't', run: 1, kind: EndKind.DONE, checkpoint: '' },
+  ];
+  harness.advance(10);
+  harness.answerPoll();
+  return harness;
+};
+
 /** Answers the pending poll and lets the next one and a tick follow. */
 const poll = (harness: DriverHarness): void => {
   harness.advance(50);
@@ -34,6 +48,30 @@
   expect(pollUntilStopped(harness) < 500).toEqual(true);
 });
 
+// Guards against ends that are acknowledged only by the next process, after the
+// lease of the worker has expired.
+it('stop: the end of the last run is acknowledged before the process ends', () => {
+  const harness = withListedEnd();
+  harness.handle({ kind: 'stop' });
+  poll(harness);
+  harness.advance(400);
+  expect(harness.isStopped).toEqual(false);
+  harness.order({
+    recorded: [{ life: String(BORN_MS), number: 1, superseded: false }],
+  });
+  harness.ends = [];
+  pollUntilStopped(harness);
+  const acknowledged = harness.polls.map(({ ackedThrough }) => ackedThrough);
+  expect(acknowledged.at(-1)).toEqual(1);
+});
+
+// Guards against a stop that waits for an entry that has gone.
+it('stop: an end that no entry records delays the stop by a second at most', () => {
+  const harness = withListedEnd();
+  harness.handle({ kind: 'stop' });
+  expect(pollUntilStopped(harness) < 1500).toEqual(true);
+});
+
 // Guards against a process that is killed at the end of its grace.
 it('stop: a run that does not end and a silent worker do not delay it further', () => {
   const harness = ready();
