Store a worker's deregistration before its driver process ends

What was seen: a worker that deregistered around a planned stop of its driver process stayed registered. The next process restored it from the row and entries went on connecting to it.

Cause: the deregistration is acknowledged when it is read, its row is deleted afterwards, with retries, and the stop ended the process without waiting.

--- a/packages/daemon/src/lib/process/worker-registration.ts
+++ b/packages/daemon/src/lib/process/worker-registration.ts
@@ -45,7 +45,8 @@
   private _desiredValue: string | null = '';
   /** Value last read or written: empty without a row, `null` after a deletion. */
   private _storedValue: string | null = '';
-  private _isWriting = false;
+  /** Settles when the row has its value; absent while no write is pending. */
+  private _writing: Promise<void> | undefined;
 
   /** @param options - Identity of the process, the store and the log. */
   constructor(options: WorkerRegistrationOptions) {
@@ -111,6 +112,16 @@
     }
   }
 
+  /**
+   * Waits until the row has its value, at the end of a planned stop. The row of a
+   * worker that has left would otherwise remain if the process ended first.
+   *
+   * @param timeoutMs - Maximum wait in milliseconds.
+   */
+  async settle(timeoutMs: number): Promise<void> {
+    await Promise.race([this._writing, delay(timeoutMs)]);
+  }
+
   private _updateRow(): void {
     const { address, incarnation, dataCentre } = this._options;
     const row: WorkerRow = {
@@ -128,9 +139,8 @@
   }
 
   private _startWriting(): void {
-    if (!this._isWriting && this._desiredValue !== this._storedValue) {
-      this._isWriting = true;
-      void this._writeRow();
+    if (!this._writing && this._desiredValue !== this._storedValue) {
+      this._writing = this._writeRow();
     }
   }
 
@@ -154,6 +164,6 @@
         await delay(BACKOFF_MS);
       }
     }
-    this._isWriting = false;
+    this._writing = undefined;
   }
 }
