Do not restore a worker that leaves while its row is read

What was seen: a worker that deregistered while its restarted driver process was still reading the registration row was restored from that row, announced and registered again, although the deregistration was acknowledged.

Cause: a deregistration applied only to the worker in memory, and there was none before the row was read.

Evidence: worker-registration.test.ts, `a worker that leaves while its row is read is not restored`. Before: the worker is returned; after: none, and the row is deleted.

--- a/packages/daemon/src/lib/process/worker-registration.ts
+++ b/packages/daemon/src/lib/process/worker-registration.ts
@@ -38,6 +38,8 @@
   private _registeredWorker: WorkerHeartbeat | undefined;
   /** Incarnation that has left last, by the time of its start. */
   private _leftBornMs = Number.NEGATIVE_INFINITY;
+  /** Id that has deregistered last. */
+  private _leftId: string | undefined;
   /**
    * Value that the row should have: empty before the first update, `null` after
    * the worker has left.
@@ -67,9 +69,20 @@
     const value = reply.kind === 'rows' ? reply.rows[0]?.value : undefined;
     const row = value === undefined ? undefined : decodeWorkerRow(value);
     this._storedValue = value ?? '';
-    this._registeredWorker ??= row?.worker;
+    const worker = row?.worker;
+    if (worker && worker.id === this._leftId) {
+      // It has left while the row was read.
+      this._leftBornMs = Math.max(this._leftBornMs, worker.bornMs);
+      if (this._registeredWorker) {
+        this._updateRow();
+      } else {
+        this._deleteRow();
+      }
+      return undefined;
+    }
+    this._registeredWorker ??= worker;
     this._updateRow();
-    return row?.worker;
+    return worker;
   }
 
   /**
@@ -99,16 +112,17 @@
   }
 
   /**
-   * Deletes the row if the registered worker is the one that deregistered.
+   * Deletes the row if the registered worker is the one that deregistered, also
+   * if the row is still being read.
    *
    * @param id - Incarnation of the worker that deregistered.
    */
   deregister(id: string): void {
+    this._leftId = id;
     if (this._registeredWorker?.id === id) {
       this._leftBornMs = this._registeredWorker.bornMs;
       this._registeredWorker = undefined;
-      this._desiredValue = null;
-      this._startWriting();
+      this._deleteRow();
     }
   }
 
@@ -122,6 +136,11 @@
     await Promise.race([this._writing, delay(timeoutMs)]);
   }
 
+  private _deleteRow(): void {
+    this._desiredValue = null;
+    this._startWriting();
+  }
+
   private _updateRow(): void {
     const { address, incarnation, dataCentre } = this._options;
     const row: WorkerRow = {
--- a/packages/daemon/src/test/worker-registration.test.ts
+++ b/packages/daemon/src/test/worker-registration.test.ts
@@ -117,3 +117,28 @@
   );
   expect(worker?.bornMs).toEqual(2000);
 });
+
+// Guards against a worker that has left around the restart of its process and is
+// registered again.
+it('a worker that leaves while its row is read is not restored', async () => {
+  const store = new OneRowStore();
+  store.value = JSON.stringify({
+    address: 'vm:1',
+    incarnation: 'w0',
+    dataCentre: 'dc',
+    worker: heartbeat(),
+  } satisfies WorkerRow);
+  const registration = new WorkerRegistration({
+    name: 'vm',
+    address: 'vm:1',
+    dataCentre: 'dc',
+    incarnation: 'w1',
+    store,
+    log: { info: () => undefined, warn: () => undefined } as unknown as Log,
+  });
+  const restored = registration.restore();
+  registration.deregister('i-1');
+  expect(await restored).toEqual(undefined);
+  await delay(0);
+  expect<string | null>(store.value).toEqual(null);
+});
