--- a/packages/daemon/src/lib/process/worker-registration.ts
+++ b/packages/daemon/src/lib/process/worker-registration.ts
@@ -38,6 +38,8 @@
   private _registeredWorker: WorkerHeartbeat | undefined;
   /** Incarnation that has left last, by the time of its start. */
   private _leftBornMs = Number.NEGATIVE_INFINITY;
+  /** Id that has deregistered last. */
+  private _leftId: string | undefined;
   /**
    * Value that the row should have: empty before the first update, `null` after
    * the worker has left.
@@ -45,7 +47,8 @@
   private _desiredValue: string | null = '';
   /** Value last read or written: empty without a row, `null` after a deletion. */
   private _storedValue: string | null = '';
-  private _isWriting = false;
+  /** Settles when the row has its value; absent while no write is pending. */
+  private _writing: Promise<void> | undefined;
 
   /** @param options - Identity of the process, the store and the log. */
   constructor(options: WorkerRegistrationOptions) {
@@ -66,9 +69,20 @@
     const value = reply.kind === 'rows' ? reply.rows[0]?.value : undefined;
     const row = value === undefined ? undefined : decodeWorkerRow(value);
     this._storedValue = value ?? '';
-    this._registeredWorker ??= row?.worker;
+    const worker = row?.worker;
+    if (worker && worker.id === this._leftId) {
+      // It has left while the row was read.
+      this._leftBornMs = Math.max(this._leftBornMs, worker.bornMs);
+      if (this._registeredWorker) {
+        this._updateRow();
+      } else {
+        this._deleteRow();
+      }
+      return undefined;
+    }
+    this._registeredWorker ??= worker;
     this._updateRow();
-    return row?.worker;
+    return worker;
   }
 
   /**
@@ -98,19 +112,35 @@
   }
 
   /**
-   * Deletes the row if the registered worker is the one that deregistered.
+   * Deletes the row if the registered worker is the one that deregistered, also
+   * if the row is still being read.
    *
    * @param id - Incarnation of the worker that deregistered.
    */
   deregister(id: string): void {
+    this._leftId = id;
     if (this._registeredWorker?.id === id) {
       this._leftBornMs = this._registeredWorker.bornMs;
       this._registeredWorker = undefined;
-      this._desiredValue = null;
-      this._startWriting();
+      this._deleteRow();
     }
   }
 
+  /**
+   * Waits until the row has its value, at the end of a planned stop. The row of a
+   * worker that has left would otherwise remain if the process ended first.
+   *
+   * @param timeoutMs - Maximum wait in milliseconds.
+   */
+  async settle(timeoutMs: number): Promise<void> {
+    await Promise.race([this._writing, delay(timeoutMs)]);
+  }
+
+  private _deleteRow(): void {
+    this._desiredValue = null;
+    this._startWriting();
+  }
+
   private _updateRow(): void {
     const { address, incarnation, dataCentre } = this._options;
     const row: WorkerRow = {
@@ -128,9 +158,8 @@
   }
 
   private _startWriting(): void {
-    if (!this._isWriting && this._desiredValue !== this._storedValue) {
-      this._isWriting = true;
-      void this._writeRow();
+    if (!this._writing && this._desiredValue !== this._storedValue) {
+      this._writing = this._writeRow();
     }
   }
 
@@ -154,6 +183,6 @@
         await delay(BACKOFF_MS);
       }
     }
-    this._isWriting = false;
+    this._writing = undefined;
   }
 }
