--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -60,7 +60,7 @@
 }
 
 /** What has happened since a planned stop began; logged when it ends. */
-interface PlannedStop {
+interface StopProgress {
   readonly sinceMs: number;
   calls: number;
   lastCallAtMs: number;
@@ -122,7 +122,7 @@
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
-  private _plannedStop: PlannedStop | undefined;
+  private _plannedStop: StopProgress | undefined;
   /** Whether the planned stop is complete; the entry then answers no more. */
   private _hasStopped = false;
 
