End a planned stop of an entry whose jobs have been taken over

What was seen: an entry whose planned stop handed over a job that waits for placement stayed until the deadline of the job, although another entry owned the job by then. It was killed at the end of its grace, and callers that waited there got no answer.

Cause: an entry learns that it is fenced from a failed write or from a runner. After the hand-over it does not renew its row, and a job that waits has no runner and no write before its deadline. The scan of the member rows left out its own.

The scan now reads the entry's own row as well. Requests are not handed over, so the entry ends only once it has answered them.

--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -442,6 +442,11 @@
     if (this._stopDeadlineMs === undefined || this._isLeaving) {
       return;
     }
+    // Requests are not handed over with the jobs; they end here.
+    if (this._membership.isTakenOver && this._requests.openCount === 0) {
+      this._retire('Another entry has taken over the jobs of this entry.');
+      return;
+    }
     const open =
       this._jobs.openCount + this._openCalls.size + this._takeovers.activeCount;
     if (open === 0) {
--- a/packages/core/src/lib/process/membership.ts
+++ b/packages/core/src/lib/process/membership.ts
@@ -38,6 +38,7 @@
   private _renewalCount = 0;
   private _leaving = false;
   private _handedOver = false;
+  private _isTakenOver = false;
   private _onLeft: (() => void) | undefined;
   private _writing = false;
   private _dirty = true;
@@ -66,6 +67,15 @@
     return this.others.filter((v) => !v.row.fencedBy && !this.isReplaceable(v));
   }
 
+  /**
+   * Whether another entry has taken over the jobs that this entry has handed
+   * over. A row marked as leaving is not renewed, so no write of this entry would
+   * fail, and a job that waits has no runner that could report the fence.
+   */
+  get isTakenOver(): boolean {
+    return this._isTakenOver;
+  }
+
   /** A condition that holds while this incarnation has not been replaced. */
   get ownerCondition(): Condition {
     return {
@@ -283,14 +293,23 @@
     // starts anew after a gap between scans.
     const elapsedMs = gapMs <= maxGapMs ? gapMs : undefined;
     const views = new Map<string, MemberView>();
+    let own: MemberRow | undefined;
     for (const row of reply.rows) {
       const view = this._view(row, elapsedMs);
-      if (view.row.incarnation !== this._ctx.options.incarnation) {
+      if (view.row.incarnation === this._ctx.options.incarnation) {
+        own = view.row;
+      } else {
         views.set(view.row.incarnation, view);
       }
     }
     this._views = views;
     this._lastScanAtMs = sentAtMs;
+    const isOwnScanned = own !== undefined || reply.rows.length < SCAN_LIMIT;
+    this._isTakenOver ||=
+      this._handedOver &&
+      this._onLeft === undefined &&
+      isOwnScanned &&
+      (own === undefined || own.fencedBy !== undefined);
   }
 
   private _view(row: Row, elapsedMs: number | undefined): MemberView {
