Stand-in store: a mode for each call; replies that are slow

The mode 'slow replies' executes a call at once and replies after 400 ms, so that another entry sees a write before its writer does.

The desk client sends a content type only with a body: a DELETE without a body but with this header is answered 400, so it never reached the entry.

--- a/packages/standins/src/lib/platform/desk-client.ts
+++ b/packages/standins/src/lib/platform/desk-client.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'node:http';
 
-const agent = new Agent({ keepAlive: true });
+const sharedAgent = new Agent({ keepAlive: true });
 
 /** Status that stands for a call whose connection failed. */
 export const CONNECTION_FAILED = 0;
@@ -33,6 +33,8 @@
   readonly method?: string;
   readonly body?: unknown;
   readonly deadlineMs?: number;
+  /** Pool of the connections to use; by default shared by all calls. */
+  readonly agent?: Agent;
 }
 
 /**
@@ -43,9 +45,10 @@
  */
 export const openCall = (req: DeskRequest): DeskCall => {
   const { url, host, method = 'GET', body, deadlineMs = DEADLINE_MS } = req;
+  const { agent = sharedAgent } = req;
   const headers = {
     host,
-    'content-type': 'application/json',
+    ...(body === undefined ? {} : { 'content-type': 'application/json' }),
     'x-sapphiremux-deadline-ms': String(deadlineMs),
   };
   const call = request(url, { method, agent, headers });
--- a/packages/standins/src/lib/platform/fleet-cluster.ts
+++ b/packages/standins/src/lib/platform/fleet-cluster.ts
@@ -88,7 +88,7 @@
     await Promise.all(
       this.processes
         .filter(({ role }) => role === 'entry')
-        .map((entry) => this._waitUntilReady(entry)),
+        .map((entry) => this.waitUntilReady(entry)),
     );
   }
 
@@ -144,6 +144,24 @@
     process.child = this._spawn(process, index);
   }
 
+  /**
+   * @param entry - An entry process.
+   * @throws Error when it is not ready before the timeout.
+   */
+  async waitUntilReady({ host, name }: FleetProcess): Promise<void> {
+    const endsAt = Date.now() + READY_TIMEOUT_MS;
+    while (!this._isClosing && Date.now() < endsAt) {
+      const res = await fetch(
+        `http://${host}:${String(READY_PORT)}/ready`,
+      ).catch(() => undefined);
+      if (res?.status === 200) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error(`${name} did not become ready before the timeout`);
+  }
+
   /**
    * Starts a new worker in place of one that has crashed.
    *
@@ -225,18 +243,4 @@
     child.on('exit', () => this._options.onExit?.(name, child));
     return child;
   }
-
-  private async _waitUntilReady({ host, name }: FleetProcess): Promise<void> {
-    const endsAt = Date.now() + READY_TIMEOUT_MS;
-    while (!this._isClosing && Date.now() < endsAt) {
-      const res = await fetch(
-        `http://${host}:${String(READY_PORT)}/ready`,
-      ).catch(() => undefined);
-      if (res?.status === 200) {
-        return;
-      }
-      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-    }
-    throw new Error(`${name} did not become ready before the timeout`);
-  }
 }
--- a/packages/standins/src/lib/platform/table-store.ts
+++ b/packages/standins/src/lib/platform/table-store.ts
@@ -28,7 +28,7 @@
 /** Maximum wait of a call for changes. */
 const MAX_FEED_WAIT_MS = 30_000;
 
-/** Delay of each call in {@link TableStoreMode.Slow}. */
+/** Delay of each call in the slow modes. */
 const SLOW_CALL_MS = 400;
 
 /** How the fake handles calls. */
@@ -40,6 +40,8 @@
   Unresponsive = 'unresponsive',
   /** Executes calls after a delay. */
   Slow = 'slow',
+  /** Executes calls at once and replies after a delay. */
+  SlowReplies = 'slow-replies',
   /** Executes calls and does not reply to them. */
   LosingReplies = 'losing-answers',
 }
@@ -51,6 +53,8 @@
  */
 export class TableStore {
   mode = TableStoreMode.Serving;
+  /** Returns the mode in which a call is handled; by default {@link mode}. */
+  modeOf: (req: JsonRequest) => TableStoreMode = () => this.mode;
   private readonly _rows = new Map<string, StoredRow>();
   private _changes: Change[] = [];
   private _compactedThrough = 0;
@@ -111,14 +115,11 @@
   rows(table: string): { key: string; value: string }[] {
     return [...this._rows.values()]
       .filter((row) => row.table === table)
-      .map(({ key, value }) => ({
-        key,
-        value: Buffer.from(value, 'base64').toString('utf8'),
-      }));
+      .map(({ key, value }) => ({ key, value: decodeValue(value) }));
   }
 
   private async _handle(req: JsonRequest): Promise<JsonResponse | undefined> {
-    switch (this.mode) {
+    switch (this.modeOf(req)) {
       case TableStoreMode.Unavailable:
         return { status: 503 };
       case TableStoreMode.Unresponsive:
@@ -126,8 +127,13 @@
       case TableStoreMode.Serving:
         return this._execute(req);
       case TableStoreMode.Slow:
-        await new Promise((resolve) => setTimeout(resolve, SLOW_CALL_MS));
+        await slowDown();
         return this._execute(req);
+      case TableStoreMode.SlowReplies: {
+        const response = await this._execute(req);
+        await slowDown();
+        return response;
+      }
       case TableStoreMode.LosingReplies:
         await this._execute(req);
         return undefined;
@@ -239,5 +245,21 @@
   }
 }
 
+/** @returns Part of the store that a call reads or writes. */
+export const partOfCall = ({ query, body }: JsonRequest): string =>
+  query.get('part') ?? (body as Transaction | undefined)?.writes[0]?.part ?? '';
+
+/** @returns Contents of the rows that a call writes. */
+export const writtenValues = ({ body }: JsonRequest): string[] =>
+  (body as Transaction | undefined)?.writes.map(({ value }) =>
+    decodeValue(value),
+  ) ?? [];
+
+const decodeValue = (value: string): string =>
+  Buffer.from(value, 'base64').toString('utf8');
+
+const slowDown = (): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, SLOW_CALL_MS));
+
 const rowId = (row: RowKey): string =>
   [row.table, row.part ?? '', row.key].join('\0');
--- a/packages/standins/src/test/cluster-checks.ts
+++ b/packages/standins/src/test/cluster-checks.ts
@@ -56,13 +56,19 @@
   ).length;
 };
 
-/** Runs a check on a cluster, and keeps the logs of the processes if it fails. */
+/**
+ * Runs a check on a cluster, and keeps the logs of the processes if it fails.
+ *
+ * @param check - The check.
+ * @param entries - Number of entries.
+ */
 export const withCluster = async (
   check: (cluster: FleetCluster) => Promise<void>,
+  entries = 2,
 ): Promise<void> => {
   const lines: string[] = [];
   const cluster = new FleetCluster({
-    entries: 2,
+    entries,
     workers: 3,
     onLine: (_name, line) => lines.push(line),
   });
