Wait for forwarded calls before the end of an entry's planned stop

Cause: the core has answered such a call; only the host waits for the other entry. The limit counted from the end of the stop in the core.

Evidence: planned-stop.test.ts, `stop: a call that was forwarded to the owner of its job is answered`.

The limit now counts from the last answer of the host.

--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import { ConnectError, Code } from '@connectrpc/connect';
@@ -97,6 +98,8 @@
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
+  /** Number of calls that wait for the answer of another entry. */
+  private _forwardedCalls = 0;
 
   /** @param options - Settings, log and callbacks. */
   constructor(options: EntryHostOptions) {
@@ -220,6 +223,13 @@
     }
   }
 
+  /** Waits until no caller waits for an answer any more. */
+  async answered(): Promise<void> {
+    while (this._callers.size + this._forwardedCalls > 0) {
+      await delay(TICK_MS);
+    }
+  }
+
   /** Closes all connections and stops the ticks. */
   async close(): Promise<void> {
     clearTimeout(this._timer);
@@ -369,11 +379,13 @@
     reply: Extract<Reply, { kind: 'forward' }>,
   ): Promise<Reply> {
     const { address, job, waitMs, cancel } = reply;
+    this._forwardedCalls += 1;
     const answer = await this._peers.call(
       address,
       waitMs + FORWARD_ROUND_TRIP_MS,
       (client, options) => client.job({ job, waitMs, cancel }, options),
     );
+    this._forwardedCalls -= 1;
     if (answer) {
       return { kind: 'job', status: JSON.parse(answer.status) as JobStatus };
     }
--- a/packages/daemon/src/lib/process/run-entry.ts
+++ b/packages/daemon/src/lib/process/run-entry.ts
@@ -7,9 +7,9 @@
 
 const INCARNATION_BYTES = 6;
 /**
- * Maximum time to send the last replies to callers. All calls are answered when
- * the stop is complete; a caller that has sent a part of a request would hold up
- * the end of the process otherwise, because a closing server has no time limit.
+ * Maximum time to send the last replies to callers once all calls are answered. A
+ * caller that has sent a part of a request would hold up the end of the process
+ * otherwise, because a closing server has no time limit.
  */
 const CLOSE_TIMEOUT_MS = 2000;
 
@@ -45,7 +45,8 @@
   const http = await startHttpServer(host, log);
   log.info('entry started', { id: settings.id, http: settings.http.port });
   const close = async (): Promise<void> => {
-    await Promise.race([http.close(), delay(CLOSE_TIMEOUT_MS)]);
+    const replies = host.answered().then(() => delay(CLOSE_TIMEOUT_MS));
+    await Promise.race([http.close(), replies]);
     await host.close();
     onClosed();
   };
--- a/packages/standins/src/test/planned-stop.test.ts
+++ b/packages/standins/src/test/planned-stop.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import { LocalCluster, call, waitUntil } from '../lib/local-cluster.js';
 import type { ClusterProcess } from '../lib/local-cluster.js';
-import { CLUSTER_TICKET } from './sample.js';
+import { CLUSTER_TICKET, createJob } from './sample.js';
 
 const HTTP_OK = 200;
 /** Time for a process without work to end. */
@@ -81,3 +81,27 @@
   withOne(async (_entry, runner) => {
     expect(await stopDuringRequest(runner, '/v1/endpoint')).toEqual(0);
   }));
+
+// Guards against a limit on the end of a stop that cuts calls which wait at
+// another entry.
+it('stop: a call that was forwarded to the owner of its job is answered', async () => {
+  const cluster = await LocalCluster.start({ runners: ['north'] });
+  try {
+    const [owner, other] = cluster.entries;
+    const ownerPort = owner?.port ?? 0;
+    await call(ownerPort, 'POST', '/v1/tickets', CLUSTER_TICKET);
+    await call(ownerPort, 'POST', '/v1/jobs', createJob('job', 1, 6000));
+    const waiting = call(
+      other?.port ?? 0,
+      'GET',
+      '/v1/jobs/job?wait=20000',
+    ).catch((err: unknown) => ({ status: (err as Error).message, body: {} }));
+    await sleep(500);
+    other?.child.kill('SIGTERM');
+    const { status, body } = await waiting;
+    expect(status).toEqual(HTTP_OK);
+    expect((body as { state: string }).state).toEqual('complete');
+  } finally {
+    await cluster.close();
+  }
+});
