Bound the wait for the store at the end of an entry's planned stop

What was seen: an entry without open work, whose store did not answer, stayed after its planned stop until it was killed, if no other entry was there to replace it. Connections that were open then closed without an answer.

Cause: the stop waited for the deletion of the entry's rows, which is retried until its outcome is known.

Evidence: entry-stop.test.ts, `stop: an idle entry ends while the store does not answer` (before: still there after 10 s; after: ended), and entry-core-stop.test.ts, `stop: an answer that arrives after the end of a stop ends it only once` (before: not stopped; after: once). `stop: an entry that is replaced during a stop ends` passes before and after. fuzz and takeover tests pass.

The wait now ends after 3 s. Rows that remain are removed by another entry once the lease expires; the entry has no jobs then. The end is reported once, also if the answer arrives or a runner reports a fence afterwards.

--- a/packages/core/src/lib/process/entry.ts
+++ b/packages/core/src/lib/process/entry.ts
@@ -42,6 +42,11 @@
 
 /** How long a planned stop waits for open work before it hands over jobs. */
 const DRAIN_TIMEOUT_MS = 20_000;
+/**
+ * How long a planned stop without open work waits until the rows of the entry are
+ * deleted. Rows that remain are removed by another entry once the lease expires.
+ */
+const LEAVE_TIMEOUT_MS = 3000;
 
 /**
  * The entry process as a state machine. It admits jobs and requests from
@@ -70,7 +75,9 @@
   private readonly _openCalls = new Set<number>();
   private _isReplaced = false;
   private _stopDeadlineMs: number | undefined;
-  private _isLeaving = false;
+  /** When the entry ends in any case; absent while it has open work. */
+  private _leaveDeadlineMs: number | undefined;
+  private _hasStopped = false;
 
   /**
    * @param options - Identity and limits.
@@ -439,7 +446,13 @@
   }
 
   private _finishStop(now: number): void {
-    if (this._stopDeadlineMs === undefined || this._isLeaving) {
+    if (this._stopDeadlineMs === undefined) {
+      return;
+    }
+    if (this._leaveDeadlineMs !== undefined) {
+      if (now >= this._leaveDeadlineMs) {
+        this._emitStopped();
+      }
       return;
     }
     // Requests are not handed over with the jobs; they end here.
@@ -450,9 +463,9 @@
     const open =
       this._jobs.openCount + this._openCalls.size + this._takeovers.activeCount;
     if (open === 0) {
-      this._isLeaving = true;
+      this._leaveDeadlineMs = now + LEAVE_TIMEOUT_MS;
       this._membership.leave(() => {
-        this._ctx.emit({ kind: 'stopped' });
+        this._emitStopped();
       });
     } else if (now >= this._stopDeadlineMs) {
       this._membership.handOver();
@@ -473,8 +486,19 @@
         this._ctx.emit({ kind: 'close-link', linkId: peer.link.linkId });
       }
     }
-    const stopping = this._stopDeadlineMs !== undefined;
-    this._ctx.emit(stopping ? { kind: 'stopped' } : { kind: 'retire', reason });
+    if (this._stopDeadlineMs === undefined) {
+      this._ctx.emit({ kind: 'retire', reason });
+    } else {
+      this._emitStopped();
+    }
+  }
+
+  /** The host ends the process once, whatever happens until it has closed. */
+  private _emitStopped(): void {
+    if (!this._hasStopped) {
+      this._hasStopped = true;
+      this._ctx.emit({ kind: 'stopped' });
+    }
   }
 
   /** Refuses calls that arrive after this incarnation has been replaced. */
