Hold calls for one more poll in one place, with a count

HeldCalls is the shared part of EntryHost.dispatchRequest and of its twin in BatchHost, which can adopt it: `pass` decides at the time of passing who answers, so a stop that ends while a call is held is a case of `pass`.

The count lets the end of a stop wait for held calls too.

--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -36,9 +36,9 @@
 import { loadTls } from '../connection/tls.js';
 import type { TlsContext } from '../connection/tls.js';
 import { now } from './clock.js';
+import { HeldCalls } from './held-calls.js';
 import type { Log } from './logger.js';
 import { EntryMetrics } from './metrics.js';
-import { NextPoll } from './next-poll.js';
 import { StoreHttpClient } from './store-http-client.js';
 import { TurnFlush } from './turn-flush.js';
 
@@ -94,7 +94,7 @@
   private readonly _flush = new TurnFlush(() => {
     this.dispatch({ kind: 'flush' });
   });
-  private readonly _nextPoll = new NextPoll(() => {
+  private readonly _held = new HeldCalls(() => {
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
@@ -202,14 +202,12 @@
     caller.onGone(() => {
       disconnected.abort();
     });
-    return new Promise((resolve) => {
-      this._nextPoll.schedule(() => {
-        if (caller.isGone) {
-          this._options.log.info('request dropped, its caller has gone');
-        } else {
-          resolve(this.dispatchCall(toEvent, disconnected.signal));
-        }
-      });
+    return this._held.hold({
+      caller,
+      pass: () => this.dispatchCall(toEvent, disconnected.signal),
+      onDropped: () => {
+        this._options.log.info('request dropped, its caller has gone');
+      },
     });
   }
 
@@ -225,7 +223,7 @@
 
   /** Waits until no caller waits for an answer any more. */
   async answered(): Promise<void> {
-    while (this._callers.size + this._forwardedCalls > 0) {
+    while (this._held.count + this._callers.size + this._forwardedCalls > 0) {
       await delay(TICK_MS);
     }
   }
