--- a/packages/daemon/src/lib/process/entry-host.ts
+++ b/packages/daemon/src/lib/process/entry-host.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import { ConnectError, Code } from '@connectrpc/connect';
@@ -35,9 +36,9 @@
 import { loadTls } from '../connection/tls.js';
 import type { TlsContext } from '../connection/tls.js';
 import { now } from './clock.js';
+import { HeldCalls } from './held-calls.js';
 import type { Log } from './logger.js';
 import { EntryMetrics } from './metrics.js';
-import { NextPoll } from './next-poll.js';
 import { StoreHttpClient } from './store-http-client.js';
 import { TurnFlush } from './turn-flush.js';
 
@@ -93,10 +94,12 @@
   private readonly _flush = new TurnFlush(() => {
     this.dispatch({ kind: 'flush' });
   });
-  private readonly _nextPoll = new NextPoll(() => {
+  private readonly _held = new HeldCalls(() => {
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
+  /** Number of calls that wait for the answer of another entry. */
+  private _forwardedCalls = 0;
 
   /** @param options - Settings, log and callbacks. */
   constructor(options: EntryHostOptions) {
@@ -199,14 +202,12 @@
     caller.onGone(() => {
       disconnected.abort();
     });
-    return new Promise((resolve) => {
-      this._nextPoll.schedule(() => {
-        if (caller.isGone) {
-          this._options.log.info('request dropped, its caller has gone');
-        } else {
-          resolve(this.dispatchCall(toEvent, disconnected.signal));
-        }
-      });
+    return this._held.hold({
+      caller,
+      pass: () => this.dispatchCall(toEvent, disconnected.signal),
+      onDropped: () => {
+        this._options.log.info('request dropped, its caller has gone');
+      },
     });
   }
 
@@ -220,6 +221,13 @@
     }
   }
 
+  /** Waits until no caller waits for an answer any more. */
+  async answered(): Promise<void> {
+    while (this._held.count + this._callers.size + this._forwardedCalls > 0) {
+      await delay(TICK_MS);
+    }
+  }
+
   /** Closes all connections and stops the ticks. */
   async close(): Promise<void> {
     clearTimeout(this._timer);
@@ -369,11 +377,13 @@
     reply: Extract<Reply, { kind: 'forward' }>,
   ): Promise<Reply> {
     const { address, job, waitMs, cancel } = reply;
+    this._forwardedCalls += 1;
     const answer = await this._peers.call(
       address,
       waitMs + FORWARD_ROUND_TRIP_MS,
       (client, options) => client.job({ job, waitMs, cancel }, options),
     );
+    this._forwardedCalls -= 1;
     if (answer) {
       return { kind: 'job', status: JSON.parse(answer.status) as JobStatus };
     }
