Teach the fleet simulation what planned stops have to keep

The simulation and its fuzzer didn't show it.

Cause: nothing said that a planned stop has to end. An entry that was fenced in a stop went on as a new incarnation and counted as sound. A call without a reply counted as one of a killed entry. Nobody called a stopping entry on purpose, and it was gone in the same instant in which it had left.

Now the platform kills a process whose grace of 6 s is over, callers go on calling a stopping entry until it is gone, the real process's close of its servers is part of the stop, a stop may start the entry again and may bring a fault of the store at any time of it, and faults last until the stops that have begun have ended. Two promises: a planned stop ends in time (by itself, and without being ready again), and a planned stop answers every call. A process that was frozen or busy at the signal or in the last second of its grace is not blamed for being killed.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import type { NetworkFault } from '../sim/network.js';
 import { StoreMode } from '../sim/faulty-store.js';
+import { GRACE_MS } from './sim-batch-entry.js';
 import { WorkerMode } from './sim-worker.js';
 
 /**
@@ -57,17 +58,20 @@
       /** Whether the data centre is taken out of service or returned to it. */
       readonly isOut: boolean;
     }
-  /**
-   * Faults and the planned stop of an entry. `cut-entries` disconnects it from
-   * the other entries.
-   */
+  | {
+      /** Planned stop of an entry. */
+      readonly kind: 'stop-entry';
+      readonly entry: number;
+      /** Time from its end until the entry starts again; never if absent. */
+      readonly startAfterMs?: number | undefined;
+      /** State of the store from a time after the signal on. */
+      readonly store?:
+        { readonly mode: StoreMode; readonly afterMs: number } | undefined;
+    }
+  /** Faults of an entry. `cut-entries` disconnects it from the other entries. */
   | {
       readonly kind:
-        | 'kill-entry'
-        | 'pause-entry'
-        | 'stop-entry'
-        | 'cut-entry-store'
-        | 'cut-entries';
+        'kill-entry' | 'pause-entry' | 'cut-entry-store' | 'cut-entries';
       readonly entry: number;
     }
   /**
@@ -146,6 +150,7 @@
 const MAX_SLOW_TURN_MS = 2000;
 const MAX_SLOW_TURNS = 3;
 const MAX_RESEND_DELAY_MS = 1000;
+const MAX_START_DELAY_MS = 1000;
 
 /**
  * Generates scenarios for the fleet simulation with fast-check.
@@ -179,6 +184,7 @@
     { weight: 4, arbitrary: slowProcessCommands() },
     { weight: 3, arbitrary: operatorCommands() },
     { weight: 8, arbitrary: faultCommands() },
+    { weight: 2, arbitrary: plannedStops() },
     { weight: 4, arbitrary: workerFaultCommands() },
     {
       weight: 3,
@@ -250,13 +256,27 @@
     }),
   );
 
+/** Faults of the store begin at any time of a stop, also late. */
+const plannedStops = (): fc.Arbitrary<FleetCommand> =>
+  fc.record({
+    kind: oneOfKinds('stop-entry'),
+    entry: entryIndex(),
+    startAfterMs: fc.option(fc.nat(MAX_START_DELAY_MS), { nil: undefined }),
+    store: fc.option(
+      fc.record({
+        mode: fc.constantFrom(...Object.values(StoreMode)),
+        afterMs: fc.nat(GRACE_MS),
+      }),
+      { nil: undefined },
+    ),
+  });
+
 const faultCommands = (): fc.Arbitrary<FleetCommand> =>
   fc.oneof(
     fc.record({
       kind: oneOfKinds(
         'kill-entry',
         'pause-entry',
-        'stop-entry',
         'cut-entry-store',
         'cut-entries',
       ),
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -1,6 +1,7 @@
 import { BatchState, EndKind, jobIdOf } from '@sapphiremux/core';
 import type { BatchContent, BatchReply, Room } from '@sapphiremux/core';
 import type { Violation } from '../sim/oracle.js';
+import type { StopEnd } from './sim-batch-entry.js';
 import { isDeadly } from './sim-spec.js';
 
 /** The worker on which a run starts. */
@@ -172,6 +173,27 @@
     }
   }
 
+  /** Checks how a planned stop of an entry has ended. */
+  onStopEnd(entry: string, end: StopEnd): void {
+    if (end.wasReady) {
+      this._report('a planned stop ends in time', `${entry} is ready again`);
+    }
+    if (end.wasDelayed) {
+      return;
+    }
+    if (end.isKilled) {
+      this._report('a planned stop ends in time', `${entry} is killed`);
+    }
+    const { unanswered } = end;
+    if (unanswered.length > 0) {
+      const kinds = [...new Set(unanswered)].sort().join(', ');
+      this._report(
+        'a planned stop answers every call',
+        `${entry}: ${String(unanswered.length)} of ${kinds}`,
+      );
+    }
+  }
+
   /** Records that a caller submits a job. */
   onSubmit(id: string, content: BatchContent): void {
     if (!this._jobs.has(id)) {
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -41,6 +41,8 @@
     applyCommand(world, command);
     queue.runUntil(queue.nowMs + thenMs);
   }
+  // The faults last until the planned stops that have begun have ended.
+  queue.runUntil(Math.max(queue.nowMs, world.stopsEndMs));
   world.recover();
   for (const worker of world.workers) {
     worker.mode = WorkerMode.Healthy;
@@ -132,9 +134,11 @@
     case 'stall':
       injectNetworkFault(world, command);
       return;
+    case 'stop-entry':
+      stopEntry(world, command);
+      return;
     case 'kill-entry':
     case 'pause-entry':
-    case 'stop-entry':
     case 'cut-entry-store':
     case 'cut-entries':
       injectEntryFault(world, command.kind, entryOf(world, command.entry));
@@ -148,6 +152,19 @@
   }
 };
 
+const stopEntry = (
+  world: FleetWorld,
+  command: Extract<FleetCommand, { kind: 'stop-entry' }>,
+): void => {
+  const { entry, startAfterMs, store } = command;
+  const hasBegun = world.stopEntry(entryOf(world, entry), startAfterMs);
+  if (hasBegun && store) {
+    world.queue.after(store.afterMs, () => {
+      world.setStore(store.mode);
+    });
+  }
+};
+
 const slowDown = (
   world: FleetWorld,
   process: SimBatchEntry | SimDriver,
@@ -159,12 +176,7 @@
 
 const injectEntryFault = (
   world: FleetWorld,
-  kind:
-    | 'kill-entry'
-    | 'pause-entry'
-    | 'stop-entry'
-    | 'cut-entry-store'
-    | 'cut-entries',
+  kind: 'kill-entry' | 'pause-entry' | 'cut-entry-store' | 'cut-entries',
   entry: SimBatchEntry,
 ): void => {
   world.oracle.onFault(entry.name, false);
@@ -175,11 +187,6 @@
     case 'pause-entry':
       entry.pause();
       return;
-    case 'stop-entry':
-      entry.post(() => {
-        entry.dispatch({ kind: 'stop' });
-      });
-      return;
     case 'cut-entry-store':
       world.disconnectFromStore(entry.name);
       return;
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -15,11 +15,13 @@
 import {
   CONFIG_KEY,
   EVACUATION_PREFIX,
+  GRACE_MS,
   SimBatchEntry,
 } from './sim-batch-entry.js';
 import { SimDriver } from './sim-driver.js';
 import { SimTable } from './sim-table.js';
 import { HEARTBEAT_MS, SimWorker, WORKER_CAPACITY } from './sim-worker.js';
+import { StopCallers } from './stop-callers.js';
 
 /** Options of {@link FleetWorld}. */
 export interface FleetWorldOptions {
@@ -99,6 +101,8 @@
   readonly workers: readonly SimWorker[];
   private readonly _links = new Map<string, Link>();
   private _nextLinkId = 1;
+  private readonly _stopCallers = new StopCallers(this);
+  private _stopsEndMs = 0;
   private _configVersion = 0;
   private _disconnectedFromStore = new Set<string>();
   /**
@@ -318,6 +322,46 @@
     );
   }
 
+  /** Requests the number of pending jobs. */
+  sendCount(entry: SimBatchEntry): void {
+    entry.sendRequest(
+      (replyId) => ({ kind: 'count', replyId, queue: 'q' }),
+      () => undefined,
+    );
+  }
+
+  /**
+   * Signals an entry to stop. Callers go on calling it until it has ended.
+   *
+   * @param entry - The entry.
+   * @param startAfterMs - Time from its end until it starts again; never if
+   *   absent.
+   * @returns Whether a planned stop has begun now.
+   */
+  stopEntry(entry: SimBatchEntry, startAfterMs?: number): boolean {
+    const { queue, oracle } = this;
+    const hasBegun = entry.stop((end) => {
+      this._resetLinks((link) => link.entry === entry);
+      oracle.onStopEnd(entry.name, end);
+      if (startAfterMs !== undefined) {
+        queue.after(startAfterMs, () => {
+          entry.restart();
+        });
+      }
+    });
+    if (hasBegun) {
+      oracle.onFault(entry.name, false);
+      this._stopsEndMs = queue.nowMs + GRACE_MS;
+      this._stopCallers.begin(entry);
+    }
+    return hasBegun;
+  }
+
+  /** Virtual time by which all planned stops have ended. */
+  get stopsEndMs(): number {
+    return this._stopsEndMs;
+  }
+
   /** Kills an entry and resets its links. */
   killEntry(entry: SimBatchEntry): void {
     this.oracle.onFault(entry.name, false);
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -1,4 +1,4 @@
-import { BatchEntry } from '@sapphiremux/core';
+import { BatchEntry, SubmitRefusal } from '@sapphiremux/core';
 import type {
   BatchAction,
   BatchEvent,
@@ -45,6 +45,37 @@
   readonly onLog: (message: string, fields: object) => void;
 }
 
+/** How a planned stop has ended. */
+export interface StopEnd {
+  /** Whether the process was killed because its grace was over. */
+  readonly isKilled: boolean;
+  /**
+   * Whether a process that was killed had been paused or busy at the signal or
+   * near the end of its grace, so that it could not act in time.
+   */
+  readonly wasDelayed: boolean;
+  /** Whether the process has been ready after it had received the signal. */
+  readonly wasReady: boolean;
+  /** Kinds of the calls that the process has received and not answered. */
+  readonly unanswered: readonly string[];
+}
+
+/** A planned stop in progress. */
+interface PlannedStop {
+  readonly signalledAtMs: number;
+  readonly onEnd: (end: StopEnd) => void;
+  receivedAtMs: number | undefined;
+  wasReady: boolean;
+}
+
+/** A call without a reply. */
+interface PendingCall {
+  readonly onReply: ReplyHandler;
+  /** The call, once the process has received it. */
+  event: BatchEvent | undefined;
+  hasCallerLeft: boolean;
+}
+
 /** Receives the reply to a call; `undefined` if the entry has died. */
 export type ReplyHandler = (reply: BatchReply | undefined) => void;
 
@@ -53,6 +84,16 @@
 export const CONFIG_KEY = 'op/config';
 export const EVACUATION_PREFIX = 'op/out/';
 const TICK_MS = 50;
+/** Time that the platform gives a process to end after a signal to stop. */
+export const GRACE_MS = 6000;
+/** Interval between two ticks above which the process was paused or busy. */
+const DELAYED_TICK_MS = 2 * TICK_MS;
+/** A process that acts without delay for this long can end in time. */
+const UNDELAYED_MS = 1000;
+// Close of the servers after a planned stop, as in the real entry process.
+const CLOSE_TIMEOUT_MS = 300;
+const CLOSE_CHECK_MS = 10;
+const STOPPED_RETRY_AFTER_MS = 1000;
 
 /**
  * A simulated entry process: drives a `BatchEntry` with events in virtual time
@@ -60,12 +101,18 @@
  */
 export class SimBatchEntry extends SimProcess {
   private readonly _options: SimBatchEntryOptions;
-  private readonly _pendingCalls = new Map<number, ReplyHandler>();
+  private readonly _pendingCalls = new Map<number, PendingCall>();
   private _core!: BatchEntry;
   private _incarnation = '';
   private _incarnationNumber = 0;
   private _nextReplyId = 1;
   private _pausedAtMs: number | undefined;
+  private _stop: PlannedStop | undefined;
+  /** Whether the entry has left; it then handles no more events. */
+  private _hasStopped = false;
+  private _lastTickAtMs = 0;
+  /** End of the last time without ticks, during which it was paused or busy. */
+  private _delayedUntilMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - Names, store and receivers of actions. */
   constructor(options: SimBatchEntryOptions) {
@@ -100,15 +147,22 @@
       onReply(undefined);
       return () => undefined;
     }
-    this._pendingCalls.set(replyId, onReply);
+    const call: PendingCall = {
+      onReply,
+      event: undefined,
+      hasCallerLeft: false,
+    };
+    this._pendingCalls.set(replyId, call);
     const connection = `call ${String(replyId)}`;
     this.post(
       () => {
-        this._receive(toEvent(replyId), replyId);
+        call.event = toEvent(replyId);
+        this._receive(call.event, replyId);
       },
       { connection, isClose: false },
     );
     return () => {
+      call.hasCallerLeft = true;
       this.post(
         () => {
           if (this._pendingCalls.delete(replyId)) {
@@ -137,8 +191,39 @@
     }
   }
 
+  /**
+   * Signals the process to stop, and kills it if it has not ended by itself when
+   * its grace is over.
+   *
+   * @param onEnd - Called when the stop has ended the process.
+   * @returns Whether a planned stop has begun now.
+   */
+  stop(onEnd: (end: StopEnd) => void): boolean {
+    if (!this.isAlive || this._stop) {
+      return false;
+    }
+    const stop: PlannedStop = {
+      signalledAtMs: this.queue.nowMs,
+      onEnd,
+      receivedAtMs: undefined,
+      wasReady: false,
+    };
+    this._stop = stop;
+    this.post(() => {
+      stop.receivedAtMs = this.queue.nowMs;
+      this.dispatch({ kind: 'stop' });
+    });
+    this.queue.after(GRACE_MS, () => {
+      if (this._stop === stop) {
+        this._endStop(stop, true);
+      }
+    });
+    return true;
+  }
+
   override kill(): void {
     super.kill();
+    this._stop = undefined;
     this._failPendingCalls();
   }
 
@@ -164,6 +249,8 @@
   }
 
   protected boot(): void {
+    this._hasStopped = false;
+    this._lastTickAtMs = this.queue.nowMs;
     this._beginIncarnation();
     this._tick();
   }
@@ -178,12 +265,27 @@
       return;
     }
     this.runAfterNextPoll(() => {
-      if (this._pendingCalls.has(replyId)) {
-        this.dispatch(event);
+      if (!this._pendingCalls.has(replyId)) {
+        return;
+      }
+      if (this._hasStopped) {
+        this._reply(replyId, {
+          kind: 'refused',
+          reason: SubmitRefusal.Stopping,
+          retryAfterMs: STOPPED_RETRY_AFTER_MS,
+        });
+        return;
       }
+      this.dispatch(event);
     });
   }
 
+  private _reply(replyId: number, reply: BatchReply): void {
+    const call = this._pendingCalls.get(replyId);
+    this._pendingCalls.delete(replyId);
+    call?.onReply(reply);
+  }
+
   private _beginIncarnation(): void {
     const { name, dataCentre, random } = this._options;
     this._incarnationNumber += 1;
@@ -203,16 +305,67 @@
   }
 
   private _tick(): void {
+    this._observeTick();
     this.dispatch({ kind: 'tick' });
     this.schedule(TICK_MS, () => {
       this._tick();
     });
   }
 
+  private _observeTick(): void {
+    const { nowMs } = this.queue;
+    if (nowMs - this._lastTickAtMs > DELAYED_TICK_MS) {
+      this._delayedUntilMs = nowMs;
+    }
+    this._lastTickAtMs = nowMs;
+    if (this._stop?.receivedAtMs !== undefined && this._core.isReady) {
+      this._stop.wasReady = true;
+    }
+  }
+
+  /** Ends the process when its calls are answered, or after a time limit. */
+  private _close(remainingMs: number): void {
+    if (this._unanswered.length > 0 && remainingMs > 0) {
+      this.schedule(CLOSE_CHECK_MS, () => {
+        this._close(remainingMs - CLOSE_CHECK_MS);
+      });
+    } else if (this._stop) {
+      this._endStop(this._stop, false);
+    }
+  }
+
+  private _endStop(stop: PlannedStop, isKilled: boolean): void {
+    const end: StopEnd = {
+      isKilled,
+      wasDelayed: isKilled && this._wasDelayed(stop),
+      wasReady: stop.wasReady,
+      unanswered: this._unanswered,
+    };
+    this.kill();
+    stop.onEnd(end);
+  }
+
+  private _wasDelayed({ signalledAtMs, receivedAtMs }: PlannedStop): boolean {
+    const { nowMs } = this.queue;
+    return (
+      (receivedAtMs ?? nowMs) - signalledAtMs > DELAYED_TICK_MS ||
+      nowMs - this._delayedUntilMs < UNDELAYED_MS ||
+      nowMs - this._lastTickAtMs > DELAYED_TICK_MS
+    );
+  }
+
+  /** Kinds of the calls whose callers wait for a reply. */
+  private get _unanswered(): readonly string[] {
+    return [...this._pendingCalls.values()].flatMap(
+      ({ event, hasCallerLeft }) =>
+        event === undefined || hasCallerLeft ? [] : [event.kind],
+    );
+  }
+
   private _failPendingCalls(): void {
-    const replyHandlers = [...this._pendingCalls.values()];
+    const calls = [...this._pendingCalls.values()];
     this._pendingCalls.clear();
-    for (const onReply of replyHandlers) {
+    for (const { onReply } of calls) {
       onReply(undefined);
     }
   }
@@ -239,12 +392,9 @@
       action.kind === 'store' ? `store ${action.req.kind}` : action.kind,
     );
     switch (action.kind) {
-      case 'reply': {
-        const onReply = this._pendingCalls.get(action.replyId);
-        this._pendingCalls.delete(action.replyId);
-        onReply?.(action.reply);
+      case 'reply':
+        this._reply(action.replyId, action.reply);
         return;
-      }
       case 'store': {
         const { opId, part, req } = action;
         store.call(part, req, isDisconnectedFromStore(), (reply) => {
@@ -290,7 +440,10 @@
         this._beginIncarnation();
         return;
       case 'stopped':
-        this.kill();
+        this._hasStopped = true;
+        this.runAfterNextPoll(() => {
+          this._close(CLOSE_TIMEOUT_MS);
+        });
     }
   }
 }
