Carry the planned stop in the simulated host as in the real one

The simulated process passes the time since which it is stopping to each incarnation of its entry, and refuses calls that arrive between the end of the stop and the exit, as BatchHost does.

--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -65,6 +65,8 @@
   readonly signalledAtMs: number;
   readonly onEnd: (end: StopEnd) => void;
   receivedAtMs: number | undefined;
+  /** {@link receivedAtMs} by the clock of the process. */
+  sinceMs: number | undefined;
   wasReady: boolean;
 }
 
@@ -93,7 +95,11 @@
 // Close of the servers after a planned stop, as in the real entry process.
 const CLOSE_TIMEOUT_MS = 300;
 const CLOSE_CHECK_MS = 10;
-const STOPPED_RETRY_AFTER_MS = 1000;
+const STOPPED_REPLY: BatchReply = {
+  kind: 'refused',
+  reason: SubmitRefusal.Stopping,
+  retryAfterMs: 1000,
+};
 
 /**
  * A simulated entry process: drives a `BatchEntry` with events in virtual time
@@ -206,11 +212,13 @@
       signalledAtMs: this.queue.nowMs,
       onEnd,
       receivedAtMs: undefined,
+      sinceMs: undefined,
       wasReady: false,
     };
     this._stop = stop;
     this.post(() => {
       stop.receivedAtMs = this.queue.nowMs;
+      stop.sinceMs = this.nowMs;
       this.dispatch({ kind: 'stop' });
     });
     this.queue.after(GRACE_MS, () => {
@@ -261,25 +269,24 @@
 
   private _receive(event: BatchEvent, replyId: number): void {
     if (event.kind !== 'submit' || !this._options.defersSubmissions) {
-      this.dispatch(event);
+      this._dispatchCall(event, replyId);
       return;
     }
     this.runAfterNextPoll(() => {
-      if (!this._pendingCalls.has(replyId)) {
-        return;
-      }
-      if (this._hasStopped) {
-        this._reply(replyId, {
-          kind: 'refused',
-          reason: SubmitRefusal.Stopping,
-          retryAfterMs: STOPPED_RETRY_AFTER_MS,
-        });
-        return;
+      if (this._pendingCalls.has(replyId)) {
+        this._dispatchCall(event, replyId);
       }
-      this.dispatch(event);
     });
   }
 
+  private _dispatchCall(event: BatchEvent, replyId: number): void {
+    if (this._hasStopped) {
+      this._reply(replyId, STOPPED_REPLY);
+    } else {
+      this.dispatch(event);
+    }
+  }
+
   private _reply(replyId: number, reply: BatchReply): void {
     const call = this._pendingCalls.get(replyId);
     this._pendingCalls.delete(replyId);
@@ -299,6 +306,7 @@
         random,
         operatorTable: OPERATOR_TABLE,
         decodeOperatorRow: ({ key, value }) => decodeOperatorRow(key, value),
+        stoppingSinceMs: this._stop?.sinceMs,
       },
       this.nowMs,
     );
