--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -310,6 +310,34 @@
     from: 'isBestTooSlow && isFasterBusy',
     to: 'false',
   },
+  {
+    name: 'planned stop forgotten by the next incarnation',
+    file: 'process/batch-entry.js',
+    from: 'this._stoppingSinceMs = options.stoppingSinceMs;',
+    to: '',
+    and: {
+      from: 'this._continuesStop = options.stoppingSinceMs !== undefined;',
+      to: 'this._continuesStop = false;',
+    },
+  },
+  {
+    name: 'waiting calls not answered at the end of a planned stop',
+    file: 'process/batch-entry.js',
+    from: "this._answerOpenCalls('this entry has stopped');",
+    to: '',
+  },
+  {
+    name: 'last write of a planned stop without a time limit',
+    file: 'process/batch-entry.js',
+    from: 'now >= this._leaveUntilMs',
+    to: 'false',
+  },
+  {
+    name: 'cancel of a volatile job without a reply',
+    file: 'process/batch-entry.js',
+    from: "this._replyAll(ownedJob.cancelReplies, { kind: 'cancelled' });",
+    to: '',
+  },
 ];
 
 const edit = ({ file, from, to }) => {
