Supersede an end when a later run of its task has ended already

Callers would see: a run of a task begins after another run of it has ended DONE, and that end is taken note of (TWICE).

Trace, reduced: an entry is cut off from vm-3 and gives the run there up once it has provably ended (11,750 ms; it ended DONE at the worker, which can't report it). Run 2 begins at vm-1. The entry ends without the store; its next incarnation takes the job over. vm-1 lists the end of run 2, STOPPED, first (14,757 ms), then vm-3 lists the DONE end of run 1. It is applied, recorded at 15,342 ms and acknowledged as if no run had begun after it.

Cause: for a task whose state is unknown only the reverse order counted: an end of a later run, or an active one, that is listed after the DONE end. Now the task keeps the number of the latest run that has ended, and a DONE end of an earlier run is acknowledged as superseded. The task is done all the same, as in the reverse order.

The new test failed before (superseded: false).

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -384,7 +384,7 @@
       number: end.number,
       task: end.task,
       run: end.run,
-      superseded,
+      superseded: superseded || isOvertaken(task, end),
       isLocalRun: placed !== undefined,
     };
     if (!ownedJob) {
@@ -710,6 +710,15 @@
   }
 };
 
+/**
+ * Whether a later run, which a previous owner of the job started, has ended
+ * already. The task is done all the same.
+ */
+const isOvertaken = (task: BatchTask | undefined, end: RunEnd): boolean =>
+  end.kind === EndKind.DONE &&
+  task?.phase === TaskPhase.Unknown &&
+  task.endedRun > end.run;
+
 /**
  * Marks the unacknowledged end of the run that completed a task as superseded
  * if the given run began after it. A previous owner of the job started such a
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -142,6 +142,8 @@
   refusals: number;
   /** Number of the run that completed the task; 0 if none has. */
   doneRun: number;
+  /** Number of the latest run whose end was reported; 0 if none was. */
+  endedRun: number;
   /** Number of runs that were stopped because they had stalled. */
   stalledStops: number;
   /** Whether it is never started again, because it crashes its workers. */
@@ -229,6 +231,7 @@
         sinceMs: acceptedAtMs,
         refusals: 0,
         doneRun: 0,
+        endedRun: 0,
         stalledStops: 0,
         isStalled: false,
         isLong: false,
@@ -349,6 +352,7 @@
       return;
     }
     task.run = Math.max(task.run, end.run);
+    task.endedRun = Math.max(task.endedRun, end.run);
     if (end.checkpoint !== '') {
       task.checkpoint = end.checkpoint;
     }
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -374,6 +374,28 @@
   expect(next.started).toEqual([`${ID}.0.0.0#10001`, `${ID}.0.0.1#10001`]);
 });
 
+// Guards against an end that is taken note of although a run began after it: the
+// predecessor had given the run up and had started the task again elsewhere.
+it('an end is acknowledged as superseded after the end of a later run', () => {
+  const rows = new FakeRows();
+  withTwoWorkers(rows).submit(1, { isVolatile: false });
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  next.answerChanges();
+  next.advance(300);
+  const report = { snapshot: true, adopted: ['e1'] };
+  const stopped = { ...done(`${ID}.0.0.0`, 2), kind: EndKind.STOPPED };
+  next.report('w2', { ...report, ends: [stopped] });
+  next.report('w1', { ...report, ends: [done(`${ID}.0.0.0`, 1, 2)] });
+  next.advance(1200);
+  expect(next.orders.flatMap(({ order }) => order.recorded)).toEqual([
+    { life: '1', number: 1, superseded: false },
+    { life: '1', number: 2, superseded: true },
+  ]);
+  // The task counts as done all the same.
+  expect(next.started).toEqual([`${ID}.0.0.1#10001`]);
+});
+
 // Guards against a task that starts again after its end was acknowledged, because
 // a lost attempt of an earlier write took effect late and reverted the progress.
 it('an earlier write of progress that takes effect late changes nothing', () => {
