Answer the cancellation of an open volatile job

What callers saw: a DELETE of an open volatile job was carried out and never answered.

Cause: when a volatile job ends, only its submitters were answered; the reply of the cancellation that ended it waited at a job that was gone.

'the cancellation of a volatile job is answered' fails before this change.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -800,6 +800,7 @@
         tookMs: Math.round(now - job.acceptedAtMs),
       });
       this._removeAndAcknowledge(ownedJob, now);
+      this._replyAll(ownedJob.cancelReplies, { kind: 'cancelled' });
       this._replyAll(ownedJob.endReplies, { kind: 'ended', state: job.state });
       return;
     }
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -37,6 +37,20 @@
   expect(harness.stopped).toEqual([`${ID}.0.0.0#1`, `${ID}.0.0.1#1`]);
 });
 
+// Guards against a cancellation that is carried out and never answered.
+it('the cancellation of a volatile job is answered', () => {
+  const harness = withWorker();
+  harness.submit(1);
+  const deadlineMs = harness.now + 4000;
+  harness.handle({ kind: 'cancel', replyId: 2, id: ID, deadlineMs });
+  expect(harness.replies.get(1)).toEqual({
+    kind: 'ended',
+    state: BatchState.Cancelled,
+  });
+  expect(harness.replies.get(2)).toEqual({ kind: 'cancelled' });
+  expect(harness.stopped).toEqual([`${ID}.0.0.0#1`, `${ID}.0.0.1#1`]);
+});
+
 it('a volatile submission with the id of a recorded job is answered at its end', () => {
   const harness = withWorker();
   harness.submit(1, { ...CONTENT, isVolatile: false });
