Keep suspects of several jobs apart on the only worker of a service

Callers saw sound recorded jobs fail ("tasks given up, they crash workers"), or end late, when their service had one worker and a task that crashes it: the cause and the sound tasks that had crashed with it were started together each time the worker came back. None was the only suspect at a crash, so none was taken for the cause, and at the fourth crash all were given up.

A suspect whose only worker has crashed under it now waits there for suspects of other jobs that had run for less time at their crash, and for those that have not yet outlasted that time; 15 s at most. The cause crashes alone and is given up at the second crash. Services with several workers are placed as before: the choice among workers keeps suspects apart already, and after the loss of a machine its many sound runs must not wait for each other.

--- a/packages/core/src/lib/process/crash-ledger.ts
+++ b/packages/core/src/lib/process/crash-ledger.ts
@@ -23,6 +23,13 @@
  * within 450 ms.
  */
 const MAX_UNCERTAINTY_MS = 500;
+/**
+ * Time that a run has to outlast the one at a crash until it is taken to go on
+ * without a crash, in milliseconds.
+ */
+const TRIAL_MARGIN_MS = 100;
+/** Longest trial; sound runs that crashed late would delay each other more. */
+const MAX_TRIAL_MS = 5000;
 /** Tasks that are remembered; the ones that crashed longest ago go first. */
 const MAX_TASKS = 20_000;
 
@@ -93,6 +100,25 @@
     return this._records.has(task);
   }
 
+  /** @returns Whether the worker of a VM has crashed under the task. */
+  hasCrashed(worker: string, task: string): boolean {
+    return this.crashesOf(task).some(({ key }) => key.startsWith(`${worker}/`));
+  }
+
+  /**
+   * @param task - A task.
+   * @returns Time after the start of a run until which it may crash its worker
+   *   as before, in milliseconds; 0 if no worker has crashed under the task.
+   */
+  trialMs(task: string): number {
+    const crashes = this.crashesOf(task);
+    if (crashes.length === 0) {
+      return 0;
+    }
+    const longestMs = Math.max(...crashes.map(({ activeMs }) => activeMs));
+    return Math.min(MAX_TRIAL_MS, longestMs + TRIAL_MARGIN_MS);
+  }
+
   /** @returns Whether the task must not be started again. */
   isGivenUp(task: string): boolean {
     const record = this._records.get(task);
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -67,6 +67,11 @@
 
 /** Age of the last reports of most workers above which the rate is unknown. */
 const MAX_REPORT_AGE_MS = 400;
+/**
+ * Longest time that a suspect leaves its only worker to those of other jobs, in
+ * milliseconds. It covers three crashes with the restarts of the worker.
+ */
+const MAX_SUSPECT_WAIT_MS = 15_000;
 
 /** Fields of a start that decide about its wait at the worker driver. */
 type StartWait = Pick<StartGroup, 'priority' | 'maxWaitMs'>;
@@ -489,6 +494,15 @@
         (!isConfined || round.bulkhead.has(candidate.name)) &&
         satisfiesAntiAffinity(job, task, candidate.name),
     );
+    const isSuspect = this._options.crashes.isSuspect(task.name);
+    if (
+      isSuspect &&
+      now - task.sinceMs < MAX_SUSPECT_WAIT_MS &&
+      this._isBehindSuspects(ownedJob, task, candidates, now)
+    ) {
+      round.heldBack.add(ownedJob);
+      return undefined;
+    }
     const chosen = chooseWorker(requirements, candidates, random);
     if (!chosen) {
       if (isHeldBack(requirements, candidates)) {
@@ -500,13 +514,61 @@
     }
     chosen.free = subtractRoom(chosen.free, step.needs);
     chosen.hasPendingOrder = true;
-    const isSuspect = this._options.crashes.isSuspect(task.name);
     chosen.hasSuspect ||= isSuspect;
     const { view } = chosen;
     const run = job.place(task, view.name, now);
-    addStartToOrder(view, job, task, run, isSuspect, limits.wait);
+    const trialEndsAtMs = isSuspect
+      ? now + this._options.crashes.trialMs(task.name)
+      : undefined;
+    addStartToOrder(view, job, task, run, trialEndsAtMs, limits.wait);
     return `${task.name.slice(ownedJob.id.length)}#${String(run)}@${view.name}`;
   }
+
+  /**
+   * Whether a suspect has to leave its only worker, which has crashed under it,
+   * to suspects of other jobs: to those on trial there, and to those that had
+   * run for less time at their crash. If suspects shared that worker, a sound
+   * one would crash with the cause until both are given up.
+   *
+   * Where there are several workers, the choice among them keeps suspects apart.
+   * They may share one if need be, because after the loss of a machine there
+   * are many of them, most of them sound.
+   */
+  private _isBehindSuspects(
+    ownedJob: OwnedJob,
+    task: BatchTask,
+    candidates: readonly PlacementCandidate[],
+    now: number,
+  ): boolean {
+    const { crashes } = this._options;
+    const [worker, ...others] = candidates;
+    if (
+      !worker ||
+      others.length > 0 ||
+      !crashes.hasCrashed(worker.name, task.name)
+    ) {
+      return false;
+    }
+    const isOnTrial = [...worker.view.placed.values()].some(
+      ({ job, trialEndsAtMs = 0 }) =>
+        job !== ownedJob.id && now < trialEndsAtMs,
+    );
+    return (
+      isOnTrial ||
+      this._waiting
+        .ordered(now)
+        .some(
+          ({ job: other }) =>
+            other !== ownedJob &&
+            other.job.content.service === worker.service &&
+            other.job.ready.some(
+              ({ name }) =>
+                crashes.hasCrashed(worker.name, name) &&
+                crashes.trialMs(name) < crashes.trialMs(task.name),
+            ),
+        )
+    );
+  }
 }
 
 /**
@@ -564,7 +626,7 @@
   job: BatchJob,
   task: BatchTask,
   run: number,
-  isSuspect: boolean,
+  trialEndsAtMs: number | undefined,
   wait: StartWait,
 ): void => {
   const { needs } = job.stepOf(task);
@@ -574,7 +636,8 @@
     task: task.name,
     run,
     needs,
-    isSuspect,
+    isSuspect: trialEndsAtMs !== undefined,
+    trialEndsAtMs,
     isVolatile,
     sequence: view.nextSequence,
   });
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -636,12 +636,16 @@
       return;
     }
     const { needs } = ownedJob.job.stepOf(task);
+    const isSuspect = this._options.crashes.isSuspect(name);
     view.placed.set(runKey({ task: name, run }), {
       job: ownedJob.id,
       task: name,
       run,
       needs,
-      isSuspect: this._options.crashes.isSuspect(name),
+      isSuspect,
+      trialEndsAtMs: isSuspect
+        ? task.sinceMs + this._options.crashes.trialMs(name)
+        : undefined,
       isVolatile: ownedJob.job.content.isVolatile,
       sequence: 0,
     });
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -50,6 +50,11 @@
   readonly needs: Room;
   /** Whether a worker has crashed under the task before. */
   readonly isSuspect: boolean;
+  /**
+   * Time until which a suspect may crash the worker as before; absent for other
+   * tasks.
+   */
+  readonly trialEndsAtMs?: number | undefined;
   /** Whether its job is volatile. */
   readonly isVolatile: boolean;
   /**
--- a/packages/standins/src/test/crash-loops.test.ts
+++ b/packages/standins/src/test/crash-loops.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 import { DEADLY_JOBS } from '../lib/fleet-sim/fleet-commands.js';
+import type { FleetStep } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
 import { StoreMode } from '../lib/sim/faulty-store.js';
 import { step } from './sample.js';
@@ -43,3 +44,30 @@
   ];
   expect(runFleetScenario({ seed: 0, steps })).toEqual([]);
 });
+
+/** Returns the ids of the jobs that failed in a scenario, in ascending order. */
+const failedJobs = (steps: readonly FleetStep[], seed: number): string[] => {
+  const failed = new Set<string>();
+  const onLog = (_atMs: number, _entry: string, text: string): void => {
+    const [, id] =
+      /^job ended .*"job":"(\w+)","state":"failed"/.exec(text) ?? [];
+    if (id !== undefined) {
+      failed.add(id);
+    }
+  };
+  expect(runFleetScenario({ seed, steps }, { onLog })).toEqual([]);
+  return [...failed].sort();
+};
+
+// Guards against sound tasks that are given up with the cause of the crashes,
+// because all suspects were started together on the only worker of the service.
+it('sound jobs beside a task that crashes their only worker complete', () => {
+  const jobs = [7, RECORDED, 3, 1, 4, 6];
+  const steps = [
+    step({ kind: 'configure', renewal: true }, 400),
+    ...jobs.map((job) => step({ kind: 'submit', entry: 0, job }, 50)),
+  ];
+  for (let seed = 0; seed < 10; seed += 1) {
+    expect(failedJobs(steps, seed)).toEqual(['000000000000000a']);
+  }
+});
