--- a/packages/standins/src/lib/local-cluster.ts
+++ b/packages/standins/src/lib/local-cluster.ts
@@ -100,6 +100,8 @@
    *
    * @param options - Size and settings.
    * @returns The running cluster.
+   * @throws Error that names the directory of the logs if a process ends or is
+   *   not ready in time.
    */
   static async start(options: LocalClusterOptions = {}): Promise<LocalCluster> {
     const dir = await mkdtemp(join(tmpdir(), 'sapphiremux-'));
@@ -108,8 +110,11 @@
     try {
       await cluster._startAll();
     } catch (err) {
-      await cluster.close();
-      throw err;
+      await cluster.close({ keepsLogs: true });
+      const { message } = err as Error;
+      throw new Error(`${message} (logs: ${cluster.directory})`, {
+        cause: err,
+      });
     }
     return cluster;
   }
@@ -153,7 +158,7 @@
     const child = await this._startDaemon(name, text);
     const entry = { name, child, port: httpPort, listenPort };
     this.entries.push(entry);
-    await waitReady(httpPort);
+    await waitReady(entry);
     return entry;
   }
 
@@ -192,7 +197,7 @@
       relay,
     };
     this.runners.push(runner);
-    await waitReady(localPort);
+    await waitReady(runner);
     return runner;
   }
 
@@ -349,11 +354,29 @@
 
 const HTTP_OK = 200;
 
-const waitReady = (port: number): Promise<void> =>
-  waitUntil(async () => {
+/** Waits until a process is ready; fails as soon as it has ended. */
+const waitReady = async ({
+  name,
+  child,
+  port,
+}: ClusterProcess): Promise<void> => {
+  await waitUntil(async () => {
+    if (hasEnded(child)) {
+      return true;
+    }
     const { status } = await call(port, 'GET', '/readyz');
     return status === HTTP_OK;
+  }).catch((err: unknown) => {
+    const { message } = err as Error;
+    throw new Error(`${name} is not ready: ${message}`, { cause: err });
   });
+  if (hasEnded(child)) {
+    throw new Error(`${name} has ended: ${String(child.exitCode)}`);
+  }
+};
+
+const hasEnded = ({ exitCode, signalCode }: ChildProcess): boolean =>
+  exitCode !== null || signalCode !== null;
 
 const readStartCounts = async (
   port: number,
@@ -364,7 +387,7 @@
 
 const killProcess = (child: ChildProcess): Promise<void> =>
   new Promise((resolve) => {
-    if (child.exitCode !== null || child.signalCode !== null) {
+    if (hasEnded(child)) {
       resolve();
       return;
     }
