--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -25,9 +25,9 @@
 import { now } from './clock.js';
 import { BatchEntryMetrics } from './fleet-metrics.js';
 import type { StorePort } from './fleet-ports.js';
+import { HeldCalls } from './held-calls.js';
 import { IoTimeout } from './io-timeout.js';
 import type { Log } from './logger.js';
-import { NextPoll } from './next-poll.js';
 import { PauseDetector } from './pause-detector.js';
 import { TurnFlush } from './turn-flush.js';
 
@@ -118,7 +118,7 @@
     this.dispatch({ kind: 'flush' });
     this._observeTurn(turnMs);
   });
-  private readonly _nextPoll = new NextPoll(() => {
+  private readonly _heldCalls = new HeldCalls(() => {
     this._flush.runScheduled();
   });
   private _nextReplyId = 1;
@@ -198,14 +198,12 @@
     toEvent: (replyId: number) => BatchEvent,
     caller: Caller,
   ): Promise<BatchReply> {
-    return new Promise((resolve) => {
-      this._nextPoll.schedule(() => {
-        if (caller.isGone) {
-          this._drop(job);
-        } else {
-          resolve(this.dispatchCall(toEvent, caller));
-        }
-      });
+    return this._heldCalls.hold({
+      caller,
+      pass: () => this.dispatchCall(toEvent, caller),
+      onDropped: () => {
+        this._drop(job);
+      },
     });
   }
 
