Keep an end superseded when its worker lists it again

Callers would see: an end of a run is taken note of though a later run of its task began after it (TWICE).

Trace: entry-2 has taken job 8 over and acknowledges the DONE end of run 2 at vm-1 as superseded (17,250 ms), because run 3 began there later. The worker driver lists that end until the lease has expired (18,218 ms). The entry queues it again, now without the mark, and acknowledges it as one that counts (19,250 ms); the worker's list moves past it at once.

Cause: an end of a job that the entry still runs was judged anew each time it was listed, and the mark is set only while the other run's end is handled. For jobs that it no longer runs the entry already kept what it had said before; now it does so for all jobs.

The new test failed before (true, then false).

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -391,6 +391,9 @@
       this._onEndOfOtherJob(pendingEnd, end, placed, now);
       return;
     }
+    // A worker lists a superseded end until its lease has expired.
+    pendingEnd.superseded ||=
+      this._options.fleet.wasAcknowledgedAsSuperseded(pendingEnd) === true;
     if (ownedJob.job.content.isVolatile) {
       this._options.fleet.acknowledge(
         [{ ...pendingEnd, superseded: false }],
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -396,6 +396,29 @@
   expect(next.started).toEqual([`${ID}.0.0.1#10001`]);
 });
 
+// Guards against an end that counts after all, because its worker lists it again
+// while it waits for the expiry of its lease.
+it('a superseded end that is listed again is acknowledged as superseded', () => {
+  const rows = new FakeRows();
+  withWorker(rows).submit(1, { isVolatile: false });
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  next.answerChanges();
+  next.advance(300);
+  const stopped = { ...done(`${ID}.0.0.0`, 2, 2), kind: EndKind.STOPPED };
+  const ends = [done(`${ID}.0.0.0`, 1), stopped];
+  next.report('w1', { snapshot: true, adopted: ['e1'], ends });
+  next.advance(700);
+  next.report('w1', { ends: [done(`${ID}.0.0.0`, 1)] });
+  next.advance(700);
+  next.report('w1');
+  next.advance(700);
+  const recorded = next.orders.flatMap(({ order }) => order.recorded);
+  expect(
+    recorded.filter(({ number }) => number === 1).map((r) => r.superseded),
+  ).toEqual([true, true]);
+});
+
 // Guards against a task that starts again after its end was acknowledged, because
 // a lost attempt of an earlier write took effect late and reverted the progress.
 it('an earlier write of progress that takes effect late changes nothing', () => {
