Send the stops of runs before an entry without a member row ends

A volatile job was answered as in doubt when the stop ended, so its caller would submit it elsewhere, and its runs went on beside the new ones until the worker driver had noticed the closed link (rule TWICE).

Cause: an entry whose member row is not known to be written ended in the same step that queued the stops of its runs, and the flush that sends them never came.

Evidence: 'an entry that was never registered stops its runs when its stop ends' fails before (0 stops in place of 2). The stop now ends at the next tick.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -1029,7 +1029,7 @@
     }
     if (this._isLeaving) {
       if (now >= this._leaveUntilMs) {
-        this._endStop('no answer from the store', now);
+        this._endStop('row not marked', now);
       }
       return;
     }
@@ -1054,9 +1054,13 @@
     const endMs =
       this._stoppingSinceMs + this._options.stopGraceMs - STOP_END_MARGIN_MS;
     this._leaveUntilMs = Math.min(now + ENTRY_LEASE_MS, endMs);
-    this._lease.leave((outcome, at) => {
+    const isMarking = this._lease.leave((outcome, at) => {
       this._endStop(outcome.kind, at);
     }, now);
+    if (!isMarking) {
+      // The stops of the runs are sent before the next tick ends the stop.
+      this._leaveUntilMs = now;
+    }
   }
 
   private _endStop(outcome: string, now: number): void {
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -139,20 +139,19 @@
   }
 
   /**
-   * Marks the member row as left, so that other entries take over at once. A row
-   * that is not known to be written is not marked.
+   * Marks the member row as left, so that other entries take over at once.
    *
    * @param onDone - Called with the outcome of the write. A write without an
    *   answer may have none for as long as the store is silent.
    * @param now - Current time in milliseconds.
+   * @returns Whether the write was begun: not if the row is not known to exist.
    */
   leave(
     onDone: (outcome: WriteOutcome, now: number) => void,
     now: number,
-  ): void {
+  ): boolean {
     if (!this._isRegistered) {
-      onDone({ kind: 'abandoned' }, now);
-      return;
+      return false;
     }
     const { incarnation, stores } = this._options;
     const key = fleetKeys.entry(incarnation);
@@ -164,6 +163,7 @@
       abandonAtMs: now + ENTRY_LEASE_MS,
       onDone,
     });
+    return true;
   }
 
   /** Invalidates all confirmations after a pause of unknown length. */
--- a/packages/core/src/test/planned-stop.test.ts
+++ b/packages/core/src/test/planned-stop.test.ts
@@ -67,6 +67,27 @@
   expect(count(harness, 'stopped')).toEqual(1);
 });
 
+// Guards against runs of answered jobs that go on beside their resubmissions.
+it('an entry that was never registered stops its runs when its stop ends', () => {
+  const rows = new FakeRows();
+  rows.addWorker('w1');
+  const harness = new EntryHarness(rows);
+  harness.losesStoreReplies = true;
+  harness.advance(100);
+  harness.report('w1');
+  const steps = CONTENT.steps.map((step) => ({ ...step, estimateMs: 8000 }));
+  harness.submit(1, { steps });
+  expect(harness.started.length).toEqual(2);
+  harness.handle({ kind: 'stop' });
+  for (let i = 0; i < 11; i += 1) {
+    harness.advance(500);
+    harness.report('w1');
+  }
+  expect(harness.replies.get(1)?.kind).toEqual('in-doubt');
+  expect(harness.stopped.length).toEqual(2);
+  expect(count(harness, 'stopped')).toEqual(1);
+});
+
 it('a planned stop waits for the store no longer than a lease', () => {
   const harness = withWorker();
   harness.handle({ kind: 'stop' });
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -149,5 +149,6 @@
   expect(await harness.kindOf(harness.submit())).toEqual('refused');
   await delay(STOP_MS);
   await harness.tick();
+  await harness.tick();
   expect(harness.hasStopped).toEqual(true);
 });
