Answer calls that arrive in the last turn before a planned stop ends

What callers saw: calls that reached a busy process shortly before the end of its planned stop were cut, some after more than 200 ms.

Cause: Node.js accepts one connection in each turn of the event loop, and a submission is held for one more poll. The process closed its server in the turn in which the stop ended, and its time limit was checked before the sockets.

--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import { BatchEntry, LoadShedder, SubmitRefusal } from '@sapphiremux/core';
@@ -80,6 +81,11 @@
   reason: SubmitRefusal.Stopping,
   retryAfterMs: 1000,
 };
+/**
+ * Polls of the sockets after a planned stop. Node.js accepts one connection in
+ * each, and calls that came in a long turn wait in connections not yet accepted.
+ */
+const LAST_POLLS = 20;
 const PROBE_TIMEOUT_MS = 400;
 const FORWARD_TIMEOUT_MS = 600;
 /**
@@ -198,6 +204,9 @@
     toEvent: (replyId: number) => BatchEvent,
     caller: Caller,
   ): Promise<BatchReply> {
+    if (this._hasStopped) {
+      return Promise.resolve(STOPPED_REPLY);
+    }
     return this._heldCalls.hold({
       caller,
       pass: () => this.dispatchCall(toEvent, caller),
@@ -271,6 +280,17 @@
     return this._callers.size;
   }
 
+  /**
+   * Waits at the end of a planned stop until the calls have been answered that
+   * arrived before.
+   */
+  async answerLastCalls(): Promise<void> {
+    for (let poll = 0; poll < LAST_POLLS || this._heldCalls.count > 0;) {
+      await setImmediate();
+      poll += 1;
+    }
+  }
+
   /** Closes all connections and stops the ticks. */
   async close(): Promise<void> {
     this._timer?.clear();
--- a/packages/standins/src/test/planned-stops.test.ts
+++ b/packages/standins/src/test/planned-stops.test.ts
@@ -120,6 +120,21 @@
     expect(isLeaving).toEqual(true);
   }));
 
+it('stop: calls that arrive in the last turn of the event loop are answered', () =>
+  withCluster(async (cluster) => {
+    const stop = new PlannedStop(cluster, 0);
+    stop.begin();
+    await stop.at(2450);
+    cluster.signal('entry', 0, 'SIGSTOP');
+    for (let i = 0; i < 6; i += 1) {
+      void stop.call('GET', QUEUE_PATH + newId());
+      void stop.submit(job(50));
+    }
+    await delay(300);
+    cluster.signal('entry', 0, 'SIGCONT');
+    await checkStops(stop);
+  }));
+
 it('stop: jobs that arrive late in the stop are refused', () =>
   withCluster(async (cluster) => {
     const stop = new PlannedStop(cluster, 0);
