Count the grace of a planned stop from before the signal could arrive

Cause: the stop was counted from the time at which the process read the signal.

Evidence: 'stop: ends in the grace of a signal that arrives at a frozen process' fails before (still running after 6 s). The stop now counts from the last tick before the signal was read, the earliest time at which it may have arrived.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -478,7 +478,7 @@
         this._onTick(now);
         return;
       case 'stop':
-        this._stoppingSinceMs ??= now;
+        this._stoppingSinceMs ??= event.sinceMs ?? now;
         return;
       case 'flush':
         this._flush(now);
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -113,8 +113,11 @@
   | { readonly kind: 'paused'; readonly jumpMs: number }
   /** Occurs periodically and drives all intervals and timeouts. */
   | { readonly kind: 'tick' }
-  /** A planned stop begins. */
-  | { readonly kind: 'stop' }
+  /**
+   * A planned stop begins. `sinceMs` is the earliest time at which it may have
+   * been requested; by default it is the time of the event.
+   */
+  | { readonly kind: 'stop'; readonly sinceMs?: number }
   /**
    * Follows each batch of other events: tasks are placed, and the gathered writes
    * and orders are sent.
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -270,9 +270,10 @@
 
   /** Begins the planned stop of the process. */
   stop(): void {
-    const at = now();
-    this._plannedStop ??= { sinceMs: at, calls: 0, lastCallAtMs: at };
-    this.dispatch({ kind: 'stop' });
+    // A process that was busy or frozen reads the signal late.
+    const sinceMs = this._lastTickAtMs ?? now();
+    this._plannedStop ??= { sinceMs, calls: 0, lastCallAtMs: sinceMs };
+    this.dispatch({ kind: 'stop', sinceMs: this._plannedStop.sinceMs });
   }
 
   /** Number of calls without a reply. */
--- a/packages/standins/src/test/planned-stops.test.ts
+++ b/packages/standins/src/test/planned-stops.test.ts
@@ -146,6 +146,20 @@
     await checkStops(stop);
   }));
 
+// Guards against a grace that is counted from the time at which a process that
+// was not scheduled reads the signal.
+it('stop: ends in the grace of a signal that arrives at a frozen process', () =>
+  withCluster(async (cluster) => {
+    const stop = new PlannedStop(cluster, 0);
+    void stop.submit(job(LONG_MS, 1, false));
+    await delay(300);
+    cluster.signal('entry', 0, 'SIGSTOP');
+    stop.begin();
+    await stop.at(1900);
+    cluster.signal('entry', 0, 'SIGCONT');
+    await checkStops(stop);
+  }));
+
 // Guards against a signal that ends the process with its open calls.
 it('stop: goes on after a second SIGTERM', () =>
   withCluster(async (cluster) => {
