Leave a busy process more of the grace of a planned stop

The entry now waits for its jobs until 1.2 s before the end of the grace and for the store until 0.9 s before it.

A volatile job is accepted during a stop only if it is expected to end 0.4 s before the entry stops waiting: the estimate leaves out the wait for capacity, and one accepted at 4.9 s was seen to be broken off.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -87,12 +87,14 @@
  * for its jobs. Recorded jobs that are open then are left to the other entries;
  * volatile jobs are answered as in doubt.
  */
-const STOP_DRAIN_MARGIN_MS = 1000;
+const STOP_DRAIN_MARGIN_MS = 1200;
 /**
  * Part of the grace of a planned stop that remains when all calls have been
- * answered, so that a busy process can still send the answers.
+ * answered. Turns of the event loop of a busy process take up to 300 ms, and the
+ * signal, the end of the stop and the close of the connections may each wait for
+ * one.
  */
-const STOP_END_MARGIN_MS = 700;
+const STOP_END_MARGIN_MS = 900;
 /** Greatest age of the statuses of other entries in a count of pending jobs. */
 const MAX_STATUS_AGE_MS = 1000;
 /** Maximum wait of a count for recent statuses. */
--- a/packages/core/src/lib/process/volatile-admission.ts
+++ b/packages/core/src/lib/process/volatile-admission.ts
@@ -19,6 +19,8 @@
  * waits for its jobs.
  */
 const STOP_ESTIMATE_FACTOR = 1.6;
+/** Time that such a job may take longer, for example to get capacity. */
+const STOP_WAIT_ALLOWANCE_MS = 400;
 
 /** Progress of a planned stop. */
 export interface StopState {
@@ -162,7 +164,8 @@
       return refusesAll;
     }
     const expectedMs = this._options.placer.expectedMs(content);
-    const endsMs = now + STOP_ESTIMATE_FACTOR * expectedMs;
+    const endsMs =
+      now + STOP_ESTIMATE_FACTOR * expectedMs + STOP_WAIT_ALLOWANCE_MS;
     return endsMs > drainsUntilMs;
   }
 }
