Check planned stops in the soak as callers see them

The soak missed the incident of requests without an answer around planned stops: a planned stop marked its process as disturbed until the restart, so nothing that callers saw meanwhile was checked, and the kill at the end of the grace passed.

A planned stop is no disturbance by itself any more; only the restart after it is one. Three promises are new: a planned stop ends within its grace, answers each call that it has read, and a stopping entry stays unready. Runs alternate between the series of faults and waves of planned stops: of all entries, two of them at once in half of the waves, with store faults that begin in the last two seconds of a stop.

The log of a run was cut short at the exit of the program, so the violations and starts at its end could be missing. The program now waits until it is written.

--- a/packages/standins/src/bin/soak.ts
+++ b/packages/standins/src/bin/soak.ts
@@ -60,10 +60,15 @@
   }
   console.log(`${'jobs'.padEnd(32)} ${String(report.jobCount)}`);
   console.log(`${'calls checked'.padEnd(32)} ${String(report.callCount)}`);
+  const { stopCount, stoppingCallCount } = report;
+  console.log(`${'planned stops checked'.padEnd(32)} ${String(stopCount)}`);
+  const stopping = String(stoppingCallCount);
+  console.log(`${'calls at stopping entries'.padEnd(32)} ${stopping}`);
   console.log(`${'starts checked'.padEnd(32)} ${String(report.startCount)}`);
   console.log(`${'violations'.padEnd(32)} ${String(violations.length)}`);
   for (const { promise, job, detail } of violations.slice(0, MAX_LISTED)) {
-    console.log(`seed ${String(seed)}: "${promise}" is broken for ${job}`);
+    const where = job === '' ? '' : ` for ${job}`;
+    console.log(`seed ${String(seed)}: "${promise}" is broken${where}`);
     console.log(`  ${detail}`);
   }
   if (logFolder !== '') {
--- a/packages/standins/src/lib/platform/desk-client.ts
+++ b/packages/standins/src/lib/platform/desk-client.ts
@@ -14,6 +14,8 @@
   readonly body: unknown;
   /** Error code of the failed connection; empty if there was a response. */
   readonly errorCode: string;
+  /** Time at which the whole request was sent; infinite if it was not. */
+  readonly sentAtMs: number;
 }
 
 /** A call that can be abandoned. */
@@ -49,10 +51,15 @@
     'x-sapphiremux-deadline-ms': String(deadlineMs),
   };
   const call = request(url, { method, agent, headers });
+  let sentAtMs = Number.POSITIVE_INFINITY;
+  call.on('finish', () => {
+    sentAtMs = Date.now();
+  });
   const reply = new Promise<DeskReply>((resolve) => {
     const fail = (err: NodeJS.ErrnoException): void => {
       const errorCode = err.code ?? err.message;
-      resolve({ status: CONNECTION_FAILED, body: undefined, errorCode });
+      const status = CONNECTION_FAILED;
+      resolve({ status, body: undefined, errorCode, sentAtMs });
     };
     call.on('error', fail);
     call.on('response', (res) => {
@@ -64,6 +71,7 @@
           status: res.statusCode ?? CONNECTION_FAILED,
           body: text === '' ? undefined : (JSON.parse(text) as unknown),
           errorCode: '',
+          sentAtMs,
         });
       });
       res.on('error', fail);
--- a/packages/standins/src/lib/platform/fleet-cluster.ts
+++ b/packages/standins/src/lib/platform/fleet-cluster.ts
@@ -107,6 +107,12 @@
     return `http://${entry.host}:${String(FRONT_PORT)}`;
   }
 
+  /** @returns URL of the readiness check of an entry. */
+  readyUrl(index: number): string {
+    const { host } = this.processOf('entry', index);
+    return `http://${host}:${String(READY_PORT)}/ready`;
+  }
+
   /**
    * Reads the state of a job as a desk does.
    *
--- a/packages/standins/src/lib/soak/callers.ts
+++ b/packages/standins/src/lib/soak/callers.ts
@@ -6,6 +6,7 @@
 import type { Disturbances } from './disturbances.js';
 import { newJobRecord } from './job-record.js';
 import type { Attempt, JobRecord, Violation } from './job-record.js';
+import type { PlannedStops } from './planned-stops.js';
 import type { Disconnection, SeededRandom } from './plan.js';
 
 /** Options of {@link Callers}. */
@@ -14,6 +15,7 @@
   readonly entries: number;
   readonly random: SeededRandom;
   readonly disturbances: Disturbances;
+  readonly stops: PlannedStops;
   /** Receives what callers do and see. */
   readonly log: (event: string, fields: object) => void;
 }
@@ -34,6 +36,8 @@
 const DEADLINE_SLACK_MS = 1000;
 /** Wait before a job is sent again (`resend_ms` of the platform). */
 const RESEND_MS = 1300;
+/** Time after which a request that was sent counts as read (`loss_slack_ms`). */
+const READ_MS = 200;
 const MAX_ATTEMPTS = 6;
 const MEAN_GAP_MS = 70;
 /** Time until all entries know an accepted job (`visible_ms` of the platform). */
@@ -49,6 +53,8 @@
   readonly violations: Violation[] = [];
   /** Number of calls that have ended. */
   checkedCount = 0;
+  /** Number of calls that ended while their entry was stopping as planned. */
+  stoppingCount = 0;
   private readonly _options: CallersOptions;
   private readonly _open = new Set<OpenAttempt>();
   private readonly _pending = new Set<Promise<void>>();
@@ -232,6 +238,7 @@
       startedAtMs: Date.now(),
       endedAtMs: Number.POSITIVE_INFINITY,
       status: CONNECTION_FAILED,
+      isCutByStop: false,
     };
     job.attempts.push(attempt);
     const open = { call: this._openCall(job, entry, bodyOf(job)), job, entry };
@@ -240,6 +247,7 @@
     this._open.delete(open);
     attempt.status = reply.status;
     attempt.endedAtMs = Date.now();
+    attempt.isCutByStop = this._isCutByStop(reply, entry, attempt.startedAtMs);
     return reply;
   }
 
@@ -261,14 +269,11 @@
     kind: string,
   ): Promise<DeskReply> {
     const startedAtMs = Date.now();
+    const name = nameOf(entry);
     const timer = setTimeout(() => {
-      const name = nameOf(entry);
       if (this._options.disturbances.isCalmSince(name, startedAtMs)) {
-        this._report(
-          'each call ends by its deadline',
-          job,
-          `${kind} at ${name}`,
-        );
+        const detail = `${kind} at ${name}`;
+        this._report('each call ends by its deadline', job, detail);
       }
       call.close();
     }, DEADLINE_MS + DEADLINE_SLACK_MS);
@@ -276,6 +281,18 @@
     clearTimeout(timer);
     this.checkedCount += 1;
     const { status, errorCode } = reply;
+    if (this._options.stops.mayClose(name)) {
+      this.stoppingCount += 1;
+    }
+    const openMs = Date.now() - reply.sentAtMs;
+    if (this._isCutByStop(reply, entry, startedAtMs) && openMs > READ_MS) {
+      const detail = `${kind} at ${name}, ${errorCode} ${String(openMs)} ms after it was sent`;
+      this._report(
+        'a planned stop answers each call that it has read',
+        job,
+        detail,
+      );
+    }
     const state = stateOf(reply.body);
     const fields = {
       job: job.id,
@@ -289,6 +306,23 @@
     return reply;
   }
 
+  /** @returns Whether nothing but a planned stop closed the connection. */
+  private _isCutByStop(
+    { status, sentAtMs }: DeskReply,
+    entry: number,
+    startedAtMs: number,
+  ): boolean {
+    const { stops, disturbances } = this._options;
+    const name = nameOf(entry);
+    return (
+      status === CONNECTION_FAILED &&
+      Number.isFinite(sentAtMs) &&
+      Date.now() - startedAtMs < DEADLINE_MS &&
+      stops.mayClose(name) &&
+      disturbances.isUndisturbedSince(name, startedAtMs)
+    );
+  }
+
   private _end(job: JobRecord, state: string): void {
     job.finalState = state;
     job.endedAtMs = Date.now();
--- a/packages/standins/src/lib/soak/checks.ts
+++ b/packages/standins/src/lib/soak/checks.ts
@@ -70,6 +70,16 @@
   if (isRejected && first) {
     report('a rejected job never starts', describe(first));
   }
+  const [attempt] = job.attempts;
+  const early = tasks.flat().find((run) => {
+    return attempt && run.startedAtMs < attempt.endedAtMs;
+  });
+  if (attempt?.isCutByStop && early) {
+    report(
+      'a planned stop answers each call that it has read',
+      describe(early),
+    );
+  }
   switch (job.finalState) {
     case 'completed':
       for (const runs of tasks) {
--- a/packages/standins/src/lib/soak/disturbances.ts
+++ b/packages/standins/src/lib/soak/disturbances.ts
@@ -2,7 +2,7 @@
 const CONTACT_MS = 3000;
 
 interface Span {
-  readonly fromMs: number;
+  readonly isPlanned: boolean;
   untilMs: number;
 }
 
@@ -12,10 +12,11 @@
 
   /**
    * @param name - Name of a process, or `store`.
+   * @param isPlanned - Whether it belongs to planned work on the process.
    * @returns Ends the disturbance when called.
    */
-  begin(name: string): () => void {
-    const span = { fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY };
+  begin(name: string, isPlanned = false): () => void {
+    const span = { isPlanned, untilMs: Number.POSITIVE_INFINITY };
     this._spans.set(name, [...(this._spans.get(name) ?? []), span]);
     return () => {
       span.untilMs = Date.now();
@@ -29,7 +30,19 @@
    * until now.
    */
   isCalmSince(name: string, sinceMs: number): boolean {
+    return this._isCalm(this._spans.get(name) ?? [], sinceMs);
+  }
+
+  /** Like {@link isCalmSince}, but planned work does not count. */
+  isUndisturbedSince(name: string, sinceMs: number): boolean {
     const spans = this._spans.get(name) ?? [];
+    return this._isCalm(
+      spans.filter(({ isPlanned }) => !isPlanned),
+      sinceMs,
+    );
+  }
+
+  private _isCalm(spans: readonly Span[], sinceMs: number): boolean {
     return spans.every(({ untilMs }) => untilMs + CONTACT_MS < sinceMs);
   }
 }
--- a/packages/standins/src/lib/soak/fault-injector.ts
+++ b/packages/standins/src/lib/soak/fault-injector.ts
@@ -7,6 +7,7 @@
 import type { Callers } from './callers.js';
 import type { Disturbances } from './disturbances.js';
 import type { Fault, Role } from './plan.js';
+import type { PlannedStops } from './planned-stops.js';
 
 /** Time after SIGTERM until a process is killed (`grace_s` of the platform). */
 const GRACE_MS = 6000;
@@ -22,6 +23,7 @@
   private readonly _cluster: FleetCluster;
   private readonly _callers: Callers;
   private readonly _disturbances: Disturbances;
+  private readonly _stops: PlannedStops;
   private readonly _pending = new Set<Promise<void>>();
   private readonly _restarting = new Set<FleetProcess>();
   private readonly _crashedWorkers = new Set<number>();
@@ -34,15 +36,18 @@
    * @param cluster - The cluster.
    * @param callers - Callers of the entries.
    * @param disturbances - Records when faults are at work.
+   * @param stops - Checks planned stops.
    */
   constructor(
     cluster: FleetCluster,
     callers: Callers,
     disturbances: Disturbances,
+    stops: PlannedStops,
   ) {
     this._cluster = cluster;
     this._callers = callers;
     this._disturbances = disturbances;
+    this._stops = stops;
   }
 
   /** @param fault - Begins now. */
@@ -71,16 +76,13 @@
   private async _inject(fault: Fault): Promise<void> {
     switch (fault.kind) {
       case 'kill':
-        return this._restart(fault, 'SIGKILL');
       case 'planned-stop':
-        return this._restart(fault, 'SIGTERM');
+        return this._restart(fault);
       case 'pause': {
-        const { child, name } = this._find(fault.role, fault.index);
-        const end = this._disturbances.begin(name);
-        this._pause(child);
+        const process = this._find(fault.role, fault.index);
+        const resume = this._pause(process);
         await delay(fault.durationMs);
-        this._resume(child);
-        end();
+        resume();
         return;
       }
       case 'store':
@@ -120,34 +122,63 @@
   }
 
   private async _restart(
-    fault: { role: Role; index: number; durationMs: number },
-    signal: NodeJS.Signals,
+    fault: Extract<Fault, { kind: 'kill' | 'planned-stop' | 'pause' }>,
   ): Promise<void> {
     const process = this._find(fault.role, fault.index);
     if (this._restarting.has(process)) {
       return;
     }
     this._restarting.add(process);
-    const end = this._disturbances.begin(process.name);
+    const isPlanned = fault.kind === 'planned-stop';
     const { child } = process;
     this.expectedExits.add(child);
-    if (child.exitCode === null && child.signalCode === null) {
-      const exited = once(child, 'exit');
-      child.kill(signal);
-      const grace = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
-      await exited;
-      clearTimeout(grace);
+    let end: (() => void) | undefined;
+    if (isPlanned) {
+      await this._stop(process, fault.index);
+    } else {
+      end = this._disturbances.begin(process.name);
+      await kill(child);
     }
+    end ??= this._disturbances.begin(process.name, true);
     await delay(fault.durationMs);
     this._cluster.restart(fault.role, fault.index);
     this._restarting.delete(process);
     end();
   }
 
-  /** A process that several faults pause goes on when the last one ends. */
-  private _pause(child: ChildProcess): void {
+  /** Sends SIGTERM, and SIGKILL at the end of the grace. */
+  private async _stop(process: FleetProcess, index: number): Promise<void> {
+    const { child, name, role } = process;
+    if (hasEnded(child)) {
+      return;
+    }
+    const exited = once(child, 'exit');
+    const end = this._stops.begin(
+      name,
+      role === 'entry' ? this._cluster.readyUrl(index) : undefined,
+    );
+    child.kill('SIGTERM');
+    const grace = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
+    await exited;
+    clearTimeout(grace);
+    end(child.signalCode === 'SIGKILL');
+  }
+
+  /**
+   * Pauses a process. One that several faults pause goes on when the last ends.
+   *
+   * @returns Resumes the process when called.
+   */
+  private _pause({ child, name }: FleetProcess): () => void {
+    const ends = [this._disturbances.begin(name), this._stops.beginPause(name)];
     this._pauseCounts.set(child, (this._pauseCounts.get(child) ?? 0) + 1);
     child.kill('SIGSTOP');
+    return () => {
+      this._resume(child);
+      for (const end of ends) {
+        end();
+      }
+    };
   }
 
   private _resume(child: ChildProcess): void {
@@ -195,16 +226,24 @@
     if (this._restarting.has(process)) {
       return;
     }
-    const end = this._disturbances.begin(process.name);
-    const { child } = process;
-    this._pause(child);
+    const resume = this._pause(process);
     await delay(STOP_SIGNAL_MS);
     const { index, count, how } = fault;
     const resend = await this._callers.submitUnread(index, count, how);
     await delay(fault.durationMs);
     // The entry has read nothing, so the callers may send the jobs at once.
     resend();
-    this._resume(child);
-    end();
+    resume();
   }
 }
+
+const hasEnded = ({ exitCode, signalCode }: ChildProcess): boolean =>
+  exitCode !== null || signalCode !== null;
+
+const kill = async (child: ChildProcess): Promise<void> => {
+  if (!hasEnded(child)) {
+    const exited = once(child, 'exit');
+    child.kill('SIGKILL');
+    await exited;
+  }
+};
--- a/packages/standins/src/lib/soak/job-record.ts
+++ b/packages/standins/src/lib/soak/job-record.ts
@@ -6,6 +6,8 @@
   endedAtMs: number;
   /** Status of the response; 0 without one. */
   status: number;
+  /** Whether a planned stop of the entry closed the connection before. */
+  isCutByStop: boolean;
 }
 
 /** What callers know about a job. */
--- a/packages/standins/src/lib/soak/plan.ts
+++ b/packages/standins/src/lib/soak/plan.ts
@@ -90,12 +90,37 @@
 /** Pauses of entries with unread submissions stay below their time limits. */
 const MAX_UNREAD_PAUSE_MS = 700;
 
+/** Series of all faults and waves of planned stops take turns in a run. */
+const SERIES_MS = 12_000;
+const WAVE_MS = 12_000;
+const LAST_STOP_IN_WAVE_MS = 6000;
+const MAX_STOP_GAP_MS = 2500;
+/** A planned stop of a busy entry takes 5.5 s; store faults begin before its end. */
+const STOP_END_MS = { min: 3500, max: 5600 } as const;
+
 /**
  * @param options - Seed and sizes.
- * @returns Series of faults, which overlap, in the order of their times.
+ * @returns Series of faults, which overlap, and between them waves of planned
+ * stops, in the order of their times.
  */
 export const planFaults = (options: PlanOptions): PlannedFault[] => {
   const random = new SeededRandom(options.seed);
+  const cycleMs = SERIES_MS + WAVE_MS;
+  const planned = planSeries(random, options).filter(
+    ({ atMs }) => atMs % cycleMs < SERIES_MS,
+  );
+  for (let atMs = SERIES_MS; atMs < options.durationMs; atMs += cycleMs) {
+    planned.push(...planStopWave(random, atMs, options));
+  }
+  return planned
+    .filter(({ atMs }) => atMs < options.durationMs)
+    .sort((a, b) => a.atMs - b.atMs);
+};
+
+const planSeries = (
+  random: SeededRandom,
+  options: PlanOptions,
+): PlannedFault[] => {
   const planned: PlannedFault[] = [];
   let seriesAtMs = FIRST_FAULT_MS;
   while (seriesAtMs < options.durationMs) {
@@ -107,9 +132,61 @@
     }
     seriesAtMs += random.integer(0, MAX_SERIES_GAP_MS);
   }
-  return planned
-    .filter(({ atMs }) => atMs < options.durationMs)
-    .sort((a, b) => a.atMs - b.atMs);
+  return planned;
+};
+
+/**
+ * Plans stops of all entries, one after another or the first two at once, and
+ * of some worker drivers. Most ends of the stops meet a fault of the store. No
+ * fault but a rare pause disturbs a process that stops.
+ */
+const planStopWave = (
+  random: SeededRandom,
+  waveAtMs: number,
+  options: PlanOptions,
+): PlannedFault[] => {
+  const planned: PlannedFault[] = [];
+  const at = (offsetMs: number, fault: Fault): void => {
+    planned.push({ atMs: waveAtMs + offsetMs, fault });
+  };
+  const durationMs = (): number => random.integer(100, MAX_PAUSE_MS);
+  const first = random.integer(0, options.entries - 1);
+  const arePaired = random.chance(0.5);
+  let offsetMs = random.integer(0, 1000);
+  for (let i = 0; i < options.entries; i += 1) {
+    const index = (first + i) % options.entries;
+    const kind = 'planned-stop';
+    at(offsetMs, { kind, role: 'entry', index, durationMs: durationMs() });
+    if (random.chance(0.8)) {
+      const endMs = random.integer(STOP_END_MS.min, STOP_END_MS.max);
+      at(offsetMs + endMs, createFault('store', random, options));
+    }
+    if (random.chance(0.3)) {
+      at(offsetMs, createFault('configuration', random, options));
+    }
+    const gapMs = random.integer(0, MAX_STOP_GAP_MS);
+    const nextMs = arePaired && i === 0 ? offsetMs : offsetMs + gapMs;
+    offsetMs = Math.min(nextMs, LAST_STOP_IN_WAVE_MS);
+  }
+  if (random.chance(0.5)) {
+    // The last entry has not begun to stop yet when it is paused.
+    const index = (first + options.entries - 1) % options.entries;
+    at(0, { kind: 'pause', role: 'entry', index, durationMs: durationMs() });
+  }
+  for (let i = random.integer(0, 2); i > 0; i -= 1) {
+    const index = random.integer(0, options.workers - 1);
+    const kind = random.pick<'planned-stop' | 'pause'>([
+      'planned-stop',
+      'pause',
+    ]);
+    at(random.integer(0, LAST_STOP_IN_WAVE_MS), {
+      kind,
+      role: 'worker',
+      index,
+      durationMs: durationMs(),
+    });
+  }
+  return planned;
 };
 
 const FAULT_KINDS = [
--- a/packages/standins/src/lib/soak/soak.ts
+++ b/packages/standins/src/lib/soak/soak.ts
@@ -9,6 +9,7 @@
 import { Disturbances } from './disturbances.js';
 import { FaultInjector } from './fault-injector.js';
 import type { Violation } from './job-record.js';
+import { PlannedStops } from './planned-stops.js';
 import { SeededRandom, planFaults } from './plan.js';
 import type { Fault, PlanOptions } from './plan.js';
 
@@ -24,6 +25,10 @@
   readonly jobCount: number;
   /** Number of calls whose replies were checked. */
   readonly callCount: number;
+  /** Number of calls that ended while their entry was stopping as planned. */
+  readonly stoppingCallCount: number;
+  /** Number of planned stops that no pause has exempted. */
+  readonly stopCount: number;
   readonly startCount: number;
   readonly violations: readonly Violation[];
   /** Folder of the logs; empty if no promise was broken. */
@@ -41,6 +46,7 @@
   private readonly _folder = mkdtempSync(join(tmpdir(), 'sapphiremux-soak-'));
   private readonly _log = createWriteStream(join(this._folder, 'soak.log'));
   private readonly _exits: Violation[] = [];
+  private readonly _stops = new PlannedStops();
   private readonly _cluster: FleetCluster;
   private readonly _callers: Callers;
   private readonly _faults: FaultInjector;
@@ -68,6 +74,7 @@
       // Independent of the numbers that the plan uses.
       random: new SeededRandom(seed + 1),
       disturbances,
+      stops: this._stops,
       log: (event, fields) => {
         this._writeEvent(event, fields);
       },
@@ -76,6 +83,7 @@
       this._cluster,
       this._callers,
       disturbances,
+      this._stops,
     );
   }
 
@@ -97,8 +105,9 @@
       ...this._faults.startsOfCrashed,
       ...this._cluster.workers.flatMap((worker) => worker.starts),
     ];
-    const { jobs, violations, checkedCount } = this._callers;
+    const { jobs, violations, checkedCount, stoppingCount } = this._callers;
     const allViolations = [
+      ...this._stops.violations,
       ...violations,
       ...this._exits,
       ...checkJobs(starts, jobs),
@@ -114,6 +123,8 @@
       faultCounts,
       jobCount: jobs.size,
       callCount: checkedCount,
+      stoppingCallCount: stoppingCount,
+      stopCount: this._stops.checkedCount,
       startCount: starts.length,
       violations: allViolations,
       logFolder: allViolations.length > 0 ? this._folder : '',
@@ -128,7 +139,9 @@
   async close(keepsLogs: boolean): Promise<void> {
     this._isClosed = true;
     await this._cluster.close();
-    this._log.end();
+    await new Promise<void>((resolve) => {
+      this._log.end(resolve);
+    });
     if (!keepsLogs) {
       rmSync(this._folder, { recursive: true, force: true });
     }
