--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -33,6 +33,7 @@
 import { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
 import { RunReports } from './run-reports.js';
+import { StopSchedule } from './stop-schedule.js';
 import { StoppingRuns } from './stopping-runs.js';
 import { TakeoverCoordinator } from './takeover-coordinator.js';
 import {
@@ -79,22 +80,7 @@
 const DEFAULT_REMOTE_DATA_FACTOR = 1.5;
 /** Delay after which the run ends of an unfinished job are recorded. */
 const PROGRESS_DELAY_MS = 500;
-/** Minimum duration of a planned stop, in which callers notice the stop. */
-const STOP_MIN_MS = 2500;
 const DEFAULT_STOP_GRACE_MS = 6000;
-/**
- * Part of the grace of a planned stop that remains when the entry stops waiting
- * for its jobs. Recorded jobs that are open then are left to the other entries;
- * volatile jobs are answered as in doubt.
- */
-const STOP_DRAIN_MARGIN_MS = 1200;
-/**
- * Part of the grace of a planned stop that remains when all calls have been
- * answered. Turns of the event loop of a busy process take up to 300 ms, and the
- * signal, the end of the stop and the close of the connections may each wait for
- * one.
- */
-const STOP_END_MARGIN_MS = 900;
 /** Greatest age of the statuses of other entries in a count of pending jobs. */
 const MAX_STATUS_AGE_MS = 1000;
 /** Maximum wait of a count for recent statuses. */
@@ -154,7 +140,7 @@
   private _turnBeganAtMs: number | undefined;
   private _recordedJobCount = 0;
   private _isRetired = false;
-  private _stoppingSinceMs: number | undefined;
+  private _stop: StopSchedule | undefined;
   /** Whether this incarnation replaces one that was fenced during a stop. */
   private readonly _continuesStop: boolean;
   private _isLeaving = false;
@@ -177,8 +163,10 @@
       ...options,
     };
     this._nowMs = now;
-    this._stoppingSinceMs = options.stoppingSinceMs;
     this._continuesStop = options.stoppingSinceMs !== undefined;
+    if (options.stoppingSinceMs !== undefined) {
+      this._beginStop(options.stoppingSinceMs);
+    }
     this._peers = new PeerMonitor(options.incarnation);
     this._stores = new PartStores(
       {
@@ -259,7 +247,7 @@
       jobs: this._jobs,
       ended: this._ended,
       stopState: () => ({
-        drainsUntilMs: this._drainsUntilMs,
+        drainsUntilMs: this._stop?.drainsUntilMs,
         refusesAll: this._refusesWork,
       }),
       add: (job, record, deadlineMs) => this._addJob(job, record, deadlineMs),
@@ -314,7 +302,7 @@
 
   /** Whether a planned stop has begun. */
   get isStopping(): boolean {
-    return this._stoppingSinceMs !== undefined;
+    return this._stop !== undefined;
   }
 
   /**
@@ -323,9 +311,7 @@
    * a planned stop may be accepted.
    */
   get isReady(): boolean {
-    return (
-      this.routes.version !== undefined && this._stoppingSinceMs === undefined
-    );
+    return this.routes.version !== undefined && this._stop === undefined;
   }
 
   /** Number of jobs that have not ended, or whose end is not yet recorded. */
@@ -370,15 +356,6 @@
     return this._isLeaving || this._continuesStop;
   }
 
-  /** Time until which a planned stop waits for the jobs of the entry. */
-  private get _drainsUntilMs(): number | undefined {
-    return this._stoppingSinceMs === undefined
-      ? undefined
-      : this._stoppingSinceMs +
-          this._options.stopGraceMs -
-          STOP_DRAIN_MARGIN_MS;
-  }
-
   private _onCount(
     { replyId, queue }: Extract<BatchEvent, { kind: 'count' }>,
     now: number,
@@ -480,7 +457,7 @@
         this._onTick(now);
         return;
       case 'stop':
-        this._stoppingSinceMs ??= event.sinceMs ?? now;
+        this._beginStop(event.sinceMs ?? now);
         return;
       case 'flush':
         this._flush(now);
@@ -519,12 +496,12 @@
     this._log('standing down', {
       reason,
       jobs: this._jobs.size,
-      ...(this._stoppingSinceMs === undefined
-        ? {}
-        : {
-            stoppingMs: Math.round(this._nowMs - this._stoppingSinceMs),
+      ...(this._stop
+        ? {
+            stoppingMs: this._stop.elapsedMs(this._nowMs),
             hasBegunToLeave: this._isLeaving,
-          }),
+          }
+        : {}),
     });
     this._answerOpenCalls('this entry was replaced');
     // An entry that has begun to leave has nothing left to do but to end.
@@ -1020,13 +997,12 @@
     this._answerCounts(now);
   }
 
+  private _beginStop(sinceMs: number): void {
+    this._stop ??= new StopSchedule(sinceMs, this._options.stopGraceMs);
+  }
+
   private _checkStop(now: number): void {
-    const drainsUntilMs = this._drainsUntilMs;
-    if (
-      this._stoppingSinceMs === undefined ||
-      drainsUntilMs === undefined ||
-      this._isRetired
-    ) {
+    if (!this._stop || this._isRetired) {
       return;
     }
     if (this._isLeaving) {
@@ -1035,38 +1011,37 @@
       }
       return;
     }
-    const sinceMs = now - this._stoppingSinceMs;
     const isIdle =
       this._jobs.size === 0 &&
       this._submissions.size === 0 &&
       this._lookups.replyIds.length === 0;
-    const isNoticed = sinceMs >= STOP_MIN_MS && isIdle;
-    if (!isNoticed && now < drainsUntilMs) {
-      return;
+    if (this._stop.mayLeave(isIdle, now)) {
+      this._leave(this._stop, now);
     }
+  }
+
+  private _leave(stop: StopSchedule, now: number): void {
     this._isLeaving = true;
     this._abandonVolatile('this entry has stopped', now);
     this._log('leaving', {
-      stoppingMs: Math.round(sinceMs),
+      stoppingMs: stop.elapsedMs(now),
       jobs: this._jobs.size,
       submissions: this._submissions.size,
       lookups: this._lookups.replyIds.length,
       counts: this._countCalls.length,
     });
-    const endMs =
-      this._stoppingSinceMs + this._options.stopGraceMs - STOP_END_MARGIN_MS;
-    this._leaveUntilMs = Math.min(now + ENTRY_LEASE_MS, endMs);
     const isMarking = this._lease.leave((outcome, at) => {
       this._endStop(outcome.kind, at);
     }, now);
-    if (!isMarking) {
-      // The stops of the runs are sent before the next tick ends the stop.
-      this._leaveUntilMs = now;
-    }
+    // Without a write the next tick ends the stop, once the stops of the runs
+    // have been sent.
+    this._leaveUntilMs = isMarking
+      ? Math.min(now + ENTRY_LEASE_MS, stop.endsByMs)
+      : now;
   }
 
   private _endStop(outcome: string, now: number): void {
-    const stoppingMs = Math.round(now - (this._stoppingSinceMs ?? now));
+    const stoppingMs = this._stop?.elapsedMs(now) ?? 0;
     const openCalls = this._openReplies().length;
     this._log('left', { outcome, stoppingMs, openCalls });
     this._answerOpenCalls('this entry has stopped');
