--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -313,7 +313,7 @@
   {
     name: 'planned stop forgotten by the next incarnation',
     file: 'process/batch-entry.js',
-    from: 'this._stoppingSinceMs = options.stoppingSinceMs;',
+    from: 'this._beginStop(options.stoppingSinceMs);',
     to: '',
     and: {
       from: 'this._continuesStop = options.stoppingSinceMs !== undefined;',
