Share the reply to calls after a planned stop

The host of the entry and its counterpart in the simulation had a copy each. The loop that polls for the last calls counts in the usual form. No change of behaviour.

--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -45,6 +45,13 @@
   /** No answer from the store before the deadline; nothing was changed. */
   | { readonly kind: 'unavailable'; readonly retryAfterMs: number };
 
+/** Reply to calls that arrive between the end of a planned stop and the exit. */
+export const STOPPED_REPLY: BatchReply = {
+  kind: 'refused',
+  reason: SubmitRefusal.Stopping,
+  retryAfterMs: 1000,
+};
+
 /** Status that an entry reports to its peers in reply to a probe. */
 export interface PeerStatus {
   readonly incarnation: string;
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -1,7 +1,7 @@
 import { setImmediate } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
-import { BatchEntry, LoadShedder, SubmitRefusal } from '@sapphiremux/core';
+import { BatchEntry, LoadShedder, STOPPED_REPLY } from '@sapphiremux/core';
 import type {
   BatchAction,
   BatchEntryOptions,
@@ -75,12 +75,6 @@
 const SLOW_TURN_MS = 200;
 /** When callers may come back to an entry that can't keep up. */
 const SHED_RETRY_AFTER_MS = 2000;
-/** Reply to calls that arrive between the end of a planned stop and the exit. */
-const STOPPED_REPLY: BatchReply = {
-  kind: 'refused',
-  reason: SubmitRefusal.Stopping,
-  retryAfterMs: 1000,
-};
 /**
  * Polls of the sockets after a planned stop. Node.js accepts one connection in
  * each, and calls that came in a long turn wait in connections not yet accepted.
@@ -286,9 +280,10 @@
    * arrived before.
    */
   async answerLastCalls(): Promise<void> {
-    for (let poll = 0; poll < LAST_POLLS || this._heldCalls.count > 0;) {
+    let polls = 0;
+    while (polls < LAST_POLLS || this._heldCalls.count > 0) {
       await setImmediate();
-      poll += 1;
+      polls += 1;
     }
   }
 
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -1,4 +1,4 @@
-import { BatchEntry, SubmitRefusal } from '@sapphiremux/core';
+import { BatchEntry, STOPPED_REPLY } from '@sapphiremux/core';
 import type {
   BatchAction,
   BatchEvent,
@@ -95,11 +95,6 @@
 // Close of the servers after a planned stop, as in the real entry process.
 const CLOSE_TIMEOUT_MS = 300;
 const CLOSE_CHECK_MS = 10;
-const STOPPED_REPLY: BatchReply = {
-  kind: 'refused',
-  reason: SubmitRefusal.Stopping,
-  retryAfterMs: 1000,
-};
 
 /**
  * A simulated entry process: drives a `BatchEntry` with events in virtual time
