--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -32,6 +32,8 @@
     await record.close();
     process.exit(status);
   };
+  process.once('SIGTERM', () => void finish());
+  process.once('SIGINT', () => void finish());
   const limit = setTimeout(() => {
     record.write('verdict', { text: 'the case took too long' });
     void finish();
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -41,13 +41,26 @@
     });
   });
 
-/** Finds ports from which on some are free on a loopback address. */
-const freePorts = async (host) => {
-  for (let first = 7700; first < 9400; first += 40) {
-    const ports = Array.from({ length: 20 }, (_, i) => first + i);
-    const free = await Promise.all(ports.map((port) => isFree(host, port)));
-    if (free.every(Boolean)) {
-      return first;
+/** Port of the metrics of each process, as the deploy file has it. */
+const METRICS_PORT = 9464;
+
+/**
+ * Finds a range of loopback addresses that no other deployment uses, by the
+ * metrics port, and ports that are free there.
+ */
+const findAddresses = async () => {
+  for (let i = 0; i < 200; i += 1) {
+    const prefix = `127.${30 + ((process.pid + i) % 200)}`;
+    const host = `${prefix}.1.1`;
+    if (!(await isFree(host, METRICS_PORT))) {
+      continue;
+    }
+    for (let first = 7700; first < 9400; first += 40) {
+      const ports = Array.from({ length: 20 }, (_, k) => first + k);
+      const free = await Promise.all(ports.map((port) => isFree(host, port)));
+      if (free.every(Boolean)) {
+        return { prefix, first };
+      }
     }
   }
   throw new Error('no free ports');
@@ -86,7 +99,7 @@
   starts = [];
   #record;
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
-  #prefix = `127.${30 + (process.pid % 200)}`;
+  #prefix = '';
   #isClosing = false;
   #port = 0;
 
@@ -97,7 +110,9 @@
 
   /** Starts everything and waits until the entries are ready. */
   async start({ entries, workers, runnerOptions = () => ({}) }) {
-    this.#port = await freePorts(`${this.#prefix}.1.1`);
+    const { prefix, first } = await findAddresses();
+    this.#prefix = prefix;
+    this.#port = first;
     this.store.put('op', 'config', configuration());
     for (let i = 0; i < workers; i += 1) {
       const host = `${this.#prefix}.2.${i + 1}`;
@@ -118,8 +133,8 @@
   }
 
   /** Starts a new life of the runner on a machine. */
-  async startRunner(machine, { keepId = false } = {}) {
-    machine.lives += keepId ? 0 : 1;
+  async startRunner(machine) {
+    machine.lives += 1;
     machine.runner = new Runner({
       record: this.#record,
       starts: this.starts,
@@ -152,26 +167,9 @@
     throw new Error(`${entry.name} is not ready`);
   }
 
-  async addEntry(i) {
-    const entry = await this.#launch(
-      'entry',
-      `frontend-${i}`,
-      `${this.#prefix}.1.${i}`,
-      i,
-    );
-    this.extra = [...(this.extra ?? []), entry];
-    return entry;
-  }
-
-  /** Sends a signal to a process of the deployment. */
-  signal(target, signal) {
-    this.#record.write('signal', { process: target.name, signal });
-    target.child.kill(signal);
-  }
-
   async close() {
     this.#isClosing = true;
-    const all = [...this.entries, ...this.machines, ...(this.extra ?? [])];
+    const all = [...this.entries, ...this.machines];
     for (const { child } of all) {
       child.kill('SIGKILL');
     }
@@ -184,7 +182,7 @@
 
   async #launch(role, name, host, index) {
     const zone = ZONES[index % ZONES.length];
-    const target = { role, name, host, zone, isHeld: false };
+    const target = { role, name, host, zone };
     target.store = await this.store.open(`${this.#prefix}.0.1`, name);
     this.#spawn(target);
     return target;
@@ -207,7 +205,6 @@
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     target.child = child;
-    target.log = target.log ?? [];
     let rest = '';
     child.stdout.on('data', (chunk) => {
       const lines = (rest + chunk.toString('utf8')).split('\n');
@@ -224,7 +221,7 @@
       }
       this.#record.write('process-ended', { process: name, code, signal });
       void delay(RESTART_DELAY_MS).then(() => {
-        if (!this.#isClosing && !target.isHeld) {
+        if (!this.#isClosing) {
           this.#record.write('process-started', { process: name });
           this.#spawn(target);
         }
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -17,14 +17,11 @@
 /**
  * Stand-in of a runner: executes runs under a lease, lists their ends until
  * they are acknowledged, and sends heartbeats to the process on its machine.
- * What a run does stands in its `spec`: `{ ms, how }`, and for tasks of later
- * steps in `next` there, if it is given.
+ * What a run does stands in its `spec`: `{ ms, how }`.
  */
 export class Runner {
   /** Every start, also of earlier lives at this address. */
   starts;
-  /** Returns the delay of a call that is carried out late, unanswered. */
-  lateMs = () => undefined;
   /** Whether starts are rejected with 503; nothing is done then. */
   isUnhealthy = false;
   #options;
@@ -45,7 +42,6 @@
   #heartbeats;
   #leaseTimer;
   #isUp = true;
-  #drainAckedAtMs;
 
   constructor({ record, starts, ...options }) {
     this.#record = record;
@@ -86,7 +82,6 @@
     this.#state = 'draining';
     this.#record.write('runner-draining', { runner: this.id });
     await this.#sendHeartbeat();
-    this.#drainAckedAtMs = nowMs();
     await delay(drainMs);
     const { id, control } = this.#options;
     const url = `http://${control}/instances/${id}`;
@@ -134,8 +129,8 @@
         state: 'ready',
         cold_left_ms: 0,
         labels: ['a'],
-        clock_ms: 2000,
-        born: Date.now() - 2000,
+        clock_ms: 100,
+        born: Date.now() - 100,
         seq: 1,
       },
     });
@@ -167,16 +162,6 @@
   }
 
   async #handle(req) {
-    const lateMs = this.lateMs(req);
-    if (lateMs !== undefined) {
-      const { task = '', run = '' } = req.body;
-      this.#record.write('order-late', { path: req.path, task, run, lateMs });
-      await delay(lateMs);
-      if (this.#isUp) {
-        await this.#execute(req);
-      }
-      return undefined;
-    }
     return this.#isUp ? this.#execute(req) : undefined;
   }
 
@@ -227,9 +212,7 @@
       return this.#reply(409, { reason: 'late' });
     }
     this.#extendLease(untilMs);
-    const plan = JSON.parse(spec);
-    const isFirstStep = task.split('.')[2] === '0';
-    const { ms, how = 'done' } = isFirstStep ? plan : (plan.next ?? plan);
+    const { ms, how = 'done' } = JSON.parse(spec);
     const started = {
       task,
       run,
@@ -237,7 +220,6 @@
       checkpoint,
       runner: this.id,
       startedAtMs: nowMs(),
-      drainAckedAtMs: this.#drainAckedAtMs,
       endedAtMs: Infinity,
       how: '',
       /** Whether the end was acknowledged without a lapse of the lease before. */
