Review: a late start of a killed process runs beside a later run

Cause: an entry takes silence and elapsed time as proof that no run is left at a worker, but a start may be carried out later than that.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -167,6 +167,12 @@
     throw new Error(`${entry.name} is not ready`);
   }
 
+  /** Kills the process of a machine, which starts again after some time. */
+  kill(target, darkMs) {
+    target.darkMs = darkMs;
+    target.child.kill('SIGKILL');
+  }
+
   async close() {
     this.#isClosing = true;
     const all = [...this.entries, ...this.machines];
@@ -220,7 +226,7 @@
         return;
       }
       this.#record.write('process-ended', { process: name, code, signal });
-      void delay(RESTART_DELAY_MS).then(() => {
+      void delay(target.darkMs ?? RESTART_DELAY_MS).then(() => {
         if (!this.#isClosing) {
           this.#record.write('process-started', { process: name });
           this.#spawn(target);
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -24,6 +24,11 @@
   starts;
   /** Whether starts are rejected with 503; nothing is done then. */
   isUnhealthy = false;
+  /**
+   * Returns after which time a start is carried out, if late. It gets no answer,
+   * and its time counts from then.
+   */
+  lateOf = () => undefined;
   #options;
   #record;
   #born = Date.now();
@@ -108,34 +113,6 @@
     return Math.floor(nowMs() - this.#bornAtMs) + 1;
   }
 
-  /**
-   * Sends a heartbeat as another writer may: of an id of its own, for a service
-   * that no configuration names, and without a capacity.
-   */
-  sendForeignHeartbeat() {
-    const { host, port, zone, control } = this.#options;
-    const id = 'i-foreign';
-    this.#record.write('foreign-heartbeat', { machine: host, id });
-    return callJson({
-      url: `http://${control}/instances/${id}`,
-      method: 'PUT',
-      timeoutMs: 1000,
-      body: {
-        service: 'stock-agent',
-        address: `${host}:${port}`,
-        zone,
-        version: 'v1',
-        slots: 8,
-        state: 'ready',
-        cold_left_ms: 0,
-        labels: ['a'],
-        clock_ms: 100,
-        born: Date.now() - 100,
-        seq: 1,
-      },
-    });
-  }
-
   async #sendHeartbeat() {
     const { id, service, host, port, zone, control } = this.#options;
     const { cpu = 16_000, labels = ['a', 'r1-1'] } = this.#options;
@@ -162,7 +139,19 @@
   }
 
   async #handle(req) {
-    return this.#isUp ? this.#execute(req) : undefined;
+    const lateMs = req.path === '/run-start' ? this.lateOf() : undefined;
+    if (lateMs === undefined) {
+      return this.#isUp ? this.#execute(req) : undefined;
+    }
+    const { task, run, until_ms: untilMs } = req.body;
+    this.#record.write('start-late', { runner: this.id, task, run, lateMs });
+    const grantMs = untilMs - this.#clockMs;
+    await delay(lateMs);
+    if (this.#isUp) {
+      const body = { ...req.body, until_ms: this.#clockMs + grantMs };
+      await this.#execute({ ...req, body });
+    }
+    return undefined;
   }
 
   async #execute({ path, headers, body = {} }) {
