Log which runs begin from an old order, and what began a stopped run

"stopped run ended" now has the active time before the stop, the link of the start, whether that was the entry's newest link and the time left of the limit that the order gave. A start that was held back shows little time left or an earlier link, and the active time is that until the next report; a placement without a caller shows a fresh order and one or two turns.

"runs begun from an old order" is written once a turn, with the number of runs, if less than half of the limit of 700 ms was left or the link was not the newest, so a start in normal operation adds no line.

No logic is changed. The harness of the driver's tests collects log lines; its conditions on the kind of an action became a switch.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -132,6 +132,12 @@
     return this._byOwner.has(owner);
   }
 
+  /** @returns Whether a link is the newest open one of an entry. */
+  isNewest(linkId: number, owner: string): boolean {
+    const links = this._byOwner.get(owner) ?? [];
+    return linkId === Math.max(...links.map((link) => link.id));
+  }
+
   /** @returns The open link with this id, if there is one. */
   get(linkId: number): ReportLink | undefined {
     return this._links.get(linkId);
--- a/packages/core/src/lib/process/start-admission.ts
+++ b/packages/core/src/lib/process/start-admission.ts
@@ -33,6 +33,8 @@
   readonly owner: string;
   /** Link that brought it. */
   readonly linkId: number;
+  /** Time on the worker's clock until which the order lets the run continue. */
+  readonly orderLimitMs: number;
 }
 
 /** A start whose task still has an earlier run. */
@@ -75,12 +77,20 @@
   /**
    * @param link - Link that brought the order.
    * @param group - Starts of the order.
+   * @param orderLimitMs - Time on the worker's clock until which the order lets
+   *   the runs continue.
    * @param now - Current time in milliseconds.
    */
-  startGroup(link: ReportLink, group: StartGroup, now: number): void {
+  startGroup(
+    link: ReportLink,
+    group: StartGroup,
+    orderLimitMs: number,
+    now: number,
+  ): void {
     this.update(now);
     const { priority, maxWaitMs } = group;
-    const origin = { group, owner: link.incarnation, linkId: link.id };
+    const { id: linkId, incarnation: owner } = link;
+    const origin = { group, owner, linkId, orderLimitMs };
     const wait = { priority, maxWaitMs, needs: group.needs ?? ZERO_ROOM };
     for (const { task, run, checkpoint } of group.runs) {
       this._admit({ task, run, checkpoint, ...origin, ...wait }, now);
@@ -220,7 +230,7 @@
   }
 
   private _begin(start: OrderedStart, now: number): void {
-    const { group, checkpoint, needs, owner } = start;
+    const { group, checkpoint, needs, owner, linkId, orderLimitMs } = start;
     const tracked = trackedRun(start, {
       spec: group.spec,
       queue: group.queue,
@@ -231,6 +241,8 @@
       phase: RunPhase.Starting,
       percent: 100,
       latestCheckpoint: checkpoint,
+      linkId,
+      orderLimitMs,
       sinceMs: now,
     });
     this._options.runs.add(tracked);
--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -11,6 +11,16 @@
   Stopping,
 }
 
+/** How the order that brought a start compares with its time of sending. */
+export interface StartOrigin {
+  /** Link that brought the order. */
+  readonly linkId: number;
+  /** Whether the entry had no newer link when the start call was sent. */
+  readonly isNewestLink: boolean;
+  /** Time left then of the limit that the order gave its runs. */
+  readonly limitLeftMs: number;
+}
+
 /** A run that may be active at the worker. */
 export interface TrackedRun {
   readonly task: string;
@@ -40,6 +50,15 @@
   latestCheckpoint: string;
   /** Local time at which the driver learned of the run. */
   readonly sinceMs: number;
+  /** Link that brought its start; 0 if this process has not started it. */
+  readonly linkId: number;
+  /**
+   * Time on the worker's clock until which the order of its start lets the run
+   * continue; 0 if this process has not started it.
+   */
+  readonly orderLimitMs: number;
+  /** Set when the first start call is sent. */
+  origin: StartOrigin | undefined;
   /** Number of the latest poll when the worker confirmed the stop. */
   readonly stoppedAtPoll: number | undefined;
   /** Local time of the first stop call; absent before it. */
@@ -78,6 +97,9 @@
   hasBegun: false,
   percent: 0,
   latestCheckpoint: '',
+  linkId: 0,
+  orderLimitMs: 0,
+  origin: undefined,
   stoppedAtPoll: undefined,
   stopSentAtMs: undefined,
   stopRetryAtMs: undefined,
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -123,6 +123,11 @@
  * that is, as one that may carry out calls without answering them.
  */
 const UNRELIABLE_PERIOD_MS = 15_000;
+/**
+ * Time left of the limit of an entry, of 700 ms, below which a start counts as
+ * begun from an old order: it was held back on its way.
+ */
+const OLD_ORDER_LEFT_MS = 350;
 /** Runs that a log line about a crash names. */
 const MAX_LOGGED_RUNS = 20;
 /**
@@ -570,7 +575,7 @@
     }
     if (isForThisIncarnation) {
       for (const group of order.starts) {
-        this._starts.startGroup(link, group, now);
+        this._starts.startGroup(link, group, order.holdUntilMs, now);
       }
     } else {
       // Its time limit is on the clock of another incarnation, so the runs may
@@ -666,17 +671,46 @@
 
   /** Sends the start calls of this turn. */
   private _sendStarts(now: number): void {
+    const begun: TrackedRun[] = [];
     for (const tracked of this._unsentStarts) {
       if (this._runs.get(tracked) !== tracked) {
         continue;
       }
       if (this._mayBegin) {
         this._sendStart(tracked, now);
+        begun.push(tracked);
       } else {
         this._refuse(tracked, StartRefusal.NOT_READY);
       }
     }
     this._unsentStarts.clear();
+    this._logOldStarts(begun, now);
+  }
+
+  /** Logs the starts of this turn that were held back, in one line. */
+  private _logOldStarts(begun: readonly TrackedRun[], now: number): void {
+    const clockMs = this._clock.lowerBound(now);
+    const old: TrackedRun[] = [];
+    for (const tracked of begun) {
+      const { linkId, owner, orderLimitMs } = tracked;
+      const limitLeftMs = Math.round(orderLimitMs - clockMs);
+      const isNewestLink = this._links.isNewest(linkId, owner);
+      tracked.origin = { linkId, isNewestLink, limitLeftMs };
+      if (!isNewestLink || limitLeftMs < OLD_ORDER_LEFT_MS) {
+        old.push(tracked);
+      }
+    }
+    const [first] = old;
+    if (first) {
+      const { task, run, owner, origin } = first;
+      this._log('runs begun from an old order', {
+        runs: old.length,
+        task,
+        run,
+        owner,
+        ...origin,
+      });
+    }
   }
 
   private _sendStart(tracked: TrackedRun, now: number): void {
@@ -975,7 +1009,7 @@
   }
 
   private _logStopped(tracked: TrackedRun, kind: EndKind, now: number): void {
-    const { task, run, owner, stopSentAtMs } = tracked;
+    const { task, run, owner, origin, sinceMs, stopSentAtMs } = tracked;
     if (stopSentAtMs !== undefined) {
       this._log('stopped run ended', {
         task,
@@ -983,6 +1017,8 @@
         owner,
         how: EndKind[kind],
         afterMs: Math.round(now - stopSentAtMs),
+        activeMs: Math.round(stopSentAtMs - sinceMs),
+        ...origin,
       });
     }
   }
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -52,6 +52,7 @@
   readonly reports: WorkerReport[] = [];
   readonly polls: Extract<WorkerCall, { kind: 'hold' }>[] = [];
   isStopped = false;
+  readonly logs: Extract<WorkerAction, { kind: 'log' }>[] = [];
   readonly calls: { callId: number; call: WorkerCall }[] = [];
   readonly driver = new WorkerDriver({
     name: 'vm',
@@ -152,15 +153,21 @@
   }
 
   private _collect(action: WorkerAction): void {
-    if (action.kind === 'call') {
-      this.calls.push(action);
-      if (action.call.kind === 'hold') {
-        this.polls.push(action.call);
-      }
-    } else if (action.kind === 'report') {
-      this.reports.push(action.report);
-    } else if (action.kind === 'stopped') {
-      this.isStopped = true;
+    switch (action.kind) {
+      case 'call':
+        this.calls.push(action);
+        if (action.call.kind === 'hold') {
+          this.polls.push(action.call);
+        }
+        return;
+      case 'report':
+        this.reports.push(action.report);
+        return;
+      case 'log':
+        this.logs.push(action);
+        return;
+      case 'stopped':
+        this.isStopped = true;
     }
   }
 }
