Serve only the newest link of an entry at the worker driver

Cause: a worker driver kept the time limit of an entry's runs by entry and served orders from every link of the entry. A start that was sent into a cut stays in TCP, which sends it again up to seconds after the cut has ended. The entry closes that link after 900 ms without a report, gives the run up after its time limit and places the task elsewhere, and opens a new link as soon as the cut ends. The first order on the new link extends the limit; the start that then arrives on the earlier link began under it. The earlier link also kept the 450 ms for opening a new link from being applied, and ends of volatile runs that were reported on it counted as recorded and were lost.

Fix: the first order on a newer link closes the earlier one. An entry opens a link to a worker only after closing the one before, so no link that an entry still uses is closed. Time limits by order instead of by entry were ruled out: the orders of one link arrive in sequence, so they would add nothing.

Evidence: the fleet simulation delivers what a cut held back on a connection up to 3 s after the cut, as a transport that retransmits more and more rarely does.

The mutation "earlier link of an entry still served" restores the fault.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -77,8 +77,8 @@
  */
 export class ReportLinks {
   private readonly _links = new Map<number, MutableLink>();
-  /** Links of each entry, by its incarnation. */
-  private readonly _byOwner = new Map<string, ReportLink[]>();
+  /** Link of each entry that is served, by its incarnation. */
+  private readonly _byOwner = new Map<string, MutableLink>();
   /** Links with a report that is sent at the end of this turn. */
   private readonly _dirty = new Set<ReportLink>();
   /** Time of the next check whether the free capacity is to be reported. */
@@ -100,7 +100,8 @@
 
   /**
    * @param linkId - Id of a link that has closed.
-   * @returns Incarnation of its entry if that has no other link.
+   * @returns Incarnation of its entry, unless that has a newer link or is
+   *   unknown.
    */
   close(linkId: number): string | undefined {
     const link = this._links.get(linkId);
@@ -109,22 +110,36 @@
     }
     this._links.delete(linkId);
     this._dirty.delete(link);
-    this._removeFromOwner(link);
-    return this.has(link.incarnation) ? undefined : link.incarnation;
+    return this._removeFromOwner(link) ? link.incarnation : undefined;
   }
 
   /**
+   * Assigns a link to the entry that uses it. Only the newest link of an entry
+   * is served: an entry opens a link once it has closed the one before, whose
+   * orders may still arrive.
+   *
    * @param link - A link on which an order has arrived.
    * @param incarnation - Incarnation of the entry that sent it.
+   * @returns The earlier link of the entry, whose unsent report the newer one
+   *   takes over; the link itself if a newer one is known.
    */
-  identify(link: ReportLink, incarnation: string): void {
+  identify(link: ReportLink, incarnation: string): ReportLink | undefined {
     const known = this._links.get(link.id);
     if (!known || known.incarnation === incarnation) {
-      return;
+      return undefined;
+    }
+    const other = this._byOwner.get(incarnation);
+    if (other && other.id > known.id) {
+      return known;
     }
     this._removeFromOwner(known);
     known.incarnation = incarnation;
-    this._byOwner.set(incarnation, [...this._linksOf(incarnation), known]);
+    this._byOwner.set(incarnation, known);
+    if (other) {
+      known.report.ends.push(...other.report.ends);
+      known.report.refused.push(...other.report.refused);
+    }
+    return other;
   }
 
   /** @returns Whether the entry of this incarnation has an open link. */
@@ -132,10 +147,9 @@
     return this._byOwner.has(owner);
   }
 
-  /** @returns Whether a link is the newest open one of an entry. */
+  /** @returns Whether a link is the newest one of an entry, and open. */
   isNewest(linkId: number, owner: string): boolean {
-    const links = this._byOwner.get(owner) ?? [];
-    return linkId === Math.max(...links.map((link) => link.id));
+    return this._byOwner.get(owner)?.id === linkId;
   }
 
   /** @returns The open link with this id, if there is one. */
@@ -244,19 +258,19 @@
   }
 
   private _linksOf(owner: string): Iterable<ReportLink> {
-    return owner === ''
-      ? this._links.values()
-      : (this._byOwner.get(owner) ?? []);
+    if (owner === '') {
+      return this._links.values();
+    }
+    const link = this._byOwner.get(owner);
+    return link ? [link] : [];
   }
 
-  private _removeFromOwner(link: ReportLink): void {
-    const links = this._byOwner.get(link.incarnation) ?? [];
-    const others = links.filter((other) => other !== link);
-    if (others.length > 0) {
-      this._byOwner.set(link.incarnation, others);
-    } else {
-      this._byOwner.delete(link.incarnation);
-    }
+  /** @returns Whether the link was the one of its entry. */
+  private _removeFromOwner(link: ReportLink): boolean {
+    return (
+      this._byOwner.get(link.incarnation) === link &&
+      this._byOwner.delete(link.incarnation)
+    );
   }
 }
 
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -525,7 +525,13 @@
       return;
     }
     const isFirst = link.incarnation === '';
-    this._links.identify(link, order.incarnation);
+    const earlier = this._links.identify(link, order.incarnation);
+    if (earlier) {
+      this._closeEarlierLink(earlier, order.incarnation);
+    }
+    if (earlier === link) {
+      return;
+    }
     if (isFirst) {
       // The snapshot on this link does not list its starts of earlier links.
       this._starts.removeOwner(order.incarnation);
@@ -588,6 +594,22 @@
     link.needsSnapshot ||= isFirst || order.adopt.length > 0;
   }
 
+  /**
+   * Closes a link whose entry has a newer one. Its orders may have been held back
+   * until after the entry has given up their runs.
+   */
+  private _closeEarlierLink({ id }: ReportLink, entry: string): void {
+    this._log('earlier link of an entry closed', { entry, linkId: id });
+    this._links.close(id);
+    for (const tracked of this._unsentStarts) {
+      if (tracked.linkId === id) {
+        this._unsentStarts.delete(tracked);
+        this._refuse(tracked, StartRefusal.NO_ROOM);
+      }
+    }
+    this._actions.push({ kind: 'close-link', linkId: id });
+  }
+
   private _refuseStarts(order: WorkerOrder, reason: StartRefusal): void {
     for (const { task, run } of order.starts.flatMap((g) => g.runs)) {
       this._links.addRefusal(order.incarnation, task, run, reason);
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -156,6 +156,8 @@
       readonly linkId: number;
       readonly report: WorkerReport;
     }
+  /** Closes a link, which is then not reported as closed. */
+  | { readonly kind: 'close-link'; readonly linkId: number }
   | {
       readonly kind: 'log';
       readonly message: string;
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -50,7 +50,11 @@
   active: ListedRun[] = [];
   ends: ListedEnd[] = [];
   readonly reports: WorkerReport[] = [];
+  /** Reports by the link on which they were sent. */
+  readonly reportsByLink = new Map<number, WorkerReport[]>();
   readonly polls: Extract<WorkerCall, { kind: 'hold' }>[] = [];
+  /** Links that the driver has closed. */
+  readonly closedLinks: number[] = [];
   isStopped = false;
   readonly logs: Extract<WorkerAction, { kind: 'log' }>[] = [];
   readonly calls: { callId: number; call: WorkerCall }[] = [];
@@ -162,6 +166,13 @@
         return;
       case 'report':
         this.reports.push(action.report);
+        this.reportsByLink.set(action.linkId, [
+          ...(this.reportsByLink.get(action.linkId) ?? []),
+          action.report,
+        ]);
+        return;
+      case 'close-link':
+        this.closedLinks.push(action.linkId);
         return;
       case 'log':
         this.logs.push(action);
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -145,6 +145,10 @@
       case 'report':
         this._links.get(action.linkId)?.send(action.report);
         return;
+      case 'close-link':
+        this._links.get(action.linkId)?.close();
+        this._links.delete(action.linkId);
+        return;
       case 'log':
         this.metrics.decisions.inc(action.message);
         this._options.log.info(action.message, action.fields);
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -83,6 +83,8 @@
 /** Time until both sides of a link receive its reset. */
 const RESET_DELAY_MS = 2;
 const CALL_DEADLINE_MS = 4000;
+/** Longest interval between two retransmissions of a connection after a cut. */
+const MAX_RETRANSMISSION_MS = 3000;
 /** Callers of volatile jobs wait this long before they submit again. */
 export const RESEND_DELAY_MS = 1300;
 
@@ -118,7 +120,11 @@
     const generator = xoroshiro128plus(options.seed);
     const random = (): number => uniformFloat64(generator);
     const { queue } = this;
-    this.network = new Network({ queue, random });
+    this.network = new Network({
+      queue,
+      random,
+      maxRetransmissionMs: MAX_RETRANSMISSION_MS,
+    });
     this.store = new SimTable({ queue, random });
     this.oracle = new FleetOracle({
       workerCapacity: WORKER_CAPACITY,
@@ -139,6 +145,11 @@
         onReport: (linkId, report) => {
           this._sendReport(name, linkId, report);
         },
+        onCloseLink: (linkId) => {
+          this._resetLinks(
+            (link) => link.driver.name === name && link.driverLinkId === linkId,
+          );
+        },
       });
     });
     placements.forEach(([vm, dataCentre, service], index) => {
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -22,6 +22,7 @@
   /** Receives the kind of each action that the process carries out. */
   readonly onAction: (kind: string) => void;
   readonly onReport: (linkId: number, report: WorkerReport) => void;
+  readonly onCloseLink: (linkId: number) => void;
 }
 
 const TICK_MS = 100;
@@ -168,6 +169,9 @@
       case 'report':
         this._options.onReport(action.linkId, action.report);
         return;
+      case 'close-link':
+        this._options.onCloseLink(action.linkId);
+        return;
       case 'stopped':
         this.kill();
         return;
--- a/packages/standins/src/lib/sim/network.ts
+++ b/packages/standins/src/lib/sim/network.ts
@@ -12,9 +12,17 @@
   readonly queue: EventQueue;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
+  /**
+   * Longest delay after the end of a cut or stall until a connection delivers
+   * what it has held back, as by a transport that retransmits more and more
+   * rarely. It is at most the time since the first message was held back, and
+   * new connections have none. 0 if absent.
+   */
+  readonly maxRetransmissionMs?: number;
 }
 
 interface HeldMessage {
+  readonly sinceMs: number;
   /** Absent for a datagram. */
   readonly connection: string | undefined;
   readonly from: string;
@@ -103,6 +111,7 @@
     this._stalled.clear();
     const held = this._heldMessages;
     this._heldMessages = [];
+    this._delayRetransmissions(held);
     for (const { connection, from, to, deliver } of held) {
       if (connection === undefined) {
         this.sendDatagram(from, to, deliver);
@@ -112,6 +121,22 @@
     }
   }
 
+  private _delayRetransmissions(held: readonly HeldMessage[]): void {
+    const { queue, random, maxRetransmissionMs = 0 } = this._options;
+    if (maxRetransmissionMs === 0) {
+      return;
+    }
+    const delayed = new Set<string>();
+    for (const { connection, from, sinceMs } of held) {
+      const key = `${connection ?? ''} ${from}`;
+      if (connection !== undefined && !delayed.has(key)) {
+        delayed.add(key);
+        const heldMs = Math.min(queue.nowMs - sinceMs, maxRetransmissionMs);
+        this._lastDelivery.set(key, queue.nowMs + random() * heldMs);
+      }
+    }
+  }
+
   /** @param connection - A connection that drops all messages from now on. */
   silence(connection: string): void {
     this._silenced.add(connection);
@@ -136,11 +161,12 @@
     if (this._silenced.has(connection)) {
       return;
     }
+    const { queue } = this._options;
     if (this.isCut(from, to) || this._stalled.has(connection)) {
-      this._heldMessages.push({ connection, from, to, deliver });
+      const sinceMs = queue.nowMs;
+      this._heldMessages.push({ sinceMs, connection, from, to, deliver });
       return;
     }
-    const { queue } = this._options;
     const key = `${connection} ${from}`;
     const earliestMs = this._lastDelivery.get(key) ?? 0;
     const atMs = Math.max(queue.nowMs + this._delayMs(), earliestMs);
@@ -157,7 +183,9 @@
     if (!this.isCut(from, to)) {
       this._options.queue.after(this._delayMs(), deliver);
     } else if (this._options.random() < LATE_DELIVERY_RATE) {
-      this._heldMessages.push({ connection: undefined, from, to, deliver });
+      const sinceMs = this._options.queue.nowMs;
+      const connection = undefined;
+      this._heldMessages.push({ sinceMs, connection, from, to, deliver });
     }
   }
 
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -286,6 +286,13 @@
     from: "order.life === '' || order.life === this._workerIncarnation",
     to: 'true',
   },
+  {
+    name: 'earlier link of an entry still served',
+    file: 'process/worker-driver.js',
+    from: 'if (earlier) {',
+    to: 'if (false) {',
+    and: { from: 'if (earlier === link) {', to: 'if (false) {' },
+  },
   {
     name: 'recorded failure counted again after a takeover',
     file: 'request/batch-job.js',
