Send no start whose link has broken in the same turn

Cause: a connection that is reset behind an order is readable at once, and Node reads both in one callback. MessageSocket reported the break with the event `close`, which comes after the callbacks of `setImmediate`, so the flush that sends the start calls ran before the worker driver knew.

Fix: MessageSocket reports a break in the callback that has shown it, on the next tick, so still not during a call of one of its methods. When a link closes, the worker driver refuses the starts that came over it in this turn; they have not been sent to the worker. Nothing waits for this, so planned stops, retirements and changes of the configuration are as before.

Evidence: message-socket.test.ts saw "a, end of turn, closed" and a test of start-admission.test.ts saw the start call before; both pass now. A close without a reset (FIN) is not covered: libuv reads it one poll later (seen with a program that writes and then calls end, destroy or resetAndDestroy), and sending each start one poll later was ruled out because of its cost.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -511,6 +511,7 @@
   private _onLinkClosed(linkId: number, now: number): void {
     const owner = this._links.close(linkId);
     this._starts.removeLink(linkId);
+    this._refuseUnsentStarts(linkId);
     const expiryMs =
       owner === undefined ? undefined : this._ownerExpiryMs.get(owner);
     if (owner !== undefined && expiryMs !== undefined) {
@@ -601,13 +602,18 @@
   private _closeEarlierLink({ id }: ReportLink, entry: string): void {
     this._log('earlier link of an entry closed', { entry, linkId: id });
     this._links.close(id);
+    this._refuseUnsentStarts(id);
+    this._actions.push({ kind: 'close-link', linkId: id });
+  }
+
+  /** Refuses the starts of this turn that came over a link which has closed. */
+  private _refuseUnsentStarts(linkId: number): void {
     for (const tracked of this._unsentStarts) {
-      if (tracked.linkId === id) {
+      if (tracked.linkId === linkId) {
         this._unsentStarts.delete(tracked);
         this._refuse(tracked, StartRefusal.NO_ROOM);
       }
     }
-    this._actions.push({ kind: 'close-link', linkId: id });
   }
 
   private _refuseStarts(order: WorkerOrder, reason: StartRefusal): void {
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -124,6 +124,16 @@
   expect(harness.count('stop')).toEqual(0);
 });
 
+// The entry of the link may be gone, or have given its runs up.
+it('a start does not begin if its link closes in the same turn', () => {
+  const harness = ready();
+  harness.read({ ...hold(harness), starts: starts('a.0.0.0') });
+  harness.handle({ kind: 'link-closed', linkId: 1 });
+  harness.handle({ kind: 'flush' });
+  expect(started(harness)).toEqual([]);
+  expect(harness.driver.activeRuns).toEqual(0);
+});
+
 it('a start does not begin if its data centre goes out of service in that turn', () => {
   const out = { operatorVersion: 8, out: true };
   const harness = readTogether({ starts: starts('a.0.0.0') }, out);
--- a/packages/daemon/src/lib/connection/message-socket.ts
+++ b/packages/daemon/src/lib/connection/message-socket.ts
@@ -34,7 +34,9 @@
   readonly onMessage: (msg: In) => void;
   /**
    * Called once when the connection has broken or could not be established,
-   * never during a call of a method of the socket.
+   * never during a call of a method of the socket, but in the callback of the
+   * event loop that has shown it. What was received before in the same turn of
+   * the event loop can so be handled as coming from a peer that has gone.
    *
    * @param detail - The reason.
    */
@@ -249,6 +251,10 @@
       this._state = State.Failed;
       this._detail = detail;
       this._socket.destroy();
+      // The event `close` follows only after the callbacks of `setImmediate`.
+      process.nextTick(() => {
+        this._onClose();
+      });
     }
   }
 
--- a/packages/daemon/src/test/message-socket.test.ts
+++ b/packages/daemon/src/test/message-socket.test.ts
@@ -1,6 +1,9 @@
-import { Socket, createServer } from 'node:net';
+import { Socket, connect, createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import {
+  setTimeout as delay,
+  setImmediate as nextTurn,
+} from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 import type { Decoded } from '@sapphiremux/wire';
 import { expect } from 'earl';
@@ -313,6 +316,37 @@
   expect(connections).toEqual(0);
 });
 
+// The peer may have reset the connection because it no longer wants what it has
+// sent, so the receiver has to know before it acts at the end of the turn.
+it('a reset that is read behind a message is reported in the same turn', async () => {
+  const events: string[] = [];
+  const closed = new Recorder();
+  const server = await startMessageServer({
+    host: LOCAL_HOST,
+    port: 0,
+    format,
+    accept: () => ({
+      onMessage: (msg) => {
+        events.push(msg);
+        setImmediate(() => events.push('end of turn'));
+      },
+      onClosed: (detail) => {
+        events.push('closed');
+        closed.onClosed(detail);
+      },
+    }),
+  });
+  const peer = connect(server.port, LOCAL_HOST);
+  await new Promise((resolve) => peer.write(GREETING, resolve));
+  await delay(20);
+  peer.write('"a"\n');
+  peer.resetAndDestroy();
+  await closed.closed;
+  await nextTurn();
+  expect(events).toEqual(['a', 'closed', 'end of turn']);
+  await server.close();
+});
+
 it('a server that closes disconnects its peers', async () => {
   const acceptor = new Recorder();
   const server = await startMessageServer({
