Cut an entry off from most workers in generated fleet scenarios

The fuzzer cut one entry off from one worker at a time.

The command "cut-workers" cuts an entry off from all workers but one.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -105,6 +105,12 @@
       readonly entry: number;
       readonly worker: number;
     }
+  | {
+      /** Cuts an entry off from all workers but one. */
+      readonly kind: 'cut-workers';
+      readonly entry: number;
+      readonly spared: number;
+    }
   | { readonly kind: 'store'; readonly mode: StoreMode }
   /**
    * `compact` drops the change history of the store, `heal` ends cuts and stalls
@@ -185,6 +191,14 @@
     { weight: 3, arbitrary: operatorCommands() },
     { weight: 8, arbitrary: faultCommands() },
     { weight: 2, arbitrary: plannedStops() },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        kind: oneOfKinds('cut-workers'),
+        entry: entryIndex(),
+        spared: workerIndex(),
+      }),
+    },
     { weight: 4, arbitrary: workerFaultCommands() },
     {
       weight: 3,
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -134,6 +134,9 @@
     case 'stall':
       injectNetworkFault(world, command);
       return;
+    case 'cut-workers':
+      cutWorkers(world, command);
+      return;
     case 'stop-entry':
       stopEntry(world, command);
       return;
@@ -241,6 +244,17 @@
   world.network.injectFault(command.kind, entry.name, driver.name, links);
 };
 
+const cutWorkers = (
+  world: FleetWorld,
+  { entry, spared }: Extract<FleetCommand, { kind: 'cut-workers' }>,
+): void => {
+  world.drivers.forEach((_, worker) => {
+    if (worker !== spared) {
+      injectNetworkFault(world, { kind: 'cut', entry, worker });
+    }
+  });
+};
+
 /**
  * Executes a command that ends faults. For the oracle the processes stay
  * faulty until {@link FleetWorld.recover}, so its time bounds do not apply.
