--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -123,6 +123,11 @@
  * that is, as one that may carry out calls without answering them.
  */
 const UNRELIABLE_PERIOD_MS = 15_000;
+/**
+ * Time left of the limit of an entry, of 700 ms, below which a start counts as
+ * begun from an old order: it was held back on its way.
+ */
+const OLD_ORDER_LEFT_MS = 350;
 /** Runs that a log line about a crash names. */
 const MAX_LOGGED_RUNS = 20;
 /**
@@ -506,6 +511,7 @@
   private _onLinkClosed(linkId: number, now: number): void {
     const owner = this._links.close(linkId);
     this._starts.removeLink(linkId);
+    this._refuseUnsentStarts(linkId);
     const expiryMs =
       owner === undefined ? undefined : this._ownerExpiryMs.get(owner);
     if (owner !== undefined && expiryMs !== undefined) {
@@ -520,7 +526,13 @@
       return;
     }
     const isFirst = link.incarnation === '';
-    this._links.identify(link, order.incarnation);
+    const earlier = this._links.identify(link, order.incarnation);
+    if (earlier) {
+      this._closeEarlierLink(earlier, order.incarnation);
+    }
+    if (earlier === link) {
+      return;
+    }
     if (isFirst) {
       // The snapshot on this link does not list its starts of earlier links.
       this._starts.removeOwner(order.incarnation);
@@ -570,7 +582,7 @@
     }
     if (isForThisIncarnation) {
       for (const group of order.starts) {
-        this._starts.startGroup(link, group, now);
+        this._starts.startGroup(link, group, order.holdUntilMs, now);
       }
     } else {
       // Its time limit is on the clock of another incarnation, so the runs may
@@ -583,6 +595,27 @@
     link.needsSnapshot ||= isFirst || order.adopt.length > 0;
   }
 
+  /**
+   * Closes a link whose entry has a newer one. Its orders may have been held back
+   * until after the entry has given up their runs.
+   */
+  private _closeEarlierLink({ id }: ReportLink, entry: string): void {
+    this._log('earlier link of an entry closed', { entry, linkId: id });
+    this._links.close(id);
+    this._refuseUnsentStarts(id);
+    this._actions.push({ kind: 'close-link', linkId: id });
+  }
+
+  /** Refuses the starts of this turn that came over a link which has closed. */
+  private _refuseUnsentStarts(linkId: number): void {
+    for (const tracked of this._unsentStarts) {
+      if (tracked.linkId === linkId) {
+        this._unsentStarts.delete(tracked);
+        this._refuse(tracked, StartRefusal.NO_ROOM);
+      }
+    }
+  }
+
   private _refuseStarts(order: WorkerOrder, reason: StartRefusal): void {
     for (const { task, run } of order.starts.flatMap((g) => g.runs)) {
       this._links.addRefusal(order.incarnation, task, run, reason);
@@ -666,17 +699,46 @@
 
   /** Sends the start calls of this turn. */
   private _sendStarts(now: number): void {
+    const begun: TrackedRun[] = [];
     for (const tracked of this._unsentStarts) {
       if (this._runs.get(tracked) !== tracked) {
         continue;
       }
       if (this._mayBegin) {
         this._sendStart(tracked, now);
+        begun.push(tracked);
       } else {
         this._refuse(tracked, StartRefusal.NOT_READY);
       }
     }
     this._unsentStarts.clear();
+    this._logOldStarts(begun, now);
+  }
+
+  /** Logs the starts of this turn that were held back, in one line. */
+  private _logOldStarts(begun: readonly TrackedRun[], now: number): void {
+    const clockMs = this._clock.lowerBound(now);
+    const old: TrackedRun[] = [];
+    for (const tracked of begun) {
+      const { linkId, owner, orderLimitMs } = tracked;
+      const limitLeftMs = Math.round(orderLimitMs - clockMs);
+      const isNewestLink = this._links.isNewest(linkId, owner);
+      tracked.origin = { linkId, isNewestLink, limitLeftMs };
+      if (!isNewestLink || limitLeftMs < OLD_ORDER_LEFT_MS) {
+        old.push(tracked);
+      }
+    }
+    const [first] = old;
+    if (first) {
+      const { task, run, owner, origin } = first;
+      this._log('runs begun from an old order', {
+        runs: old.length,
+        task,
+        run,
+        owner,
+        ...origin,
+      });
+    }
   }
 
   private _sendStart(tracked: TrackedRun, now: number): void {
@@ -975,7 +1037,7 @@
   }
 
   private _logStopped(tracked: TrackedRun, kind: EndKind, now: number): void {
-    const { task, run, owner, stopSentAtMs } = tracked;
+    const { task, run, owner, origin, sinceMs, stopSentAtMs } = tracked;
     if (stopSentAtMs !== undefined) {
       this._log('stopped run ended', {
         task,
@@ -983,6 +1045,8 @@
         owner,
         how: EndKind[kind],
         afterMs: Math.round(now - stopSentAtMs),
+        activeMs: Math.round(stopSentAtMs - sinceMs),
+        ...origin,
       });
     }
   }
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -50,8 +50,13 @@
   active: ListedRun[] = [];
   ends: ListedEnd[] = [];
   readonly reports: WorkerReport[] = [];
+  /** Reports by the link on which they were sent. */
+  readonly reportsByLink = new Map<number, WorkerReport[]>();
   readonly polls: Extract<WorkerCall, { kind: 'hold' }>[] = [];
+  /** Links that the driver has closed. */
+  readonly closedLinks: number[] = [];
   isStopped = false;
+  readonly logs: Extract<WorkerAction, { kind: 'log' }>[] = [];
   readonly calls: { callId: number; call: WorkerCall }[] = [];
   readonly driver = new WorkerDriver({
     name: 'vm',
@@ -152,15 +157,28 @@
   }
 
   private _collect(action: WorkerAction): void {
-    if (action.kind === 'call') {
-      this.calls.push(action);
-      if (action.call.kind === 'hold') {
-        this.polls.push(action.call);
-      }
-    } else if (action.kind === 'report') {
-      this.reports.push(action.report);
-    } else if (action.kind === 'stopped') {
-      this.isStopped = true;
+    switch (action.kind) {
+      case 'call':
+        this.calls.push(action);
+        if (action.call.kind === 'hold') {
+          this.polls.push(action.call);
+        }
+        return;
+      case 'report':
+        this.reports.push(action.report);
+        this.reportsByLink.set(action.linkId, [
+          ...(this.reportsByLink.get(action.linkId) ?? []),
+          action.report,
+        ]);
+        return;
+      case 'close-link':
+        this.closedLinks.push(action.linkId);
+        return;
+      case 'log':
+        this.logs.push(action);
+        return;
+      case 'stopped':
+        this.isStopped = true;
     }
   }
 }
