--- a/packages/standins/src/test/stale-submissions.test.ts
+++ b/packages/standins/src/test/stale-submissions.test.ts
@@ -16,6 +16,11 @@
 const JOB_COUNT = 6;
 /** Time that an entry stands still; less than any of its time limits. */
 const STALL_MS = 150;
+/** Tasks of a job that leaves no room on the workers, and their run time. */
+const FILLING_TASKS = 30;
+const FILLING_RUN_MS = 700;
+/** Time after which its tasks run. */
+const FILLED_AFTER_MS = 200;
 
 const ids = (): string[] => Array.from({ length: JOB_COUNT }, newId);
 
@@ -96,3 +101,31 @@
     expect(new Set(statuses)).toEqual(new Set([HTTP_OK]));
     expect(countOverlaps(cluster)).toEqual(0);
   }));
+
+// Guards against a waiting job that is placed in the turn in which the entry
+// reads both the report that frees room for it and the reset of its caller.
+it('fleet: a job whose caller reset the connection while it waited starts nothing when room is freed', () =>
+  withCluster(async (cluster) => {
+    const startsOf = (jobIds: readonly string[]): string[] =>
+      cluster.workers
+        .flatMap(({ starts }) => starts.map(({ task }) => task))
+        .filter((task) => jobIds.some((id) => task.startsWith(id)));
+    const running = submit(cluster, 0, job(FILLING_RUN_MS, FILLING_TASKS));
+    await delay(FILLED_AFTER_MS);
+    const jobIds = ids();
+    const sockets = await Promise.all(
+      jobIds.map((id) => sendSubmission(cluster, id, job(300))),
+    );
+    await delay(FILLED_AFTER_MS);
+    expect(startsOf(jobIds)).toEqual([]);
+    cluster.signal('entry', 0, 'SIGSTOP');
+    for (const socket of sockets) {
+      socket.resetAndDestroy();
+    }
+    // The runs end and are reported meanwhile.
+    await delay(FILLING_RUN_MS - FILLED_AFTER_MS);
+    cluster.signal('entry', 0, 'SIGCONT');
+    await running;
+    await delay(600);
+    expect(startsOf(jobIds)).toEqual([]);
+  }));
