Poll the sockets again before tasks are placed if the last poll is old

Cause: a process that is frozen, or whose turn takes long, between its poll of the sockets and the placement acts on what it knew before. The caller of a waiting job may have reset its connection meanwhile and have sent the job to another entry. The pause detector sees a suspended VM only, where the clocks diverge.

Change: the host tells the entry with each flush how long ago it began to poll at most (the end of the flush before). If that is more than 100 ms and jobs wait, this flush places nothing; the host polls once more and flushes again, and that flush places whatever the age. Stops, acknowledgements and store writes leave with the first flush. There is one more poll for each placement, so that an entry whose turns all take long starts tasks, too.

The tests failed before: batch-host.test.ts, with the process standing still for 250 ms after it has read a report of free room, and before it handles the report: one start each in place of none (run with the bound set to infinity). A third test with a caller that stays passes in both.

Planned stop: an entry that leaves has nothing to place and doesn't poll again, so its stops don't wait.

Nothing is done for each open caller.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -85,6 +85,13 @@
 const MAX_STATUS_AGE_MS = 1000;
 /** Maximum wait of a count for recent statuses. */
 const COUNT_TIMEOUT_MS = 500;
+/**
+ * Age of the last poll of the sockets above which they are polled again before
+ * tasks are placed, in milliseconds. A caller whose disconnection has not been
+ * read submits its job elsewhere after 1,300 ms, and runs may go on for 1,150 ms
+ * after the last order of an entry that is cut off.
+ */
+const MAX_POLL_AGE_MS = 100;
 /** How long after a count all peers are probed at the shortest interval. */
 const PENDING_INTEREST_MS = 5000;
 
@@ -138,6 +145,8 @@
    * connection that came later may not have been noticed yet.
    */
   private _turnBeganAtMs: number | undefined;
+  /** Whether the sockets have been polled again since the last placement. */
+  private _hasPolledAgain = false;
   private _recordedJobCount = 0;
   private _isRetired = false;
   private _stop: StopSchedule | undefined;
@@ -460,7 +469,7 @@
         this._beginStop(event.sinceMs ?? now);
         return;
       case 'flush':
-        this._flush(now);
+        this._flush(event.pollAgeMs ?? 0, now);
     }
   }
 
@@ -1049,10 +1058,10 @@
     this._actions.push({ kind: 'stopped' });
   }
 
-  private _flush(now: number): void {
+  private _flush(pollAgeMs: number, now: number): void {
     this._lease.update(now);
     if (this._mayPlaceRuns && !this._isLeaving) {
-      this._volatile.refuse(this._placer.place(now), now);
+      this._place(pollAgeMs, now);
     }
     this._recorder.pump(now);
     this._stores.pump(now);
@@ -1071,6 +1080,23 @@
     );
   }
 
+  /**
+   * Places tasks, after another poll of the sockets if the last one is too long
+   * ago. There is one such poll for each placement, so that an entry whose turns
+   * all take long places tasks, too.
+   */
+  private _place(pollAgeMs: number, now: number): void {
+    this._hasPolledAgain =
+      !this._hasPolledAgain &&
+      pollAgeMs > MAX_POLL_AGE_MS &&
+      this._placer.size > 0;
+    if (this._hasPolledAgain) {
+      this._actions.push({ kind: 'poll-again' });
+    } else {
+      this._volatile.refuse(this._placer.place(now), now);
+    }
+  }
+
   private _log(message: string, fields: LogFields): void {
     this._actions.push({ kind: 'log', message, fields });
   }
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -127,9 +127,10 @@
   | { readonly kind: 'stop'; readonly sinceMs?: number }
   /**
    * Follows each batch of other events: tasks are placed, and the gathered writes
-   * and orders are sent.
+   * and orders are sent. `pollAgeMs` is the time since the host began to poll
+   * its sockets; by default it is 0. What came later has not been read.
    */
-  | { readonly kind: 'flush' };
+  | { readonly kind: 'flush'; readonly pollAgeMs?: number };
 
 /** An action that a batch entry asks its host to carry out. */
 export type BatchAction =
@@ -174,6 +175,8 @@
       readonly message: string;
       readonly fields: LogFields;
     }
+  /** Polls the sockets once more, and flushes again whatever is read. */
+  | { readonly kind: 'poll-again' }
   /** This incarnation has been replaced; the host starts a new one. */
   | { readonly kind: 'retire'; readonly reason: string }
   /** The planned stop is complete. */
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -245,6 +245,7 @@
       case 'probe':
       case 'close-link':
       case 'forward-cancel':
+      case 'poll-again':
       case 'retire':
       case 'stopped':
         return undefined;
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -114,8 +114,8 @@
   private _generation = 1;
   private _server: RpcServer | undefined;
   private _timer: IoTimeout | undefined;
-  private readonly _flush = new TurnFlush((turnMs) => {
-    this.dispatch({ kind: 'flush' });
+  private readonly _flush = new TurnFlush((turnMs, pollAgeMs) => {
+    this.dispatch({ kind: 'flush', pollAgeMs });
     this._observeTurn(turnMs);
   });
   private readonly _heldCalls = new HeldCalls(() => {
@@ -400,6 +400,9 @@
         this.metrics.onDecision(action.message, action.fields);
         this._options.log.info(action.message, action.fields);
         return;
+      case 'poll-again':
+        this._flush.scheduleAfterNextPoll();
+        return;
       case 'retire':
         this._closeLinks();
         this._generation += 1;
--- a/packages/daemon/src/lib/process/turn-flush.ts
+++ b/packages/daemon/src/lib/process/turn-flush.ts
@@ -6,15 +6,21 @@
  * a turn are sent in one batch.
  */
 export class TurnFlush {
-  private readonly _run: (turnMs: number) => void;
+  private readonly _run: (turnMs: number, pollAgeMs: number) => void;
   private _scheduled: NodeJS.Immediate | undefined;
   private _startedAtMs = 0;
+  /** End of the last run; the event loop has begun its last poll after it. */
+  private _ranAtMs = now();
+  /** Whether the scheduled run has to wait for a poll. */
+  private _awaitsPoll = false;
 
   /**
    * @param run - Called at the end of the turn with the milliseconds since its
-   *   first event. Messages that arrived in that time have not been read yet.
+   *   first event, and with the milliseconds, at most, since the event loop began
+   *   to poll the sockets. Messages that arrived in that time may not have been
+   *   read.
    */
-  constructor(run: (turnMs: number) => void) {
+  constructor(run: (turnMs: number, pollAgeMs: number) => void) {
     this._run = run;
   }
 
@@ -25,17 +31,32 @@
     }
     this._startedAtMs = now();
     this._scheduled = setImmediate(() => {
+      this._awaitsPoll = false;
       this.runScheduled();
     });
   }
 
-  /** Runs the callback now if it is scheduled, in place of later. */
+  /**
+   * Schedules the callback for the end of the next turn; to be called only during
+   * a run.
+   */
+  scheduleAfterNextPoll(): void {
+    this.schedule();
+    this._awaitsPoll = true;
+  }
+
+  /**
+   * Runs the callback now, in place of later, if it is scheduled and doesn't wait
+   * for a poll.
+   */
   runScheduled(): void {
-    if (!this._scheduled) {
+    if (!this._scheduled || this._awaitsPoll) {
       return;
     }
     clearImmediate(this._scheduled);
     this._scheduled = undefined;
-    this._run(now() - this._startedAtMs);
+    const startedAtMs = now();
+    this._run(startedAtMs - this._startedAtMs, startedAtMs - this._ranAtMs);
+    this._ranAtMs = now();
   }
 }
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -1,7 +1,20 @@
+import { createServer as createHttpServer } from 'node:http';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
-import type { BatchContent, FollowReply } from '@sapphiremux/core';
+import type {
+  BatchContent,
+  FollowReply,
+  WorkerOrder,
+  WorkerReport,
+} from '@sapphiremux/core';
+import { decodeWorkerOrder, encodeWorkerReport } from '@sapphiremux/wire';
+import { callerOf } from '../lib/connection/caller.js';
+import type { Caller } from '../lib/connection/caller.js';
+import { MessageSocket } from '../lib/connection/message-socket.js';
 import { BatchHost } from '../lib/process/batch-host.js';
+import { now } from '../lib/process/clock.js';
 import { createLogger } from '../lib/process/logger.js';
 
 const CONTENT: BatchContent = {
@@ -15,6 +28,21 @@
   stretch: 1,
   slackMs: 0,
 };
+const JOB: BatchContent = {
+  ...CONTENT,
+  steps: [
+    {
+      count: 1,
+      needs: { cpuMilli: 1000, memoryMb: 1, accelerators: 0 },
+      estimateMs: 100,
+      after: [],
+      checkpointing: false,
+    },
+  ],
+  stretch: 100,
+};
+/** Less than the time limit of runs, more than the age that a poll may have. */
+const STAND_STILL_MS = 250;
 const CALLER = { isGone: false, onGone: () => undefined };
 /** Minimum duration of a planned stop. */
 const STOP_MS = 2500;
@@ -93,21 +121,105 @@
     ]);
   }
 
-  submit(): Promise<{ kind: string }> {
+  /**
+   * Answers the open calls for changes with the row of a worker, and waits until
+   * the entry has received its first report.
+   */
+  async addWorker(address: string): Promise<void> {
+    const value = JSON.stringify({ address, dataCentre: 'a' });
+    const rows = [{ key: 'worker/w', value, version: ++this._version }];
+    for (const reply of this._followers.splice(0)) {
+      reply({ kind: 'table', rows, version: this._version });
+    }
+    for (let turns = 0; turns < 10; turns += 1) {
+      await this.tick();
+    }
+  }
+
+  submit(
+    content: BatchContent = CONTENT,
+    caller: Caller = CALLER,
+  ): Promise<{ kind: string }> {
     return this.host.dispatchSubmission(
       'j',
       (replyId) => ({
         kind: 'submit',
         replyId,
         id: 'j',
-        content: CONTENT,
-        deadlineMs: Date.now() + 1000,
+        content,
+        deadlineMs: now() + 5000,
       }),
-      CALLER,
+      caller,
     );
   }
 }
 
+const ROOM = { cpuMilli: 1000, memoryMb: 100, accelerators: 0 };
+const NO_ROOM = { ...ROOM, cpuMilli: 0 };
+const LINK_FORMAT = { encode: encodeWorkerReport, decode: decodeWorkerOrder };
+
+/** A worker driver that reports the room that the test sets. */
+class WorkerPeer {
+  readonly starts: string[] = [];
+  private _link: MessageSocket<WorkerReport, WorkerOrder> | undefined;
+  private readonly _server: Server;
+
+  constructor() {
+    this._server = createServer((socket) => {
+      const link = MessageSocket.accept(socket, LINK_FORMAT, {
+        onOpen: () => {
+          this._link = link;
+          this.report(NO_ROOM, true);
+        },
+        onMessage: (order: WorkerOrder) => {
+          for (const { runs } of order.starts) {
+            this.starts.push(...runs.map(({ task }) => task));
+          }
+        },
+        onClosed: () => undefined,
+      });
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this._server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = this._server.address() as AddressInfo;
+    return `127.0.0.1:${String(port)}`;
+  }
+
+  report(free: typeof ROOM, snapshot = false): void {
+    this._link?.send({
+      clockMs: now(),
+      accepting: true,
+      free,
+      ends: [],
+      refused: [],
+      sequence: 1000,
+      active: [],
+      snapshot,
+      adopted: [],
+      fenced: false,
+      crashes: [],
+      hello: {
+        worker: 'w',
+        incarnation: 'w1',
+        dataCentre: 'a',
+        service: 's',
+        life: '1',
+        labels: [],
+        capacity: ROOM,
+      },
+    });
+  }
+
+  close(): void {
+    this._link?.close();
+    this._server.close();
+  }
+}
+
 // Guards against a connection that is closed without an answer.
 it('a submission that is held when a planned stop ends is refused', async () => {
   const harness = new HostHarness();
@@ -152,3 +264,115 @@
   await harness.tick();
   expect(harness.hasStopped).toEqual(true);
 });
+
+/** Lets a turn of the event loop take long, as a process that is frozen. */
+const standStill = (ms: number): void => {
+  const untilMs = now() + ms;
+  while (now() < untilMs) {
+    // Does not poll.
+  }
+};
+
+/**
+ * Lets the caller of a waiting job reset its connection while the entry stands
+ * still.
+ *
+ * @param free - Tells the entry that there is room.
+ * @returns Tasks that were started.
+ */
+const startsAfterReset = async (
+  free: (worker: WorkerPeer, harness: HostHarness, reset: () => void) => void,
+): Promise<readonly string[]> => {
+  const worker = new WorkerPeer();
+  const harness = new HostHarness();
+  const desk = createHttpServer((_req, res) => {
+    void harness.submit(JOB, callerOf(res));
+  });
+  desk.on('clientError', () => undefined);
+  await new Promise<void>((resolve) => desk.listen(0, '127.0.0.1', resolve));
+  await harness.tick();
+  await harness.addWorker(await worker.listen());
+  const { port } = desk.address() as AddressInfo;
+  const caller = connect(port, '127.0.0.1', () => {
+    caller.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
+  });
+  caller.on('error', () => undefined);
+  await delay(50);
+  await harness.tick();
+  expect(harness.host.core.waitingJobs).toEqual(1);
+  expect(worker.starts).toEqual([]);
+  free(worker, harness, () => {
+    caller.resetAndDestroy();
+  });
+  await delay(300);
+  await harness.host.close();
+  worker.close();
+  desk.closeAllConnections();
+  desk.close();
+  return worker.starts;
+};
+
+// Guards against runs for a caller whose reset has been read in the same turn.
+it('a reset that is read together with a report of free room starts nothing', async () => {
+  const starts = await startsAfterReset((worker, _harness, reset) => {
+    worker.report(ROOM);
+    reset();
+  });
+  expect(starts).toEqual([]);
+});
+
+// Guards against runs for a caller that left while the process was frozen
+// between the poll of its sockets and the end of the turn.
+it('a turn that takes long starts nothing for a caller that leaves meanwhile', async () => {
+  const starts = await startsAfterReset((worker, { host }, reset) => {
+    const dispatch = host.dispatch.bind(host);
+    host.dispatch = (event) => {
+      if (
+        event.kind === 'report' &&
+        event.report.free?.cpuMilli === ROOM.cpuMilli
+      ) {
+        host.dispatch = dispatch;
+        dispatch(event);
+        reset();
+        standStill(STAND_STILL_MS);
+      } else {
+        dispatch(event);
+      }
+    };
+    worker.report(ROOM);
+  });
+  expect(starts).toEqual([]);
+});
+
+it('a process that stands still before it reads a report starts nothing for a caller that leaves meanwhile', async () => {
+  const starts = await startsAfterReset((worker, { host }, reset) => {
+    const dispatch = host.dispatch.bind(host);
+    host.dispatch = (event) => {
+      if (
+        event.kind === 'report' &&
+        event.report.free?.cpuMilli === ROOM.cpuMilli
+      ) {
+        host.dispatch = dispatch;
+        reset();
+        standStill(STAND_STILL_MS);
+      }
+      dispatch(event);
+    };
+    worker.report(ROOM);
+  });
+  expect(starts).toEqual([]);
+});
+
+it('a caller that stays gets its runs after a turn that takes long', async () => {
+  const starts = await startsAfterReset((worker, { host }) => {
+    const dispatch = host.dispatch.bind(host);
+    host.dispatch = (event) => {
+      dispatch(event);
+      if (event.kind === 'report') {
+        standStill(STAND_STILL_MS);
+      }
+    };
+    worker.report(ROOM);
+  });
+  expect(starts).toEqual(['j.0.0.0']);
+});
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -429,6 +429,11 @@
         });
         return;
       }
+      case 'poll-again':
+        this.runAfterNextPoll(() => {
+          this.requestFlush();
+        });
+        return;
       case 'forward-cancel': {
         const { address, id, callId } = action;
         this._options.onForwardCancel(address, id, (handled) => {
