Drop unsent starts of a closed link without a refusal

The entry had already sent a stop for such a run over the newer link. The refusal let it place the next run; the stop made the worker driver track the run again, and when the worker crashed later this ended as LOST. An entry that had taken the job over meanwhile took that for the end of the last run and gave the next one a number that was in use.

For the same reason refusals that the earlier link has not sent are not moved to the newer one; ends still are.

A refusal of a queued start followed by a stop and a crash of the worker can still give two answers, as before these changes.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -120,8 +120,8 @@
    *
    * @param link - A link on which an order has arrived.
    * @param incarnation - Incarnation of the entry that sent it.
-   * @returns The earlier link of the entry, whose unsent report the newer one
-   *   takes over; the link itself if a newer one is known.
+   * @returns The earlier link of the entry, whose unsent ends the newer one takes
+   *   over; the link itself if a newer one is known.
    */
   identify(link: ReportLink, incarnation: string): ReportLink | undefined {
     const known = this._links.get(link.id);
@@ -135,10 +135,7 @@
     this._removeFromOwner(known);
     known.incarnation = incarnation;
     this._byOwner.set(incarnation, known);
-    if (other) {
-      known.report.ends.push(...other.report.ends);
-      known.report.refused.push(...other.report.refused);
-    }
+    known.report.ends.push(...(other?.report.ends ?? []));
     return other;
   }
 
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -511,7 +511,7 @@
   private _onLinkClosed(linkId: number, now: number): void {
     const owner = this._links.close(linkId);
     this._starts.removeLink(linkId);
-    this._refuseUnsentStarts(linkId);
+    this._dropUnsentStarts(linkId);
     const expiryMs =
       owner === undefined ? undefined : this._ownerExpiryMs.get(owner);
     if (owner !== undefined && expiryMs !== undefined) {
@@ -602,16 +602,20 @@
   private _closeEarlierLink({ id }: ReportLink, entry: string): void {
     this._log('earlier link of an entry closed', { entry, linkId: id });
     this._links.close(id);
-    this._refuseUnsentStarts(id);
+    this._dropUnsentStarts(id);
     this._actions.push({ kind: 'close-link', linkId: id });
   }
 
-  /** Refuses the starts of this turn that came over a link which has closed. */
-  private _refuseUnsentStarts(linkId: number): void {
+  /**
+   * Drops the starts of this turn that came over a link which has closed, as if
+   * they had been lost with it. They are not refused, because the entry may have
+   * sent their stops over the next link: it would get two answers.
+   */
+  private _dropUnsentStarts(linkId: number): void {
     for (const tracked of this._unsentStarts) {
       if (tracked.linkId === linkId) {
         this._unsentStarts.delete(tracked);
-        this._refuse(tracked, StartRefusal.NO_ROOM);
+        this._runs.delete(tracked);
       }
     }
   }
