Reset links to silent workers

Cause: the entry closed the link of a silent worker with destroy(). The kernel keeps the bytes of a closed connection and sends them again until the cut ends.

Fix: `close-link` says whether to reset. A link that is replaced because its worker is silent is reset: the kernel discards what the other machine has not received, and a worker driver that was frozen reads the reset in the same turn as the orders before it and drops their starts. Idle links, retirements and planned stops still close, because a last stop or acknowledgement may be under way. A socket that is still connecting is destroyed, because Node.js resets it only once it is connected.

The fleet simulation still delivers what a cut held back, so that the worker driver is tested without the help of the reset.

--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -151,7 +151,12 @@
       readonly linkId: number;
       readonly address: string;
     }
-  | { readonly kind: 'close-link'; readonly linkId: number }
+  | {
+      readonly kind: 'close-link';
+      readonly linkId: number;
+      /** Whether to discard what the worker has not received yet. */
+      readonly isReset: boolean;
+    }
   | {
       readonly kind: 'order';
       readonly linkId: number;
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -406,7 +406,8 @@
       worker: view.name,
       silentMs: Math.round(now - lastContactAtMs),
     });
-    this._options.emit({ kind: 'close-link', linkId });
+    // A start that arrives late must not begin a run that is given up.
+    this._options.emit({ kind: 'close-link', linkId, isReset: true });
     this._close(linkId, now);
   }
 
@@ -418,7 +419,7 @@
       now - view.lastBusyAtMs > IDLE_LINK_TIMEOUT_MS;
     if (isIdle) {
       this._log('link to worker given back', { worker: view.name });
-      this._options.emit({ kind: 'close-link', linkId });
+      this._options.emit({ kind: 'close-link', linkId, isReset: false });
       this._close(linkId, now);
     }
   }
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -161,6 +161,25 @@
   expect(harness.view.linkId).toEqual(2);
 });
 
+// What a silent link still delivers arrives after its runs were given up; an idle
+// one may still have to deliver an acknowledgement.
+it('a silent link is reset, an idle one is closed', () => {
+  const closesOf = ({ actions }: OrderHarness): boolean[] =>
+    actions.flatMap((action) =>
+      action.kind === 'close-link' ? [action.isReset] : [],
+    );
+  const silent = new OrderHarness();
+  silent.update(0);
+  silent.update(2201);
+  expect(closesOf(silent)).toEqual([true]);
+  const idle = new OrderHarness();
+  idle.update(0);
+  idle.send(0);
+  idle.fleet.onRow('w0', null);
+  idle.update(2001);
+  expect(closesOf(idle)).toEqual([false]);
+});
+
 it('peers that join, leave or fail change who is watched at the next tick', () => {
   const monitor = new PeerMonitor('e');
   const add = (name: string): void => {
--- a/packages/daemon/src/lib/connection/message-socket.ts
+++ b/packages/daemon/src/lib/connection/message-socket.ts
@@ -156,6 +156,20 @@
     this._socket.destroy();
   }
 
+  /**
+   * Closes the connection like {@link close} and discards what the peer has not
+   * received yet. A connection that is only closed goes on delivering it.
+   */
+  reset(): void {
+    this._state = State.Closed;
+    if (this._socket.connecting) {
+      // Node.js would wait for the connection to reset it.
+      this._socket.destroy();
+    } else {
+      this._socket.resetAndDestroy();
+    }
+  }
+
   private _enqueue(line: string): void {
     if (this._outgoing === '') {
       process.nextTick(this._flush);
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -384,8 +384,7 @@
         this._openLink(action);
         return;
       case 'close-link':
-        this._links.get(action.linkId)?.close();
-        this._links.delete(action.linkId);
+        this._closeLink(action);
         return;
       case 'order':
         this._links.get(action.linkId)?.send(action.order);
@@ -437,6 +436,16 @@
     this._links.set(linkId, link);
   }
 
+  private _closeLink({ linkId, isReset }: Action<'close-link'>): void {
+    const link = this._links.get(linkId);
+    this._links.delete(linkId);
+    if (isReset) {
+      link?.reset();
+    } else {
+      link?.close();
+    }
+  }
+
   private _closeLinks(): void {
     for (const link of this._links.values()) {
       link.close();
--- a/packages/daemon/src/test/message-socket.test.ts
+++ b/packages/daemon/src/test/message-socket.test.ts
@@ -1,4 +1,4 @@
-import { Socket, connect, createServer } from 'node:net';
+import { Socket, createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import {
   setTimeout as delay,
@@ -10,6 +10,7 @@
 import { startMessageServer } from '../lib/connection/message-server.js';
 import {
   MAX_LINE_BYTES,
+  MAX_PENDING_BYTES,
   MessageSocket,
 } from '../lib/connection/message-socket.js';
 import type { MessageFormat } from '../lib/connection/message-socket.js';
@@ -17,6 +18,8 @@
 const LOCAL_HOST = '127.0.0.1';
 const GREETING = '{"protocol":"sapphiremux.worker-stream","version":1}\n';
 
+const HELD_MESSAGE = 'x'.repeat(64 * 1024);
+
 const format: MessageFormat<string, string> = {
   encode: (msg) => JSON.stringify(msg),
   decode: (line): Decoded<string> => {
@@ -336,17 +339,70 @@
       },
     }),
   });
-  const peer = connect(server.port, LOCAL_HOST);
-  await new Promise((resolve) => peer.write(GREETING, resolve));
+  const address = addressOf(server.port);
+  const peer = MessageSocket.connect(address, format, new Recorder());
   await delay(20);
-  peer.write('"a"\n');
-  peer.resetAndDestroy();
+  peer.send('a');
+  process.nextTick(() => {
+    peer.reset();
+  });
   await closed.closed;
   await nextTurn();
   expect(events).toEqual(['a', 'closed', 'end of turn']);
   await server.close();
 });
 
+/** Returns the number of bytes that arrive at a peer that reads late. */
+const bytesReadLate = async (
+  end: (link: MessageSocket<string, string>) => void,
+): Promise<number> => {
+  const sockets: Socket[] = [];
+  const server = await listen((socket) => sockets.push(socket.pause()));
+  const address = addressOf(portOf(server));
+  const link = MessageSocket.connect(address, format, new Recorder());
+  await until(() => sockets.length > 0);
+  // More than the receive buffer of the peer has room for.
+  for (let sent = 0; sent < MAX_PENDING_BYTES; sent += HELD_MESSAGE.length) {
+    link.send(HELD_MESSAGE);
+    await nextTurn();
+  }
+  end(link);
+  const [peer] = sockets;
+  let bytes = 0;
+  await new Promise((resolve) => {
+    peer?.on('data', (chunk: Buffer) => (bytes += chunk.length));
+    peer?.on('error', () => undefined).on('close', resolve);
+    peer?.resume();
+  });
+  server.close();
+  return bytes;
+};
+
+// A connection that is only closed goes on delivering what a cut held back,
+// possibly seconds later.
+it('a reset discards what the peer has not received', async () => {
+  const afterClose = await bytesReadLate((link) => {
+    link.close();
+  });
+  const afterReset = await bytesReadLate((link) => {
+    link.reset();
+  });
+  expect(afterReset).toBeLessThan(afterClose);
+});
+
+// A reset of a socket that is still connecting would wait for the connection.
+it('a link that is reset before it is connected ends at once', async () => {
+  let connections = 0;
+  const server = await listen(() => (connections += 1));
+  const recorder = new Recorder();
+  const address = addressOf(portOf(server));
+  MessageSocket.connect(address, format, recorder).reset();
+  await delay(20);
+  await new Promise((resolve) => server.close(resolve));
+  expect(recorder.closures).toEqual([]);
+  expect(connections).toEqual(0);
+});
+
 it('a server that closes disconnects its peers', async () => {
   const acceptor = new Recorder();
   const server = await startMessageServer({
