--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -612,11 +612,23 @@
    * sent their stops over the next link: it would get two answers.
    */
   private _dropUnsentStarts(linkId: number): void {
-    for (const tracked of this._unsentStarts) {
-      if (tracked.linkId === linkId) {
-        this._unsentStarts.delete(tracked);
-        this._runs.delete(tracked);
-      }
+    const dropped = [...this._unsentStarts].filter(
+      (tracked) => tracked.linkId === linkId,
+    );
+    for (const tracked of dropped) {
+      this._unsentStarts.delete(tracked);
+      this._runs.delete(tracked);
+    }
+    const [first] = dropped;
+    if (first) {
+      const { task, run, owner } = first;
+      this._log('starts of a closed link dropped', {
+        runs: dropped.length,
+        task,
+        run,
+        owner,
+        linkId,
+      });
     }
   }
 
--- a/packages/core/src/test/old-orders.test.ts
+++ b/packages/core/src/test/old-orders.test.ts
@@ -37,6 +37,17 @@
   expect(fieldsOf(harness, 'runs begun from an old order')).toEqual([]);
 });
 
+it('the log names the starts that are dropped with their link, once a link', () => {
+  const harness = ready();
+  const holdUntilMs = harness.clock + 700;
+  harness.read({ holdUntilMs, starts: starts(TASK, 'a.0.0.1') });
+  harness.handle({ kind: 'link-closed', linkId: 1 });
+  harness.handle({ kind: 'flush' });
+  expect(fieldsOf(harness, 'starts of a closed link dropped')).toEqual([
+    { runs: 2, task: TASK, run: 1, owner: 'a1', linkId: 1 },
+  ]);
+});
+
 it('the log of a stopped run tells how long it was active and what began it', () => {
   const harness = ready();
   const holdUntilMs = harness.clock + 700;
