Let the fleet simulation stand still after a poll, and plant faults of the host

The simulation could not show an entry that handles the reset of a waiting caller only after the flush of the turn that reads it, because it handled closes before the flush; nor an entry that stands still between its poll and the handling of what it has polled.

- `slow-entry` has `isStandStill`: the callbacks of a turn run at its end instead of its begin.
The fuzzer generates both.
- `HostFault` plants a fault in all entries: submissions that are handled at once (as `defersSubmissions: false` before), closes that are handled after the flush, and polls of unknown age.

--- a/packages/standins/src/bin/fuzz.ts
+++ b/packages/standins/src/bin/fuzz.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { fleetScenarios } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
+import { HostFault } from '../lib/fleet-sim/sim-batch-entry.js';
 import { scenarios } from '../lib/sim/commands.js';
 import type { Violation } from '../lib/sim/oracle.js';
 import { runScenario } from '../lib/sim/scenario.js';
@@ -27,11 +28,8 @@
     world: { type: 'string', default: 'estate' },
     /** Prints the log lines of the entries; only for `fleet`. */
     log: { type: 'boolean', default: false },
-    /**
-     * Entries handle a submission in the turn in which they read it, before they
-     * can notice that its caller has gone; only for `fleet`.
-     */
-    'immediate-submissions': { type: 'boolean', default: false },
+    /** A fault that is planted in the entries, see `HostFault`; for `fleet`. */
+    'host-fault': { type: 'string', default: '' },
     /** Maximum time to search for a smaller failing scenario. */
     'shrink-seconds': { type: 'string', default: '20' },
   },
@@ -105,7 +103,9 @@
     ? findFailure(fleetScenarios(), (scenario) =>
         runFleetScenario(scenario, {
           ...(values.log ? { onLog: printLine } : {}),
-          defersSubmissions: !values['immediate-submissions'],
+          hostFault: Object.values(HostFault).find(
+            (fault: string) => fault === values['host-fault'],
+          ),
         }),
       )
     : findFailure(scenarios(), runScenario);
--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -29,12 +29,14 @@
     }
   /**
    * Slow turns of the event loop of an entry or a worker driver process, which
-   * gets too little processor time but isn't paused.
+   * gets too little processor time but isn't paused. An entry may stand still in
+   * each of them after it has polled for events, before it handles them.
    */
   | {
       readonly kind: 'slow-entry';
       readonly entry: number;
       readonly turnsMs: readonly number[];
+      readonly isStandStill?: boolean;
     }
   | {
       readonly kind: 'slow-driver';
@@ -237,6 +239,7 @@
       kind: oneOfKinds('slow-entry'),
       entry: entryIndex(),
       turnsMs,
+      isStandStill: fc.boolean(),
     }),
     fc.record({
       kind: oneOfKinds('slow-driver'),
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -78,10 +78,10 @@
       return;
     }
     case 'slow-entry':
-      slowDown(world, entryOf(world, command.entry), command.turnsMs);
+      slowDown(world, entryOf(world, command.entry), command);
       return;
     case 'slow-driver':
-      slowDown(world, driverOf(world, command.worker), command.turnsMs);
+      slowDown(world, driverOf(world, command.worker), command);
       return;
     case 'status':
     case 'cancel':
@@ -168,10 +168,13 @@
 const slowDown = (
   world: FleetWorld,
   process: SimBatchEntry | SimDriver,
-  turnsMs: readonly number[],
+  turns: {
+    readonly turnsMs: readonly number[];
+    readonly isStandStill?: boolean;
+  },
 ): void => {
   world.oracle.onFault(process.name, false);
-  process.slowDown(turnsMs);
+  process.slowDown(turns.turnsMs, turns.isStandStill);
 };
 
 const injectEntryFault = (
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -18,6 +18,7 @@
   GRACE_MS,
   SimBatchEntry,
 } from './sim-batch-entry.js';
+import type { HostFault } from './sim-batch-entry.js';
 import { SimDriver } from './sim-driver.js';
 import { SimTable } from './sim-table.js';
 import { HEARTBEAT_MS, SimWorker, WORKER_CAPACITY } from './sim-worker.js';
@@ -28,11 +29,8 @@
   readonly seed: number;
   /** Number of entries and workers; the fleet of the fuzzer if absent. */
   readonly size?: { readonly entries: number; readonly workers: number };
-  /**
-   * Whether entries handle a submission only after they have polled for events
-   * once more; true if absent.
-   */
-  readonly defersSubmissions?: boolean;
+  /** A fault of all entries; none if absent. */
+  readonly hostFault?: HostFault | undefined;
   /** Receives the number of actions of each kind that a process carries out. */
   readonly onAction?: (role: 'entry' | 'driver', kind: string) => void;
   /** Receives the log lines of the entries. */
@@ -418,7 +416,7 @@
     name: string,
     index: number,
     random: () => number,
-    { onLog, onAction, defersSubmissions = true }: FleetWorldOptions,
+    { onLog, onAction, hostFault }: FleetWorldOptions,
   ): SimBatchEntry {
     const { queue } = this;
     const entry: SimBatchEntry = new SimBatchEntry({
@@ -428,7 +426,7 @@
       store: this.store,
       skewMs: (random() - 0.5) * 2 * MAX_CLOCK_SKEW_MS,
       random,
-      defersSubmissions,
+      hostFault,
       isDisconnectedFromStore: () => this._disconnectedFromStore.has(name),
       onAction: (kind) => onAction?.('entry', kind),
       onOpenLink: (linkId, address) => {
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -12,6 +12,19 @@
 import { SimProcess } from '../sim/sim-process.js';
 import type { SimTable } from './sim-table.js';
 
+/** A fault of the entry's host, planted to show that the simulation finds it. */
+export enum HostFault {
+  /**
+   * Submissions are handled in the turn that reads them, before it is known
+   * whether their callers have disconnected.
+   */
+  ImmediateSubmissions = 'immediate-submissions',
+  /** Disconnections are handled after the flush of the turn that reads them. */
+  LateCloses = 'late-closes',
+  /** The entry is not told how long ago the sockets were polled. */
+  UnknownPollAge = 'unknown-poll-age',
+}
+
 /** Options of {@link SimBatchEntry}. */
 export interface SimBatchEntryOptions {
   readonly name: string;
@@ -22,11 +35,7 @@
   readonly skewMs: number;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
-  /**
-   * Whether a submission is handled only after the process has polled for events
-   * once more, and dropped if its caller has disconnected by then.
-   */
-  readonly defersSubmissions: boolean;
+  readonly hostFault?: HostFault | undefined;
   readonly isDisconnectedFromStore: () => boolean;
   /** Receives the kind of each action that the process carries out. */
   readonly onAction: (kind: string) => void;
@@ -166,8 +175,12 @@
       call.hasCallerLeft = true;
       this.post(
         () => {
-          if (this._pendingCalls.delete(replyId)) {
-            this.dispatch({ kind: 'caller-gone', replyId });
+          if (this._options.hostFault === HostFault.LateCloses) {
+            this.runAfterNextPoll(() => {
+              this._onDisconnected(replyId);
+            });
+          } else {
+            this._onDisconnected(replyId);
           }
         },
         { connection, isClose: true },
@@ -259,11 +272,21 @@
   }
 
   protected override flush(): void {
-    this.dispatch({ kind: 'flush' });
+    const isAgeKnown = this._options.hostFault !== HostFault.UnknownPollAge;
+    const pollAgeMs = isAgeKnown ? this.pollAgeMs : 0;
+    this.dispatch({ kind: 'flush', pollAgeMs });
+  }
+
+  private _onDisconnected(replyId: number): void {
+    if (this._pendingCalls.delete(replyId)) {
+      this.dispatch({ kind: 'caller-gone', replyId });
+    }
   }
 
   private _receive(event: BatchEvent, replyId: number): void {
-    if (event.kind !== 'submit' || !this._options.defersSubmissions) {
+    const isImmediate =
+      this._options.hostFault === HostFault.ImmediateSubmissions;
+    if (event.kind !== 'submit' || isImmediate) {
       this._dispatchCall(event, replyId);
       return;
     }
--- a/packages/standins/src/lib/sim/sim-process.ts
+++ b/packages/standins/src/lib/sim/sim-process.ts
@@ -8,6 +8,13 @@
   readonly isClose: boolean;
 }
 
+/** A turn of the event loop that takes long. */
+interface SlowTurn {
+  readonly durationMs: number;
+  /** See {@link SimProcess.slowDown}. */
+  readonly isStandStill: boolean;
+}
+
 interface PendingCallback {
   readonly run: () => void;
   readonly arrival: Arrival | undefined;
@@ -27,13 +34,17 @@
   private _isPaused = false;
   private _pendingCallbacks: PendingCallback[] = [];
   private _generation = 1;
-  /** Duration of the slow turns that follow the current one. */
-  private _nextTurnsMs: readonly number[] = [];
+  /** The slow turns that follow the current one. */
+  private _nextTurns: readonly SlowTurn[] = [];
   /** Identifies the current turn, between its callbacks and its flush. */
   private _turn: object | undefined;
+  /** Virtual time at which the current turn has polled for events. */
+  private _polledAtMs = 0;
   private _isTurnOver = false;
   private _isHandling = false;
   private _isFlushRequested = false;
+  /** Runs the callbacks of the current turn, unless they have run. */
+  private _handleTurn: (() => void) | undefined;
   /** Callbacks that run after those of the next turn. */
   private _afterNextPoll: (() => void)[] = [];
 
@@ -68,6 +79,11 @@
     return this._generation;
   }
 
+  /** Time since the process has polled for events, in milliseconds. */
+  protected get pollAgeMs(): number {
+    return this._turn ? this.queue.nowMs - this._polledAtMs : 0;
+  }
+
   /** Time of the process's clock in milliseconds. */
   get nowMs(): number {
     return this.queue.nowMs + this._clockSkewMs;
@@ -98,8 +114,9 @@
     this._isPaused = false;
     this._pendingCallbacks = [];
     this._afterNextPoll = [];
-    this._nextTurnsMs = [];
+    this._nextTurns = [];
     this._turn = undefined;
+    this._handleTurn = undefined;
     this._isFlushRequested = false;
   }
 
@@ -109,12 +126,17 @@
    * a turn run at its begin, and the flush at its end.
    *
    * @param turnsMs - Duration of each turn.
+   * @param isStandStill - Whether the process stands still in each turn once it
+   *   has polled for events, so that the callbacks run at the end of the turn.
    */
-  slowDown(turnsMs: readonly number[]): void {
+  slowDown(turnsMs: readonly number[], isStandStill = false): void {
     if (!this._isAlive) {
       return;
     }
-    this._nextTurnsMs = [...this._nextTurnsMs, ...turnsMs];
+    this._nextTurns = [
+      ...this._nextTurns,
+      ...turnsMs.map((durationMs) => ({ durationMs, isStandStill })),
+    ];
     if (!this._turn && !this._isPaused) {
       this._beginTurn();
     }
@@ -122,7 +144,7 @@
 
   /** Ends the slow turns at once. */
   speedUp(): void {
-    this._nextTurnsMs = [];
+    this._nextTurns = [];
     if (this._turn && !this._isPaused) {
       this._endTurn();
     }
@@ -201,21 +223,26 @@
     const turn = {};
     const generation = this._generation;
     this._turn = turn;
+    this._polledAtMs = this.queue.nowMs;
     this._isTurnOver = false;
     const deferred = this._takeDeferred();
-    this._isHandling = true;
-    for (const { run } of this._takeReady()) {
-      if (this._isAlive) {
-        run();
-      }
+    const ready = this._takeReady();
+    const [slowTurn, ...nextTurns] = this._nextTurns;
+    this._nextTurns = nextTurns;
+    this._handleTurn = () => {
+      this._handleTurn = undefined;
+      this._isHandling = true;
+      this._runDeferred(ready.map(({ run }) => run));
+      this._runDeferred(deferred);
+      this._isHandling = false;
+    };
+    if (!slowTurn?.isStandStill) {
+      this._handleTurn();
     }
-    this._runDeferred(deferred);
-    this._isHandling = false;
     if (this._turn !== turn) {
       return;
     }
-    const [durationMs = 0, ...nextTurnsMs] = this._nextTurnsMs;
-    this._nextTurnsMs = nextTurnsMs;
+    const durationMs = slowTurn?.durationMs ?? 0;
     if (durationMs === 0) {
       this._endTurn();
       return;
@@ -232,6 +259,7 @@
   }
 
   private _endTurn(): void {
+    this._handleTurn?.();
     this._flushIfRequested();
     if (!this._isAlive) {
       return;
@@ -240,7 +268,7 @@
     const isWorkLeft =
       this._pendingCallbacks.length > 0 ||
       this._afterNextPoll.length > 0 ||
-      this._nextTurnsMs.length > 0;
+      this._nextTurns.length > 0;
     if (isWorkLeft) {
       this._beginTurn();
     }
--- a/packages/standins/src/test/fleet-resend.test.ts
+++ b/packages/standins/src/test/fleet-resend.test.ts
@@ -1,8 +1,12 @@
 import { expect } from 'earl';
 import { LONG_VOLATILE_JOB } from '../lib/fleet-sim/fleet-commands.js';
+import type { FleetStep } from '../lib/fleet-sim/fleet-commands.js';
+import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
+import { HostFault } from '../lib/fleet-sim/sim-batch-entry.js';
 import { WorkerMode } from '../lib/fleet-sim/sim-worker.js';
 import {
   RESENT_MS,
+  SEEDS,
   SUBMIT,
   WORKERS,
   brokenRules,
@@ -32,9 +36,91 @@
 });
 
 it('the fleet simulation shows runs that begin before the close of their caller is read', () => {
-  expect(Object.keys(brokenRules(LATE_READ, false))).toEqual([
-    'one run at a time',
-  ]);
+  expect(
+    Object.keys(brokenRules(LATE_READ, HostFault.ImmediateSubmissions)),
+  ).toEqual(['one run at a time']);
+});
+
+/** A recorded job of seven tasks that take 1.5 s each, for six places. */
+const FILLING_JOB = 6;
+
+/** Turns of an entry that becomes slow while a job waits there. */
+interface SlowTurns {
+  readonly submitAtMs: number;
+  readonly slowAtMs: number;
+  readonly turnsMs: readonly number[];
+  readonly isStandStill: boolean;
+  readonly resetAtMs: number;
+}
+
+/**
+ * Capacity becomes free at about 1.5 s. The caller of the waiting job is reset
+ * and sends it to another entry, where it starts before the slow one goes on.
+ */
+const freedAndReset = ({
+  submitAtMs,
+  slowAtMs,
+  resetAtMs,
+  ...turns
+}: SlowTurns): FleetStep[] => [
+  step({ kind: 'submit', entry: 1, job: FILLING_JOB }, submitAtMs),
+  { ...SUBMIT, thenMs: slowAtMs - submitAtMs },
+  step({ kind: 'slow-entry', entry: 0, ...turns }, resetAtMs - slowAtMs),
+  resetCallers(2 * RESENT_MS),
+];
+
+/** The second turn reads the reports of free capacity and the reset. */
+const READ_TOGETHER = freedAndReset({
+  submitAtMs: 100,
+  slowAtMs: 150,
+  turnsMs: [1400, 90, 100],
+  isStandStill: false,
+  resetAtMs: 170,
+});
+
+/** The second turn polls the reports and stands still; the reset comes later. */
+const STANDS_STILL = freedAndReset({
+  submitAtMs: 1300,
+  slowAtMs: 1450,
+  turnsMs: [100, 1400, 100],
+  isStandStill: true,
+  resetAtMs: 1560,
+});
+
+it('a waiting job whose caller was reset starts no runs when capacity is freed', () => {
+  expect(brokenRules(READ_TOGETHER)).toEqual({});
+});
+
+it('the fleet simulation shows runs that begin before a reset in the same turn is handled', () => {
+  const rules = brokenRules(READ_TOGETHER, HostFault.LateCloses);
+  expect(Object.keys(rules)).toEqual(['one run at a time']);
+});
+
+/** Number of seeds for which the slow entry places runs of the waiting job. */
+const countPlacements = (
+  steps: readonly FleetStep[],
+  hostFault?: HostFault,
+): number =>
+  SEEDS.filter((seed) => {
+    const placed: string[] = [];
+    const onLog = (_atMs: number, entry: string, text: string): void => {
+      if (entry === 'entry-1' && text.startsWith('runs placed')) {
+        placed.push(text);
+      }
+    };
+    runFleetScenario({ seed, steps }, { hostFault, onLog });
+    return placed.length > 0;
+  }).length;
+
+// Worker drivers refuse starts that come this late, so no rule is broken.
+it('an entry that stood still places nothing for a caller that was reset meanwhile', () => {
+  expect(brokenRules(STANDS_STILL)).toEqual({});
+  expect(countPlacements(STANDS_STILL)).toEqual(0);
+});
+
+it('the fleet simulation shows placements after the entry stood still', () => {
+  const { UnknownPollAge } = HostFault;
+  expect(countPlacements(STANDS_STILL, UnknownPollAge) > 0).toEqual(true);
 });
 
 it('a busy entry does not extend the runs of a caller that has been reset', () => {
--- a/packages/standins/src/test/resend-steps.ts
+++ b/packages/standins/src/test/resend-steps.ts
@@ -4,13 +4,14 @@
 } from '../lib/fleet-sim/fleet-commands.js';
 import { LONG_VOLATILE_JOB } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
+import type { HostFault } from '../lib/fleet-sim/sim-batch-entry.js';
 import { step } from './sample.js';
 
 // Callers of volatile jobs send a job again 1,300 ms after their connection has
 // broken. All of its runs must have ended by then.
 
 /** Seeds of the simulation; they decide which workers get the runs. */
-const SEEDS = Array.from({ length: 20 }, (_, seed) => seed);
+export const SEEDS = Array.from({ length: 20 }, (_, seed) => seed);
 /** Workers to which the job may go. */
 export const WORKERS = [0, 1, 2];
 /** Time for the resent job to begin. */
@@ -18,16 +19,16 @@
 
 /**
  * @param steps - Steps of a scenario.
- * @param defersSubmissions - See the options of the fleet simulation.
+ * @param hostFault - A fault that is planted in the entries.
  * @returns The rules that were broken, with the number of seeds for each.
  */
 export const brokenRules = (
   steps: readonly FleetStep[],
-  defersSubmissions = true,
+  hostFault?: HostFault,
 ): Record<string, number> => {
   const counts: Record<string, number> = {};
   for (const seed of SEEDS) {
-    const violations = runFleetScenario({ seed, steps }, { defersSubmissions });
+    const violations = runFleetScenario({ seed, steps }, { hostFault });
     for (const rule of new Set(violations.map((v) => v.guarantee))) {
       counts[rule] = (counts[rule] ?? 0) + 1;
     }
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -332,6 +332,12 @@
     from: 'now >= this._leaveUntilMs',
     to: 'false',
   },
+  {
+    name: 'tasks placed after an old poll of the sockets',
+    file: 'process/batch-entry.js',
+    from: 'pollAgeMs > MAX_POLL_AGE_MS',
+    to: 'false',
+  },
   {
     name: 'cancel of a volatile job without a reply',
     file: 'process/batch-entry.js',
