--- a/packages/core/src/test/earlier-links.test.ts
+++ b/packages/core/src/test/earlier-links.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 import { EndKind, StartRefusal } from '../lib/messages.js';
+import { EntryHarness, FakeRows } from './entry-harness.js';
 import type { DriverHarness } from './worker-harness.js';
 import { ready, starts } from './worker-harness.js';
 
@@ -112,3 +113,17 @@
   expect(startedTasks(harness)).toEqual([TASK]);
   expect(harness.closedLinks).toEqual([]);
 });
+
+// A VM that is removed leaves its row; a new VM may get its address. The worker
+// driver would close the two links in turn.
+it('an entry opens one link to an address that two rows of workers name', () => {
+  const rows = new FakeRows();
+  for (const name of ['w1', 'w2']) {
+    const value = JSON.stringify({ address: 'vm:1', dataCentre: 'dc' });
+    rows.rows.set(`|member/worker/${name}`, { value, version: 1 });
+  }
+  const harness = new EntryHarness(rows);
+  harness.advance(100);
+  const opened = harness.actionKinds.filter((kind) => kind === 'open-link');
+  expect(opened.length).toEqual(1);
+});
--- a/packages/core/src/test/late-placement.test.ts
+++ b/packages/core/src/test/late-placement.test.ts
@@ -2,6 +2,7 @@
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import type { BatchAction } from '../lib/process/batch-events.js';
 import { CAPACITY, ID, withWorker } from './entry-harness.js';
+import { RUN_GRANT_MS } from '../lib/process/worker-view.js';
 import type { EntryHarness } from './entry-harness.js';
 
 // The disconnection of a caller that comes between a poll of the sockets and the
@@ -136,3 +137,13 @@
   expect(harness.started).toEqual([]);
   expect(kindsOf(flush(harness, 0))).toEqual([]);
 });
+
+// Guards against runs that go on for longer than their entry knew of their caller.
+it('orders extend the time of runs only from the last poll of the sockets', () => {
+  const harness = withWorker();
+  harness.submit(1);
+  harness.now += 300;
+  const [action] = flush(harness, 300).filter(({ kind }) => kind === 'order');
+  const holdUntilMs = action?.kind === 'order' ? action.order.holdUntilMs : 0;
+  expect(holdUntilMs <= harness.now - 300 + RUN_GRANT_MS).toEqual(true);
+});
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -301,3 +301,23 @@
   endRun(harness);
   expect(started(harness)).toEqual(['c.0.0.0']);
 });
+
+// A driver that is frozen between reading an order and the end of the turn.
+it('a start does not begin if the time limit of its entry passes in the same turn', () => {
+  const harness = ready();
+  harness.read({ ...hold(harness), starts: starts('a.0.0.0') });
+  harness.now += 800;
+  harness.clock += 800;
+  harness.handle({ kind: 'flush' });
+  expect(started(harness)).toEqual([]);
+});
+
+// Its queued starts are removed by the adoption as well.
+it('a start does not begin if its entry is fenced in the same turn', () => {
+  const harness = ready();
+  harness.openLink(2, 'b1');
+  harness.read({ ...hold(harness), starts: starts('a.0.0.0') }, 1);
+  harness.read({ incarnation: 'b1', ...hold(harness), adopt: ['a1'] }, 2);
+  harness.handle({ kind: 'flush' });
+  expect(started(harness)).toEqual([]);
+});
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -1,6 +1,6 @@
 import { createServer as createHttpServer } from 'node:http';
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
 import type {
@@ -376,3 +376,39 @@
   });
   expect(starts).toEqual(['j.0.0.0']);
 });
+
+// Guards against a flush of the same turn, for example that of a tick, after which
+// an old poll counts as recent.
+it('a submission that is passed on behind another flush of its turn starts nothing for a caller that leaves meanwhile', async () => {
+  const worker = new WorkerPeer();
+  const harness = new HostHarness();
+  const { host } = harness;
+  let caller: Socket;
+  const desk = createHttpServer((_req, res) => {
+    setImmediate(() => {
+      setImmediate(() => {
+        caller.resetAndDestroy();
+        standStill(STAND_STILL_MS);
+      });
+      host.dispatch({ kind: 'tick' });
+    });
+    void harness.submit(JOB, callerOf(res));
+  });
+  desk.on('clientError', () => undefined);
+  await new Promise<void>((resolve) => desk.listen(0, '127.0.0.1', resolve));
+  await harness.tick();
+  await harness.addWorker(await worker.listen());
+  worker.report(ROOM);
+  await harness.tick();
+  const { port } = desk.address() as AddressInfo;
+  caller = connect(port, '127.0.0.1', () => {
+    caller.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
+  });
+  caller.on('error', () => undefined);
+  await delay(STAND_STILL_MS + 300);
+  await host.close();
+  worker.close();
+  desk.closeAllConnections();
+  desk.close();
+  expect(worker.starts).toEqual([]);
+});
