--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -1,6 +1,6 @@
 import { createServer as createHttpServer } from 'node:http';
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
 import type {
@@ -383,7 +383,6 @@
   const worker = new WorkerPeer();
   const harness = new HostHarness();
   const { host } = harness;
-  let caller: Socket;
   const desk = createHttpServer((_req, res) => {
     setImmediate(() => {
       setImmediate(() => {
@@ -401,7 +400,7 @@
   worker.report(ROOM);
   await harness.tick();
   const { port } = desk.address() as AddressInfo;
-  caller = connect(port, '127.0.0.1', () => {
+  const caller = connect(port, '127.0.0.1', () => {
     caller.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
   });
   caller.on('error', () => undefined);
