Keep the age of the last poll through all flushes of a turn

Cause: the age of the last poll was counted from the end of the last flush, also if that flush ran in the same turn. A tick and a held submission each flush in one turn, so a process that stood still after its poll took it for recent in the second flush and placed the submission of a caller that had left. The same zero made the first orders after another poll carry a limit from the second flush only.

The end of a flush now counts from the check phase after it, through an immediate without a reference, which adds no turn of the event loop.

--- a/packages/daemon/src/lib/process/turn-flush.ts
+++ b/packages/daemon/src/lib/process/turn-flush.ts
@@ -9,8 +9,10 @@
   private readonly _run: (turnMs: number, pollAgeMs: number) => void;
   private _scheduled: NodeJS.Immediate | undefined;
   private _startedAtMs = 0;
-  /** End of the last run; the event loop has begun its last poll after it. */
+  /** End of the last run. */
   private _ranAtMs = now();
+  /** End of the last run before the last poll of the sockets. */
+  private _pollAfterMs = now();
   /** Whether the scheduled run has to wait for a poll. */
   private _awaitsPoll = false;
 
@@ -55,8 +57,13 @@
     }
     clearImmediate(this._scheduled);
     this._scheduled = undefined;
+    // Runs after the next poll, before a run that is scheduled meanwhile. Without
+    // a reference, it does not keep the event loop from waiting.
+    setImmediate(() => {
+      this._pollAfterMs = this._ranAtMs;
+    }).unref();
     const startedAtMs = now();
-    this._run(startedAtMs - this._startedAtMs, startedAtMs - this._ranAtMs);
+    this._run(startedAtMs - this._startedAtMs, startedAtMs - this._pollAfterMs);
     this._ranAtMs = now();
   }
 }
