Count the time limit of runs from the last poll if that is old

What callers saw: nothing traced to this; found by a review.

Cause: an entry that stands still between its poll of the sockets and the first event of the turn extended its runs from that event, although a caller may have left before. If the entry was killed then, its runs went on for up to 1,150 ms more, beyond the 1,300 ms after which callers submit again. Below 100 ms the first event of the turn counts as before, which the bound of the runs allows for, so limits are not shortened in normal operation.

Evidence: late-placement.test.ts, "orders extend the time of runs only from the last poll of the sockets" failed before. A poll that was asked for and not used, because the entry may place nothing meanwhile, no longer counts for a later placement (by reading).

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -1062,6 +1062,8 @@
     this._lease.update(now);
     if (this._mayPlaceRuns && !this._isLeaving) {
       this._place(pollAgeMs, now);
+    } else {
+      this._hasPolledAgain = false;
     }
     this._recorder.pump(now);
     this._stores.pump(now);
@@ -1071,7 +1073,7 @@
     this._fleet.sendOrders(
       {
         grantsFromMs: this._mayPlaceRuns
-          ? (this._turnBeganAtMs ?? now)
+          ? this._knownUntilMs(pollAgeMs, now)
           : undefined,
         operatorVersion: this._lease.operatorVersion,
         isOutOfService: (dataCentre) => this.routes.isOutOfService(dataCentre),
@@ -1080,6 +1082,16 @@
     );
   }
 
+  /**
+   * Returns the time until which the close of a caller's connection would have
+   * been noticed, to within {@link MAX_POLL_AGE_MS}.
+   */
+  private _knownUntilMs(pollAgeMs: number, now: number): number {
+    return pollAgeMs > MAX_POLL_AGE_MS
+      ? now - pollAgeMs
+      : (this._turnBeganAtMs ?? now);
+  }
+
   /**
    * Places tasks, after another poll of the sockets if the last one is too long
    * ago. There is one such poll for each placement, so that an entry whose turns
--- a/packages/core/src/test/late-placement.test.ts
+++ b/packages/core/src/test/late-placement.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'earl';
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import type { BatchAction } from '../lib/process/batch-events.js';
-import { CAPACITY, ID, withWorker } from './entry-harness.js';
 import { RUN_GRANT_MS } from '../lib/process/worker-view.js';
+import { CAPACITY, ID, withWorker } from './entry-harness.js';
 import type { EntryHarness } from './entry-harness.js';
 
 // The disconnection of a caller that comes between a poll of the sockets and the
