Deliver what a cut held back in sequence in the fleet simulation

The simulation delivered all that a connection had held back in one turn, with the close of the connection behind it.

After the first retransmission a transport delivers the rest as it is acknowledged, so the messages now arrive one after another. The other simulated world is unchanged.

--- a/packages/standins/src/lib/sim/network.ts
+++ b/packages/standins/src/lib/sim/network.ts
@@ -112,11 +112,11 @@
     const held = this._heldMessages;
     this._heldMessages = [];
     this._delayRetransmissions(held);
-    for (const { connection, from, to, deliver } of held) {
+    for (const { sinceMs, connection, from, to, deliver } of held) {
       if (connection === undefined) {
         this.sendDatagram(from, to, deliver);
       } else {
-        this.sendOnConnection(connection, from, to, deliver);
+        this._deliver({ sinceMs, connection, from, deliver });
       }
     }
   }
@@ -161,15 +161,33 @@
     if (this._silenced.has(connection)) {
       return;
     }
-    const { queue } = this._options;
+    const sinceMs = this._options.queue.nowMs;
     if (this.isCut(from, to) || this._stalled.has(connection)) {
-      const sinceMs = queue.nowMs;
       this._heldMessages.push({ sinceMs, connection, from, to, deliver });
       return;
     }
+    this._deliver({ sinceMs, connection, from, deliver });
+  }
+
+  private _deliver({
+    sinceMs,
+    connection,
+    from,
+    deliver,
+  }: Pick<HeldMessage, 'sinceMs' | 'from' | 'deliver'> & {
+    readonly connection: string;
+  }): void {
+    if (this._silenced.has(connection)) {
+      return;
+    }
+    const { queue, maxRetransmissionMs = 0 } = this._options;
     const key = `${connection} ${from}`;
     const earliestMs = this._lastDelivery.get(key) ?? 0;
-    const atMs = Math.max(queue.nowMs + this._delayMs(), earliestMs);
+    // After the first retransmission the rest follows as it is acknowledged.
+    const isRetransmitted = maxRetransmissionMs > 0 && sinceMs < queue.nowMs;
+    const atMs = isRetransmitted
+      ? Math.max(queue.nowMs, earliestMs) + this._delayMs()
+      : Math.max(queue.nowMs + this._delayMs(), earliestMs);
     this._lastDelivery.set(key, atMs);
     queue.after(atMs - queue.nowMs, () => {
       if (!this._silenced.has(connection)) {
