Link one row of each address

Cause: an entry opens a link to a worker only after it has closed the one before, but "worker" meant a row. A row is deleted only by a deregistration, so a VM that is lost leaves its row, and a new VM may get its address. One entry then had two links to one worker driver.

Fix: the entry links one row of each address, the one that was written last. The hello names the VM: if that isn't the one of the row, the link is closed before the report is used, and the row that the hello names gets the address if it has it. The order of the rows alone was ruled out, because the row of the lost VM may be the newer one, or the only one that the entry has read; the hello alone, because each lost row would cost a connection a second.

Not covered: a report without a hello, see docs/design/links.md.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -128,6 +128,11 @@
       this._options.onFenced(view.name);
       return;
     }
+    if (report.hello && report.hello.worker !== view.name) {
+      // It proves nothing about the runs that were placed at the VM of the row.
+      this._options.fleet.onOtherWorker(linkId, report.hello.worker, now);
+      return;
+    }
     const before = view.hello;
     view.applyReport(report, now);
     const isNewDriver =
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -58,6 +58,11 @@
   private readonly _options: WorkerFleetOptions;
   private readonly _views = new Map<string, WorkerView>();
   private readonly _links = new Map<number, WorkerView>();
+  /**
+   * Worker of each address that is linked. A VM that is lost leaves its row, and
+   * another VM may get its address; a worker driver serves one link of an entry.
+   */
+  private readonly _byAddress = new Map<string, WorkerView>();
   /** Values of the two maps; unset when they have to be listed again. */
   private _viewList: readonly WorkerView[] | undefined;
   private _linkedList: readonly WorkerView[] | undefined;
@@ -120,8 +125,9 @@
   /**
    * @param name - Name of a VM.
    * @param value - Its row; `null` when it has been deleted.
+   * @param version - Version of the store that wrote the row.
    */
-  onRow(name: string, value: string | null): void {
+  onRow(name: string, value: string | null, version: number): void {
     const row = value === null ? undefined : decodeWorkerRow(value);
     const view = this._views.get(name);
     this._preferenceOrder = undefined;
@@ -129,6 +135,7 @@
     if (!row) {
       if (view) {
         view.isRemoved = true;
+        this._leaveAddress(view, view.row.address);
         this._deleteIfUnused(view);
       }
       return;
@@ -137,15 +144,22 @@
       const onOrderDue = (due: WorkerView): void => {
         this._dirty.add(due);
       };
-      this._views.set(name, new WorkerView(name, row, onOrderDue));
+      const added = new WorkerView(name, row, onOrderDue);
+      this._views.set(name, added);
       this._viewList = undefined;
+      this._takeAddress(added, version);
       return;
     }
     if (view.row.incarnation !== row.incarnation) {
       view.reopenAtMs = 0;
     }
+    const { address } = view.row;
     view.row = row;
     view.isRemoved = false;
+    if (address !== row.address) {
+      this._leaveAddress(view, address);
+    }
+    this._takeAddress(view, version);
   }
 
   /**
@@ -179,6 +193,7 @@
     }
     for (const view of this.linked) {
       this._replaceUnresponsiveLink(view, now);
+      this._closeSupersededLink(view, now);
     }
     const { others, all } = linkNeeds;
     const ordered = this._orderByPreference(others);
@@ -230,6 +245,36 @@
     this._close(linkId, now);
   }
 
+  /**
+   * Closes a link at whose end another worker has answered. It is opened again
+   * only while no other row has its address.
+   *
+   * @param linkId - An open link.
+   * @param name - Name of the VM that has answered.
+   * @param now - Current time in milliseconds.
+   */
+  onOtherWorker(linkId: number, name: string, now: number): void {
+    const view = this._links.get(linkId);
+    if (!view) {
+      return;
+    }
+    view.failedLinks += 1;
+    if (view.failedLinks <= 1) {
+      this._log('another worker at the address', {
+        worker: view.name,
+        address: view.linkAddress,
+        other: name,
+      });
+    }
+    const other = this._views.get(name);
+    if (other && !other.isRemoved && other.row.address === view.linkAddress) {
+      this._byAddress.set(other.row.address, other);
+      this._preferenceOrder = undefined;
+    }
+    this._options.emit({ kind: 'close-link', linkId, isReset: true });
+    this._close(linkId, now);
+  }
+
   /**
    * @param view - A worker whose link has delivered a snapshot.
    * @param now - Current time in milliseconds.
@@ -366,7 +411,9 @@
       return this._preferenceOrder;
     }
     this._entryNames = entryNames;
-    const ordered = this._subset.order(this.views);
+    const ordered = this._subset.order(
+      this.views.filter((view) => !this._isSuperseded(view, view.row.address)),
+    );
     const preferred = this._subset.preferred(ordered, others);
     for (const view of ordered) {
       view.isPreferred = preferred.has(view.name);
@@ -396,6 +443,52 @@
     return { chosen: this._choice.chosen, isNew: !isCurrent };
   }
 
+  /** Assigns an address to a worker whose row is the newest one with it. */
+  private _takeAddress(view: WorkerView, version: number): void {
+    const { address } = view.row;
+    view.rowVersion = version;
+    const current = this._byAddress.get(address);
+    if (!current || version > current.rowVersion) {
+      this._byAddress.set(address, view);
+    }
+  }
+
+  /** Assigns an address that a worker no longer has to the newest other row. */
+  private _leaveAddress(view: WorkerView, address: string): void {
+    if (this._byAddress.get(address) !== view) {
+      return;
+    }
+    this._byAddress.delete(address);
+    for (const other of this.views) {
+      if (!other.isRemoved && other.row.address === address) {
+        this._takeAddress(other, other.rowVersion);
+      }
+    }
+  }
+
+  /** Whether an address is that of another worker. */
+  private _isSuperseded(view: WorkerView, address: string): boolean {
+    return (this._byAddress.get(address) ?? view) !== view;
+  }
+
+  /**
+   * Closes the link of a worker whose address another one has taken. Its runs are
+   * given up once they have provably ended.
+   */
+  private _closeSupersededLink(view: WorkerView, now: number): void {
+    const { linkId, linkAddress } = view;
+    if (linkId === undefined || !this._isSuperseded(view, linkAddress)) {
+      return;
+    }
+    this._log('address taken by another worker', {
+      worker: view.name,
+      address: linkAddress,
+      other: this._byAddress.get(linkAddress)?.name ?? '',
+    });
+    this._options.emit({ kind: 'close-link', linkId, isReset: true });
+    this._close(linkId, now);
+  }
+
   private _replaceUnresponsiveLink(view: WorkerView, now: number): void {
     const { linkId } = view;
     if (linkId === undefined || !view.isUnresponsive(now)) {
@@ -465,10 +558,11 @@
   ): void {
     const linkId = this._nextLinkId++;
     view.resetForLink(linkId, now);
+    view.linkAddress = view.row.address;
     view.order.adopt = [...fenced];
     this._links.set(linkId, view);
     this._linkedList = undefined;
-    const { address } = view.row;
+    const { linkAddress: address } = view;
     this._options.emit({ kind: 'open-link', linkId, address });
   }
 }
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -137,6 +137,8 @@
   readonly name: string;
   /** Row that the worker driver process has written. */
   row: WorkerRow;
+  /** Version of the store that wrote the row. */
+  rowVersion = 0;
   /**
    * Whether the row is deleted; the view stays until its link is closed and its
    * runs have ended.
@@ -147,6 +149,8 @@
   hello: WorkerHello | undefined;
   /** Open link, if any. */
   linkId: number | undefined;
+  /** Address to which the last link was opened. */
+  linkAddress = '';
   linkedAtMs = 0;
   /** Time before which no new link is opened. */
   reopenAtMs = 0;
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -74,8 +74,8 @@
   }
 
   /** Adds the row through which entries discover a worker. */
-  addWorker(name: string, version = 1): void {
-    const value = JSON.stringify({ address: name, dataCentre: 'dc' });
+  addWorker(name: string, version = 1, address = name): void {
+    const value = JSON.stringify({ address, dataCentre: 'dc' });
     this.rows.set(`|member/worker/${name}`, { value, version });
   }
 
@@ -87,6 +87,11 @@
   }
 }
 
+type LinkAction = Extract<
+  BatchAction,
+  { kind: 'open-link' | 'close-link' | 'order' }
+>;
+
 /** Runs one entry over a fake store; the test sends the workers' reports. */
 export class EntryHarness {
   now = 1000;
@@ -94,6 +99,8 @@
   readonly replies = new Map<number, BatchReply>();
   readonly links = new Map<string, number>();
   readonly actionKinds: string[] = [];
+  /** Actions that concern links, in order. */
+  readonly linkActions: LinkAction[] = [];
   readonly entry: BatchEntry;
   /** Whether the store carries calls out without answering them. */
   losesStoreReplies = false;
@@ -237,13 +244,17 @@
       }
       case 'order':
         this.orders.push(action);
+        this.linkActions.push(action);
         return undefined;
       case 'open-link':
+        this.linkActions.push(action);
         this.links.set(action.address, action.linkId);
         return undefined;
+      case 'close-link':
+        this.linkActions.push(action);
+        return undefined;
       case 'log':
       case 'probe':
-      case 'close-link':
       case 'forward-cancel':
       case 'poll-again':
       case 'retire':
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -93,7 +93,7 @@
   });
 
   constructor() {
-    this.fleet.onRow('w0', JSON.stringify(ROW));
+    this.fleet.onRow('w0', JSON.stringify(ROW), 1);
   }
 
   get view(): WorkerView {
@@ -175,7 +175,7 @@
   const idle = new OrderHarness();
   idle.update(0);
   idle.send(0);
-  idle.fleet.onRow('w0', null);
+  idle.fleet.onRow('w0', null, 2);
   idle.update(2001);
   expect(closesOf(idle)).toEqual([false]);
 });
