Order the links of an entry by its own numbers

Cause: the order of links was that of their acceptance. The last packet with which an entry opens a connection can be held back by a cut; the entry closes the link, opens another, and the worker driver accepts the first one last.

Fix: orders carry the number of their link, which rises with each link that an incarnation of an entry opens, as the Runner's open message does. A first order with a number that isn't the highest so far closes its own link, also if the link with the highest number has closed.

Evidence: three new tests of earlier-links.test.ts. With the comparison of numbers taken out of the built file, the first two fail: the start on the late link begins.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -5,6 +5,7 @@
   StartRefusal,
   WorkerCrash,
   WorkerHello,
+  WorkerOrder,
   WorkerReport,
 } from '../messages.js';
 import { isSameRoom } from '../request/room.js';
@@ -79,6 +80,8 @@
   private readonly _links = new Map<number, MutableLink>();
   /** Link of each entry that is served, by its incarnation. */
   private readonly _byOwner = new Map<string, MutableLink>();
+  /** Highest link number of each entry, by its incarnation. */
+  private readonly _highestNumbers = new Map<string, number>();
   /** Links with a report that is sent at the end of this turn. */
   private readonly _dirty = new Set<ReportLink>();
   /** Time of the next check whether the free capacity is to be reported. */
@@ -116,22 +119,39 @@
   /**
    * Assigns a link to the entry that uses it. Only the newest link of an entry
    * is served: an entry opens a link once it has closed the one before, whose
-   * orders may still arrive.
+   * orders may still arrive. A link may also be accepted after a newer one, so the
+   * entry numbers its links; without numbers, the order of acceptance counts.
    *
    * @param link - A link on which an order has arrived.
-   * @param incarnation - Incarnation of the entry that sent it.
+   * @param order - The order.
+   * @param order.incarnation - Incarnation of the entry that sent it.
+   * @param order.linkNumber - Number of the link at the entry; 0 without one.
    * @returns The earlier link of the entry, whose unsent ends the newer one takes
    *   over; the link itself if a newer one is known.
    */
-  identify(link: ReportLink, incarnation: string): ReportLink | undefined {
+  identify(
+    link: ReportLink,
+    {
+      incarnation,
+      linkNumber,
+    }: Pick<WorkerOrder, 'incarnation' | 'linkNumber'>,
+  ): ReportLink | undefined {
     const known = this._links.get(link.id);
     if (!known || known.incarnation === incarnation) {
       return undefined;
     }
     const other = this._byOwner.get(incarnation);
-    if (other && other.id > known.id) {
+    const highestNumber = this._highestNumbers.get(incarnation) ?? 0;
+    const isNewest =
+      linkNumber > 0
+        ? linkNumber > highestNumber
+        : other === undefined || known.id > other.id;
+    if (!isNewest) {
       return known;
     }
+    if (linkNumber > 0) {
+      this._highestNumbers.set(incarnation, linkNumber);
+    }
     this._removeFromOwner(known);
     known.incarnation = incarnation;
     this._byOwner.set(incarnation, known);
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -526,7 +526,7 @@
       return;
     }
     const isFirst = link.incarnation === '';
-    const earlier = this._links.identify(link, order.incarnation);
+    const earlier = this._links.identify(link, order);
     if (earlier) {
       this._closeEarlierLink(earlier, order.incarnation);
     }
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -381,6 +381,8 @@
     order.entry = this._options.name;
     order.incarnation = this._options.incarnation;
     order.life = view.hello?.life ?? '';
+    // Ids of links rise in the order in which this incarnation opens them.
+    order.linkNumber = linkId;
     const { grantsFromMs } = common;
     order.holdUntilMs =
       grantsFromMs === undefined ? 0 : view.extendGrant(grantsFromMs, now);
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -126,6 +126,7 @@
   operatorVersion: 0,
   out: false,
   life: '',
+  linkNumber: 0,
 });
 
 /**
--- a/packages/core/src/test/earlier-links.test.ts
+++ b/packages/core/src/test/earlier-links.test.ts
@@ -1,8 +1,7 @@
 import { expect } from 'earl';
 import { EndKind, StartRefusal } from '../lib/messages.js';
 import { EntryHarness, FakeRows } from './entry-harness.js';
-import type { DriverHarness } from './worker-harness.js';
-import { ready, starts } from './worker-harness.js';
+import { DriverHarness, ready, starts } from './worker-harness.js';
 
 const TASK = 'a.0.0.0';
 
@@ -64,6 +63,53 @@
   expect(startedTasks(harness)).toEqual([TASK]);
 });
 
+// The last step of opening a connection may be held back by a cut.
+it('a link that is accepted after the one that has replaced it is not served', () => {
+  const harness = new DriverHarness();
+  harness.announce();
+  harness.handle({ kind: 'link-open', linkId: 1 });
+  harness.order({ ...hold(harness), linkNumber: 8 }, 1);
+  harness.advance(10);
+  harness.handle({ kind: 'link-open', linkId: 2 });
+  const late = { ...hold(harness), linkNumber: 7, starts: starts(TASK) };
+  harness.order(late, 2);
+  expect(startedTasks(harness)).toEqual([]);
+  expect(harness.closedLinks).toEqual([2]);
+  harness.order({ ...hold(harness), linkNumber: 8, starts: starts(TASK) }, 1);
+  expect(startedTasks(harness)).toEqual([TASK]);
+  harness.handle({ kind: 'link-open', linkId: 3 });
+  harness.order({ ...hold(harness), linkNumber: 9 }, 3);
+  expect(harness.closedLinks).toEqual([2, 1]);
+});
+
+it('a link is not served after the one that has replaced it has closed', () => {
+  const harness = new DriverHarness();
+  harness.announce();
+  harness.handle({ kind: 'link-open', linkId: 1 });
+  harness.order({ ...hold(harness), linkNumber: 8 }, 1);
+  harness.advance(10);
+  harness.handle({ kind: 'link-closed', linkId: 1 });
+  harness.handle({ kind: 'link-open', linkId: 2 });
+  const late = { ...hold(harness), linkNumber: 7, starts: starts(TASK) };
+  harness.order(late, 2);
+  expect(startedTasks(harness)).toEqual([]);
+  expect(harness.closedLinks).toEqual([2]);
+});
+
+it('the orders of an entry number its links in the order of opening', () => {
+  const rows = new FakeRows();
+  rows.addWorker('w1');
+  const harness = new EntryHarness(rows);
+  harness.advance(100);
+  const linkId = harness.links.get('w1') ?? 0;
+  harness.handle({ kind: 'link-closed', linkId, detail: 'reset' });
+  harness.advance(300);
+  const numbers = new Set(harness.orders.map(({ order }) => order.linkNumber));
+  expect([...numbers].length).toEqual(2);
+  expect([...numbers]).toEqual([...numbers].sort((a, b) => a - b));
+  expect(numbers.has(0)).toEqual(false);
+});
+
 it('runs that an earlier link has begun go on and are in the snapshot', () => {
   const harness = ready();
   harness.order({ ...hold(harness), starts: starts(TASK) }, 1);
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -27,6 +27,7 @@
   operatorVersion: 0,
   out: false,
   life: '',
+  linkNumber: 0,
   ...fields,
 });
 
--- a/packages/daemon/src/test/worker-host.test.ts
+++ b/packages/daemon/src/test/worker-host.test.ts
@@ -57,6 +57,7 @@
   operatorVersion: 0,
   out: false,
   life: '',
+  linkNumber: 0,
 });
 
 /** Hosts a driver of a worker that carries out all calls. */
--- a/packages/wire/src/fleet-json.ts
+++ b/packages/wire/src/fleet-json.ts
@@ -44,6 +44,7 @@
     operatorVersion: order.operatorVersion || undefined,
     out: order.out || undefined,
     life: order.life || undefined,
+    linkNumber: order.linkNumber || undefined,
   });
 
 /**
@@ -306,6 +307,7 @@
   operatorVersion: toDouble(json, 'operatorVersion'),
   out: toFlag(json, 'out'),
   life: toText(json, 'life'),
+  linkNumber: toUint(json, 'linkNumber'),
 });
 
 const toReport = (json: Json): PlainMessage<WorkerReport> => ({
--- a/packages/wire/src/test/fleet-json.test.ts
+++ b/packages/wire/src/test/fleet-json.test.ts
@@ -49,6 +49,7 @@
   operatorVersion: double,
   out: flag,
   life: text,
+  linkNumber: uint,
 });
 const anyReport = record({
   hello: maybe(
