Send no start after the time limit of its entry

What callers saw (by test): a start call is sent for an entry whose time limit has passed, so that the entry may have given the run up and placed the task elsewhere.

Cause: the time limit was checked when the order was read, but not when the calls of the turn are sent. A worker driver process that stands still in between sends them later. The same holds for the second call of a start that got no answer, or that was rejected for its fencing token.

Fix: the limit is checked before each start call. A run without a call that may have reached the worker is refused as NOT_READY, which proves that it never began; a start without an answer is followed by a stop in place of a second start.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -210,8 +210,7 @@
     links: this._links,
     isReady: () => this._mayBegin,
     capacity: () => this._worker?.capacity ?? ZERO_ROOM,
-    isExpired: (owner, now) =>
-      this._clock.lowerBound(now) > (this._ownerExpiryMs.get(owner) ?? 0),
+    isExpired: (owner, now) => this._isExpired(owner, now),
     sendStart: (run) => {
       this._unsentStarts.add(run);
     },
@@ -378,6 +377,11 @@
     );
   }
 
+  /** Whether the time limit of the runs of an entry has passed. */
+  private _isExpired(owner: string, now: number): boolean {
+    return this._clock.lowerBound(now) > (this._ownerExpiryMs.get(owner) ?? 0);
+  }
+
   /**
    * Latest end of the lease, on the worker's clock, at which the runs of an entry
    * that goes silent end in time even if this process is busy or the worker does
@@ -720,7 +724,7 @@
       if (this._runs.get(tracked) !== tracked) {
         continue;
       }
-      if (this._mayBegin) {
+      if (this._mayBegin && !this._isExpired(tracked.owner, now)) {
         this._sendStart(tracked, now);
         begun.push(tracked);
       } else {
@@ -1209,7 +1213,10 @@
           attempt: tracked.starts,
           why: reasonOf(reply),
         });
-        if (tracked.starts < MAX_START_ATTEMPTS) {
+        if (
+          tracked.starts < MAX_START_ATTEMPTS &&
+          !this._isExpired(tracked.owner, now)
+        ) {
           this._sendStart(tracked, now);
         } else {
           this._sendStop(tracked);
@@ -1222,7 +1229,10 @@
     reason: WorkerRejection,
     now: number,
   ): void {
-    if (reason === WorkerRejection.Fenced) {
+    if (
+      reason === WorkerRejection.Fenced &&
+      !this._isExpired(tracked.owner, now)
+    ) {
       this._sendStart(tracked, now);
       return;
     }
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'earl';
 import { EndKind, StartRefusal } from '../lib/messages.js';
 import type { StartGroup, WorkerOrder } from '../lib/messages.js';
+import { WorkerRejection } from '../lib/process/worker-events.js';
 import { DriverHarness, ready, refusals, starts } from './worker-harness.js';
 
 const CAPACITY = { cpuMilli: 8000, memoryMb: 1000, accelerators: 0 };
@@ -312,6 +313,32 @@
   expect(started(harness)).toEqual([]);
 });
 
+// The first call may have been lost, but the entry may have given the run up.
+it('a start is not repeated after the time limit of its entry has passed', () => {
+  const harness = ready();
+  harness.order({ ...hold(harness), starts: starts('a.0.0.0') });
+  harness.now += 800;
+  harness.clock += 800;
+  harness.answer('start', { kind: 'no-answer', detail: '' });
+  expect(harness.count('start')).toEqual(0);
+  expect(harness.count('stop')).toEqual(1);
+});
+
+it('a start with an old token is refused after the time limit of its entry', () => {
+  const harness = ready();
+  harness.order({ ...hold(harness), starts: starts('a.0.0.0') });
+  harness.now += 800;
+  harness.clock += 800;
+  harness.answer('start', {
+    kind: 'rejected',
+    reason: WorkerRejection.Fenced,
+    clockMs: harness.clock,
+  });
+  expect(harness.count('start')).toEqual(0);
+  expect(harness.count('stop')).toEqual(0);
+  expect(refusals(harness)).toEqual([StartRefusal.NOT_READY]);
+});
+
 // Its queued starts are removed by the adoption as well.
 it('a start does not begin if its entry is fenced in the same turn', () => {
   const harness = ready();
