Refuse the unsent starts of an entry that is fenced

What callers saw (by test): a start is sent to the worker after the entry that ordered it has been fenced, as a run of its successor, which did not order it.

Cause: the adoption of an entry's runs removed its queued starts, but not those that were read in the same turn and wait for its end; these were reassigned.

Fix: they are refused as FENCED before the runs are reassigned, like an order that is read after the adoption.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -697,6 +697,12 @@
       this._fenced.set(owner, link.incarnation);
     }
     this._starts.removeOwner(owner);
+    for (const tracked of this._unsentStarts) {
+      if (tracked.owner === owner) {
+        this._unsentStarts.delete(tracked);
+        this._refuse(tracked, StartRefusal.FENCED);
+      }
+    }
     this._runs.reassign(owner, link.incarnation);
     link.adopted.push(owner);
   }
--- a/packages/core/src/test/start-admission.test.ts
+++ b/packages/core/src/test/start-admission.test.ts
@@ -347,4 +347,8 @@
   harness.read({ incarnation: 'b1', ...hold(harness), adopt: ['a1'] }, 2);
   harness.handle({ kind: 'flush' });
   expect(started(harness)).toEqual([]);
+  const report = harness.reportsByLink.get(2)?.at(-1);
+  expect(report?.adopted).toEqual(['a1']);
+  expect(report?.active).toEqual([]);
+  expect(refusals(harness)).toEqual([StartRefusal.FENCED]);
 });
