Repeat no run while its start may still be carried out late

Cause: WorkerView.haveRunsEnded took silence and elapsed time (2.4 s on) for proof that all runs at a worker had ended. That holds for runs that the worker has confirmed; a start without an answer can begin up to 12 s after it was sent, and late polls of the killed process keep a confirmed run active at a worker that leaves calls unanswered. Nobody but the next process on that machine can reach the worker.

Now each report names the runs of the entry that the worker has not confirmed to have begun, and says whether the worker may act late. Elapsed time ends confirmed runs as before. A report of a process that has not reached its worker changes nothing. Older drivers name no runs, so entries treat theirs as before.

The test "tasks of an unresponsive worker are restarted elsewhere" expected the repetition of runs that no report had ever confirmed, which is the fault. It now has the worker report once, and expects the same restarts within the same time; the case without a report is in late-starts.test.ts.

Open: a volatile job that its caller sends to another entry, see docs/FAULTS.md.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -2,6 +2,7 @@
   ActiveRun,
   Room,
   RunEnd,
+  RunRef,
   StartRefusal,
   WorkerCrash,
   WorkerHello,
@@ -42,6 +43,10 @@
   readonly hello: WorkerHello | undefined;
   /** Returns the recent crashes of the worker. */
   readonly crashes: () => WorkerCrash[];
+  /** Returns the runs of an entry that the worker has not confirmed to begin. */
+  readonly unconfirmed: (owner: string) => RunRef[];
+  /** Whether the worker may still carry out calls that it left unanswered. */
+  readonly mayActLate: boolean;
   /** Returns the snapshot; absent before the first reply to a poll. */
   readonly snapshot: (() => Snapshot) | undefined;
 }
@@ -276,6 +281,8 @@
   report.clockMs = workerState.clockMs;
   report.accepting = workerState.accepting;
   report.free = workerState.free;
+  report.unconfirmed = workerState.unconfirmed(link.incarnation);
+  report.mayActLate = workerState.mayActLate;
   if (!link.isHelloSent && workerState.hello) {
     link.isHelloSent = true;
     report.hello = workerState.hello;
@@ -322,4 +329,6 @@
   adopted: [],
   fenced: false,
   crashes: [],
+  unconfirmed: [],
+  mayActLate: false,
 });
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -96,10 +96,8 @@
       if (view.placed.size === 0) {
         continue;
       }
-      if (view.haveRunsEnded(now)) {
-        for (const key of [...view.placed.keys()]) {
-          this._abandon(view, key, now);
-        }
+      for (const key of view.endedRuns(now)) {
+        this._abandon(view, key, now);
       }
       this._stopStalledRuns(view, now);
     }
--- a/packages/core/src/lib/process/start-admission.ts
+++ b/packages/core/src/lib/process/start-admission.ts
@@ -68,6 +68,16 @@
     return this._queue.nextExpiryMs;
   }
 
+  /**
+   * @param owner - Incarnation of an entry.
+   * @returns Its starts that are queued.
+   */
+  queuedOf(owner: string): RunRef[] {
+    return this._queue.starts
+      .filter((start) => start.owner === owner)
+      .map(({ task, run }) => ({ task, run }));
+  }
+
   private get _free(): Room {
     return this._options.runs.free(this._options.capacity());
   }
--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -33,7 +33,7 @@
   /** Start calls that provably did not reach the worker. */
   undeliveredStarts: number;
   /** Whether the worker has confirmed that the run has begun. */
-  hasBegun: boolean;
+  readonly hasBegun: boolean;
   /** Share of its full pace at which the run works. */
   percent: number;
   /** Latest known checkpoint. */
@@ -94,6 +94,8 @@
   /** Runs of each task, in the order in which they were added. */
   private readonly _byTask = new Map<string, TrackedRun[]>();
   private readonly _countByOwner = new Map<string, number>();
+  /** Runs whose begin the worker has not confirmed. */
+  private readonly _unconfirmed = new Set<TrackedRun>();
   /** Runs whose stop the worker has confirmed. */
   private readonly _stopped = new Set<TrackedRun>();
   private _needs = ZERO_ROOM;
@@ -163,6 +165,9 @@
   /** @param run - A run that is not tracked yet. */
   add(run: TrackedRun): void {
     this._runs.set(runKey(run), run);
+    if (!run.hasBegun) {
+      this._unconfirmed.add(run);
+    }
     const runs = this._byTask.get(run.task);
     if (runs) {
       runs.push(run);
@@ -184,6 +189,7 @@
     } else {
       this._byTask.delete(run.task);
     }
+    this._unconfirmed.delete(run);
     this._stopped.delete(run);
     this._countOwner(run.owner, -1);
     this._needs =
@@ -222,6 +228,25 @@
     }
   }
 
+  /** @param ref - A tracked run that the worker has confirmed to have begun. */
+  confirmBegin(ref: RunRef): void {
+    const run = this._runs.get(runKey(ref));
+    if (run && !run.hasBegun) {
+      run.hasBegun = true;
+      this._unconfirmed.delete(run);
+    }
+  }
+
+  /**
+   * @param owner - Incarnation of an entry.
+   * @returns Its runs whose begin the worker has not confirmed.
+   */
+  unconfirmedOf(owner: string): RunRef[] {
+    return [...this._unconfirmed]
+      .filter((run) => run.owner === owner)
+      .map(({ task, run }) => ({ task, run }));
+  }
+
   /**
    * @param ref - A tracked run whose stop the worker has confirmed.
    * @param pollNumber - Number of the latest poll.
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -116,8 +116,8 @@
  * require its expiry; then it expires even if runs are still active.
  */
 const LEASE_EXPIRY_MAX_DELAY_MS = 3000;
-/** Longest delay with which an unreliable worker may carry out a call. */
-const DELAYED_CALL_LIMIT_MS = 12_000;
+/** Longest delay with which a worker may carry out a call. */
+export const DELAYED_CALL_LIMIT_MS = 12_000;
 /**
  * How long a worker that answers again after failed polls counts as unreliable,
  * that is, as one that may carry out calls without answering them.
@@ -1033,7 +1033,7 @@
       seen.add(runKey(listed));
       const tracked = this._runs.get(listed);
       if (tracked) {
-        tracked.hasBegun = true;
+        this._runs.confirmBegin(tracked);
         tracked.percent = listed.percent;
         tracked.latestCheckpoint = listed.checkpoint;
       }
@@ -1103,7 +1103,7 @@
   ): void {
     const tracked = this._runs.get(call);
     if (tracked && reply.kind === 'done') {
-      tracked.hasBegun = true;
+      this._runs.confirmBegin(tracked);
     }
     if (tracked?.phase !== RunPhase.Starting) {
       return;
@@ -1332,6 +1332,12 @@
       capacity: this._worker?.capacity ?? ZERO_ROOM,
       hello: this._worker && this._hello(this._worker),
       crashes: () => this._crashes.recent(now),
+      unconfirmed: (owner) => [
+        ...this._runs.unconfirmedOf(owner),
+        ...this._starts.queuedOf(owner),
+      ],
+      mayActLate:
+        this._unansweredSinceMs !== undefined || now < this._unreliableUntilMs,
       snapshot:
         this._clock.lastReadingMs === undefined
           ? undefined
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -6,8 +6,9 @@
 } from '../messages.js';
 import { ZERO_ROOM, subtractRoom } from '../request/room.js';
 import type { WorkerRow } from './fleet-rows.js';
+import { runKey } from '../request/run-key.js';
 import { WORKER_CLOCK_MIN_RATE, WorkerClock } from './worker-clock.js';
-import { EXPIRY_GRACE_MS } from './worker-driver.js';
+import { DELAYED_CALL_LIMIT_MS, EXPIRY_GRACE_MS } from './worker-driver.js';
 
 /** How long runs may continue after the last order of their entry. */
 export const RUN_GRANT_MS = 700;
@@ -19,8 +20,9 @@
 /** Upper bound of the latency of the worker's replies. */
 const REPLY_MARGIN_MS = 150;
 /**
- * Time without contact from their entry after which all of its runs at a worker
- * have ended, even if the worker's clock runs slow.
+ * Time without contact from their entry after which its runs at a worker have
+ * ended, even if the worker's clock runs slow, unless the worker carries out
+ * earlier calls late.
  */
 export const RUN_EXPIRY_MS =
   (RUN_GRANT_MS + EXPIRY_GRACE_MS + LEASE_EXPIRY_MS) / WORKER_CLOCK_MIN_RATE +
@@ -170,6 +172,15 @@
    * open link.
    */
   readonly adopted = new Set<string>();
+  /** Runs that the worker has not been reported to have begun. */
+  private readonly _unconfirmed = new Map<string, PlacedRun>();
+  /** Runs that the last report names as unconfirmed. */
+  private _reportedUnconfirmed: ReadonlySet<string> = new Set();
+  /**
+   * Whether the worker may still carry out calls that it had left unanswered at
+   * the last report.
+   */
+  private _mayActLate = false;
   order = emptyOrder();
   private _isDirty = false;
   /** Time at which the last order was sent. */
@@ -249,10 +260,24 @@
     return free;
   }
 
+  /** Whether the last report does not confirm that the run has begun. */
+  private _isUnconfirmed(run: PlacedRun): boolean {
+    return (
+      run.sequence > this._reportedSequence ||
+      this._reportedUnconfirmed.has(runKey(run))
+    );
+  }
+
   private _onPlacedChanged(
     added: PlacedRun | undefined,
     removed: PlacedRun | undefined,
   ): void {
+    if (removed) {
+      this._unconfirmed.delete(runKey(removed));
+    }
+    if (added && (added.sequence > 0 || this._isUnconfirmed(added))) {
+      this._unconfirmed.set(runKey(added), added);
+    }
     const isUnreported = (run: PlacedRun | undefined): boolean =>
       run !== undefined && run.sequence > this._reportedSequence;
     if (isUnreported(removed)) {
@@ -313,15 +338,30 @@
   }
 
   /**
+   * Returns the runs that have provably ended or will never begin. The process
+   * that has sent their starts may have been killed, and nobody else can call
+   * the worker. Elapsed time therefore proves the end of a run whose begin is
+   * confirmed, but not of one whose start the worker may still carry out.
+   *
    * @param now - Current time in milliseconds.
-   * @returns Whether all runs there have provably ended.
+   * @returns The keys of these runs.
    */
-  haveRunsEnded(now: number): boolean {
+  endedRuns(now: number): string[] {
+    if (now - this.lastReportAtMs <= REPORT_TIMEOUT_MS) {
+      return [];
+    }
     const endsMs = this._grantedUntilMs + EXPIRY_GRACE_MS + LEASE_EXPIRY_MS;
-    return (
-      now - this.lastReportAtMs > REPORT_TIMEOUT_MS &&
-      this._clock.lowerBound(now) > endsMs
-    );
+    const clockMs = this._clock.lowerBound(now);
+    if (clockMs <= endsMs) {
+      return [];
+    }
+    const keys = [...this.placed.keys()];
+    if (clockMs > endsMs + DELAYED_CALL_LIMIT_MS) {
+      return keys;
+    }
+    return this._mayActLate
+      ? []
+      : keys.filter((key) => !this._unconfirmed.has(key));
   }
 
   /**
@@ -344,6 +384,17 @@
     this._free = undefined;
     this.hello = report.hello ?? this.hello;
     this._reportedSequence = report.sequence;
+    if (this.hasSnapshot || report.snapshot) {
+      // Before it has reached the worker, a new driver process does not know
+      // which calls of the earlier one are outstanding.
+      this._mayActLate = report.mayActLate;
+      this._reportedUnconfirmed = new Set(report.unconfirmed.map(runKey));
+      for (const [key, run] of this._unconfirmed) {
+        if (!this._isUnconfirmed(run)) {
+          this._unconfirmed.delete(key);
+        }
+      }
+    }
     for (const owner of report.adopted) {
       this.adopted.add(owner);
     }
--- a/packages/core/src/lib/scheduling/start-queue.ts
+++ b/packages/core/src/lib/scheduling/start-queue.ts
@@ -61,6 +61,11 @@
     return this._queued.length;
   }
 
+  /** The queued starts, in the order in which they begin. */
+  get starts(): S[] {
+    return this._queued.map(({ start }) => start);
+  }
+
   /** Total needs of the queued starts. */
   get needs(): Room {
     return this._needs;
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -182,9 +182,11 @@
   expect(harness.started.length).toEqual(2);
 });
 
+// Both runs are known to have begun; see late-starts.test.ts for others.
 it('tasks of an unresponsive worker are restarted elsewhere', () => {
   const harness = withTwoWorkers();
   harness.submit(1);
+  harness.report('w1');
   harness.advance(2000);
   harness.report('w2', { snapshot: true });
   expect(harness.started.length).toEqual(2);
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -168,6 +168,8 @@
         adopted: [],
         fenced: false,
         crashes: [],
+        unconfirmed: [],
+        mayActLate: false,
         hello: helloOf(worker),
         ...fields,
       },
--- /dev/null
+++ b/packages/core/src/test/late-starts.test.ts
@@ -0,0 +1,151 @@
+import { expect } from 'earl';
+import type { WorkerReport } from '../lib/messages.js';
+import { ID, helloOf, withTwoWorkers } from './entry-harness.js';
+import type { EntryHarness } from './entry-harness.js';
+import { NEEDS, ready, starts } from './worker-harness.js';
+import type { DriverHarness } from './worker-harness.js';
+
+// A worker may carry out a start up to 12 s late, and the process that sent it
+// may be killed meanwhile. Nobody else can stop the run.
+
+const TASK = `${ID}.0.0.0`;
+const OTHER_TASK = `${ID}.0.0.1`;
+const REF = { task: TASK, run: 1 };
+const OTHER_REF = { task: OTHER_TASK, run: 1 };
+
+/** Starts two tasks of a recorded job at a worker, which then reports once. */
+const startedWith = (fields: Partial<WorkerReport>): EntryHarness => {
+  const harness = withTwoWorkers();
+  harness.submit(1, { isVolatile: false });
+  harness.advance(50);
+  expect(harness.started).toEqual([`${TASK}#1`, `${OTHER_TASK}#1`]);
+  harness.report('w1', fields);
+  harness.report('w2', { snapshot: true });
+  return harness;
+};
+
+/** Lets time pass while only the other worker reports. */
+const pass = (harness: EntryHarness, ms: number): void => {
+  for (let passed = 0; passed < ms; passed += 100) {
+    harness.advance(100);
+    harness.report('w2');
+  }
+};
+
+const repeated = (harness: EntryHarness): string[] => harness.started.slice(2);
+
+it('a run that may begin late is not repeated within 12 s of its start', () => {
+  const harness = startedWith({ unconfirmed: [REF] });
+  pass(harness, 3000);
+  expect(repeated(harness)).toEqual([`${OTHER_TASK}#2`]);
+  pass(harness, 10_000);
+  expect(repeated(harness)).toEqual([`${OTHER_TASK}#2`]);
+  pass(harness, 2500);
+  expect(repeated(harness)).toEqual([`${OTHER_TASK}#2`, `${TASK}#2`]);
+});
+
+// The order with the starts may have arrived after the last report.
+it('a run that no report covers is not repeated within 12 s of its start', () => {
+  const harness = startedWith({ sequence: 0 });
+  pass(harness, 13_000);
+  expect(repeated(harness)).toEqual([]);
+  pass(harness, 2500);
+  expect(repeated(harness)).toEqual([`${TASK}#2`, `${OTHER_TASK}#2`]);
+});
+
+// Late polls extend the lease of runs that have begun.
+it('runs at a worker that may act late are not repeated within 12 s', () => {
+  const harness = startedWith({ mayActLate: true });
+  pass(harness, 13_000);
+  expect(repeated(harness)).toEqual([]);
+  pass(harness, 2500);
+  expect(repeated(harness)).toEqual([`${TASK}#2`, `${OTHER_TASK}#2`]);
+});
+
+// Links to a killed process are opened again and again; that must not let runs
+// that have long begun wait.
+it('a run that has begun is repeated after 3 s, whatever links have failed', () => {
+  const harness = startedWith({});
+  for (let passed = 0; passed < 3000; passed += 500) {
+    const linkId = harness.links.get('w1') ?? 0;
+    harness.handle({ kind: 'link-closed', linkId, detail: 'refused' });
+    pass(harness, 500);
+  }
+  expect(repeated(harness)).toEqual([`${TASK}#2`, `${OTHER_TASK}#2`]);
+});
+
+it('the snapshot of the next driver process ends the wait', () => {
+  const harness = startedWith({ unconfirmed: [REF, OTHER_REF] });
+  pass(harness, 3500);
+  expect(repeated(harness)).toEqual([]);
+  harness.report('w1', {
+    snapshot: true,
+    hello: { ...helloOf('w1'), incarnation: 'w-2' },
+    active: [{ ...OTHER_REF, owner: '', checkpoint: '', percent: 100 }],
+  });
+  expect(repeated(harness)).toEqual([`${TASK}#2`]);
+});
+
+// Until its first poll is answered, the worker has not seen its fencing token.
+it('a driver process that has not reached its worker does not end the wait', () => {
+  const harness = startedWith({ unconfirmed: [REF, OTHER_REF] });
+  const linkId = harness.links.get('w1') ?? 0;
+  harness.handle({ kind: 'link-closed', linkId, detail: 'killed' });
+  pass(harness, 500);
+  harness.report('w1', {
+    snapshot: false,
+    hello: { ...helloOf('w1'), incarnation: 'w-2' },
+  });
+  pass(harness, 6000);
+  expect(repeated(harness)).toEqual([]);
+});
+
+const lastReport = ({ reports }: DriverHarness): WorkerReport | undefined =>
+  reports.at(-1);
+
+it('a report names the starts that the worker has not answered', () => {
+  const harness = ready();
+  harness.order({ starts: starts('a', 'b'), holdUntilMs: harness.clock + 700 });
+  harness.order({ holdUntilMs: harness.clock + 700 });
+  expect(lastReport(harness)?.unconfirmed).toEqual([
+    { task: 'a', run: 1 },
+    { task: 'b', run: 1 },
+  ]);
+  harness.answer('start');
+  harness.order({ holdUntilMs: harness.clock + 700 });
+  expect(lastReport(harness)?.unconfirmed).toEqual([{ task: 'b', run: 1 }]);
+  expect(lastReport(harness)?.mayActLate).toEqual(false);
+});
+
+// A queued start may be sent to the worker after the report.
+it('a report names the starts that wait for capacity', () => {
+  const harness = ready();
+  const withNeeds = (cpuMilli: number, ...names: string[]) =>
+    starts(...names).map((group) => ({
+      ...group,
+      needs: { ...NEEDS, cpuMilli },
+      maxWaitMs: 50,
+    }));
+  harness.order({
+    starts: [...withNeeds(1900, 'a', 'b'), ...withNeeds(900, 'c')],
+    holdUntilMs: harness.clock + 700,
+  });
+  harness.answer('start');
+  harness.answer('start');
+  harness.order({ holdUntilMs: harness.clock + 700 });
+  expect(lastReport(harness)?.unconfirmed).toEqual([{ task: 'c', run: 1 }]);
+});
+
+it('a worker that has left a call unanswered is reported to act late', () => {
+  const harness = ready();
+  harness.answer('hold', { kind: 'no-answer', detail: 'timed out' });
+  harness.advance(60);
+  expect(lastReport(harness)?.mayActLate).toEqual(true);
+  harness.answerPoll();
+  harness.advance(14_000);
+  harness.order({ holdUntilMs: harness.clock + 700 });
+  expect(lastReport(harness)?.mayActLate).toEqual(true);
+  harness.advance(2000);
+  harness.order({ holdUntilMs: harness.clock + 700 });
+  expect(lastReport(harness)?.mayActLate).toEqual(false);
+});
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -36,6 +36,8 @@
   adopted: [],
   fenced: false,
   crashes: [],
+  unconfirmed: [],
+  mayActLate: false,
 });
 
 it('free capacity follows runs and reports, whatever their order', () => {
--- a/packages/standins/src/test/fleet-resend.test.ts
+++ b/packages/standins/src/test/fleet-resend.test.ts
@@ -122,8 +122,8 @@
 });
 
 // Guards against a start of a killed driver that the worker begins after its
-// entry has learnt from the next driver that nothing runs there. A driver that
-// stays away for longer is an open fault, see fleet-overlap.red.ts.
+// entry has learnt from the next driver that nothing runs there. For a driver
+// that stays away for longer see fleet-overlap.test.ts.
 it('a restarted driver lets no late start of the one before run beside a later one', () => {
   for (const absentMs of [200, 1000, 1900]) {
     const steps = [
--- a/packages/wire/src/fleet-json.ts
+++ b/packages/wire/src/fleet-json.ts
@@ -6,6 +6,7 @@
   RefusedRun,
   Room,
   RunEnd,
+  RunRef,
   RunStop,
   RunStart,
   StartGroup,
@@ -77,6 +78,8 @@
     adopted: nonEmpty(report.adopted),
     fenced: report.fenced || undefined,
     crashes: encodeList(report.crashes, encodeCrash),
+    unconfirmed: encodeList(report.unconfirmed, encodeRunRef),
+    mayActLate: report.mayActLate || undefined,
   });
 
 /**
@@ -101,6 +104,11 @@
   accelerators: room.accelerators || undefined,
 });
 
+const encodeRunRef = (ref: PlainMessage<RunRef>) => ({
+  task: ref.task || undefined,
+  run: ref.run || undefined,
+});
+
 const encodeRunStop = (stop: PlainMessage<RunStop>) => ({
   task: stop.task || undefined,
   run: stop.run || undefined,
@@ -321,6 +329,8 @@
   adopted: toTexts(json, 'adopted'),
   fenced: toFlag(json, 'fenced'),
   crashes: toMessages(json, 'crashes', toCrash),
+  unconfirmed: toMessages(json, 'unconfirmed', toRunRef),
+  mayActLate: toFlag(json, 'mayActLate'),
 });
 
 const toRoom = (json: Json): PlainMessage<Room> => ({
@@ -329,6 +339,11 @@
   accelerators: toUint(json, 'accelerators'),
 });
 
+const toRunRef = (json: Json): PlainMessage<RunRef> => ({
+  task: toText(json, 'task'),
+  run: toUint(json, 'run'),
+});
+
 const toRunStop = (json: Json): PlainMessage<RunStop> => ({
   task: toText(json, 'task'),
   run: toUint(json, 'run'),
--- a/packages/wire/src/test/fleet-json.test.ts
+++ b/packages/wire/src/test/fleet-json.test.ts
@@ -109,6 +109,8 @@
       ),
     }),
   ),
+  unconfirmed: list(record({ task: text, run: uint })),
+  mayActLate: flag,
 });
 
 const detailOf = (
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -206,7 +206,13 @@
   {
     name: 'runs abandoned before they have provably ended',
     file: 'process/worker-view.js',
-    from: 'this._clock.lowerBound(now) > endsMs',
+    from: 'clockMs <= endsMs',
+    to: 'false',
+  },
+  {
+    name: 'runs repeated although they may begin late',
+    file: 'process/worker-view.js',
+    from: 'clockMs > endsMs + DELAYED_CALL_LIMIT_MS',
     to: 'true',
   },
   {
