Give up runs at a worker that its next driver process never reaches

What callers would see: an accepted job whose task stands still for good. A worker is gone together with its driver process, and the next process on that machine starts without a worker.

A process that has not reached its worker can't keep its runs active: it ignores time limits of another incarnation and renews no lease.

The new test failed before: nothing was repeated within 4 s (3 s are the bound of the others).

--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -159,6 +159,11 @@
   /** Whether the open link has delivered a snapshot of the worker. */
   hasSnapshot = false;
   lastReportAtMs = Number.NEGATIVE_INFINITY;
+  /**
+   * Time of the last report of a driver process that has reached the worker.
+   * Others can't keep runs active.
+   */
+  private _lastContactAtMs = Number.NEGATIVE_INFINITY;
   /** Latest time, on the worker's clock, until which runs may continue. */
   private _grantedUntilMs = 0;
   private readonly _clock = new WorkerClock();
@@ -323,12 +328,12 @@
    *   the host has been busy since, because callers may have disconnected.
    * @param now - Current time in milliseconds.
    * @returns New end of that time on the worker's clock; 0 without a clock
-   *   reading or without a recent report.
+   *   reading or without recent contact.
    */
   extendGrant(fromMs: number, now: number): number {
     if (
       this._clock.lastReadingMs === undefined ||
-      now - this.lastReportAtMs > MAX_REPORT_AGE_MS
+      now - this._lastContactAtMs > MAX_REPORT_AGE_MS
     ) {
       return 0;
     }
@@ -347,7 +352,7 @@
    * @returns The keys of these runs.
    */
   endedRuns(now: number): string[] {
-    if (now - this.lastReportAtMs <= REPORT_TIMEOUT_MS) {
+    if (now - this._lastContactAtMs <= REPORT_TIMEOUT_MS) {
       return [];
     }
     const endsMs = this._grantedUntilMs + EXPIRY_GRACE_MS + LEASE_EXPIRY_MS;
@@ -387,6 +392,7 @@
     if (this.hasSnapshot || report.snapshot) {
       // Before it has reached the worker, a new driver process does not know
       // which calls of the earlier one are outstanding.
+      this._lastContactAtMs = now;
       this._mayActLate = report.mayActLate;
       this._reportedUnconfirmed = new Set(report.unconfirmed.map(runKey));
       for (const [key, run] of this._unconfirmed) {
--- a/packages/core/src/test/late-starts.test.ts
+++ b/packages/core/src/test/late-starts.test.ts
@@ -100,6 +100,24 @@
   expect(repeated(harness)).toEqual([]);
 });
 
+// A worker that is gone for good is reported by the next driver process, which
+// has no snapshot of it.
+it('runs at a worker that its next driver process never reaches are repeated', () => {
+  const harness = startedWith({});
+  const linkId = harness.links.get('w1') ?? 0;
+  harness.handle({ kind: 'link-closed', linkId, detail: 'killed' });
+  for (let passed = 0; passed < 4000; passed += 100) {
+    pass(harness, 100);
+    harness.report('w1', {
+      snapshot: false,
+      hello: undefined,
+      accepting: false,
+      clockMs: 0,
+    });
+  }
+  expect(repeated(harness)).toEqual([`${TASK}#2`, `${OTHER_TASK}#2`]);
+});
+
 const lastReport = ({ reports }: DriverHarness): WorkerReport | undefined =>
   reports.at(-1);
 
