Have takeovers wait for late starts at workers that went silent

Callers would see a task run twice at the same time: an entry and a worker driver process end together, the successor takes all runs of the entry for ended 2.5 s after the fence (4 s if the entry is only silent), and the worker carries out a start of the killed driver up to 12 s late.

The successor can't know which starts its predecessor had sent. It now waits for a worker that doesn't report until 14.7 s after its own last contact with it: a start that the driver had sent by then has begun and lapsed. A worker that was silent for longer, or that this entry had no link to, delays a takeover as before, so the rows of machines that are gone for good cost nothing more.

The new test fails with the wait taken out of the built file; two more bound it.

Ruled out: a wait by what workers last reported of unanswered calls, which misses the first late call; a wait from the fence on for each silent worker, which would delay every takeover while a row of a lost machine remains.

--- a/packages/core/src/lib/process/takeover-coordinator.ts
+++ b/packages/core/src/lib/process/takeover-coordinator.ts
@@ -176,10 +176,14 @@
     if (!tracked.isLoaded || tracked.isSettled) {
       return;
     }
-    const haveRunsEnded = now > tracked.takeover.allRunsEndedAtMs;
     const missing = this._options.fleet.views.filter(
       (view) => !view.adopted.has(tracked.predecessor),
     );
+    // The predecessor may have sent starts that are carried out late, and their
+    // number is not known.
+    const haveRunsEnded =
+      now > tracked.takeover.allRunsEndedAtMs &&
+      !missing.some((view) => view.mayHoldLateStarts(now));
     if (missing.length > 0 && !haveRunsEnded) {
       return;
     }
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -27,6 +27,9 @@
 export const RUN_EXPIRY_MS =
   (RUN_GRANT_MS + EXPIRY_GRACE_MS + LEASE_EXPIRY_MS) / WORKER_CLOCK_MIN_RATE +
   REPLY_MARGIN_MS;
+/** The same time if the worker may carry out earlier calls late. */
+const LATE_RUN_EXPIRY_MS =
+  RUN_EXPIRY_MS + DELAYED_CALL_LIMIT_MS / WORKER_CLOCK_MIN_RATE;
 /**
  * Time without a report after which the link to a worker with runs is replaced.
  */
@@ -369,6 +372,16 @@
       : keys.filter((key) => !this._unconfirmed.has(key));
   }
 
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether the worker driver process has gone silent so recently that
+   *   the worker may still carry out starts that it has sent for any entry.
+   */
+  mayHoldLateStarts(now: number): boolean {
+    const silentMs = now - this._lastContactAtMs;
+    return silentMs > REPORT_TIMEOUT_MS && silentMs <= LATE_RUN_EXPIRY_MS;
+  }
+
   /**
    * Updates the state from a report.
    *
--- a/packages/core/src/test/late-starts.test.ts
+++ b/packages/core/src/test/late-starts.test.ts
@@ -1,7 +1,12 @@
 import { expect } from 'earl';
 import type { WorkerReport } from '../lib/messages.js';
-import { ID, helloOf, withTwoWorkers } from './entry-harness.js';
-import type { EntryHarness } from './entry-harness.js';
+import {
+  EntryHarness,
+  FakeRows,
+  ID,
+  helloOf,
+  withTwoWorkers,
+} from './entry-harness.js';
 import { NEEDS, ready, starts } from './worker-harness.js';
 import type { DriverHarness } from './worker-harness.js';
 
@@ -118,6 +123,52 @@
   expect(repeated(harness)).toEqual([`${TASK}#2`, `${OTHER_TASK}#2`]);
 });
 
+/**
+ * Has an entry take over a job while one of the two workers is silent.
+ *
+ * @param hasContact - Whether that worker has reported to the entry before.
+ */
+const takeOver = (hasContact: boolean): EntryHarness => {
+  const rows = new FakeRows();
+  withTwoWorkers(rows).submit(1, { isVolatile: false });
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  if (hasContact) {
+    next.report('w1', { snapshot: true });
+  }
+  next.answerChanges();
+  next.advance(300);
+  next.report('w2', { snapshot: true, adopted: ['e1'] });
+  return next;
+};
+
+// The successor does not know which starts its predecessor had sent there.
+it('a takeover waits until no late start can begin at a worker that went silent', () => {
+  const next = takeOver(true);
+  pass(next, 14_000);
+  expect(next.started).toEqual([]);
+  pass(next, 500);
+  expect(next.started).toEqual([`${TASK}#10001`, `${OTHER_TASK}#10001`]);
+});
+
+// The rows of machines that are gone for good may remain.
+it('a takeover does not wait that long for a worker that was silent before', () => {
+  const next = takeOver(false);
+  pass(next, 4500);
+  expect(next.started).toEqual([`${TASK}#10001`, `${OTHER_TASK}#10001`]);
+});
+
+// A driver process whose worker has crashed has no snapshot and confirms nothing,
+// but it carries out no start either.
+it('a takeover does not wait for a driver process that reports', () => {
+  const next = takeOver(true);
+  for (let passed = 0; passed < 4500; passed += 100) {
+    pass(next, 100);
+    next.report('w1', { snapshot: false, accepting: false, clockMs: 0 });
+  }
+  expect(next.started).toEqual([`${TASK}#10001`, `${OTHER_TASK}#10001`]);
+});
+
 const lastReport = ({ reports }: DriverHarness): WorkerReport | undefined =>
   reports.at(-1);
 
