--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -175,6 +175,8 @@
         adopted: [],
         fenced: false,
         crashes: [],
+        unconfirmed: [],
+        mayActLate: false,
         hello: helloOf(worker),
         ...fields,
       },
--- a/packages/core/src/test/late-placement.test.ts
+++ b/packages/core/src/test/late-placement.test.ts
@@ -36,6 +36,8 @@
     adopted: [],
     fenced: false,
     crashes: [],
+    unconfirmed: [],
+    mayActLate: false,
   };
   entry.handle({ kind: 'report', linkId, report }, now);
 };
--- a/packages/core/src/test/shared-address.test.ts
+++ b/packages/core/src/test/shared-address.test.ts
@@ -189,6 +189,8 @@
   const harness = withWorker(rows);
   harness.submit(1);
   expect(harness.started.length).toEqual(2);
+  // Both runs are known to have begun; others could begin late.
+  harness.report('w1');
   const linkId = harness.links.get('w1') ?? 0;
   harness.handle({ kind: 'link-closed', linkId, detail: 'reset' });
   harness.advance(200);
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -202,6 +202,8 @@
       adopted: [],
       fenced: false,
       crashes: [],
+      unconfirmed: [],
+      mayActLate: false,
       hello: {
         worker: 'w',
         incarnation: 'w1',
--- a/packages/wire/src/test/fleet-json.test.ts
+++ b/packages/wire/src/test/fleet-json.test.ts
@@ -110,6 +110,8 @@
       ),
     }),
   ),
+  unconfirmed: list(record({ task: text, run: uint })),
+  mayActLate: flag,
 });
 
 const detailOf = (
