Read the close of a link after its orders in the fleet simulation

The simulation delivered the close of a link by its entry in the turn of the last order that a cut had held back, and the worker driver drops the starts of a link that closes in their turn.

The close now arrives one turn after the data. The simulation does not drop data at a reset by an entry, so it is stricter than a link that is reset.

--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -605,8 +605,11 @@
     this._links.delete(link.name);
     const { driver, driverLinkId } = link;
     this.network.sendOnConnection(link.name, name, driver.name, () => {
-      this._runAtDriver(link, true, () => {
-        driver.dispatch({ kind: 'link-closed', linkId: driverLinkId });
+      // A process reads the end of a connection one poll after the data before it.
+      this.queue.after(0, () => {
+        this._runAtDriver(link, true, () => {
+          driver.dispatch({ kind: 'link-closed', linkId: driverLinkId });
+        });
       });
     });
   }
