Test unsent refusals of an earlier link, and its close

No test failed when the refusals that an earlier link had not sent were moved to the newer one or not: moved them, stopped that. The new test fails if they are moved again.

--- a/packages/core/src/test/earlier-links.test.ts
+++ b/packages/core/src/test/earlier-links.test.ts
@@ -147,6 +147,27 @@
   ]);
 });
 
+// The entry asks for the run by a stop and must get one answer only, see above.
+it('a refusal that an earlier link has not reported is not reported on the newer one', () => {
+  const harness = ready();
+  const full = { ...hold(harness), starts: starts(TASK, 'b.0', 'c.0') };
+  harness.read(full, 1);
+  harness.handle({ kind: 'link-open', linkId: 2 });
+  harness.read(hold(harness), 2);
+  harness.handle({ kind: 'flush' });
+  expect(refusedOn(harness, 1)).toEqual([]);
+  expect(refusedOn(harness, 2)).toEqual([]);
+  const stops = [{ task: 'c.0', run: 1 }];
+  harness.order({ ...hold(harness), stops }, 2);
+  harness.answer('stop');
+  harness.answerPoll();
+  harness.advance(10);
+  harness.answerPoll();
+  expect(refusedOn(harness, 2)).toEqual([
+    { task: 'c.0', run: 1, reason: StartRefusal.NO_ANSWER },
+  ]);
+});
+
 // An entry that has lost its newest link must not keep its runs by an earlier
 // one that it closed long ago.
 it('the runs of an entry expire soon after its newest link has closed', () => {
--- a/packages/daemon/src/test/worker-host.test.ts
+++ b/packages/daemon/src/test/worker-host.test.ts
@@ -63,6 +63,8 @@
 /** Hosts a driver of a worker that carries out all calls. */
 class HostHarness {
   readonly started: string[] = [];
+  /** Links that the entry has seen closing, in order of opening. */
+  readonly closedLinks: number[] = [];
   private _address = '';
   private readonly _links: EntryLink[] = [];
   private _host: WorkerHost | undefined;
@@ -104,7 +106,13 @@
   /** Opens a link of the entry and waits until the driver has served it. */
   async openLink(): Promise<EntryLink> {
     const format = { encode: encodeWorkerOrder, decode: decodeWorkerReport };
-    const handlers = { onMessage: () => undefined, onClosed: () => undefined };
+    const number = this._links.length + 1;
+    const handlers = {
+      onMessage: () => undefined,
+      onClosed: () => {
+        this.closedLinks.push(number);
+      },
+    };
     const link = MessageSocket.connect(this._address, format, handlers);
     this._links.push(link);
     link.send(orderOf());
@@ -160,3 +168,14 @@
   expect(harness.started).toEqual(['a.0.0.1']);
   await harness.close();
 });
+
+// An entry that is never told would send its orders to nobody.
+it('the connection of an earlier link of an entry is closed', async () => {
+  const harness = new HostHarness();
+  await harness.start();
+  await harness.openLink();
+  expect(harness.closedLinks).toEqual([]);
+  await harness.openLink();
+  expect(harness.closedLinks).toEqual([1]);
+  await harness.close();
+});
