Revert "Keep the order of a submission and a call about its job that are read together"

Node.js hands over a call without a body before the body of the pipelined submission in front of it has been read, so the order of dispatch does not show the order of the calls. What callers see stays as it was: a cancellation that is read together with its submission on one connection may be answered 410 while the job runs. No rule counts a 410 as the acknowledgement of a cancellation.

--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -210,21 +210,6 @@
     });
   }
 
-  /**
-   * Passes a call about a job to the entry, after the submissions that were read
-   * before it.
-   *
-   * @param toEvent - Creates the event from the id that the reply will carry.
-   * @returns The reply.
-   */
-  dispatchJobCall(
-    toEvent: (replyId: number) => BatchEvent,
-  ): Promise<BatchReply> {
-    return this._hasStopped
-      ? Promise.resolve(STOPPED_REPLY)
-      : this._heldCalls.passInOrder(() => this.dispatchCall(toEvent));
-  }
-
   private _drop(job: string): void {
     const message = 'submission dropped, its caller has gone';
     this.metrics.decisions.inc(message);
--- a/packages/daemon/src/lib/process/held-calls.ts
+++ b/packages/daemon/src/lib/process/held-calls.ts
@@ -39,8 +39,10 @@
    * @returns The reply; never settles when the caller disconnects first.
    */
   hold<R>({ caller, pass, onDropped }: HoldOptions<R>): Promise<R> {
+    this._count += 1;
     return new Promise((resolve) => {
-      this._schedule(() => {
+      this._nextPoll.schedule(() => {
+        this._count -= 1;
         if (caller.isGone) {
           onDropped();
         } else {
@@ -49,29 +51,4 @@
       });
     });
   }
-
-  /**
-   * Passes a call on after those that are being held, or at once if none is.
-   *
-   * @param pass - Passes the call on, whether or not its caller is connected.
-   * @returns The reply.
-   */
-  passInOrder<R>(pass: () => Promise<R>): Promise<R> {
-    if (this._count === 0) {
-      return pass();
-    }
-    return new Promise((resolve) => {
-      this._schedule(() => {
-        resolve(pass());
-      });
-    });
-  }
-
-  private _schedule(callback: () => void): void {
-    this._count += 1;
-    this._nextPoll.schedule(() => {
-      this._count -= 1;
-      callback();
-    });
-  }
 }
