Make every write of a worker's registration name what it replaces

Cause: the row was written and deleted without a condition, so a deletion that the store performed 5 s late removed the row of the next incarnation. The process trusted the last answer for the content of the row from then on.

Fix: OwnedRow keeps the row. Each write and deletion is conditional on the version that it replaces, so an attempt that is performed late fails once a later one has been performed. After a call without an answer the row is read first. It is also read each second: a creation can only name version 0, which holds again after a deletion, and only a read shows such a late creation. Any other content is replaced within 2 s while the store answers. The first read is repeated until it is answered; so far one lost answer at the start of the process lost the state of the worker.

The read costs one call a second for each worker.

The simulated driver uses OwnedRow as well and now deletes its row when its worker leaves, so that the fuzzer meets these writes.

The fake store of that file now checks conditions.

Ruled out: following the member table in place of reads; its calls have to be repeated each second too, to notice an outage, and they carry the rows of all workers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,6 +39,7 @@
   fleetKeys,
 } from './lib/process/fleet-rows.js';
 export type { EntryRow, WorkerRow } from './lib/process/fleet-rows.js';
+export { OwnedRow, OwnedRowEvent } from './lib/process/owned-row.js';
 export { MEMBER_PART } from './lib/process/part-stores.js';
 export { WorkerDriver } from './lib/process/worker-driver.js';
 export type { WorkerDriverOptions } from './lib/process/worker-driver.js';
--- a/packages/daemon/src/lib/process/worker-registration.ts
+++ b/packages/daemon/src/lib/process/worker-registration.ts
@@ -1,12 +1,15 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   MEMBER_PART,
+  OwnedRow,
+  OwnedRowEvent,
   decodeWorkerRow,
   fleetKeys,
   isOutdatedHeartbeat,
   isSameRoom,
 } from '@sapphiremux/core';
-import type { WorkerHeartbeat, WorkerRow } from '@sapphiremux/core';
+import type { StoreReply, WorkerHeartbeat, WorkerRow } from '@sapphiremux/core';
+import { now } from './clock.js';
 import type { StorePort } from './fleet-ports.js';
 import type { Log } from './logger.js';
 
@@ -22,9 +25,6 @@
   readonly log: Log;
 }
 
-/** Backoff before a failed write of the row is retried. */
-const BACKOFF_MS = 300;
-
 /**
  * Maintains the store row through which entries discover this process.
  *
@@ -34,41 +34,41 @@
  */
 export class WorkerRegistration {
   private readonly _options: WorkerRegistrationOptions;
+  private readonly _row: OwnedRow;
   private readonly _key: string;
   private _registeredWorker: WorkerHeartbeat | undefined;
   /** Incarnation that has left last, by the time of its start. */
   private _leftBornMs = Number.NEGATIVE_INFINITY;
   /** Id that has deregistered last. */
   private _leftId: string | undefined;
-  /**
-   * Value that the row should have: empty before the first update, `null` after
-   * the worker has left.
-   */
-  private _desiredValue: string | null = '';
-  /** Value last read or written: empty without a row, `null` after a deletion. */
-  private _storedValue: string | null = '';
-  /** Settles when the row has its value; absent while no write is pending. */
-  private _writing: Promise<void> | undefined;
+  /** Value of the row before this process wrote it, once it has been read. */
+  private readonly _previous: Promise<string | null>;
+  private _onPreviousRead: (value: string | null) => void = () => undefined;
+  /** Functions to call when the row has its value. */
+  private _onSettled: (() => void)[] = [];
+  private _timer: NodeJS.Timeout | undefined;
+  private _isClosed = false;
 
   /** @param options - Identity of the process, the store and the log. */
   constructor(options: WorkerRegistrationOptions) {
     this._options = options;
     this._key = fleetKeys.worker(options.name);
+    this._row = new OwnedRow(this._key);
+    this._previous = new Promise((resolve) => {
+      this._onPreviousRead = resolve;
+    });
   }
 
   /**
-   * Loads the row of the previous process and replaces it.
+   * Loads the row of the previous process and replaces it. While the store does
+   * not answer, the call is repeated.
    *
    * @returns The state of the worker that the row holds, if there is one.
    */
   async restore(): Promise<WorkerHeartbeat | undefined> {
-    const reply = await this._options.store.call(MEMBER_PART, {
-      kind: 'read',
-      keys: [this._key],
-    });
-    const value = reply.kind === 'rows' ? reply.rows[0]?.value : undefined;
-    const row = value === undefined ? undefined : decodeWorkerRow(value);
-    this._storedValue = value ?? '';
+    this._pump();
+    const value = await this._previous;
+    const row = value === null ? undefined : decodeWorkerRow(value);
     const worker = row?.worker;
     if (worker && worker.id === this._leftId) {
       // It has left while the row was read.
@@ -133,12 +133,22 @@
    * @param timeoutMs - Maximum wait in milliseconds.
    */
   async settle(timeoutMs: number): Promise<void> {
-    await Promise.race([this._writing, delay(timeoutMs)]);
+    const settled = new Promise<void>((resolve) => {
+      this._onSettled.push(resolve);
+    });
+    this._notifySettled();
+    await Promise.race([settled, delay(timeoutMs)]);
+  }
+
+  /** Ends the checks of the row. A call in flight is not interrupted. */
+  close(): void {
+    this._isClosed = true;
+    clearTimeout(this._timer);
   }
 
   private _deleteRow(): void {
-    this._desiredValue = null;
-    this._startWriting();
+    this._row.set(null);
+    this._pump();
   }
 
   private _updateRow(): void {
@@ -153,36 +163,66 @@
         ? { worker: { ...this._registeredWorker, sequence: 0 } }
         : {}),
     };
-    this._desiredValue = JSON.stringify(row);
-    this._startWriting();
+    this._row.set(JSON.stringify(row));
+    this._pump();
   }
 
-  private _startWriting(): void {
-    if (!this._writing && this._desiredValue !== this._storedValue) {
-      this._writing = this._writeRow();
+  /** Sends the next call if it is due, or sets a timer for it. */
+  private _pump(): void {
+    if (this._isClosed) {
+      return;
+    }
+    clearTimeout(this._timer);
+    const req = this._row.next(now());
+    if (req) {
+      void this._options.store.call(MEMBER_PART, req).then((reply) => {
+        this._onReply(reply);
+        this._pump();
+      });
+      return;
+    }
+    const dueAtMs = this._row.nextDueAtMs;
+    if (Number.isFinite(dueAtMs)) {
+      this._timer = setTimeout(() => {
+        this._pump();
+      }, dueAtMs - now()).unref();
     }
   }
 
-  private async _writeRow(): Promise<void> {
-    while (this._desiredValue !== this._storedValue) {
-      const value = this._desiredValue;
-      const reply = await this._options.store.call(MEMBER_PART, {
-        kind: 'transact',
-        conditions: [],
-        writes: [{ key: this._key, value }],
-      });
-      if (reply.kind === 'committed') {
-        this._storedValue = value;
-        const message =
-          value === null ? 'registration row deleted' : 'registered';
-        this._options.log.info(message, { row: this._key });
-      } else {
-        this._options.log.warn('registration failed, retrying', {
-          outcome: reply.kind,
+  private _onReply(reply: StoreReply): void {
+    const { log } = this._options;
+    const event = this._row.onReply(reply, now());
+    const row = this._key;
+    const value = this._row.storedValue;
+    switch (event) {
+      case OwnedRowEvent.Written:
+        log.info(value === null ? 'registration row deleted' : 'registered', {
+          row,
         });
-        await delay(BACKOFF_MS);
-      }
+        break;
+      case OwnedRowEvent.Altered:
+        log.warn('registration row changed by another write', { row });
+        break;
+      case OwnedRowEvent.Failed:
+        log.warn('registration failed, retrying', { outcome: reply.kind });
+        break;
+      case undefined:
+    }
+    if (reply.kind === 'rows' && value !== undefined) {
+      // Has an effect only after the first read.
+      this._onPreviousRead(value);
+    }
+    this._notifySettled();
+  }
+
+  private _notifySettled(): void {
+    if (!this._row.isSettled) {
+      return;
+    }
+    const waiting = this._onSettled;
+    this._onSettled = [];
+    for (const onSettled of waiting) {
+      onSettled();
     }
-    this._writing = undefined;
   }
 }
--- a/packages/daemon/src/test/worker-registration.test.ts
+++ b/packages/daemon/src/test/worker-registration.test.ts
@@ -10,18 +10,52 @@
 import type { Log } from '../lib/process/logger.js';
 import { WorkerRegistration } from '../lib/process/worker-registration.js';
 
-/** Store with a single row, whose writes take effect at once. */
+/** Time within which a row with other content has to be replaced. */
+const REPAIR_MS = 2000;
+/** Part of that time for the timers of the test itself. */
+const MARGIN_MS = 200;
+
+/** Store with a single row, whose calls take effect at once or when asked. */
 class OneRowStore implements StorePort {
   value: string | null = null;
+  version = 0;
+  /** Whether transactions get no answer and are performed later, or never. */
+  losesWrites = false;
+  private readonly _lost: StoreRequest[] = [];
+  private _lastVersion = 0;
 
   call(_part: string, req: StoreRequest): Promise<StoreReply> {
-    if (req.kind === 'transact') {
-      this.value = req.writes[0]?.value ?? null;
-      return Promise.resolve({ kind: 'committed', version: 1 });
+    if (this.losesWrites && req.kind === 'transact') {
+      this._lost.push(req);
+      return Promise.resolve({ kind: 'unknown' });
+    }
+    return Promise.resolve(this._perform(req));
+  }
+
+  /** Performs the transactions that got no answer, in their order. */
+  performLost(): void {
+    for (const req of this._lost.splice(0)) {
+      this._perform(req);
     }
-    const { value } = this;
-    const rows = value === null ? [] : [{ key: '', value, version: 1 }];
-    return Promise.resolve({ kind: 'rows', rows });
+  }
+
+  put(value: string | null): void {
+    this._lastVersion += 1;
+    this.version = value === null ? 0 : this._lastVersion;
+    this.value = value;
+  }
+
+  private _perform(req: StoreRequest): StoreReply {
+    if (req.kind !== 'transact') {
+      const { value, version } = this;
+      const rows = value === null ? [] : [{ key: '', value, version }];
+      return { kind: 'rows', rows };
+    }
+    if (req.conditions.some(({ version }) => version !== this.version)) {
+      return { kind: 'conflict', keys: req.conditions.map(({ key }) => key) };
+    }
+    this.put(req.writes[0]?.value ?? null);
+    return { kind: 'committed', version: this._lastVersion };
   }
 
   follow(): Promise<never> {
@@ -51,12 +85,8 @@
   ...fields,
 });
 
-/** Returns the registered worker after the given heartbeats. */
-const registered = async (
-  ...heartbeats: (WorkerHeartbeat | 'leave')[]
-): Promise<WorkerHeartbeat | undefined> => {
-  const store = new OneRowStore();
-  const registration = new WorkerRegistration({
+const registrationIn = (store: StorePort): WorkerRegistration =>
+  new WorkerRegistration({
     name: 'vm',
     address: 'vm:1',
     dataCentre: 'dc',
@@ -64,6 +94,13 @@
     store,
     log: { info: () => undefined, warn: () => undefined } as unknown as Log,
   });
+
+/** Returns the registered worker after the given heartbeats. */
+const registered = async (
+  ...heartbeats: (WorkerHeartbeat | 'leave')[]
+): Promise<WorkerHeartbeat | undefined> => {
+  const store = new OneRowStore();
+  const registration = registrationIn(store);
   for (const next of heartbeats) {
     if (next === 'leave') {
       registration.deregister('i-1');
@@ -122,23 +159,48 @@
 // registered again.
 it('a worker that leaves while its row is read is not restored', async () => {
   const store = new OneRowStore();
-  store.value = JSON.stringify({
-    address: 'vm:1',
-    incarnation: 'w0',
-    dataCentre: 'dc',
-    worker: heartbeat(),
-  } satisfies WorkerRow);
-  const registration = new WorkerRegistration({
-    name: 'vm',
-    address: 'vm:1',
-    dataCentre: 'dc',
-    incarnation: 'w1',
-    store,
-    log: { info: () => undefined, warn: () => undefined } as unknown as Log,
-  });
+  store.put(
+    JSON.stringify({
+      address: 'vm:1',
+      incarnation: 'w0',
+      dataCentre: 'dc',
+      worker: heartbeat(),
+    } satisfies WorkerRow),
+  );
+  const registration = registrationIn(store);
   const restored = registration.restore();
   registration.deregister('i-1');
   expect(await restored).toEqual(undefined);
   await delay(0);
   expect<string | null>(store.value).toEqual(null);
 });
+
+// Guards against a deletion that the store performs after the next incarnation
+// has registered, and that hides it from all entries.
+it('a deletion without an answer does not remove a later registration', async () => {
+  const store = new OneRowStore();
+  const registration = registrationIn(store);
+  registration.recordHeartbeat(heartbeat());
+  await delay(0);
+  store.losesWrites = true;
+  registration.deregister('i-1');
+  await delay(0);
+  store.losesWrites = false;
+  registration.recordHeartbeat(heartbeat({ id: 'i-2', bornMs: 2000 }));
+  await registration.settle(REPAIR_MS);
+  store.performLost();
+  expect(store.worker?.id).toEqual('i-2');
+  registration.close();
+});
+
+// Guards against a process that trusts the last answer for ever.
+it('a registration row that has disappeared is written again', async () => {
+  const store = new OneRowStore();
+  const registration = registrationIn(store);
+  registration.recordHeartbeat(heartbeat());
+  await delay(0);
+  store.put(null);
+  await delay(REPAIR_MS - MARGIN_MS);
+  expect(store.worker?.id).toEqual('i-1');
+  registration.close();
+});
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -155,9 +155,7 @@
           clockRate: MIN_CLOCK_RATE + (1 - MIN_CLOCK_RATE) * random(),
           onHeartbeat: (worker) => driver.heartbeat(worker),
           onLeave: (id) => {
-            driver.post(() => {
-              driver.dispatch({ kind: 'leave', id });
-            });
+            driver.leave(id);
           },
         }),
       );
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -1,4 +1,9 @@
-import { MEMBER_PART, WorkerDriver, fleetKeys } from '@sapphiremux/core';
+import {
+  MEMBER_PART,
+  OwnedRow,
+  WorkerDriver,
+  fleetKeys,
+} from '@sapphiremux/core';
 import type {
   WorkerAction,
   WorkerEvent,
@@ -25,7 +30,6 @@
 }
 
 const TICK_MS = 100;
-const REGISTER_RETRY_MS = 300;
 
 /**
  * A simulated worker driver process: drives a `WorkerDriver` with events in
@@ -38,6 +42,7 @@
   private _incarnation = '';
   private _lastHeartbeat: WorkerHeartbeat | undefined;
   private _dueTickAtMs = Number.POSITIVE_INFINITY;
+  private _row!: OwnedRow;
 
   /** @param options - Names, store, worker and receiver of reports. */
   constructor(options: SimDriverOptions) {
@@ -68,6 +73,21 @@
     return isAcknowledged;
   }
 
+  /**
+   * Receives the planned end of the worker, and deletes its row.
+   *
+   * @param id - Incarnation of the worker.
+   */
+  leave(id: string): void {
+    this.post(() => {
+      this.dispatch({ kind: 'leave', id });
+      if (this._lastHeartbeat?.id === id) {
+        this._row.set(null);
+        this._pumpRow();
+      }
+    });
+  }
+
   /**
    * Passes an event to the state machine and executes the resulting actions.
    *
@@ -91,6 +111,7 @@
     this._dueTickAtMs = Number.POSITIVE_INFINITY;
     this._incarnation = `${this.name}.${String(this.generation)}`;
     this._lastHeartbeat = undefined;
+    this._row = new OwnedRow(fleetKeys.worker(this.name));
     this._driver = new WorkerDriver({
       name: this.name,
       incarnation: this._incarnation,
@@ -105,6 +126,7 @@
 
   private _tick(): void {
     this.dispatch({ kind: 'tick' });
+    this._pumpRow();
     this.schedule(TICK_MS, () => {
       this._tick();
     });
@@ -124,28 +146,33 @@
   }
 
   private _register(): void {
-    const { store, isDisconnectedFromStore, dataCentre, name } = this._options;
+    const { dataCentre, name } = this._options;
     const row: WorkerRow = {
       address: name,
       dataCentre,
       incarnation: this._incarnation,
       ...(this._lastHeartbeat ? { worker: this._lastHeartbeat } : {}),
     };
-    const key = fleetKeys.worker(name);
-    const value = JSON.stringify(row);
+    this._row.set(JSON.stringify(row));
+    this._pumpRow();
+  }
+
+  private _pumpRow(): void {
+    const { store, isDisconnectedFromStore } = this._options;
     const { generation } = this;
-    store.call(
-      MEMBER_PART,
-      { kind: 'transact', conditions: [], writes: [{ key, value }] },
-      isDisconnectedFromStore(),
-      (reply) => {
-        if (reply.kind !== 'committed' && this.generation === generation) {
-          this.schedule(REGISTER_RETRY_MS, () => {
-            this._register();
-          });
-        }
-      },
-    );
+    const row = this._row;
+    const req = row.next(this.nowMs);
+    if (!req) {
+      return;
+    }
+    store.call(MEMBER_PART, req, isDisconnectedFromStore(), (reply) => {
+      if (this.generation === generation) {
+        this.post(() => {
+          row.onReply(reply, this.nowMs);
+          this._pumpRow();
+        });
+      }
+    });
   }
 
   private _execute(action: WorkerAction): void {
