Take a row that kept its version for not written

Cause: after a lost answer the rows are read back, and a write counted as performed if its row had the written value. A progress row can be written twice with the same content, e.g. after an end that changes nothing. Then the read-back found the earlier version and took it for the outcome. If the store performed the lost write after that, every later write of the progress named a version that is gone, conflicted, and no end of the job was acknowledged any more until the job ended.

Fix: a write counts as performed only if the row has the value and another version than the one that the write replaces. All writes have that version among their conditions. Otherwise the write is repeated under the same condition, so it can't be performed twice.

Evidence: the new test of store-writer.test.ts failed before with "committed, version 5", the version that the write was to replace.

--- a/packages/core/src/lib/process/store-writer.ts
+++ b/packages/core/src/lib/process/store-writer.ts
@@ -19,8 +19,9 @@
   readonly conditions: readonly Condition[];
   readonly writes: readonly Write[];
   /**
-   * Key of a row that this write sets to a value unique to the write, so that a
-   * read-back of the row shows whether the write took effect.
+   * Key of a row that this write sets to a value that no other writer sets. The
+   * version that the write replaces is one of its conditions, so a read-back of
+   * the row shows whether the write took effect.
    */
   readonly readBackKey: string;
   /**
@@ -294,13 +295,24 @@
   }
 };
 
+/**
+ * Version of the rows that a write has set, or `undefined` if it was not
+ * performed. A row that still has the version that the write replaces was not
+ * written, even if it already had the same value.
+ */
 const appliedVersion = (
   write: ConditionalWrite,
   rows: ReadonlyMap<string, Row>,
 ): number | undefined => {
-  const ownWrite = write.writes.find((w) => w.key === write.readBackKey);
-  const row = rows.get(write.readBackKey);
-  return ownWrite && row?.value === ownWrite.value ? row.version : undefined;
+  const key = write.readBackKey;
+  const ownWrite = write.writes.find((w) => w.key === key);
+  const row = rows.get(key);
+  const isReplaced = write.conditions.every(
+    (condition) => condition.key !== key || condition.version !== row?.version,
+  );
+  return ownWrite && isReplaced && row?.value === ownWrite.value
+    ? row.version
+    : undefined;
 };
 
 const failedConditions = (
--- a/packages/core/src/test/store-writer.test.ts
+++ b/packages/core/src/test/store-writer.test.ts
@@ -119,3 +119,26 @@
     writes: [{ key: 'b', value: 'nonce of b' }],
   });
 });
+
+// Guards against a progress row that is written again with the same content: its
+// earlier version, found in a read-back, would be the condition of all later
+// writes, which then conflict once the lost one is performed.
+it('a row that still has its old version was not written', () => {
+  const { writer, reply, outcomes, kinds } = setUp();
+  writer.submit({
+    conditions: [{ key: 'a', version: 5 }],
+    writes: [{ key: 'a', value: 'same' }],
+    readBackKey: 'a',
+    onDone: (outcome) => outcomes.push(outcome),
+  });
+  writer.pump(0);
+  reply({ kind: 'unknown' });
+  writer.pump(100);
+  reply({ kind: 'rows', rows: [{ key: 'a', value: 'same', version: 5 }] }, 100);
+  expect(outcomes).toEqual([]);
+  expect(kinds().at(-1)).toEqual('transact');
+  // The first attempt is performed before the retry.
+  reply({ kind: 'conflict', keys: ['a'] }, 200);
+  reply({ kind: 'rows', rows: [{ key: 'a', value: 'same', version: 9 }] }, 300);
+  expect(outcomes).toEqual([{ kind: 'committed', version: 9 }]);
+});
