Refuse jobs that the store can't hold, and isolate rejected writes

Cause: its row has more than 65,536 bytes, so the store answers 400. The client took each status but 503 and 429 for an unknown outcome, and the writer repeats such a transaction without end, with all other writes of the part in it. No size was checked before a job was accepted.

Fix, on each level: - StoreReply has "rejected" besides conflict, refused (busy) and unknown. Rows that fit keep their form, so that earlier versions can read them. - Progress over the limit is packed; in the extreme it loses crashes and then numbers of failed runs of open tasks, never done tasks or failure counts. Before, ends could make the row outgrow the limit after the job was accepted. - A rejection is logged and counted in sapphiremux_rejected_store_writes_total.

Recorded jobs of more than about 7,000 tasks are now refused: their progress is not sure to fit into a row.

Ruled out: several rows for a job or its progress (a job then spans transactions), and compression (the core could no longer count the bytes that the store counts without it).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,6 +40,13 @@
 } from './lib/process/fleet-rows.js';
 export type { EntryRow, WorkerRow } from './lib/process/fleet-rows.js';
 export { OwnedRow, OwnedRowEvent } from './lib/process/owned-row.js';
+export {
+  DEFAULT_STORE_LIMITS,
+  countEntries,
+  largestValueBytes,
+  transactionBytes,
+} from './lib/process/store-limits.js';
+export type { StoreLimits } from './lib/process/store-limits.js';
 export { MEMBER_PART } from './lib/process/part-stores.js';
 export { WorkerDriver } from './lib/process/worker-driver.js';
 export type { WorkerDriverOptions } from './lib/process/worker-driver.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -33,6 +33,8 @@
 import { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
 import { RunReports } from './run-reports.js';
+import { DEFAULT_STORE_LIMITS } from './store-limits.js';
+import type { StoreLimits } from './store-limits.js';
 import { StopSchedule } from './stop-schedule.js';
 import { StoppingRuns } from './stopping-runs.js';
 import { TakeoverCoordinator } from './takeover-coordinator.js';
@@ -63,6 +65,8 @@
   readonly remoteDataFactor?: number;
   /** Decisions by priority while capacity is short. */
   readonly overload?: Partial<OverloadOptions>;
+  /** Limits of the store. */
+  readonly storeLimits?: Partial<StoreLimits>;
   /**
    * Time from the begin of a planned stop until the process is killed, in
    * milliseconds.
@@ -160,8 +164,10 @@
       remoteDataFactor: DEFAULT_REMOTE_DATA_FACTOR,
       overload: {},
       stopGraceMs: DEFAULT_STOP_GRACE_MS,
+      storeLimits: {},
       ...options,
     };
+    const limits = { ...DEFAULT_STORE_LIMITS, ...options.storeLimits };
     this._nowMs = now;
     this._continuesStop = options.stoppingSinceMs !== undefined;
     if (options.stoppingSinceMs !== undefined) {
@@ -174,12 +180,18 @@
           this._actions.push({ kind: 'store', opId, part, req });
         },
         random: options.random,
+        limits,
+        onRejected: (key, valueBytes) => {
+          const limitBytes = limits.rowBytes;
+          this._log('store write rejected', { key, valueBytes, limitBytes });
+        },
       },
       now,
     );
     this._recorder = new JobRecorder({
       stores: this._stores,
       incarnation: options.incarnation,
+      rowBytes: limits.rowBytes,
       onFenced: () => {
         this._retire('owner row is gone');
       },
@@ -561,9 +573,15 @@
       });
       return;
     }
+    const encoded = this._recorder.encode(content);
+    if (encoded.kind === 'too-large') {
+      const { sizeBytes, limitBytes } = encoded;
+      this._refuseTooLarge([replyId], id, sizeBytes, limitBytes);
+      return;
+    }
     const deadlineMs = event.deadlineMs - REPLY_MARGIN_MS;
     this._submissions.set(id, { replies: [replyId], deadlineMs });
-    this._recorder.submit(id, content, deadlineMs, (outcome, at) => {
+    this._recorder.submit(id, encoded.value, deadlineMs, (outcome, at) => {
       const replies = this._submissions.get(id)?.replies ?? [];
       this._submissions.delete(id);
       switch (outcome.kind) {
@@ -594,6 +612,9 @@
               : { kind: 'in-doubt', detail: 'this entry was replaced' },
           );
           return;
+        case 'rejected':
+          this._refuseTooLarge(replies, id, outcome.valueBytes);
+          return;
         case 'abandoned':
           this._log('job refused', { job: id, reason: 'store gave no answer' });
           this._replyAll(replies, {
@@ -605,6 +626,27 @@
     });
   }
 
+  /** Answers submissions of a job that the store can't hold. */
+  private _refuseTooLarge(
+    replies: readonly number[],
+    id: string,
+    sizeBytes: number,
+    limitBytes?: number,
+  ): void {
+    this._log('job refused', {
+      job: id,
+      reason: 'too-large',
+      sizeBytes,
+      ...(limitBytes === undefined ? {} : { limitBytes }),
+    });
+    const size = `the job takes up to ${String(sizeBytes)} bytes in the store`;
+    const detail =
+      limitBytes === undefined
+        ? `${size}, which rejects it`
+        : `${size}, more than the limit of ${String(limitBytes)} bytes`;
+    this._replyAll(replies, { kind: 'too-large', detail });
+  }
+
   /**
    * Whether this entry may place runs and extend the time until which its runs
    * may continue. Only recorded jobs can be taken over, so an entry without
@@ -698,6 +740,7 @@
       unacknowledgedSinceMs: 0,
       hasUnsavedCrash: false,
       isSaving: false,
+      isProgressRejected: false,
       isFinishing: false,
       cancelReplies: [],
       endReplies: [],
@@ -837,7 +880,8 @@
         ownedJob.job.content.isVolatile ||
         // Its ends are acknowledged once its final state is recorded.
         isFinal(ownedJob.job.state) ||
-        ownedJob.isSaving
+        ownedJob.isSaving ||
+        ownedJob.isProgressRejected
       ) {
         continue;
       }
@@ -855,8 +899,17 @@
           done: progress.done.length,
           tookMs: Math.round(at - now),
         });
-        if (outcome.kind === 'committed') {
-          this._fleet.acknowledge(ends, at);
+        switch (outcome.kind) {
+          case 'committed':
+            this._fleet.acknowledge(ends, at);
+            return;
+          case 'rejected':
+            // They are acknowledged once the final state is recorded.
+            ownedJob.unacknowledged = [...ends, ...ownedJob.unacknowledged];
+            ownedJob.isProgressRejected = true;
+            return;
+          case 'conflict':
+          case 'abandoned':
         }
       });
     }
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -36,6 +36,8 @@
       readonly reason: SubmitRefusal;
       readonly retryAfterMs: number;
     }
+  /** The job can't be stored and never will be, so it is not accepted. */
+  | { readonly kind: 'too-large'; readonly detail: string }
   /** The outcome of the call is unknown; the call may be repeated. */
   | { readonly kind: 'in-doubt'; readonly detail: string }
   | { readonly kind: 'state'; readonly state: BatchState }
--- a/packages/core/src/lib/process/fleet-rows.ts
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -1,5 +1,14 @@
 import type { BatchContent, BatchProgress } from '../request/batch-job.js';
 import { BatchState } from '../request/batch-job.js';
+import {
+  ProgressDetail,
+  packContent,
+  packProgress,
+  unpackContent,
+  unpackProgress,
+} from './packed-rows.js';
+import type { PackedContent, PackedProgress } from './packed-rows.js';
+import { valueBytes } from './store-limits.js';
 import type { WorkerHeartbeat } from './worker-events.js';
 
 /**
@@ -87,11 +96,42 @@
   readonly worker?: WorkerHeartbeat;
 }
 
+/** Stored form of an {@link OpenJobRow} that would exceed the limit as it is. */
+interface PackedJobRow extends Omit<OpenJobRow, 'kind' | 'content'> {
+  readonly kind: 'open-packed';
+  readonly content: PackedContent;
+}
+
+/**
+ * Serializes the row of an open job. A row over the limit is packed, which makes
+ * it several times smaller; other rows keep the form that earlier versions read.
+ *
+ * @param row - The row.
+ * @param limitBytes - Limit on the value of a row, in bytes.
+ * @returns The value; it may exceed the limit.
+ */
+export const encodeJobRow = (row: OpenJobRow, limitBytes: number): string => {
+  const value = JSON.stringify(row);
+  if (valueBytes(value) <= limitBytes) {
+    return value;
+  }
+  const packed: PackedJobRow = {
+    ...row,
+    kind: 'open-packed',
+    content: packContent(row.content),
+  };
+  return JSON.stringify(packed);
+};
+
 /** @returns The row of a job, or `undefined` when it is malformed. */
 export const decodeJobRow = (
   value: string,
 ): OpenJobRow | EndedJobRow | undefined => {
   const data = parseObject(value);
+  if (data?.kind === 'open-packed') {
+    const row = data as unknown as PackedJobRow;
+    return { ...row, kind: 'open', content: unpackContent(row.content) };
+  }
   return data?.kind === 'open' || data?.kind === 'ended'
     ? (data as unknown as OpenJobRow | EndedJobRow)
     : undefined;
@@ -116,6 +156,9 @@
 /** @returns A progress row, or `undefined` when it is malformed. */
 export const decodeProgress = (value: string): BatchProgress | undefined => {
   const data = parseObject(value);
+  if (typeof data?.done === 'string') {
+    return unpackProgress(data as unknown as PackedProgress);
+  }
   return Array.isArray(data?.done) && typeof data.failures === 'object'
     ? (data as unknown as BatchProgress)
     : undefined;
@@ -132,6 +175,33 @@
   }
 };
 
-/** @returns Serialized value of a progress row. */
-export const encodeProgress = (progress: BatchProgress): string =>
-  JSON.stringify(progress);
+/**
+ * Serializes the progress of a job. A value over the limit is packed, and then
+ * loses details of the tasks that are not done: first their crashes, then the
+ * numbers of their failed runs.
+ *
+ * @param progress - The progress.
+ * @param limitBytes - Limit on the value of a row, in bytes.
+ * @returns The value; it may exceed the limit for a job of more tasks than are
+ *   accepted.
+ */
+export const encodeProgress = (
+  progress: BatchProgress,
+  limitBytes: number,
+): string => {
+  let value = JSON.stringify(progress);
+  for (const detail of PROGRESS_DETAILS) {
+    if (valueBytes(value) <= limitBytes) {
+      return value;
+    }
+    value = JSON.stringify(packProgress(progress, detail));
+  }
+  return value;
+};
+
+/** Details of a packed progress, in the order in which they are tried. */
+const PROGRESS_DETAILS = [
+  ProgressDetail.Full,
+  ProgressDetail.Runs,
+  ProgressDetail.Counts,
+];
--- a/packages/core/src/lib/process/job-recorder.ts
+++ b/packages/core/src/lib/process/job-recorder.ts
@@ -3,19 +3,24 @@
 import type { Write } from '../store.js';
 import {
   JOB_PARTS,
+  encodeJobRow,
   encodeProgress,
   fleetKeys,
   partName,
   partOf,
 } from './fleet-rows.js';
 import type { EndedJobRow, OpenJobRow } from './fleet-rows.js';
+import { maxProgressBytes } from './packed-rows.js';
 import type { PartStores } from './part-stores.js';
+import { valueBytes } from './store-limits.js';
 import type { ConditionalWrite, WriteOutcome } from './store-writer.js';
 
 /** Options of {@link JobRecorder}. */
 export interface JobRecorderOptions {
   readonly stores: PartStores;
   readonly incarnation: string;
+  /** Limit of the store on the value of a row, in bytes. */
+  readonly rowBytes: number;
   /** Called when the owner row is gone: this incarnation was replaced. */
   readonly onFenced: () => void;
 }
@@ -27,6 +32,15 @@
   readonly write: ConditionalWrite;
 }
 
+/** The row of a new job, or why the store can't hold the job. */
+export type EncodedJob =
+  | { readonly kind: 'row'; readonly value: string }
+  | {
+      readonly kind: 'too-large';
+      readonly sizeBytes: number;
+      readonly limitBytes: number;
+    };
+
 /** State of a job's rows, as its owner last wrote or read them. */
 export interface RecordedJob {
   readonly id: string;
@@ -37,6 +51,11 @@
   progressVersion: number;
 }
 
+/**
+ * Part of a row's limit that a new job leaves free: with each later owner of the
+ * job its epoch and the name of its owner may grow.
+ */
+const OWNER_RESERVE_BYTES = 128;
 /**
  * Maximum delay of a deferred write. It waits for a submission or another write
  * to the same part that can't be deferred, to share its transaction.
@@ -68,32 +87,57 @@
     }
   }
 
+  /**
+   * Serializes a new job, and checks that the store can hold it until it ends,
+   * whatever the ends of its tasks.
+   *
+   * @param content - Content of the submission.
+   * @returns The value of the row for {@link submit}, or the size and the limit
+   *   that it exceeds.
+   */
+  encode(content: BatchContent): EncodedJob {
+    const { incarnation, rowBytes } = this._options;
+    const row: OpenJobRow = {
+      kind: 'open',
+      owner: incarnation,
+      epoch: 0,
+      content,
+    };
+    const progressBytes = maxProgressBytes(content);
+    if (progressBytes > rowBytes) {
+      return {
+        kind: 'too-large',
+        sizeBytes: progressBytes,
+        limitBytes: rowBytes,
+      };
+    }
+    const value = encodeJobRow(row, rowBytes - OWNER_RESERVE_BYTES);
+    const sizeBytes = valueBytes(value) + OWNER_RESERVE_BYTES;
+    return sizeBytes > rowBytes
+      ? { kind: 'too-large', sizeBytes, limitBytes: rowBytes }
+      : { kind: 'row', value };
+  }
+
   /**
    * Records a new job.
    *
    * @param id - Id of the job.
-   * @param content - Content of the submission.
+   * @param value - Value of its row from {@link encode}.
    * @param abandonAtMs - When to stop retrying, unless an attempt may still take
    *   effect.
    * @param onDone - Receives the outcome.
    */
   submit(
     id: string,
-    content: BatchContent,
+    value: string,
     abandonAtMs: number,
     onDone: (outcome: WriteOutcome, now: number) => void,
   ): void {
     const { incarnation } = this._options;
-    const row: OpenJobRow = {
-      kind: 'open',
-      owner: incarnation,
-      epoch: 0,
-      content,
-    };
     this._submitNow(partOf(id), {
       conditions: [{ key: fleetKeys.job(id), version: 0 }],
       writes: [
-        { key: fleetKeys.job(id), value: JSON.stringify(row) },
+        { key: fleetKeys.job(id), value },
         { key: fleetKeys.open(incarnation, id), value: '' },
       ],
       readBackKey: fleetKeys.job(id),
@@ -116,11 +160,11 @@
     row: OpenJobRow,
     onDone: (outcome: WriteOutcome, now: number) => void,
   ): void {
-    const { incarnation } = this._options;
+    const { incarnation, rowBytes } = this._options;
     this._submitNow(partOf(job.id), {
       conditions: [{ key: fleetKeys.job(job.id), version: job.version }],
       writes: [
-        { key: fleetKeys.job(job.id), value: JSON.stringify(row) },
+        { key: fleetKeys.job(job.id), value: encodeJobRow(row, rowBytes) },
         { key: fleetKeys.open(incarnation, job.id), value: '' },
         { key: fleetKeys.open(from, job.id), value: null },
       ],
@@ -185,7 +229,7 @@
   ): void {
     job.hasProgressRow = true;
     const key = fleetKeys.progress(job.id);
-    const value = encodeProgress(progress);
+    const value = encodeProgress(progress, this._options.rowBytes);
     this._deferred.push({
       dueMs: now + BATCH_DELAY_MS,
       part: partOf(job.id),
--- a/packages/core/src/lib/process/owned-job.ts
+++ b/packages/core/src/lib/process/owned-job.ts
@@ -30,6 +30,11 @@
   hasUnsavedCrash: boolean;
   /** Whether a write of the job's progress is pending. */
   isSaving: boolean;
+  /**
+   * Whether the store has rejected the job's progress for good, so that its ends
+   * wait for the final state.
+   */
+  isProgressRejected: boolean;
   /** Whether the final state is set and is being recorded. */
   isFinishing: boolean;
   /** Reply ids of cancel calls that wait until the final state is recorded. */
--- a/packages/core/src/lib/process/owned-row.ts
+++ b/packages/core/src/lib/process/owned-row.ts
@@ -144,6 +144,9 @@
       case 'refused':
         this._retryAtMs = now + BACKOFF_MS;
         return OwnedRowEvent.Failed;
+      case 'rejected':
+        this._retryAtMs = now + CHECK_INTERVAL_MS;
+        return OwnedRowEvent.Failed;
       case 'object':
       case 'unknown':
         this._retryAtMs = now + BACKOFF_MS;
--- a/packages/core/src/lib/process/part-stores.ts
+++ b/packages/core/src/lib/process/part-stores.ts
@@ -1,6 +1,8 @@
 import type { StoreReply, StoreRequest } from '../store.js';
 import { JOB_PARTS, partName } from './fleet-rows.js';
 import type { StoreCaller, StoreReplyHandler } from './store-client.js';
+import { DEFAULT_STORE_LIMITS } from './store-limits.js';
+import type { StoreLimits } from './store-limits.js';
 import { StoreWriter } from './store-writer.js';
 
 /** Emits a call to one part of the store. */
@@ -16,6 +18,12 @@
   readonly random: () => number;
   /** Limit on the transactions per second of this process in each part. */
   readonly writesPerSecond?: number;
+  readonly limits?: StoreLimits;
+  /**
+   * Called when the store rejects a write for good, with the key of its row and
+   * the size of its largest value in bytes.
+   */
+  readonly onRejected?: (key: string, valueBytes: number) => void;
 }
 
 /** Name of the part that holds the member rows of the processes. */
@@ -23,10 +31,7 @@
 
 const DEFAULT_WRITES_PER_SECOND = 60;
 const MAX_BACKOFF_MS = 250;
-/**
- * Maximum number of conditional writes in a transaction. The store limits the
- * number of entries in a transaction, and a conditional write has up to three.
- */
+/** Maximum number of conditional writes in a transaction. */
 const BATCH_SIZE = 20;
 
 /**
@@ -54,6 +59,8 @@
           writesPerSecond: options.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND,
           batchSize: BATCH_SIZE,
           maxBackoffMs: MAX_BACKOFF_MS,
+          limits: options.limits ?? DEFAULT_STORE_LIMITS,
+          ...(options.onRejected ? { onRejected: options.onRejected } : {}),
         },
         now,
       );
--- a/packages/core/src/lib/process/store-writer.ts
+++ b/packages/core/src/lib/process/store-writer.ts
@@ -1,5 +1,11 @@
 import type { Condition, Row, StoreReply, Write } from '../store.js';
 import type { StoreCaller } from './store-client.js';
+import {
+  countEntries,
+  largestValueBytes,
+  transactionBytes,
+} from './store-limits.js';
+import type { StoreLimits } from './store-limits.js';
 import { TokenBucket } from './token-bucket.js';
 
 /** Outcome of a conditional write. */
@@ -11,6 +17,14 @@
    * they may include keys of other writes in the same transaction.
    */
   | { readonly kind: 'conflict'; readonly keys: readonly string[] }
+  /**
+   * The store never performs the write, e.g. because it exceeds a limit.
+   */
+  | {
+      readonly kind: 'rejected';
+      /** Size of the largest value of the write, in bytes. */
+      readonly valueBytes: number;
+    }
   /** The write was abandoned; it did not take effect and never will. */
   | { readonly kind: 'abandoned' };
 
@@ -44,8 +58,21 @@
   readonly batchSize?: number;
   /** Maximum backoff before a retry. */
   readonly maxBackoffMs?: number;
+  /** Limits of the store; a write that exceeds one is not sent. */
+  readonly limits?: StoreLimits;
+  /**
+   * Called when a write is rejected for good, with the key of its row and the
+   * size of its largest value in bytes.
+   */
+  readonly onRejected?: (key: string, valueBytes: number) => void;
 }
 
+const NO_LIMITS: StoreLimits = {
+  rowBytes: Number.POSITIVE_INFINITY,
+  entries: Number.POSITIVE_INFINITY,
+  transactionBytes: Number.POSITIVE_INFINITY,
+};
+
 const DEFAULT_WRITES_PER_SECOND = 40;
 const DEFAULT_BATCH_SIZE = 64;
 const DEFAULT_MAX_BACKOFF_MS = 1000;
@@ -59,6 +86,9 @@
  * a lost reply the rows are read back before the writes are retried. A retry
  * carries the same unique value under the same conditions, so an earlier
  * attempt that takes effect late is recognized and can't be applied twice.
+ *
+ * A transaction that the store rejects for good is halved until the write at
+ * fault is alone, so that only this write fails.
  */
 export class StoreWriter {
   private readonly _store: StoreCaller;
@@ -68,6 +98,12 @@
   private readonly _rateLimit: TokenBucket;
   private _queue: ConditionalWrite[] = [];
   private _batch: ConditionalWrite[] = [];
+  private readonly _limits: StoreLimits;
+  private readonly _onRejected: (key: string, valueBytes: number) => void;
+  /** Parts of a rejected transaction that are sent before the queue. */
+  private _rejectedParts: ConditionalWrite[][] = [];
+  /** Uncertain writes that the store has rejected since. */
+  private readonly _rejected = new Set<ConditionalWrite>();
   /** Writes of the batch that must be read back before the next attempt. */
   private readonly _toReadBack = new Set<ConditionalWrite>();
   /** Writes that have an earlier attempt which may still take effect. */
@@ -86,6 +122,8 @@
     this._random = options.random;
     this._batchSize = options.batchSize ?? DEFAULT_BATCH_SIZE;
     this._maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
+    this._limits = options.limits ?? NO_LIMITS;
+    this._onRejected = options.onRejected ?? (() => undefined);
     this._rateLimit = new TokenBucket(
       { ratePerSecond: rate, burst: rate },
       now,
@@ -94,7 +132,11 @@
 
   /** Number of writes without an outcome. */
   get pending(): number {
-    return this._queue.length + this._batch.length;
+    return (
+      this._queue.length +
+      this._batch.length +
+      this._rejectedParts.reduce((sum, part) => sum + part.length, 0)
+    );
   }
 
   /** Whether the store refused or did not answer the last call. */
@@ -124,12 +166,30 @@
     if (!this._rateLimit.take(1, now)) {
       return;
     }
-    this._fillBatch();
-    this._transact();
+    this._fillBatch(now);
+    if (this._batch.length > 0) {
+      this._transact();
+    }
+  }
+
+  private _fillBatch(now: number): void {
+    if (this._batch.length === 0) {
+      this._batch = this._rejectedParts.shift() ?? [];
+      if (this._batch.length > 0) {
+        return;
+      }
+    }
+    if (this._rejectedParts.length > 0) {
+      return;
+    }
+    this._takeFromQueue(now);
   }
 
-  private _fillBatch(): void {
+  private _takeFromQueue(now: number): void {
     const remaining = this._batchSize - this._batch.length;
+    const oversized: ConditionalWrite[] = [];
+    let entries = sumOf(this._batch, countEntries);
+    let bytes = sumOf(this._batch, transactionBytes);
     const touched = new Set(this._batch.flatMap(touchedKeys));
     const written = new Set(this._batch.flatMap(writtenKeys));
     const deferred: ConditionalWrite[] = [];
@@ -143,14 +203,42 @@
         conditionKeys(write).some((key) => written.has(key));
       addAll(touched, touchedKeys(write));
       addAll(written, writtenKeys(write));
-      if (added < remaining && !overlaps) {
+      if (added >= remaining || overlaps) {
+        deferred.push(write);
+        continue;
+      }
+      const ownEntries = countEntries(write);
+      const ownBytes = transactionBytes(write);
+      if (this._isOversized(write, ownEntries, ownBytes)) {
+        oversized.push(write);
+      } else if (
+        entries + ownEntries > this._limits.entries ||
+        bytes + ownBytes > this._limits.transactionBytes
+      ) {
+        deferred.push(write);
+      } else {
         this._batch.push(write);
         added += 1;
-      } else {
-        deferred.push(write);
+        entries += ownEntries;
+        bytes += ownBytes;
       }
     }
     this._queue = deferred;
+    for (const write of oversized) {
+      this._reject(write, now);
+    }
+  }
+
+  private _isOversized(
+    write: ConditionalWrite,
+    entries: number,
+    bytes: number,
+  ): boolean {
+    return (
+      entries > this._limits.entries ||
+      bytes > this._limits.transactionBytes ||
+      largestValueBytes(write) > this._limits.rowBytes
+    );
   }
 
   private _transact(): void {
@@ -177,6 +265,10 @@
       case 'refused':
         this._backOff(now);
         return;
+      case 'rejected':
+        this._failures = 0;
+        this._onTransactionRejected(now);
+        return;
       case 'rows':
       case 'object':
       case 'unknown':
@@ -200,6 +292,30 @@
     this._finish(certain, { kind: 'conflict', keys }, now);
   }
 
+  private _onTransactionRejected(now: number): void {
+    const [write, ...others] = this._batch;
+    if (!write) {
+      return;
+    }
+    if (others.length > 0) {
+      const half = Math.ceil(this._batch.length / 2);
+      this._rejectedParts.unshift(this._batch.slice(half));
+      this._batch = this._batch.slice(0, half);
+    } else if (this._uncertain.has(write)) {
+      // An earlier attempt may have been performed.
+      this._rejected.add(write);
+      this._toReadBack.add(write);
+    } else {
+      this._reject(write, now);
+    }
+  }
+
+  private _reject(write: ConditionalWrite, now: number): void {
+    const valueBytes = largestValueBytes(write);
+    this._onRejected(write.readBackKey, valueBytes);
+    this._finish([write], { kind: 'rejected', valueBytes }, now);
+  }
+
   private _readBack(): void {
     this._busy = true;
     const batch = this._batch;
@@ -233,6 +349,8 @@
       const keys = failedConditions(write, found);
       if (keys.length > 0) {
         this._finish([write], { kind: 'conflict', keys }, now);
+      } else if (this._rejected.has(write)) {
+        this._reject(write, now);
       } else {
         this._toReadBack.delete(write);
       }
@@ -249,6 +367,7 @@
     for (const write of finished) {
       this._toReadBack.delete(write);
       this._uncertain.delete(write);
+      this._rejected.delete(write);
       write.onDone(outcome, now);
     }
   }
@@ -278,6 +397,9 @@
   }
 }
 
+const sumOf = <T>(items: readonly T[], sizeOf: (item: T) => number): number =>
+  items.reduce((sum, item) => sum + sizeOf(item), 0);
+
 const conditionKeys = (write: ConditionalWrite): string[] =>
   write.conditions.map((condition) => condition.key);
 
--- a/packages/core/src/lib/store.ts
+++ b/packages/core/src/lib/store.ts
@@ -41,8 +41,10 @@
 /**
  * Reply to a call to the table service or the object store.
  *
- * `refused` proves that the call did not take effect. `unknown` proves nothing:
- * the call may have taken effect or may still do so.
+ * `refused` proves that the call did not take effect; it may succeed later.
+ * `rejected` proves the same, and that the call never will succeed, e.g. because
+ * it exceeds a limit. `unknown` proves nothing: the call may have taken effect or
+ * may still do so.
  */
 export type StoreReply =
   /** All rows written have this version, which is higher than any earlier. */
@@ -54,6 +56,7 @@
   /** The object, or `undefined` if there is none under the key. */
   | { readonly kind: 'object'; readonly body: string | undefined }
   | { readonly kind: 'refused' }
+  | { readonly kind: 'rejected' }
   | { readonly kind: 'unknown' };
 
 /** Keys of stored rows and objects. */
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -526,3 +526,79 @@
   const reply = { kind: 'state', state: BatchState.Running } as const;
   expect(harness.replies.get(2)).toEqual(reply);
 });
+
+const OTHER_ID = '00000000000010a1';
+const RECORDED = { ...CONTENT, isVolatile: false };
+
+// Guards against an accepted job that stops all writes of its part of the store.
+it('a job that the store can not hold is refused with its size and the limit', () => {
+  const harness = withWorker();
+  expect(partOf(OTHER_ID)).toEqual(partOf(ID));
+  harness.submit(1, { ...RECORDED, spec: 'ß'.repeat(40_000) });
+  const reply = harness.replies.get(1);
+  expect(reply?.kind).toEqual('too-large');
+  expect(reply?.kind === 'too-large' && reply.detail).toEqual(
+    'the job takes up to 80340 bytes in the store, more than the limit of 65536 bytes',
+  );
+  harness.submit(2, RECORDED, OTHER_ID);
+  expect(harness.replies.get(2)).toEqual({ kind: 'accepted' });
+  expect(harness.started.length).toEqual(2);
+});
+
+it('the limit of a row comes from the options', () => {
+  const rows = new FakeRows();
+  const harness = new EntryHarness(rows, 'e1', 'entry-1', {
+    storeLimits: { rowBytes: 300 },
+  });
+  harness.advance(100);
+  harness.submit(1, RECORDED);
+  expect(harness.replies.get(1)?.kind).toEqual('too-large');
+});
+
+// Guards against a job of so many tasks that its progress outgrows the limit.
+it('a job whose progress may outgrow a row is refused', () => {
+  const harness = withWorker();
+  const [step] = CONTENT.steps;
+  harness.submit(1, {
+    ...RECORDED,
+    steps: step ? [{ ...step, count: 20_000 }] : [],
+  });
+  expect(harness.replies.get(1)?.kind).toEqual('too-large');
+});
+
+it('a job that the store rejects fails alone', () => {
+  const rows = new FakeRows();
+  rows.rejects = (writes) => writes.some(({ key }) => key === `job/${ID}`);
+  const harness = withWorker(rows);
+  harness.submit(1, RECORDED);
+  harness.submit(2, RECORDED, OTHER_ID);
+  expect(harness.replies.get(1)?.kind).toEqual('too-large');
+  expect(harness.replies.get(2)).toEqual({ kind: 'accepted' });
+});
+
+// Guards against ends that are never acknowledged, and against rejected progress
+// that is written again and again.
+it('ends of a job whose progress is rejected are acknowledged at its end', () => {
+  const rows = new FakeRows();
+  const harness = withWorker(rows);
+  let rejected = 0;
+  rows.rejects = (writes) => {
+    const isProgress = writes.some(
+      ({ key, value }) => key.startsWith('progress/') && value !== null,
+    );
+    rejected += isProgress ? 1 : 0;
+    return isProgress;
+  };
+  harness.submit(1, RECORDED);
+  harness.report('w1', { ends: [done(`${ID}.0.0.0`)] });
+  for (let turn = 0; turn < 10; turn += 1) {
+    harness.advance(200);
+    harness.report('w1');
+    harness.answerChanges();
+  }
+  expect(rejected).toEqual(1);
+  expect(harness.acknowledged).toEqual([]);
+  harness.report('w1', { ends: [done(`${ID}.0.0.1`, 1, 2)] });
+  harness.advance(800);
+  expect(harness.acknowledged).toEqual([1, 2]);
+});
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -8,7 +8,7 @@
   BatchReply,
 } from '../lib/process/batch-events.js';
 import type { BatchContent } from '../lib/request/batch-job.js';
-import type { StoreReply, StoreRequest } from '../lib/store.js';
+import type { StoreReply, StoreRequest, Write } from '../lib/store.js';
 
 export const CAPACITY = { cpuMilli: 16_000, memoryMb: 65_536, accelerators: 0 };
 export const ID = '00000000000000a1';
@@ -26,6 +26,8 @@
 /** In-memory store with rows by part and key. */
 export class FakeRows {
   isUnavailable = false;
+  /** Whether the store rejects a transaction for good. */
+  rejects: (writes: readonly Write[]) => boolean = () => false;
   version = 1;
   readonly rows = new Map<string, { value: string; version: number }>();
 
@@ -36,6 +38,9 @@
     const at = (key: string): string => `${part}|${key}`;
     switch (req.kind) {
       case 'transact': {
+        if (this.rejects(req.writes)) {
+          return { kind: 'rejected' };
+        }
         const keys = req.conditions
           .filter((c) => (this.rows.get(at(c.key))?.version ?? 0) !== c.version)
           .map((c) => c.key);
@@ -192,6 +197,13 @@
     );
   }
 
+  /** Numbers of the ends that the workers need not list any more. */
+  get acknowledged(): number[] {
+    return this.orders.flatMap(({ order }) =>
+      order.recorded.map(({ number }) => number),
+    );
+  }
+
   get stopped(): string[] {
     return this.orders.flatMap(({ order }) =>
       order.stops.map((run) => `${run.task}#${String(run.run)}`),
--- a/packages/daemon/src/lib/process/fleet-metrics.ts
+++ b/packages/daemon/src/lib/process/fleet-metrics.ts
@@ -46,6 +46,13 @@
     labelNames: ['queue', 'reason'] as const,
     registers: [this.registry],
   });
+  /** Any increase needs attention: what the write should record is lost. */
+  readonly rejectedWrites = new Counter({
+    name: 'sapphiremux_rejected_store_writes_total',
+    help: 'Writes that the store rejected for good, by table.',
+    labelNames: ['table'] as const,
+    registers: [this.registry],
+  });
   readonly serviceRate = new Gauge({
     name: 'sapphiremux_service_rate_cores',
     help: 'Work started per millisecond while jobs wait, in cores.',
@@ -89,7 +96,10 @@
    */
   onDecision(decision: string, fields: LogFields): void {
     this.decisions.inc(decision);
-    if (decision === 'job refused') {
+    if (decision === 'store write rejected') {
+      const table = String(fields.key).split('/', 1)[0] ?? '';
+      this.rejectedWrites.inc({ table });
+    } else if (decision === 'job refused') {
       const { queue = '', reason = '' } = fields;
       this.refusedJobs.inc({ queue: String(queue), reason: String(reason) });
     }
