Let the store stand-ins perform late writes and enforce the limits

- SimTable and TableStore reject transactions over 100 entries, 1 MB or 65,536 bytes in a row, and end pages at 500 rows or 1 MB.
TableStore also rejects names over 200 bytes and entries of several parts.
- While replies are lost, SimTable performs half of the unanswered writes 1 to 6 s late (the estate world is as before), TableStore each third transaction.
- The fleet fuzzer makes one job near or over the limit of a row, by the seed of the simulation; it ends each scenario with a planned replacement of a worker while replies are lost, and then submits to each entry a job for each worker.
The commands that a seed generates are unchanged; their course differs where replies are lost.

Ruled out: a new mode of the store in the generated commands, which would change what all seeds and recorded paths mean.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,7 @@
 export type { OverloadOptions } from './lib/scheduling/overload-options.js';
 export * from './lib/process/batch-events.js';
 export {
+  JOB_PARTS,
   MEMBER_TABLE,
   decodeWorkerRow,
   fleetKeys,
@@ -45,6 +46,7 @@
   countEntries,
   largestValueBytes,
   transactionBytes,
+  valueBytes,
 } from './lib/process/store-limits.js';
 export type { StoreLimits } from './lib/process/store-limits.js';
 export { MEMBER_PART } from './lib/process/part-stores.js';
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -221,7 +221,8 @@
     if (!job) {
       return;
     }
-    job.mayHaveBeenAccepted ||= reply?.kind !== 'refused';
+    job.mayHaveBeenAccepted ||=
+      reply?.kind !== 'refused' && reply?.kind !== 'too-large';
     if (reply?.kind === 'accepted') {
       job.acceptedAtMs ??= this._options.now();
     }
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -1,4 +1,4 @@
-import { BatchState } from '@sapphiremux/core';
+import { BatchState, JOB_PARTS } from '@sapphiremux/core';
 import type { BatchContent, JobStepContent } from '@sapphiremux/core';
 import type { NetworkFault } from '../sim/network.js';
 import type { Violation } from '../sim/oracle.js';
@@ -8,8 +8,9 @@
 import type { FleetWorldOptions } from './fleet-world.js';
 import type { SimBatchEntry } from './sim-batch-entry.js';
 import type { SimDriver } from './sim-driver.js';
-import { encodeSpec } from './sim-spec.js';
-import { WorkerMode } from './sim-worker.js';
+import { encodeSpec, padSpec } from './sim-spec.js';
+import { MAX_LATE_MS, StoreMode } from '../sim/faulty-store.js';
+import { DRAIN_DURATION_MS, WorkerMode } from './sim-worker.js';
 import type { SimWorker } from './sim-worker.js';
 
 /** Time until the entries and workers are ready. */
@@ -18,6 +19,14 @@
 const SETTLE_MS = 24_000;
 /** Time within which planned stops that have begun are completed. */
 const PLANNED_STOP_MS = 7000;
+/** Time from the begin of a store fault until a draining worker leaves. */
+const STORE_FAULT_LEAD_MS = 500;
+/** Time from the planned end of a worker to the start of the next incarnation. */
+const MAINTENANCE_MS = 2000;
+/** Time within which a registration with other content is replaced. */
+const ROW_REPAIR_MS = 2000;
+/** Time within which a job for a single idle worker ends. */
+const WORKER_JOBS_MS = 4000;
 /** Time for the replies to the final status requests. */
 const FINAL_STATUS_MS = 4000;
 
@@ -38,7 +47,7 @@
   world.configure('levy');
   queue.runUntil(STARTUP_MS);
   for (const { command, thenMs } of scenario.steps) {
-    applyCommand(world, command);
+    applyCommand(world, command, scenario.seed);
     queue.runUntil(queue.nowMs + thenMs);
   }
   // The faults last until the planned stops that have begun have ended.
@@ -54,17 +63,23 @@
   queue.runUntil(queue.nowMs + PLANNED_STOP_MS);
   recoverProcesses(world, 'restart');
   queue.runUntil(queue.nowMs + SETTLE_MS);
+  replaceWorker(world, scenario.seed);
+  submitToEachWorker(world);
   checkAcceptedJobsEnded(world);
   return world.oracle.violations;
 };
 
-const applyCommand = (world: FleetWorld, command: FleetCommand): void => {
+const applyCommand = (
+  world: FleetWorld,
+  command: FleetCommand,
+  seed: number,
+): void => {
   switch (command.kind) {
     case 'submit':
       world.submit(
         entryOf(world, command.entry),
         jobId(command.job),
-        jobContent(command.job),
+        sizedContent(command.job, seed),
         command.resend && {
           ...command.resend,
           to: entryOf(world, command.resend.to),
@@ -269,6 +284,53 @@
   }
 };
 
+/**
+ * Replaces a worker as planned while the store loses replies to writes and applies
+ * some of them late, then waits until all of them have been applied.
+ */
+const replaceWorker = (world: FleetWorld, seed: number): void => {
+  const { queue, workers } = world;
+  const worker = workers[seed % workers.length];
+  const run = (forMs: number): void => {
+    queue.runUntil(queue.nowMs + forMs);
+  };
+  worker?.drain();
+  run(DRAIN_DURATION_MS - STORE_FAULT_LEAD_MS);
+  world.setStore(StoreMode.LosingReplies);
+  run(STORE_FAULT_LEAD_MS + MAINTENANCE_MS);
+  worker?.boot();
+  run(MAINTENANCE_MS);
+  world.setStore(StoreMode.Up);
+  run(MAX_LATE_MS + ROW_REPAIR_MS);
+};
+
+/**
+ * Submits to each entry a job for each worker of the service in force that only
+ * this worker can run, and checks that the job is accepted. A worker that no entry
+ * uses leaves an accepted job unfinished.
+ */
+const submitToEachWorker = (world: FleetWorld): void => {
+  const { entries, oracle, queue } = world;
+  const workers = world.workers.filter(({ service }) => service === 'levy');
+  const ids = entries.flatMap((entry, index) =>
+    workers.map(({ vm }, workerIndex) => {
+      // The jobs of an entry are in different parts of the store.
+      const number = LAST_JOB + 1 + index * JOB_PARTS + workerIndex;
+      const content = jobContent(0);
+      world.submit(entry, jobId(number), {
+        ...content,
+        steps: content.steps.map((step) => ({ ...step, requires: vm })),
+      });
+      return jobId(number);
+    }),
+  );
+  queue.runUntil(queue.nowMs + WORKER_JOBS_MS);
+  const accepted = new Set(oracle.acceptedJobIds);
+  for (const id of ids.filter((other) => !accepted.has(other))) {
+    oracle.onUnfinishedJob(id, 'not accepted');
+  }
+};
+
 /**
  * Checks that every accepted job has completed or failed unless a cancel was
  * sent, that no cancelled job is active and that no refused job has run.
@@ -316,6 +378,24 @@
 const jobId = (job: number): string =>
   (job + 1).toString(16).padStart(ID_DIGITS, '0');
 
+const LAST_JOB = LONG_VOLATILE_JOB;
+/** A recorded job that is large in some of the scenarios. */
+const LARGE_JOB = 4;
+/** Lengths of its specification, in turn over the seeds of the simulation. */
+const LARGE_SPECS = [0, 65_000, 66_000, 250_000];
+
+/** Returns {@link jobContent}, near or over the limits of the store for one job. */
+const sizedContent = (
+  job: number,
+  seed: number,
+): Omit<BatchContent, 'service'> => {
+  const content = jobContent(job);
+  const length = LARGE_SPECS[seed % LARGE_SPECS.length] ?? 0;
+  return job === LARGE_JOB
+    ? { ...content, spec: padSpec(content.spec, length) }
+    : content;
+};
+
 /**
  * Jobs whose runs take longer than this have few tasks, because a single worker
  * may have to run all of them.
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -119,7 +119,7 @@
     const random = (): number => uniformFloat64(generator);
     const { queue } = this;
     this.network = new Network({ queue, random });
-    this.store = new SimTable({ queue, random });
+    this.store = new SimTable({ queue, random, appliesLate: true });
     this.oracle = new FleetOracle({
       workerCapacity: WORKER_CAPACITY,
       heartbeatMs: HEARTBEAT_MS,
--- a/packages/standins/src/lib/fleet-sim/sim-spec.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-spec.ts
@@ -9,6 +9,14 @@
 export const encodeSpec = (runMs: number, isDeadly: boolean): string =>
   `${String(runMs)}${isDeadly ? DEADLY_MARK : ''}`;
 
+/**
+ * @param spec - Specification of a job.
+ * @param length - Its length afterwards, in characters.
+ * @returns The specification with padding that workers ignore.
+ */
+export const padSpec = (spec: string, length: number): string =>
+  spec.padEnd(length, ' ');
+
 /** @returns Run time of the tasks of a job, in milliseconds. */
 export const runMsOf = (spec: string): number => Number.parseInt(spec);
 
--- a/packages/standins/src/lib/fleet-sim/sim-table.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-table.ts
@@ -1,3 +1,10 @@
+import {
+  DEFAULT_STORE_LIMITS,
+  countEntries,
+  largestValueBytes,
+  transactionBytes,
+  valueBytes,
+} from '@sapphiremux/core';
 import type {
   ChangedRow,
   FollowReply,
@@ -24,12 +31,16 @@
   isOpen: boolean;
 }
 
+/** Limits of the reply to a read of a range. */
+const MAX_PAGE_ROWS = 500;
+const MAX_PAGE_BYTES = 1_000_000;
 /** Timeout of a change-feed call that the store does not answer. */
 const FOLLOW_TIMEOUT_MS = 1500;
 
 /**
  * The platform's table service in virtual time: rows in parts, transactions
  * within a part, a change feed with long polling, and compaction of its history.
+ * It rejects transactions over the limits of the platform.
  */
 export class SimTable extends FaultyStore {
   /** Rows by part and key, separated by `|`. */
@@ -159,6 +170,9 @@
     part: string,
     req: Extract<StoreRequest, { kind: 'transact' }>,
   ): StoreReply {
+    if (isOverLimit(req)) {
+      return { kind: 'rejected' };
+    }
     const rowId = (key: string): string => `${part}|${key}`;
     const keys = req.conditions
       .filter(({ key, version }) => {
@@ -196,7 +210,8 @@
       .map(([id, row]) => ({ key: id.slice(partPrefix.length), ...row }))
       .filter(({ key }) => key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1))
-      .slice(0, limit);
+      .slice(0, Math.min(limit, MAX_PAGE_ROWS))
+      .filter(isWithinPage());
   }
 
   private _replyIfChanged(follower: Follower): void {
@@ -225,3 +240,19 @@
     });
   }
 }
+
+const isOverLimit = (
+  req: Extract<StoreRequest, { kind: 'transact' }>,
+): boolean =>
+  countEntries(req) > DEFAULT_STORE_LIMITS.entries ||
+  transactionBytes(req) > DEFAULT_STORE_LIMITS.transactionBytes ||
+  largestValueBytes(req) > DEFAULT_STORE_LIMITS.rowBytes;
+
+/** Returns a filter for successive rows that ends a page at its size. */
+const isWithinPage = (): ((row: Row) => boolean) => {
+  let bytes = 0;
+  return ({ key, value }) => {
+    bytes += valueBytes(key) + valueBytes(value);
+    return bytes <= MAX_PAGE_BYTES;
+  };
+};
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -82,7 +82,7 @@
  * Longer than the time after which a draining worker may receive no more starts,
  * so that the oracle notices later ones.
  */
-const DRAIN_DURATION_MS = 2500;
+export const DRAIN_DURATION_MS = 2500;
 /** Capacity of each simulated worker that was not resized. */
 export const WORKER_CAPACITY: Room = {
   cpuMilli: 4000,
@@ -120,6 +120,15 @@
     this.boot();
   }
 
+  /** Name of the VM, which is also a label of the worker. */
+  get vm(): string {
+    return this._vm;
+  }
+
+  get service(): string {
+    return this._options.service;
+  }
+
   /** Whether the worker is up and accepts new runs. */
   get isAccepting(): boolean {
     return this._isUp && !this._isDraining;
--- a/packages/standins/src/lib/platform/table-store.ts
+++ b/packages/standins/src/lib/platform/table-store.ts
@@ -28,6 +28,20 @@
 /** Maximum wait of a call for changes. */
 const MAX_FEED_WAIT_MS = 30_000;
 
+/** Limits of a transaction. */
+const MAX_ENTRIES = 100;
+const MAX_TRANSACTION_BYTES = 1_000_000;
+const MAX_ROW_BYTES = 65_536;
+const MAX_NAME_BYTES = 200;
+/** Limits of the reply to a read of a range. */
+const MAX_PAGE_ROWS = 500;
+const MAX_PAGE_BYTES = 1_000_000;
+
+/** Of this many transactions without a reply one is executed late. */
+const LATE_INTERVAL = 3;
+/** Delays of the transactions that are executed late, in turn. */
+const LATE_MS = [5000, 1000, 3000, 6000];
+
 /** Delay of each call in the slow modes. */
 const SLOW_CALL_MS = 400;
 
@@ -42,14 +56,18 @@
   Slow = 'slow',
   /** Executes calls at once and replies after a delay. */
   SlowReplies = 'slow-replies',
-  /** Executes calls and does not reply to them. */
+  /**
+   * Executes calls and does not reply to them. Some transactions are executed
+   * seconds later.
+   */
   LosingReplies = 'losing-answers',
 }
 
 /**
  * Fake of the platform's table service, with its HTTP interface: rows with
  * versions, conditional transactions, range reads and a change feed with long
- * polling. It can be set to fail.
+ * polling. It rejects calls over the limits of the service, and can be set to
+ * fail.
  */
 export class TableStore {
   mode = TableStoreMode.Serving;
@@ -59,6 +77,8 @@
   private _changes: Change[] = [];
   private _compactedThrough = 0;
   private _version = 1;
+  private _lostTransactions = 0;
+  private readonly _lateTimers = new Set<NodeJS.Timeout>();
   private _pendingFeeds = new Set<() => void>();
   private _server: JsonServer | undefined;
 
@@ -85,6 +105,9 @@
     for (const wake of this._pendingFeeds) {
       wake();
     }
+    for (const timer of this._lateTimers) {
+      clearTimeout(timer);
+    }
     await this._server?.close();
   }
 
@@ -135,11 +158,30 @@
         return response;
       }
       case TableStoreMode.LosingReplies:
-        await this._execute(req);
+        await this._executeWithoutReply(req);
         return undefined;
     }
   }
 
+  private async _executeWithoutReply(req: JsonRequest): Promise<void> {
+    if (req.path === '/rows-tx') {
+      this._lostTransactions += 1;
+      const turn = this._lostTransactions / LATE_INTERVAL;
+      if (Number.isInteger(turn)) {
+        const timer = setTimeout(
+          () => {
+            this._lateTimers.delete(timer);
+            void this._execute(req);
+          },
+          LATE_MS[turn % LATE_MS.length],
+        );
+        this._lateTimers.add(timer);
+        return;
+      }
+    }
+    await this._execute(req);
+  }
+
   private async _execute(req: JsonRequest): Promise<JsonResponse> {
     switch (req.path) {
       case '/rows-tx':
@@ -154,6 +196,10 @@
   }
 
   private _transact(tx: Transaction): JsonResponse {
+    const detail = findExcess(tx);
+    if (detail !== undefined) {
+      return { status: 400, body: { error: detail } };
+    }
     const failed = tx.expected_rev.some(
       (row) =>
         (this._rows.get(rowId(row))?.row_version ?? 0) !== row.row_version,
@@ -198,7 +244,10 @@
     const part = query.get('part') ?? '';
     const from = query.get('from') ?? '';
     const target = query.get('target');
-    const limit = Number(query.get('limit') ?? 500);
+    const limit = Math.min(
+      MAX_PAGE_ROWS,
+      Number(query.get('limit') ?? MAX_PAGE_ROWS),
+    );
     const found = [...this._rows.values()]
       .filter(
         (row) =>
@@ -208,11 +257,12 @@
           (target === null || row.key < target),
       )
       .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const rows = firstPage(found.slice(0, limit));
     return {
       status: 200,
       body: {
-        rows: found.slice(0, limit),
-        has_more: found.length > limit,
+        rows,
+        has_more: found.length > rows.length,
         row_version: this._version,
       },
     };
@@ -245,6 +295,42 @@
   }
 }
 
+/** Returns the limit that a transaction exceeds, if there is one. */
+const findExcess = (tx: Transaction): string | undefined => {
+  const entries: RowKey[] = [...tx.expected_rev, ...tx.writes, ...tx.remove];
+  const names = entries.flatMap(({ table, part = '', key }) => [
+    table,
+    part,
+    key,
+  ]);
+  const parts = new Set(entries.map(({ part = '' }) => part));
+  if (entries.length > MAX_ENTRIES) {
+    return `more than ${String(MAX_ENTRIES)} entries`;
+  }
+  if (Buffer.byteLength(JSON.stringify(tx)) > MAX_TRANSACTION_BYTES) {
+    return `more than ${String(MAX_TRANSACTION_BYTES)} bytes`;
+  }
+  if (tx.writes.some(({ value }) => decodedBytes(value) > MAX_ROW_BYTES)) {
+    return `a value of more than ${String(MAX_ROW_BYTES)} bytes`;
+  }
+  if (names.some((name) => Buffer.byteLength(name) > MAX_NAME_BYTES)) {
+    return `a name of more than ${String(MAX_NAME_BYTES)} bytes`;
+  }
+  return parts.size > 1 ? 'entries of several parts' : undefined;
+};
+
+/** Returns the first rows that fit into one reply, at least one. */
+const firstPage = (rows: readonly StoredRow[]): StoredRow[] => {
+  let bytes = 0;
+  return rows.filter((row, index) => {
+    bytes += Buffer.byteLength(JSON.stringify(row));
+    return index === 0 || bytes <= MAX_PAGE_BYTES;
+  });
+};
+
+const decodedBytes = (value: string): number =>
+  Buffer.byteLength(value, 'base64');
+
 /** @returns Part of the store that a call reads or writes. */
 export const partOfCall = ({ query, body }: JsonRequest): string =>
   query.get('part') ?? (body as Transaction | undefined)?.writes[0]?.part ?? '';
--- a/packages/standins/src/lib/sim/faulty-store.ts
+++ b/packages/standins/src/lib/sim/faulty-store.ts
@@ -10,7 +10,10 @@
   Unresponsive = 'silent',
   /** Responds late, sometimes after the caller's timeout. */
   Slow = 'slow',
-  /** Applies all calls but loses the reply to half of the writes. */
+  /**
+   * Applies all calls but loses the reply to half of the writes; see also
+   * {@link FaultyStoreOptions.appliesLate}.
+   */
   LosingReplies = 'losing-answers',
 }
 
@@ -19,6 +22,11 @@
   readonly queue: EventQueue;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
+  /**
+   * Whether every second write without a reply is applied only
+   * {@link MIN_LATE_MS} to {@link MAX_LATE_MS} later.
+   */
+  readonly appliesLate?: boolean;
 }
 
 /** A store call and the callbacks that carry it out. */
@@ -40,6 +48,11 @@
 const MAX_SLOW_LATENCY_MS = 1600;
 /** Fraction of the writes whose reply is lost. */
 const REPLY_LOSS_RATE = 0.5;
+/** Fraction of the writes without a reply that are applied late. */
+const LATE_RATE = 0.5;
+const MIN_LATE_MS = 1000;
+/** Maximum delay of a write that is applied late. */
+export const MAX_LATE_MS = 6000;
 
 /**
  * Base class of simulated stores. Applies latency and the current fault to
@@ -49,11 +62,13 @@
   mode = StoreMode.Up;
   protected readonly queue: EventQueue;
   private readonly _random: () => number;
+  private readonly _appliesLate: boolean;
 
-  /** @param options - Event queue and random source. */
-  constructor({ queue, random }: FaultyStoreOptions) {
+  /** @param options - Event queue, random source and late writes. */
+  constructor({ queue, random, appliesLate = false }: FaultyStoreOptions) {
     this.queue = queue;
     this._random = random;
+    this._appliesLate = appliesLate;
   }
 
   /** @returns The mode that a caller observes, which a partition overrides. */
@@ -86,7 +101,9 @@
         return;
       case StoreMode.LosingReplies:
         if (isWrite(call.req) && this._random() < REPLY_LOSS_RATE) {
-          this.queue.after(latencyMs, () => call.apply());
+          this.queue.after(this._lostWriteLatencyMs(latencyMs), () =>
+            call.apply(),
+          );
           this._replyAfterTimeout(call);
         } else {
           this._applyAfter(call, latencyMs);
@@ -94,6 +111,12 @@
     }
   }
 
+  private _lostWriteLatencyMs(latencyMs: number): number {
+    return this._appliesLate && this._random() < LATE_RATE
+      ? MIN_LATE_MS + this._random() * (MAX_LATE_MS - MIN_LATE_MS)
+      : latencyMs;
+  }
+
   private _replyAfterTimeout({ onReply }: FaultyCall): void {
     this.queue.after(CALL_TIMEOUT_MS, () => {
       onReply({ kind: 'unknown' });
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -332,6 +332,55 @@
     from: 'now >= this._leaveUntilMs',
     to: 'false',
   },
+  {
+    name: 'registration written without its version and never checked',
+    file: 'process/owned-row.js',
+    from: 'conditions: [{ key, version }],',
+    to: 'conditions: [],',
+    and: {
+      from: 'Math.max(this._retryAtMs, this._checkAtMs)',
+      to: 'Number.POSITIVE_INFINITY',
+    },
+  },
+  {
+    name: 'rejected write repeated like one without a reply',
+    file: 'process/store-writer.js',
+    from: 'this._onTransactionRejected(now);',
+    to: 'this._batch.forEach((write) => this._toReadBack.add(write)); this._backOff(now);',
+    and: [
+      {
+        from: 'this._isOversized(write, ownEntries, ownBytes)',
+        to: 'false',
+      },
+      {
+        file: 'process/job-recorder.js',
+        from: 'return sizeBytes > rowBytes',
+        to: 'return false',
+      },
+    ],
+  },
+  {
+    name: 'size of a job not checked before it is accepted',
+    file: 'process/job-recorder.js',
+    from: 'return sizeBytes > rowBytes',
+    to: 'return false',
+  },
+  {
+    name: 'rejected transaction fails with all its writes',
+    file: 'process/store-writer.js',
+    from: 'if (others.length > 0) {',
+    to: 'if (others.length > 0) { this._batch.forEach((w) => this._reject(w, now)); } else if (false) {',
+    and: {
+      from: 'this._isOversized(write, ownEntries, ownBytes)',
+      to: 'false',
+    },
+  },
+  {
+    name: 'row that kept its version taken for written',
+    file: 'process/store-writer.js',
+    from: 'ownWrite && isReplaced &&',
+    to: 'ownWrite &&',
+  },
   {
     name: 'cancel of a volatile job without a reply',
     file: 'process/batch-entry.js',
@@ -354,8 +403,8 @@
 
 const run = ({ and, ...mutation }, checks) => {
   const undo = [edit(mutation)];
-  if (and) {
-    undo.unshift(edit({ file: mutation.file, ...and }));
+  for (const further of [and ?? []].flat()) {
+    undo.unshift(edit({ file: mutation.file, ...further }));
   }
   try {
     const found = checks.map((args) => check(args));
