--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -123,7 +123,7 @@
       random,
       maxRetransmissionMs: MAX_RETRANSMISSION_MS,
     });
-    this.store = new SimTable({ queue, random });
+    this.store = new SimTable({ queue, random, appliesLate: true });
     this.oracle = new FleetOracle({
       workerCapacity: WORKER_CAPACITY,
       heartbeatMs: HEARTBEAT_MS,
@@ -164,9 +164,7 @@
           clockRate: MIN_CLOCK_RATE + (1 - MIN_CLOCK_RATE) * random(),
           onHeartbeat: (worker) => driver.heartbeat(worker),
           onLeave: (id) => {
-            driver.post(() => {
-              driver.dispatch({ kind: 'leave', id });
-            });
+            driver.leave(id);
           },
         }),
       );
