Count a start that an unhealthy worker rejected as not begun

Callers saw `pending` of 0 for a queue while 56 recorded jobs waited that had been accepted over 5 s before, and callers of best-effort jobs waited for jobs of which nothing had begun, instead of being refused.

Cause: a start that a worker rejected with 429 or 503 has done nothing, but only NO_ROOM and NOT_READY counted as proof of that. The number of such refusals was compared with the run number, so a run number that was taken over from a previous owner distorted the comparison too.

`provesNotBegun` is now the only definition of the proof, and `BatchJob.mayHaveBegun` the only use of it: by the count, by the refusal of volatile jobs and by the order of placement. UNHEALTHY is a proof because a worker driver process passes a rejection on only as the answer to the only start call of a run. After a second call, or a call without an answer, it stops the run and reports NO_ANSWER, which proves nothing; a new test holds it to that. STALE_RUN is no proof, as the number may be that of a run of another entry.

With UNHEALTHY taken out of the definition, two of the new tests fail: "a job whose starts an unhealthy worker rejected is refused like one never sent" and "a job counts as pending if its starts were refused: UNHEALTHY". Ruled out: INVALID (400) as a proof, as the protocol does not say that nothing was done then.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -18,7 +18,6 @@
   LogFields,
   PeerStatus,
 } from './batch-events.js';
-import { mayHaveBegun } from './batch-order.js';
 import { CrashBulkhead } from './crash-bulkhead.js';
 import { CrashLedger } from './crash-ledger.js';
 import { EntryLease } from './entry-lease.js';
@@ -480,7 +479,7 @@
   private _pendingByQueue(): Record<string, number> {
     const pending: Record<string, number> = {};
     for (const { job } of this._jobs.values()) {
-      if (!isFinal(job.state) && !mayHaveBegun(job)) {
+      if (!isFinal(job.state) && !job.mayHaveBegun) {
         const { queue } = job.content;
         pending[queue] = (pending[queue] ?? 0) + 1;
       }
@@ -1081,7 +1080,7 @@
  * has not begun never will, so its callers may submit it again.
  */
 const abandonedReply = (ownedJob: OwnedJob, detail: string): BatchReply =>
-  mayHaveBegun(ownedJob.job)
+  ownedJob.job.mayHaveBegun
     ? { kind: 'in-doubt', detail }
     : {
         kind: 'refused',
--- a/packages/core/src/lib/process/batch-order.ts
+++ b/packages/core/src/lib/process/batch-order.ts
@@ -1,6 +1,3 @@
-import { RUNS_PER_EPOCH, TaskPhase } from '../request/batch-job.js';
-import type { BatchJob } from '../request/batch-job.js';
-
 /** Estimated completion of a waiting job, if it starts now. */
 export enum CompletionEstimate {
   /** The job can end within its latency objective. */
@@ -165,16 +162,3 @@
       return true;
   }
 };
-
-/**
- * Returns whether any run of a job may have begun. A run that a worker provably
- * refused before it began does not count.
- *
- * @param job - A job.
- * @returns Whether any of its tasks may have begun at a worker.
- */
-export const mayHaveBegun = (job: BatchJob): boolean =>
-  job.tasks.some(
-    ({ phase, run, refusals }) =>
-      phase === TaskPhase.Done || run % RUNS_PER_EPOCH > refusals,
-  );
--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -27,7 +27,6 @@
 import type { CrashLedger } from './crash-ledger.js';
 import {
   CompletionEstimate,
-  mayHaveBegun,
   reservedCapacity,
   shouldRefuse,
 } from './batch-order.js';
@@ -225,7 +224,7 @@
         if (!job.content.isVolatile) {
           return false;
         }
-        if (mayHaveBegun(job)) {
+        if (job.mayHaveBegun) {
           return waiting.isPrioritised && isUseless(waiting, now);
         }
         return shouldRefuse(waiting.estimate, {
@@ -294,7 +293,7 @@
       if (this._absence.isAbsent(service, now)) {
         for (const { job: ownedJob } of group) {
           const { job } = ownedJob;
-          if (job.content.isVolatile && !mayHaveBegun(job)) {
+          if (job.content.isVolatile && !job.mayHaveBegun) {
             unserved.push({ ownedJob, reason: SubmitRefusal.NoWorkers });
           }
         }
@@ -594,7 +593,7 @@
     waiting.estimate === CompletionEstimate.TooLate &&
     waiting.isPrioritised &&
     job.content.isVolatile &&
-    (isUseless(waiting, now) || !mayHaveBegun(job))
+    (isUseless(waiting, now) || !job.mayHaveBegun)
   );
 };
 
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -1,11 +1,6 @@
 import { EndKind, StartRefusal } from '../messages.js';
 import type { RunEnd, WorkerCrash, WorkerReport } from '../messages.js';
-import {
-  BatchState,
-  TaskPhase,
-  isFinal,
-  isPlacedAs,
-} from '../request/batch-job.js';
+import { TaskPhase, isFinal, isPlacedAs } from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
 import { jobIdOf, runKey } from '../request/run-key.js';
 import {
@@ -560,15 +555,12 @@
         break;
       case StartRefusal.NO_ROOM:
       case StartRefusal.NOT_READY:
-        // Only these two reasons prove that the run never began.
-        task.refusals += 1;
-        break;
       case StartRefusal.FENCED:
       case StartRefusal.STALE_RUN:
       case StartRefusal.UNSPECIFIED:
         break;
     }
-    ownedJob.job.requeue(task, now);
+    ownedJob.job.onRefused(task, reason, now);
     this._options.placer.onStartRefused(ownedJob.job, task);
     this._options.placer.add(ownedJob);
   }
@@ -626,11 +618,7 @@
     }
     supersedeDoneRun(ownedJob, task, run);
     if (task.phase === TaskPhase.Unknown && !isFinal(ownedJob.job.state)) {
-      task.phase = TaskPhase.Placed;
-      task.run = run;
-      task.worker = view.name;
-      task.sinceMs = now;
-      ownedJob.job.state = BatchState.Running;
+      ownedJob.job.adopt(task, run, view.name, now);
     }
     const isCurrent =
       isPlacedAs(task, run, view.name) && !isFinal(ownedJob.job.state);
--- a/packages/core/src/lib/process/volatile-admission.ts
+++ b/packages/core/src/lib/process/volatile-admission.ts
@@ -4,7 +4,6 @@
 import type { ServiceLoad } from '../scheduling/overload-control.js';
 import { SubmitRefusal } from './batch-events.js';
 import type { BatchEvent, BatchReply, LogFields } from './batch-events.js';
-import { mayHaveBegun } from './batch-order.js';
 import type { JobPlacer, UnservedJob } from './job-placer.js';
 import type { RecordedJob } from './job-recorder.js';
 import type { EndedJob, OwnedJob } from './owned-job.js';
@@ -124,7 +123,7 @@
       if (jobs.get(id) !== ownedJob) {
         continue;
       }
-      if (mayHaveBegun(job)) {
+      if (job.mayHaveBegun) {
         abandon(ownedJob, 'too late to be of use', now);
         continue;
       }
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -1,5 +1,6 @@
 import { EndKind } from '../messages.js';
-import type { Room, RunEnd } from '../messages.js';
+import type { Room, RunEnd, StartRefusal } from '../messages.js';
+import { provesNotBegun } from './start-refusal.js';
 
 /** One step of a job: a number of identical tasks. */
 export interface JobStepContent {
@@ -138,8 +139,11 @@
   checkpoint: string;
   /** Time at which it was last placed or became ready. */
   sinceMs: number;
-  /** Number of refused runs whose refusals prove that they never began. */
-  refusals: number;
+  /**
+   * Number of runs that this owner has placed and whose refusals do not prove
+   * that they never began.
+   */
+  unrefutedRuns: number;
   /** Number of the run that completed the task; 0 if none has. */
   doneRun: number;
   /** Number of the latest run whose end was reported; 0 if none was. */
@@ -229,7 +233,7 @@
         failedRuns: new Set<number>(),
         checkpoint: '',
         sinceMs: acceptedAtMs,
-        refusals: 0,
+        unrefutedRuns: 0,
         doneRun: 0,
         endedRun: 0,
         stalledStops: 0,
@@ -315,6 +319,7 @@
   place(task: BatchTask, worker: string, now: number): number {
     task.phase = TaskPhase.Placed;
     task.run += 1;
+    task.unrefutedRuns += 1;
     task.worker = worker;
     task.sinceMs = now;
     task.isStalled = false;
@@ -322,6 +327,52 @@
     return task.run;
   }
 
+  /**
+   * Whether any run of the job may have begun. A run whose refusal proves that
+   * it never began does not count; runs of a previous owner count once a worker
+   * has reported them.
+   */
+  get mayHaveBegun(): boolean {
+    return this.tasks.some(
+      ({ phase, unrefutedRuns, endedRun, failedRuns }) =>
+        phase === TaskPhase.Done ||
+        unrefutedRuns > 0 ||
+        endedRun > 0 ||
+        failedRuns.size > 0,
+    );
+  }
+
+  /**
+   * Lets a task be placed again, because the start of its run was refused.
+   *
+   * @param task - A placed task.
+   * @param reason - Why the start was refused.
+   * @param now - Current time in milliseconds.
+   */
+  onRefused(task: BatchTask, reason: StartRefusal, now: number): void {
+    if (provesNotBegun(reason)) {
+      task.unrefutedRuns -= 1;
+    }
+    this.requeue(task, now);
+  }
+
+  /**
+   * Adopts a run of a previous owner that a worker lists as active.
+   *
+   * @param task - A task of which a previous owner may have placed a run.
+   * @param run - Number of the run.
+   * @param worker - VM of the run.
+   * @param now - Current time in milliseconds.
+   */
+  adopt(task: BatchTask, run: number, worker: string, now: number): void {
+    task.phase = TaskPhase.Placed;
+    task.run = run;
+    task.unrefutedRuns += 1;
+    task.worker = worker;
+    task.sinceMs = now;
+    this.state = BatchState.Running;
+  }
+
   /**
    * Lets a task be placed again, because its latest run never began or has
    * provably ended.
--- a/packages/core/src/lib/scheduling/overload-control.ts
+++ b/packages/core/src/lib/scheduling/overload-control.ts
@@ -3,7 +3,6 @@
 import {
   CompletionEstimate,
   MAX_USEFUL_FACTOR,
-  mayHaveBegun,
 } from '../process/batch-order.js';
 import { OfferedLoad } from './offered-load.js';
 import { selectRemovals } from './overload-policy.js';
@@ -251,7 +250,7 @@
   return (
     job.content.isVolatile &&
     now - job.acceptedAtMs <= REFUSAL_SHARE * waiting.objectiveMs &&
-    !mayHaveBegun(job)
+    !job.mayHaveBegun
   );
 };
 
--- a/packages/core/src/lib/scheduling/waiting-jobs.ts
+++ b/packages/core/src/lib/scheduling/waiting-jobs.ts
@@ -7,7 +7,6 @@
 import {
   CompletionEstimate,
   compareJobs,
-  mayHaveBegun,
   orderJobs,
   rankOf,
 } from '../process/batch-order.js';
@@ -202,7 +201,7 @@
   private _weightOf(job: BatchJob): number {
     const { queue, priority } = job.content;
     const work = estimatedWork(job);
-    if (!mayHaveBegun(job)) {
+    if (!job.mayHaveBegun) {
       // The tasks of a job that has begun are not all left.
       this._values.observe(queue, work);
     }
--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 import { EndKind, StartRefusal } from '../lib/messages.js';
+import type { WorkerReport } from '../lib/messages.js';
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import { partName, partOf } from '../lib/process/fleet-rows.js';
 import { BatchState } from '../lib/request/batch-job.js';
@@ -167,10 +168,20 @@
   expect(replyAfter(StartRefusal.NO_ROOM)).toEqual('refused');
 });
 
+// Guards against a caller that waits for a job of which nothing has begun.
+it('a job whose starts an unhealthy worker rejected is refused like one never sent', () => {
+  expect(replyAfter(StartRefusal.UNHEALTHY)).toEqual('refused');
+});
+
 it('a job whose starts may have begun is never refused', () => {
   expect(replyAfter(StartRefusal.NO_ANSWER)).toEqual(undefined);
 });
 
+// Guards against a refused job of which another entry has started a run.
+it('a job whose run number was used at the worker is never refused', () => {
+  expect(replyAfter(StartRefusal.STALE_RUN)).toEqual(undefined);
+});
+
 it('volatile jobs are served while the store is unavailable', () => {
   const harness = withWorker();
   harness.rows.isUnavailable = true;
@@ -467,28 +478,54 @@
   expect(harness.replies.get(1)?.kind).toEqual('in-doubt');
 });
 
-// Guards against a count that takes a job for begun once its starts were sent,
-// also if a worker refused them all.
-it('a recorded job counts as pending until a run may have begun', () => {
+for (const reason of [
+  StartRefusal.NO_ROOM,
+  StartRefusal.NOT_READY,
+  StartRefusal.UNHEALTHY,
+]) {
+  // Guards against a count that takes a job for begun once its starts were sent,
+  // also if a worker rejected them all without doing anything.
+  it(`a job counts as pending if its starts were refused: ${StartRefusal[reason]}`, () => {
+    const harness = withWorker();
+    harness.submit(1, { isVolatile: false });
+    expect(pendingOf(harness, 10)).toEqual(0);
+    const free = { ...CAPACITY, cpuMilli: 0 };
+    harness.report('w1', { refused: bothRefused(reason), free });
+    expect(pendingOf(harness, 11)).toEqual(1);
+    harness.report('w1', { free: CAPACITY });
+    expect(pendingOf(harness, 12)).toEqual(0);
+  });
+}
+
+// Guards against a job that is shown as pending while a start of it may still be
+// carried out.
+it('a job counts as begun if one of its starts may have been carried out', () => {
   const harness = withWorker();
-  const pending = (replyId: number): number | undefined => {
-    harness.handle({ kind: 'count', replyId, queue: 'q' });
-    const reply = harness.replies.get(replyId);
-    return reply?.kind === 'count' ? reply.pending : undefined;
-  };
   harness.submit(1, { isVolatile: false });
-  expect(pending(10)).toEqual(0);
-  const refused = [0, 1].map((index) => ({
-    task: `${ID}.0.0.${String(index)}`,
-    run: 1,
-    reason: StartRefusal.NO_ROOM,
-  }));
+  const [first, second] = bothRefused(StartRefusal.UNHEALTHY);
+  const refused = [first, { ...second, reason: StartRefusal.NO_ANSWER }];
   const free = { ...CAPACITY, cpuMilli: 0 };
   harness.report('w1', { refused, free });
-  expect(pending(11)).toEqual(1);
-  harness.report('w1', { free: CAPACITY });
-  expect(pending(12)).toEqual(0);
-});
+  expect(pendingOf(harness, 10)).toEqual(0);
+});
+
+/** @returns Refusals of the first runs of both tasks of the job. */
+const bothRefused = (
+  reason: StartRefusal,
+): [WorkerReport['refused'][number], WorkerReport['refused'][number]] => [
+  { task: `${ID}.0.0.0`, run: 1, reason },
+  { task: `${ID}.0.0.1`, run: 1, reason },
+];
+
+/** @returns Number of pending jobs that the entry gives. */
+const pendingOf = (
+  harness: EntryHarness,
+  replyId: number,
+): number | undefined => {
+  harness.handle({ kind: 'count', replyId, queue: 'q' });
+  const reply = harness.replies.get(replyId);
+  return reply?.kind === 'count' ? reply.pending : undefined;
+};
 
 // Guards against an entry that acknowledges the end of a run whose job another
 // entry has adopted, so that the task starts again there.
--- a/packages/core/src/test/worker-driver.test.ts
+++ b/packages/core/src/test/worker-driver.test.ts
@@ -45,6 +45,31 @@
   expect(refusals(harness)).toEqual([StartRefusal.NO_ANSWER]);
 });
 
+// Guards against a refusal that is taken for a proof that the run has not begun,
+// while an earlier start call may still be carried out.
+it('a rejection proves nothing after a start without an answer', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  harness.answer('start', { kind: 'no-answer', detail: 'timed out' });
+  const reason = WorkerRejection.Unhealthy;
+  harness.answer('start', { kind: 'rejected', reason, clockMs: undefined });
+  expect(refusals(harness)).toEqual([]);
+  harness.answer('stop');
+  for (let polls = 0; polls < 2; polls += 1) {
+    harness.advance(10);
+    harness.answerPoll();
+  }
+  expect(refusals(harness)).toEqual([StartRefusal.NO_ANSWER]);
+});
+
+it('a rejection of the only start call is passed on', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 5700, starts: starts('j.0.0.0') });
+  const reason = WorkerRejection.Unhealthy;
+  harness.answer('start', { kind: 'rejected', reason, clockMs: undefined });
+  expect(refusals(harness)).toEqual([StartRefusal.UNHEALTHY]);
+});
+
 it('no start may begin after its owner may have abandoned it', () => {
   const harness = ready();
   harness.order({ holdUntilMs: 5100, starts: starts('j.0.0.0') });
