Let a heartbeat replace a worker only once that worker does not answer

Callers saw eight tasks of recorded jobs run twice at the same time after a heartbeat of another writer had arrived at the control address of a machine whose worker was at work.

Cause: a heartbeat with another id and a later start was taken for the next incarnation at once. The worker driver discarded the present one and reported its runs as lost, so that they started elsewhere while they were still active.

An announced incarnation now waits as a candidate until the worker itself answers: a reply with the start time of the candidate, or 421, replaces the present incarnation; a reply of the present one to a poll sent after the announcement rejects the candidate. If the worker gives no answer at all, a heartbeat of the same service still replaces it at once, as before, and one of another service waits for an answer. This holds whatever the heartbeat contains, so the driver needs no list of the configured services. A heartbeat cannot change the service within one life either. The row is updated from confirmed heartbeats only: those of a worker that has answered, or that leaves.

Ruled out: to ask the configuration for the known services, as the process on the machine does not read it; a refused connection as proof that the present incarnation has ended, as its lease is waited for in that case, too.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
 export { Configuration } from './lib/version/configuration.js';
 export type { Change, Setting, Ticket } from './lib/version/ticket.js';
 export { BatchEntry } from './lib/process/batch-entry.js';
+export { LogLimit } from './lib/process/log-limit.js';
 export { LoadShedder } from './lib/process/load-shedder.js';
 export type { BatchEntryOptions } from './lib/process/batch-entry.js';
 export type { ServiceLoad } from './lib/scheduling/overload-control.js';
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -14,6 +14,7 @@
 import { CallFailure, CrashTime } from './crash-time.js';
 import type { CrashBounds } from './crash-time.js';
 import { EndList } from './end-list.js';
+import { LogLimit } from './log-limit.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
 import { StartAdmission } from './start-admission.js';
@@ -157,6 +158,13 @@
   OtherAnswers = 'other incarnation answers',
 }
 
+/** An announced incarnation that has not been found at the address yet. */
+interface Candidate {
+  readonly worker: WorkerHeartbeat;
+  /** Number of the latest poll at the time of the announcement. */
+  readonly pollNumber: number;
+}
+
 interface PendingCall {
   readonly call: WorkerCall;
   /** Incarnation of the worker at the time of the call. */
@@ -224,6 +232,8 @@
   private readonly _fenced = new Map<string, string>();
   private _actions: WorkerAction[] = [];
   private _worker: WorkerHeartbeat | undefined;
+  private _candidate: Candidate | undefined;
+  private readonly _ignoredLog = new LogLimit();
   /** Start time of the worker's incarnation, from polls or announcements. */
   private _workerBornMs: number | undefined;
   /** Incarnation that has left last, by the time of its start. */
@@ -311,11 +321,7 @@
         this._onAnnounce(event.worker, now);
         break;
       case 'leave':
-        if (this._worker?.id === event.id) {
-          this._leftBornMs = this._worker.bornMs;
-          this._discardIncarnation(GoneReason.Left, now);
-          this._worker = undefined;
-        }
+        this._onLeave(event.id, now);
         break;
       case 'link-open':
         this._links.open(event.linkId);
@@ -389,28 +395,55 @@
     return limitMs;
   }
 
+  private _onLeave(id: string, now: number): void {
+    if (this._candidate?.worker.id === id) {
+      this._candidate = undefined;
+    }
+    if (this._worker?.id === id) {
+      this._actions.push({ kind: 'confirmed', worker: this._worker });
+      this._leftBornMs = this._worker.bornMs;
+      this._discardIncarnation(GoneReason.Left, now);
+      this._worker = undefined;
+    }
+  }
+
   private _onAnnounce(worker: WorkerHeartbeat, now: number): void {
     const known = this._worker;
     const isEarlier =
       worker.bornMs < (this._workerBornMs ?? 0) ||
       worker.bornMs <= this._leftBornMs;
     if (isEarlier || (known && isOutdatedHeartbeat(worker, known))) {
-      this._log('late announcement ignored', {
-        worker: worker.id,
-        bornMs: worker.bornMs,
-        sequence: worker.sequence,
-      });
+      this._logIgnored('it arrives late', worker, now);
       return;
     }
-    const isNew = known?.id !== worker.id || known.bornMs !== worker.bornMs;
-    if (
-      isNew &&
-      this._workerBornMs !== undefined &&
-      this._workerBornMs !== worker.bornMs
-    ) {
-      this._discardIncarnation(GoneReason.Replaced, now);
+    const isKnown =
+      this._workerBornMs === undefined ||
+      (this._workerBornMs === worker.bornMs &&
+        (!known || known.id === worker.id));
+    if (isKnown && known && known.service !== worker.service) {
+      this._logIgnored('a worker keeps its service', worker, now);
+      return;
+    }
+    if (isKnown) {
+      this._useWorker(worker);
+      return;
+    }
+    // Another writer may have sent it; its worker has to answer first.
+    this._candidate = { worker, pollNumber: this._pollCount };
+    if (this._unansweredSinceMs !== undefined) {
+      this._replaceSilentWorker(now);
     }
+  }
+
+  /** Uses a heartbeat of the present incarnation, or the first of one. */
+  private _useWorker(worker: WorkerHeartbeat): void {
+    const known = this._worker;
+    const isNew = known?.id !== worker.id || known.bornMs !== worker.bornMs;
     this._worker = worker;
+    this._candidate = undefined;
+    if (this._clock.lastReadingMs !== undefined) {
+      this._actions.push({ kind: 'confirmed', worker });
+    }
     if (isNew) {
       this._workerBornMs = worker.bornMs;
       this._log('worker announced', {
@@ -439,6 +472,42 @@
     }
   }
 
+  /**
+   * Replaces an incarnation that does not answer by an announced one. Another
+   * writer may send heartbeats for a service that does not exist; one of another
+   * service therefore has to answer first.
+   */
+  private _replaceSilentWorker(now: number): void {
+    const worker = this._candidate?.worker;
+    if (worker && worker.service === this._worker?.service) {
+      this._discardIncarnation(GoneReason.Replaced, now);
+      this._useWorker(worker);
+    }
+  }
+
+  /** Discards an announced incarnation, as the present one answers after it. */
+  private _rejectCandidate(pollNumber: number, now: number): void {
+    const candidate = this._candidate;
+    if (candidate && pollNumber > candidate.pollNumber) {
+      this._candidate = undefined;
+      this._logIgnored('another worker answers', candidate.worker, now);
+    }
+  }
+
+  private _logIgnored(why: string, worker: WorkerHeartbeat, now: number): void {
+    const suppressed = this._ignoredLog.take(now);
+    if (suppressed !== undefined) {
+      this._log('announcement ignored', {
+        why,
+        worker: worker.id,
+        service: worker.service,
+        bornMs: worker.bornMs,
+        sequence: worker.sequence,
+        suppressed,
+      });
+    }
+  }
+
   /** Reports all runs of the worker's incarnation as lost and discards it. */
   private _discardIncarnation(why: GoneReason, now: number): void {
     const isPlanned =
@@ -883,13 +952,7 @@
       this._onPollFailed(reply, now);
       return;
     }
-    if (this._workerBornMs !== reply.bornMs) {
-      if (this._workerBornMs !== undefined) {
-        this._discardIncarnation(GoneReason.Restarted, now);
-        this._worker = undefined;
-      }
-      this._workerBornMs = reply.bornMs;
-    }
+    this._onAnsweredBy(reply.bornMs, pending.pollNumber, now);
     if (this._unansweredSinceMs !== undefined) {
       this._log('worker answers again', {
         afterMs: Math.round(now - this._unansweredSinceMs),
@@ -907,6 +970,9 @@
       this._links.markAllDirty();
     }
     this._clock.observe(reply.clockMs, now);
+    if (isFirst && this._worker) {
+      this._actions.push({ kind: 'confirmed', worker: this._worker });
+    }
     this._crashTime.onAnswer(now);
     this._handleListedEnds(reply.ends, now);
     this._addUnknownRuns(reply.active, isFirst, now);
@@ -914,6 +980,26 @@
     this._stopExpiredRuns(reply.clockMs, now);
   }
 
+  /**
+   * @param bornMs - Start of the incarnation that has answered a poll.
+   * @param pollNumber - Number of the poll.
+   */
+  private _onAnsweredBy(bornMs: number, pollNumber: number, now: number): void {
+    if (this._workerBornMs === bornMs) {
+      this._rejectCandidate(pollNumber, now);
+      return;
+    }
+    if (this._workerBornMs !== undefined) {
+      this._discardIncarnation(GoneReason.Restarted, now);
+    }
+    this._worker = undefined;
+    const candidate = this._candidate?.worker;
+    if (candidate?.bornMs === bornMs) {
+      this._useWorker(candidate);
+    }
+    this._workerBornMs = bornMs;
+  }
+
   private _onPollFailed(reply: WorkerReply, now: number): void {
     this._isUnreachable = reply.kind === 'unreachable';
     this._crashTime.onFailure(this._failureOf(reply, now), now);
@@ -930,6 +1016,8 @@
     ) {
       this._discardIncarnation(GoneReason.OtherAnswers, now);
       this._worker = undefined;
+    } else {
+      this._replaceSilentWorker(now);
     }
   }
 
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -161,5 +161,10 @@
       readonly message: string;
       readonly fields: Readonly<Record<string, string | number | boolean>>;
     }
+  /**
+   * The worker of this heartbeat is the one that answers at its address, or that
+   * has left.
+   */
+  | { readonly kind: 'confirmed'; readonly worker: WorkerHeartbeat }
   /** A planned stop is complete. */
   | { readonly kind: 'stopped' };
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -52,6 +52,10 @@
   readonly reports: WorkerReport[] = [];
   readonly polls: Extract<WorkerCall, { kind: 'hold' }>[] = [];
   isStopped = false;
+  /** Ids of the heartbeats that the driver has confirmed. */
+  readonly confirmed: string[] = [];
+  /** Messages of the log lines. */
+  readonly logged: string[] = [];
   readonly calls: { callId: number; call: WorkerCall }[] = [];
   readonly driver = new WorkerDriver({
     name: 'vm',
@@ -159,7 +163,11 @@
       }
     } else if (action.kind === 'report') {
       this.reports.push(action.report);
-    } else if (action.kind === 'stopped') {
+    } else if (action.kind === 'confirmed') {
+      this.confirmed.push(action.worker.id);
+    } else if (action.kind === 'log') {
+      this.logged.push(action.message);
+    } else {
       this.isStopped = true;
     }
   }
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -3,6 +3,7 @@
   WorkerAction,
   WorkerDriverOptions,
   WorkerEvent,
+  WorkerHeartbeat,
   WorkerOrder,
   WorkerReport,
 } from '@sapphiremux/core';
@@ -27,6 +28,8 @@
   /** Address for links from the entries. */
   readonly listen: { readonly host: string; readonly port: number };
   readonly log: Log;
+  /** Called with each heartbeat of the worker that answers at its address. */
+  readonly onConfirmed: (worker: WorkerHeartbeat) => void;
   /** Called when a planned stop is complete. */
   readonly onStopped: () => void;
 }
@@ -149,6 +152,9 @@
         this.metrics.decisions.inc(action.message);
         this._options.log.info(action.message, action.fields);
         return;
+      case 'confirmed':
+        this._options.onConfirmed(action.worker);
+        return;
       case 'stopped':
         this._options.onStopped();
     }
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -36,6 +36,7 @@
   private readonly _options: SimDriverOptions;
   private _driver!: WorkerDriver;
   private _incarnation = '';
+  /** Last heartbeat of the worker that answers. */
   private _lastHeartbeat: WorkerHeartbeat | undefined;
   private _dueTickAtMs = Number.POSITIVE_INFINITY;
 
@@ -55,15 +56,7 @@
   heartbeat(worker: WorkerHeartbeat): boolean {
     const isAcknowledged = this.isAlive && !this.isPaused && !this.isBusy;
     this.post(() => {
-      const previous = this._lastHeartbeat;
-      this._lastHeartbeat = worker;
       this.dispatch({ kind: 'announce', worker });
-      if (
-        previous?.id !== worker.id ||
-        previous.accepting !== worker.accepting
-      ) {
-        this._register();
-      }
     });
     return isAcknowledged;
   }
@@ -123,6 +116,14 @@
     });
   }
 
+  private _onConfirmed(worker: WorkerHeartbeat): void {
+    const previous = this._lastHeartbeat;
+    this._lastHeartbeat = worker;
+    if (previous?.id !== worker.id || previous.accepting !== worker.accepting) {
+      this._register();
+    }
+  }
+
   private _register(): void {
     const { store, isDisconnectedFromStore, dataCentre, name } = this._options;
     const row: WorkerRow = {
@@ -168,6 +169,9 @@
       case 'report':
         this._options.onReport(action.linkId, action.report);
         return;
+      case 'confirmed':
+        this._onConfirmed(action.worker);
+        return;
       case 'stopped':
         this.kill();
         return;
