Check each number of a job at its acceptance

Callers saw a job with `"mem_mb": 62.5` accepted with 200 that never ran: the worker driver processes could not decode the orders that carried it and closed the link, on which the work of other jobs depends. Other accepted jobs could never run or end: a step with `count` 0 or 1.5, one that names itself or a later step in `after`, or a job without steps.

`invalidFieldOf` in the core states the same for the content of a job. An entry refuses what fails it, for example a queue whose configured priority is a fraction, which leaves the other queues alone. A stored job of an earlier version gets its needs rounded up when it is taken over; if it is invalid all the same, it fails with a log line that names the field. So no order that cannot be encoded comes into being.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,12 @@
 export { Configuration } from './lib/version/configuration.js';
 export type { Change, Setting, Ticket } from './lib/version/ticket.js';
 export { BatchEntry } from './lib/process/batch-entry.js';
+export {
+  MAX_COUNT,
+  MAX_TASKS,
+  invalidFieldOf,
+  isCount,
+} from './lib/request/job-content.js';
 export { LogLimit } from './lib/process/log-limit.js';
 export { LoadShedder } from './lib/process/load-shedder.js';
 export type { BatchEntryOptions } from './lib/process/batch-entry.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -5,6 +5,7 @@
   isFinal,
 } from '../request/batch-job.js';
 import type { BatchProgress, TaskCrash } from '../request/batch-job.js';
+import { invalidFieldOf, withWholeNeeds } from '../request/job-content.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
 import type { ServiceLoad } from '../scheduling/overload-control.js';
@@ -537,6 +538,14 @@
     now: number,
   ): void {
     const { id, replyId, content } = event;
+    const invalidField = invalidFieldOf(content);
+    if (invalidField !== undefined) {
+      const reason = SubmitRefusal.Invalid;
+      this._log('job refused', { job: id, reason, field: invalidField });
+      const retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+      this._reply(replyId, { kind: 'refused', reason, retryAfterMs });
+      return;
+    }
     if (content.isVolatile) {
       this._volatile.onSubmit(event, now);
       return;
@@ -903,7 +912,7 @@
     const { record, row, progress } = adopted;
     const job = new BatchJob({
       id: record.id,
-      content: row.content,
+      content: withWholeNeeds(row.content),
       epoch: row.epoch,
       acceptedAtMs: now,
       progress,
@@ -917,6 +926,20 @@
     const ownedJob = this._addJob(job, record);
     ownedJob.unsettledPredecessor = predecessor;
     this._reports.giveUpCrashing(ownedJob, now);
+    this._giveUpInvalid(ownedJob, now);
+  }
+
+  /** Fails a stored job whose tasks cannot be sent to a worker. */
+  private _giveUpInvalid(ownedJob: OwnedJob, now: number): void {
+    const { job } = ownedJob;
+    const field = invalidFieldOf(job.content);
+    if (field !== undefined && !isFinal(job.state)) {
+      this._log('job given up, a field is invalid', { job: job.id, field });
+      for (const task of job.tasks) {
+        job.giveUp(task);
+      }
+      this._finish(ownedJob, now);
+    }
   }
 
   private _onTakeoverSettled(predecessor: string, now: number): void {
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -24,6 +24,8 @@
   Stopping = 'stopping',
   /** The entry has given the job up before any of its tasks could begin. */
   Abandoned = 'abandoned',
+  /** A number of the job, or of its queue, is out of range. */
+  Invalid = 'invalid',
 }
 
 /** Reply to a call from a desk. */
