Take no run for one that never began while a list of ends may be incomplete

Cause: a worker lists 500 ends at a time. A stopped run whose end came later in the list was neither active nor among the ends, which the driver took as proof that it had never begun (NO_ANSWER). When the `failed` end was listed later, the entry acknowledged it without counting it, as the run was not the current one any more.

A list of 500 ends is now taken as incomplete: no stopped run is refused by it, and a planned stop does not end by it. As the acknowledged ends make room for others, the list becomes complete. An end `failed` of a recorded job's run counts as an attempt also if the run was given up before; runs are told apart by their numbers, so each counts once. For a volatile job only the current run counts, as its numbers may be those of another entry's runs. The stand-ins of the worker list 500 ends at most.

Ruled out: to acknowledge a late `failed` end as superseded, so that the lease lapses before.

--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -50,6 +50,8 @@
 export interface Snapshot {
   readonly active: ActiveRun[];
   readonly ends: RunEnd[];
+  /** Whether a run that is neither active nor ended here never began. */
+  readonly isComplete: boolean;
 }
 
 /** Minimum interval between reports that only update the free capacity. */
@@ -261,13 +263,15 @@
 ): WorkerReport => {
   const { report } = link;
   if (link.needsSnapshot && workerState.snapshot) {
-    link.needsSnapshot = false;
-    const { active, ends } = workerState.snapshot();
+    const { active, ends, isComplete } = workerState.snapshot();
     report.active = active;
     report.ends = [...report.ends, ...ends.filter(isMissingFrom(report.ends))];
-    report.snapshot = true;
-    report.adopted = link.adopted;
-    link.adopted = [];
+    if (isComplete) {
+      link.needsSnapshot = false;
+      report.snapshot = true;
+      report.adopted = link.adopted;
+      link.adopted = [];
+    }
   }
   if (!link.areCrashesSent) {
     link.areCrashesSent = true;
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -144,6 +144,9 @@
     for (const { task, run, reason } of report.refused) {
       this._onRefused(view, task, run, reason, now);
     }
+    for (const run of report.active) {
+      this._onActive(view, run.task, run.run, run.owner, now);
+    }
     if (report.snapshot) {
       this._onSnapshot(view, report, isNewDriver, now);
     }
@@ -571,11 +574,7 @@
     isNewDriver: boolean,
     now: number,
   ): void {
-    const active = new Set<string>();
-    for (const run of report.active) {
-      active.add(runKey(run));
-      this._onActive(view, run.task, run.run, run.owner, now);
-    }
+    const active = new Set(report.active.map(runKey));
     if (view.hasSnapshot) {
       // Only the first snapshot on a link is compared with the placed runs.
       return;
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -124,6 +124,11 @@
  * that is, as one that may carry out calls without answering them.
  */
 const UNRELIABLE_PERIOD_MS = 15_000;
+/**
+ * Number of ends that a worker lists at a time. If it lists as many, more may
+ * follow once these are acknowledged.
+ */
+const MAX_LISTED_ENDS = 500;
 /** Runs that a log line about a crash names. */
 const MAX_LOGGED_RUNS = 20;
 /**
@@ -246,6 +251,14 @@
   private _nextPollAtMs = 0;
   private _pollCount = 0;
   private _lastPollAtMs = 0;
+  /** Whether the last list of ends was complete. */
+  private _areAllEndsListed = false;
+  /**
+   * Whether any list of this incarnation's ends was complete. Before that, a run
+   * of an earlier driver process may have ended although neither the active runs
+   * nor the listed ends show it.
+   */
+  private _haveAllEndsBeenListed = false;
   /** Number through which the last poll has acknowledged ends. */
   private _sentAckThrough = 0;
   /**
@@ -527,6 +540,8 @@
       this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
     }
     this._ends.reset();
+    this._areAllEndsListed = false;
+    this._haveAllEndsBeenListed = false;
     this._sentAckThrough = 0;
     this._clock.reset();
     this._crashTime = new CrashTime();
@@ -1045,6 +1060,11 @@
   }
 
   private _handleListedEnds(ends: readonly ListedEnd[], now: number): void {
+    this._areAllEndsListed = ends.length < MAX_LISTED_ENDS;
+    if (this._areAllEndsListed && !this._haveAllEndsBeenListed) {
+      this._haveAllEndsBeenListed = true;
+      this._links.markAllDirty();
+    }
     for (const listed of ends) {
       const end: RunEnd = { ...listed, life: this._workerIncarnation };
       if (!this._ends.add(end, now)) {
@@ -1126,6 +1146,10 @@
         tracked.latestCheckpoint = listed.checkpoint;
       }
     }
+    if (!this._areAllEndsListed) {
+      // The end of a run that is not active may be one of those not listed yet.
+      return;
+    }
     for (const tracked of [...this._runs.stopped]) {
       const { stoppedAtPoll } = tracked;
       const wasPolledSince =
@@ -1358,6 +1382,7 @@
     }
     this._idleSinceMs ??= this._nowMs;
     const areEndsAcknowledged =
+      this._areAllEndsListed &&
       !this._ends.hasUnacknowledged &&
       this._sentAckThrough === this._ends.ackedThrough;
     return (
@@ -1426,6 +1451,7 @@
           : () => ({
               active: this._runs.list(),
               ends: this._ends.unrecorded,
+              isComplete: this._haveAllEndsBeenListed,
             }),
     };
     for (const { linkId, report } of this._links.flush(workerState, now)) {
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -398,8 +398,17 @@
     if (task.phase === TaskPhase.Done) {
       return;
     }
-    const isCurrent = isPlacedAs(task, end.run, worker);
-    if (!isCurrent && task.phase !== TaskPhase.Unknown) {
+    const isCurrent =
+      isPlacedAs(task, end.run, worker) || task.phase === TaskPhase.Unknown;
+    // A failed run counts as an attempt also if it was given up before. The
+    // number of a volatile job's run may be that of another entry's run.
+    const counts = isCurrent || !this.content.isVolatile;
+    if (end.kind === EndKind.FAILED && counts) {
+      task.failedRuns.add(end.run);
+      task.avoidedWorkers.add(worker);
+    }
+    if (!isCurrent) {
+      this._updateState();
       return;
     }
     task.run = Math.max(task.run, end.run);
@@ -414,10 +423,6 @@
         this.unblock(now);
         break;
       case EndKind.FAILED:
-        task.failedRuns.add(end.run);
-        task.avoidedWorkers.add(worker);
-        this._requeueIfPlaced(task, now);
-        break;
       case EndKind.STOPPED:
       case EndKind.LAPSED:
       case EndKind.BROKEN:
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -70,6 +70,8 @@
 const DEADLY_DELAY_MS = 10;
 /** Time from such a crash until the next incarnation of the worker is up. */
 const CRASH_RESTART_MS = 3000;
+/** Ends that a worker lists at a time; the others follow once these are acknowledged. */
+const MAX_LISTED_ENDS = 500;
 /** Time that a run takes to stop. */
 const STOP_DURATION_MS = 30;
 /** Maximum latency of a call, and of its reply, when no fault affects it. */
@@ -396,7 +398,7 @@
             checkpoint: '',
             percent: 100,
           })),
-          ends: [...this._listedEnds],
+          ends: this._listedEnds.slice(0, MAX_LISTED_ENDS),
         });
       },
     };
--- a/packages/standins/src/lib/platform/fleet-worker.ts
+++ b/packages/standins/src/lib/platform/fleet-worker.ts
@@ -7,6 +7,8 @@
  */
 const MAX_LEASE_MS = 1000;
 const HEARTBEAT_MS = 500;
+/** Ends that a worker lists at a time; the others follow once these are acknowledged. */
+const MAX_LISTED_ENDS = 500;
 
 interface ActiveRun {
   readonly task: string;
@@ -256,7 +258,7 @@
         '',
         100,
       ]),
-      finished: this._listedEnds,
+      finished: this._listedEnds.slice(0, MAX_LISTED_ENDS),
     });
   }
 
