Count a recorded job as pending after a start that was stopped unanswered

Callers saw `pending` of 20 while 56 recorded jobs waited: one of seven workers answered no start for 5.5 s, and had carried none out. The driver calls twice, stops the run and reports NO_ANSWER, and the job counted as begun from then on.

A NO_ANSWER of a recorded job is a proof that its run has not begun: the worker has confirmed the stop, after which it rejects the start however late it is carried out, and a complete list after that has the run neither among the active ones nor among the ends. The worker lists an end until the owner of the job has recorded it. For a volatile job it stays no proof, as the end of its run may have been acknowledged and its report lost with a link; so nothing changes for jobs that callers may be refused.

The test "a job counts as pending if its starts were refused: NO_ANSWER" fails before. STALE_RUN takes its place in the test of a job that counts as begun.

--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -350,7 +350,7 @@
    * @param now - Current time in milliseconds.
    */
   onRefused(task: BatchTask, reason: StartRefusal, now: number): void {
-    if (provesNotBegun(reason)) {
+    if (provesNotBegun(reason, this.content.isVolatile)) {
       task.unrefutedRuns -= 1;
     }
     this.requeue(task, now);
