--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -1,11 +1,6 @@
 import { EndKind, StartRefusal } from '../messages.js';
 import type { RunEnd, WorkerCrash, WorkerReport } from '../messages.js';
-import {
-  BatchState,
-  TaskPhase,
-  isFinal,
-  isPlacedAs,
-} from '../request/batch-job.js';
+import { TaskPhase, isFinal, isPlacedAs } from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
 import { jobIdOf, runKey } from '../request/run-key.js';
 import {
@@ -152,6 +147,9 @@
     for (const { task, run, reason } of report.refused) {
       this._onRefused(view, task, run, reason, now);
     }
+    for (const run of report.active) {
+      this._onActive(view, run.task, run.run, run.owner, now);
+    }
     if (report.snapshot) {
       this._onSnapshot(view, report, isNewDriver, now);
     }
@@ -563,15 +561,12 @@
         break;
       case StartRefusal.NO_ROOM:
       case StartRefusal.NOT_READY:
-        // Only these two reasons prove that the run never began.
-        task.refusals += 1;
-        break;
       case StartRefusal.FENCED:
       case StartRefusal.STALE_RUN:
       case StartRefusal.UNSPECIFIED:
         break;
     }
-    ownedJob.job.requeue(task, now);
+    ownedJob.job.onRefused(task, reason, now);
     this._options.placer.onStartRefused(ownedJob.job, task);
     this._options.placer.add(ownedJob);
   }
@@ -582,11 +577,7 @@
     isNewDriver: boolean,
     now: number,
   ): void {
-    const active = new Set<string>();
-    for (const run of report.active) {
-      active.add(runKey(run));
-      this._onActive(view, run.task, run.run, run.owner, now);
-    }
+    const active = new Set(report.active.map(runKey));
     if (view.hasSnapshot) {
       // Only the first snapshot on a link is compared with the placed runs.
       return;
@@ -629,11 +620,7 @@
     }
     supersedeDoneRun(ownedJob, task, run);
     if (task.phase === TaskPhase.Unknown && !isFinal(ownedJob.job.state)) {
-      task.phase = TaskPhase.Placed;
-      task.run = run;
-      task.worker = view.name;
-      task.sinceMs = now;
-      ownedJob.job.state = BatchState.Running;
+      ownedJob.job.adopt(task, run, view.name, now);
     }
     const isCurrent =
       isPlacedAs(task, run, view.name) && !isFinal(ownedJob.job.state);
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -58,6 +58,8 @@
   readonly closedLinks: number[] = [];
   isStopped = false;
   readonly logs: Extract<WorkerAction, { kind: 'log' }>[] = [];
+  /** Ids of the heartbeats that the driver has confirmed. */
+  readonly confirmed: string[] = [];
   readonly calls: { callId: number; call: WorkerCall }[] = [];
   readonly driver = new WorkerDriver({
     name: 'vm',
@@ -175,6 +177,9 @@
       case 'close-link':
         this.closedLinks.push(action.linkId);
         return;
+      case 'confirmed':
+        this.confirmed.push(action.worker.id);
+        return;
       case 'log':
         this.logs.push(action);
         return;
--- a/packages/daemon/src/test/worker-host.test.ts
+++ b/packages/daemon/src/test/worker-host.test.ts
@@ -85,6 +85,7 @@
         name: 'vm',
         write: () => undefined,
       }),
+      onConfirmed: () => undefined,
       onStopped: () => undefined,
     });
     this._host.dispatch({
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -41,6 +41,7 @@
   private readonly _options: SimDriverOptions;
   private _driver!: WorkerDriver;
   private _incarnation = '';
+  /** Last heartbeat of the worker that answers. */
   private _lastHeartbeat: WorkerHeartbeat | undefined;
   private _dueTickAtMs = Number.POSITIVE_INFINITY;
   private _row!: OwnedRow;
@@ -61,15 +62,7 @@
   heartbeat(worker: WorkerHeartbeat): boolean {
     const isAcknowledged = this.isAlive && !this.isPaused && !this.isBusy;
     this.post(() => {
-      const previous = this._lastHeartbeat;
-      this._lastHeartbeat = worker;
       this.dispatch({ kind: 'announce', worker });
-      if (
-        previous?.id !== worker.id ||
-        previous.accepting !== worker.accepting
-      ) {
-        this._register();
-      }
     });
     return isAcknowledged;
   }
@@ -146,6 +139,14 @@
     });
   }
 
+  private _onConfirmed(worker: WorkerHeartbeat): void {
+    const previous = this._lastHeartbeat;
+    this._lastHeartbeat = worker;
+    if (previous?.id !== worker.id || previous.accepting !== worker.accepting) {
+      this._register();
+    }
+  }
+
   private _register(): void {
     const { dataCentre, name } = this._options;
     const row: WorkerRow = {
@@ -199,6 +200,9 @@
       case 'close-link':
         this._options.onCloseLink(action.linkId);
         return;
+      case 'confirmed':
+        this._onConfirmed(action.worker);
+        return;
       case 'stopped':
         this.kill();
         return;
