--- a/packages/core/src/lib/process/job-table.ts
+++ b/packages/core/src/lib/process/job-table.ts
@@ -296,6 +296,7 @@
         this._readExistingRow(spec);
         return;
       case 'abandoned':
+      case 'rejected':
         this._endClaim(spec.id, refuseSubmission(spec, CLAIM_REFUSED));
     }
   }
--- a/packages/core/src/lib/version/ticket-service.ts
+++ b/packages/core/src/lib/version/ticket-service.ts
@@ -143,6 +143,7 @@
         }
         return;
       case 'abandoned':
+      case 'rejected':
         if (!isAnswered) {
           this._reply(replyId, STORE_UNAVAILABLE);
         }
--- a/packages/core/src/test/truncated-ends.test.ts
+++ b/packages/core/src/test/truncated-ends.test.ts
@@ -110,6 +110,8 @@
 const withAbandonedRun = (isVolatile: boolean): EntryHarness => {
   const harness = withTwoWorkers();
   harness.submit(1, { isVolatile, attempts: 2 });
+  // The run is known to have begun; others could begin late.
+  harness.report('w1');
   for (let turn = 0; turn < 80; turn += 1) {
     harness.advance(50);
     harness.report('w2', { snapshot: turn === 0 });
