--- a/packages/standins/src/test/fleet-resend.test.ts
+++ b/packages/standins/src/test/fleet-resend.test.ts
@@ -96,6 +96,9 @@
   expect(Object.keys(rules)).toEqual(['one run at a time']);
 });
 
+/** Id of the job that waits. */
+const WAITING_JOB_ID = (LONG_VOLATILE_JOB + 1).toString(16).padStart(16, '0');
+
 /** Number of seeds for which the slow entry places runs of the waiting job. */
 const countPlacements = (
   steps: readonly FleetStep[],
@@ -104,7 +107,8 @@
   SEEDS.filter((seed) => {
     const placed: string[] = [];
     const onLog = (_atMs: number, entry: string, text: string): void => {
-      if (entry === 'entry-1' && text.startsWith('runs placed')) {
+      const isPlaced = text.startsWith('runs placed');
+      if (entry === 'entry-1' && isPlaced && text.includes(WAITING_JOB_ID)) {
         placed.push(text);
       }
     };
