--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -63,6 +63,7 @@
   queue.runUntil(queue.nowMs + PLANNED_STOP_MS);
   recoverProcesses(world, 'restart');
   queue.runUntil(queue.nowMs + SETTLE_MS);
+  checkAcceptedJobsEnded(world);
   replaceWorker(world, scenario.seed);
   submitToEachWorker(world);
   checkAcceptedJobsEnded(world);
