Count a planned stop from the tick before the last one

Cause: the stop counts from the last tick, as a process that was frozen reads the signal late. After SIGCONT a tick can run before the signal is read, so the stop was counted from a time after the freeze.

The tick before the last one is from before the freeze then. A stop is up to 100 ms shorter otherwise. The race was not reproduced; the five tests of frozen, repeated and late stops and batch-host.test.ts pass with the change.

--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -105,6 +105,8 @@
   private readonly _pauses = new PauseDetector();
   private readonly _shedder = new LoadShedder(Math.random);
   private _lastTickAtMs: number | undefined;
+  /** Time of the tick before the last one. */
+  private _earlierTickAtMs: number | undefined;
   private _tickIntervalMs = IDLE_TICK_MS;
   /** Delay of the event loop at the last tick, in milliseconds. */
   private _delayMs = 0;
@@ -264,8 +266,9 @@
 
   /** Begins the planned stop of the process. */
   stop(): void {
-    // A process that was busy or frozen reads the signal late.
-    const sinceMs = this._lastTickAtMs ?? now();
+    // A process that was busy or frozen reads the signal late, possibly after its
+    // first tick since.
+    const sinceMs = this._earlierTickAtMs ?? now();
     this._plannedStop ??= { sinceMs, calls: 0, lastCallAtMs: sinceMs };
     this.dispatch({ kind: 'stop', sinceMs: this._plannedStop.sinceMs });
   }
@@ -337,6 +340,7 @@
       this._shedder.observe(this._delayMs);
       this.metrics.loopDelayMs.set(this._delayMs);
     }
+    this._earlierTickAtMs = this._lastTickAtMs;
     this._lastTickAtMs = at;
   }
 
