Use an owner row that was created late only after a confirmation

What callers would see: a recorded job is accepted with 200 and never runs (LOST). It needs an entry whose first write of an owner row gets no answer and is performed seconds late, and which stands still meanwhile and is taken over.

Cause: the condition of a creation, version 0, also holds if a successor has already looked for the row, found none to delete and listed the open jobs. The fenced entry then reads its row, takes it for a permission, and records the submissions that had waited for it. Nobody adopts them.

A row that is known later is used once a call for changes of the member table has been answered that was sent after the row was seen: either it shows the fence, or the successor will find the row and delete it. No call is added; other starts of entries are unchanged.

Ruled out: a marker that the successor writes in place of the deletion; it costs four writes a takeover and has to be deleted later, when the creation may still be performed.

Evidence: late-creations.test.ts, "an owner row that is created after a takeover admits no job" failed before (the job was accepted); "... without a takeover admits jobs" passes before and after.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -201,6 +201,7 @@
       stores: this._stores,
       incarnation: options.incarnation,
       rowBytes: limits.rowBytes,
+      confirmedAtMs: () => this._lease.confirmedAtMs,
       onFenced: () => {
         this._retire('owner row is gone');
       },
@@ -317,7 +318,7 @@
     });
     if (!this._continuesStop) {
       this._lease.register();
-      this._recorder.start();
+      this._recorder.start(now);
     }
   }
 
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -95,6 +95,14 @@
     return this._hasLease;
   }
 
+  /**
+   * Time at which the last answered call for the member table was sent. At this
+   * time no other entry had fenced this incarnation.
+   */
+  get confirmedAtMs(): number {
+    return this._members.confirmedAtMs;
+  }
+
   /** Version up to which the operators' table has been read. */
   get operatorVersion(): number {
     return this._operators.version;
--- a/packages/core/src/lib/process/job-recorder.ts
+++ b/packages/core/src/lib/process/job-recorder.ts
@@ -12,6 +12,7 @@
 import type { EndedJobRow, OpenJobRow } from './fleet-rows.js';
 import { maxProgressBytes } from './packed-rows.js';
 import type { PartStores } from './part-stores.js';
+import { SUSPECT_AFTER_MS } from './peer-monitor.js';
 import { valueBytes } from './store-limits.js';
 import type { ConditionalWrite, WriteOutcome } from './store-writer.js';
 
@@ -21,6 +22,11 @@
   readonly incarnation: string;
   /** Limit of the store on the value of a row, in bytes. */
   readonly rowBytes: number;
+  /**
+   * Returns the last time at which this incarnation is known not to have been
+   * fenced.
+   */
+  readonly confirmedAtMs: () => number;
   /** Called when the owner row is gone: this incarnation was replaced. */
   readonly onFenced: () => void;
 }
@@ -32,6 +38,14 @@
   readonly write: ConditionalWrite;
 }
 
+/** The owner row of a part, once it is known to have been created. */
+interface OwnerPart {
+  readonly part: number;
+  readonly version: number;
+  /** Time before which the row was created. */
+  readonly createdByMs: number;
+}
+
 /** The row of a new job, or why the store can't hold the job. */
 export type EncodedJob =
   | { readonly kind: 'row'; readonly value: string }
@@ -62,16 +76,28 @@
  */
 const BATCH_DELAY_MS = 30;
 
+/**
+ * Time after the start of an entry in which no other entry fences it: it would
+ * have to be unresponsive for {@link SUSPECT_AFTER_MS} first.
+ */
+const UNFENCED_MS = SUSPECT_AFTER_MS / 2;
+
 /**
  * Writes the rows of an entry's jobs to the store.
  *
  * Every write is conditional on the entry's owner row in the same part of the
- * store. A successor deletes the owner rows first, so writes of a replaced
- * owner that arrive later have no effect.
+ * store. A successor fences the entry, deletes the owner rows and lists the open
+ * jobs, so writes of a replaced owner that arrive later have no effect.
+ *
+ * The store may perform the creation of an owner row seconds late, when a
+ * successor has already found no row to delete. A row that is created late is
+ * therefore used only once the entry is known not to have been fenced since.
  */
 export class JobRecorder {
   private readonly _options: JobRecorderOptions;
   private readonly _ownerVersions = new Map<number, number>();
+  /** Owner rows that were created late, until they may be used. */
+  private _unconfirmedParts: OwnerPart[] = [];
   private _deferred: DeferredWrite[] = [];
   private _awaitingOwnerRow: { part: number; start: () => void }[] = [];
 
@@ -80,10 +106,14 @@
     this._options = options;
   }
 
-  /** Writes the owner row of each part. */
-  start(): void {
+  /**
+   * Writes the owner row of each part.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  start(now: number): void {
     for (let part = 0; part < JOB_PARTS; part += 1) {
-      this._writeOwner(part);
+      this._writeOwner(part, now);
     }
   }
 
@@ -272,11 +302,22 @@
   }
 
   /**
-   * Submits the deferred writes that are due.
+   * Submits the deferred writes that are due, and those for which an owner row
+   * may now be used.
    *
    * @param now - Current time in milliseconds.
    */
   pump(now: number): void {
+    const confirmedAtMs = this._options.confirmedAtMs();
+    const confirmed = this._unconfirmedParts.filter(
+      ({ createdByMs }) => createdByMs < confirmedAtMs,
+    );
+    for (const owner of confirmed) {
+      this._unconfirmedParts = this._unconfirmedParts.filter(
+        (other) => other !== owner,
+      );
+      this._useOwnerRow(owner);
+    }
     const due = this._deferred.filter((write) => write.dueMs <= now);
     if (due.length > 0) {
       this._deferred = this._deferred.filter((write) => write.dueMs > now);
@@ -286,31 +327,41 @@
     }
   }
 
-  private _writeOwner(part: number): void {
+  private _writeOwner(part: number, startedAtMs: number): void {
     const key = fleetKeys.owner(this._options.incarnation);
     this._options.stores.writer(partName(part)).submit({
       conditions: [{ key, version: 0 }],
       writes: [{ key, value: this._options.incarnation }],
       readBackKey: key,
-      onDone: (outcome) => {
+      onDone: (outcome, now) => {
         if (outcome.kind !== 'committed') {
           this._options.onFenced();
           return;
         }
-        this._ownerVersions.set(part, outcome.version);
-        const ready = this._awaitingOwnerRow.filter(
-          (waiting) => waiting.part === part,
-        );
-        this._awaitingOwnerRow = this._awaitingOwnerRow.filter(
-          (waiting) => waiting.part !== part,
-        );
-        for (const waiting of ready) {
-          waiting.start();
+        const owner = { part, version: outcome.version, createdByMs: now };
+        if (now - startedAtMs < UNFENCED_MS) {
+          this._useOwnerRow(owner);
+        } else {
+          this._unconfirmedParts.push(owner);
         }
       },
     });
   }
 
+  /** Starts the writes that have waited for an owner row. */
+  private _useOwnerRow({ part, version }: OwnerPart): void {
+    this._ownerVersions.set(part, version);
+    const ready = this._awaitingOwnerRow.filter(
+      (waiting) => waiting.part === part,
+    );
+    this._awaitingOwnerRow = this._awaitingOwnerRow.filter(
+      (waiting) => waiting.part !== part,
+    );
+    for (const waiting of ready) {
+      waiting.start();
+    }
+  }
+
   /** Sends a write at once, together with deferred writes to the same part. */
   private _submitNow(part: number, write: ConditionalWrite): void {
     this._send(part, write);
--- /dev/null
+++ b/packages/core/src/test/late-creations.test.ts
@@ -0,0 +1,83 @@
+import { expect } from 'earl';
+import type { StoreReply, StoreRequest } from '../lib/store.js';
+import { EntryHarness, FakeRows, ID } from './entry-harness.js';
+
+/** Time after which the jobs of an unresponsive entry have been taken over. */
+const TAKEOVER_MS = 6000;
+
+/** A store that performs the creations of some rows late, without an answer. */
+class LateRows extends FakeRows {
+  /** Prefix of the keys whose creations are late; absent if none is. */
+  latePrefix: string | undefined;
+  private readonly _late: { part: string; req: StoreRequest }[] = [];
+
+  override answer(part: string, req: StoreRequest): StoreReply {
+    const { latePrefix } = this;
+    const isLate =
+      req.kind === 'transact' &&
+      latePrefix !== undefined &&
+      req.writes.some(({ key }) => key.startsWith(latePrefix));
+    if (isLate) {
+      this._late.push({ part, req });
+      return { kind: 'unknown' };
+    }
+    return super.answer(part, req);
+  }
+
+  performLate(): void {
+    this.latePrefix = undefined;
+    for (const { part, req } of this._late.splice(0)) {
+      super.answer(part, req);
+    }
+  }
+}
+
+/** Has another entry take over the jobs of an incarnation that stands still. */
+const takeOver = (rows: FakeRows, incarnation: string): void => {
+  const successor = new EntryHarness(rows, 'e2', 'entry-2');
+  successor.advance(200);
+  successor.handle({ kind: 'probe-reply', incarnation, status: undefined });
+  for (let ms = 0; ms < TAKEOVER_MS; ms += 200) {
+    successor.advance(200);
+    successor.answerChanges();
+  }
+};
+
+const isAccepted = ({ replies }: EntryHarness, replyId: number): boolean =>
+  replies.get(replyId)?.kind === 'accepted';
+
+// Guards against a job that is accepted under an owner row which was created after
+// the takeover of its entry, so that nobody runs it.
+it('an owner row that is created after a takeover admits no job', () => {
+  const rows = new LateRows();
+  rows.latePrefix = 'owner/e1';
+  const entry = new EntryHarness(rows, 'e1', 'entry-1');
+  entry.advance(200);
+  entry.submit(1, { isVolatile: false });
+  takeOver(rows, 'e1');
+  rows.performLate();
+  entry.now += TAKEOVER_MS;
+  entry.advance(500);
+  expect(isAccepted(entry, 1)).toEqual(false);
+  expect([...rows.rows.keys()].some((key) => key.includes(ID))).toEqual(false);
+});
+
+it('an owner row that is created late without a takeover admits jobs', () => {
+  const rows = new LateRows();
+  rows.latePrefix = 'owner/e1';
+  const entry = new EntryHarness(rows, 'e1', 'entry-1');
+  entry.advance(200);
+  entry.submit(1, { isVolatile: false });
+  for (let ms = 0; ms < 3000; ms += 200) {
+    entry.advance(200);
+    entry.answerChanges();
+  }
+  expect(isAccepted(entry, 1)).toEqual(false);
+  rows.performLate();
+  // The first call for changes was sent before the row was known to exist.
+  for (let calls = 0; calls < 2; calls += 1) {
+    entry.advance(500);
+    entry.answerChanges();
+  }
+  expect(isAccepted(entry, 1)).toEqual(true);
+});
