Retire an entry whose member row was created again

What callers could see: runs of one recorded task by two entries. It needs an entry whose first write of its member row gets no answer and is performed late, after a successor has taken it over and deleted the row, while the entry stands still and the store drops its history.

Cause: the row from the late creation has no fence mark. The entry reads the whole table, finds its row unmarked, and takes it for a confirmation of its lease. Its writes would fail, its starts would not.

Fix: the entry compares the version of the row with the one that it has written. Only its own mark of a planned stop may change it.

Evidence: late-creations.test.ts, "an entry whose member row was created again retires" failed before.

--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -257,7 +257,10 @@
     const { peers, onFenced } = this._options;
     const data = row.value === null ? undefined : decodeEntryRow(row.value);
     if (incarnation === this._options.incarnation) {
-      const isReplaced = row.value === null || data?.fencedBy !== undefined;
+      // A row with another version was created again by an earlier attempt, after
+      // a successor had deleted it.
+      const isOwn = row.version === this._rowVersion || data?.hasLeft === true;
+      const isReplaced = data?.fencedBy !== undefined || !isOwn;
       if (isReplaced && this._isRegistered) {
         onFenced(`fenced by ${data?.fencedBy ?? 'a successor'}`);
       }
--- a/packages/core/src/test/late-creations.test.ts
+++ b/packages/core/src/test/late-creations.test.ts
@@ -81,3 +81,22 @@
   }
   expect(isAccepted(entry, 1)).toEqual(true);
 });
+
+// Guards against an entry that goes on with its jobs, since a late creation of its
+// member row hides that it was replaced.
+it('an entry whose member row was created again retires', () => {
+  const rows = new LateRows();
+  rows.latePrefix = 'member/entry/e1';
+  const entry = new EntryHarness(rows, 'e1', 'entry-1');
+  entry.advance(50);
+  rows.latePrefix = undefined;
+  entry.advance(500);
+  entry.answerChanges();
+  takeOver(rows, 'e1');
+  expect(rows.rows.has('|member/entry/e1')).toEqual(false);
+  rows.performLate();
+  expect(rows.rows.has('|member/entry/e1')).toEqual(true);
+  entry.now += TAKEOVER_MS;
+  entry.answerChanges();
+  expect(entry.actionKinds.includes('retire')).toEqual(true);
+});
