Give a recorded task a third attempt before it is taken for the cause

Cause: a second crash after about the same run time, with no other suspect at the worker, was taken for proof. A sound task that runs alone meets two such crashes by chance.

Decision: for a caller, recorded work that is lost costs more than another attempt. Suspects are placed apart, so the crash that the attempt may cause ends no other runs. A recorded task is therefore given up after three crashes that point to it, if they were at more than one worker. If all were at one worker, no other one could take the task and another crash would delay all jobs there: two stay enough. Volatile tasks, whose callers wait, are given up after two as before, and any task after four crashes.

Ruled out: three crashes in every case. "sound jobs beside a task that crashes their only worker complete" failed with it, a sound job ended after the bound of 31 s.

Tests of the crash ledger, the fleet simulation and its fuzzer: 73 pass.

--- a/packages/core/src/lib/process/crash-ledger.ts
+++ b/packages/core/src/lib/process/crash-ledger.ts
@@ -4,10 +4,20 @@
 
 interface CrashRecord {
   readonly crashes: TaskCrash[];
-  /** Whether the task, or another of its job, is taken for the cause. */
-  isCause: boolean;
+  /** Crashes after the first that point to the task, or another of its job. */
+  repeats: number;
 }
 
+/** Crashes after the first that have to point to a task before it is given up. */
+const MIN_REPEATS = 1;
+/**
+ * The same for a recorded task that has crashed several workers. Its caller waits
+ * however long it takes, and the crash that another attempt may cause ends no
+ * other runs, since suspects are placed apart. If all crashes were at one worker,
+ * no other could take the task, and another crash would delay all jobs there.
+ */
+const MAX_REPEATS = 2;
+
 /**
  * Crashes under a task at which it is given up, whether or not it is the cause.
  * One less than the platform allows, because a crash may stay unknown if the
@@ -40,9 +50,11 @@
  * Load pattern: jobs with a task that crashes each worker that starts it, among
  * sound tasks on the same workers. A crash ends up to a dozen runs, of which one
  * is the cause, and while such jobs come in, sound tasks see several crashes.
- * A task is the cause of a crash if it is the only one there that had seen a
- * crash before, and if it may have been active for about as long at the last one.
- * Placement keeps such suspects apart to make the first condition likely.
+ * A crash points to a task if it is the only one there that had seen a crash
+ * before, and if it may have been active for about as long at the last one.
+ * Placement keeps such suspects apart to make the first condition likely. A sound
+ * task can meet two such crashes by chance, so one that is recorded is given up
+ * after three, if there are workers to choose from.
  *
  * A crash is identified by the worker and its incarnation, so a crash that is
  * reported again is not counted twice.
@@ -66,10 +78,9 @@
       const record = this._recordOf(task);
       const last = record.crashes.at(-1);
       const taskCrash = { key, activeMs, uncertaintyMs };
-      record.isCause ||=
-        last !== undefined &&
-        suspectJobs.size === 1 &&
-        mayBeSameTime(last, taskCrash);
+      if (last && suspectJobs.size === 1 && mayBeSameTime(last, taskCrash)) {
+        record.repeats += 1;
+      }
       record.crashes.push(taskCrash);
     }
     this._evict();
@@ -102,7 +113,7 @@
 
   /** @returns Whether the worker of a VM has crashed under the task. */
   hasCrashed(worker: string, task: string): boolean {
-    return this.crashesOf(task).some(({ key }) => key.startsWith(`${worker}/`));
+    return this.crashesOf(task).some((crash) => workerOf(crash) === worker);
   }
 
   /**
@@ -119,13 +130,20 @@
     return Math.min(MAX_TRIAL_MS, longestMs + TRIAL_MARGIN_MS);
   }
 
-  /** @returns Whether the task must not be started again. */
-  isGivenUp(task: string): boolean {
+  /**
+   * @param task - A task.
+   * @param isVolatile - Whether its job is volatile.
+   * @returns Whether the task must not be started again.
+   */
+  isGivenUp(task: string, isVolatile: boolean): boolean {
     const record = this._records.get(task);
-    return (
-      record !== undefined &&
-      (record.isCause || record.crashes.length >= MAX_CRASHES)
-    );
+    if (!record) {
+      return false;
+    }
+    const { crashes, repeats } = record;
+    const workers = new Set(crashes.map(workerOf));
+    const limit = isVolatile || workers.size === 1 ? MIN_REPEATS : MAX_REPEATS;
+    return repeats >= limit || crashes.length >= MAX_CRASHES;
   }
 
   private _has(task: string, key: string): boolean {
@@ -134,7 +152,7 @@
 
   /** Returns the record of a task, as the last one in the eviction order. */
   private _recordOf(task: string): CrashRecord {
-    const record = this._records.get(task) ?? { crashes: [], isCause: false };
+    const record = this._records.get(task) ?? { crashes: [], repeats: 0 };
     this._records.delete(task);
     this._records.set(task, record);
     return record;
@@ -150,6 +168,10 @@
   }
 }
 
+/** Returns the VM of the worker that has crashed. */
+const workerOf = ({ key }: TaskCrash): string =>
+  key.slice(0, key.lastIndexOf('/'));
+
 /**
  * Whether a task that crashed its workers at both times may have acted the same
  * way: the ranges of its possible run times overlap, or nearly so.
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -320,7 +320,7 @@
       return;
     }
     for (const task of job.tasks) {
-      if (crashes.isGivenUp(task.name)) {
+      if (crashes.isGivenUp(task.name, job.content.isVolatile)) {
         job.giveUp(task);
       }
     }
