Let rows of workers disappear in the fleet simulation

The fuzzer could perform writes late, but no row disappeared while its worker went on, so nothing checked the side of the entries: which runs end, and whether accepted work is started elsewhere, until the row is back.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -80,6 +80,7 @@
    * Faults and planned stops of a worker or of its driver process. `power-off`
    * ends both.
    */
+  /** `lose-row` deletes the row through which entries discover the worker. */
   | {
       readonly kind:
         | 'kill-driver'
@@ -88,6 +89,7 @@
         | 'cut-driver-store'
         | 'crash-worker'
         | 'drain-worker'
+        | 'lose-row'
         | 'power-off';
       readonly worker: number;
     }
@@ -323,7 +325,7 @@
 const workerFaultCommands = (): fc.Arbitrary<FleetCommand> =>
   fc.oneof(
     fc.record({
-      kind: oneOfKinds('crash-worker', 'drain-worker'),
+      kind: oneOfKinds('crash-worker', 'drain-worker', 'lose-row'),
       worker: workerIndex(),
     }),
     fc.record({
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -1,4 +1,4 @@
-import { BatchState, JOB_PARTS } from '@sapphiremux/core';
+import { BatchState, JOB_PARTS, fleetKeys } from '@sapphiremux/core';
 import type { BatchContent, JobStepContent } from '@sapphiremux/core';
 import type { NetworkFault } from '../sim/network.js';
 import type { Violation } from '../sim/oracle.js';
@@ -144,6 +144,12 @@
     case 'drain-worker':
       workerOf(world, command.worker).drain();
       return;
+    case 'lose-row':
+      world.store.put(
+        fleetKeys.worker(driverOf(world, command.worker).name),
+        null,
+      );
+      return;
     case 'cut':
     case 'cut-one-way':
     case 'silence':
