Compare the version of the member row by order

A row that is created again has a later version than the one that the entry has written. Comparing for equality would also retire an entry whose store answers a transaction with a later version than the row has. No test of ours has such a store; tests of the lease, of takeovers and of planned stops: 55 pass.

--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -257,10 +257,12 @@
     const { peers, onFenced } = this._options;
     const data = row.value === null ? undefined : decodeEntryRow(row.value);
     if (incarnation === this._options.incarnation) {
-      // A row with another version was created again by an earlier attempt, after
-      // a successor had deleted it.
-      const isOwn = row.version === this._rowVersion || data?.hasLeft === true;
-      const isReplaced = data?.fencedBy !== undefined || !isOwn;
+      // A later row without a mark was created by an earlier attempt, after a
+      // successor had deleted the row.
+      const isCreatedAgain =
+        row.version > this._rowVersion && data?.hasLeft !== true;
+      const isReplaced =
+        row.value === null || data?.fencedBy !== undefined || isCreatedAgain;
       if (isReplaced && this._isRegistered) {
         onFenced(`fenced by ${data?.fencedBy ?? 'a successor'}`);
       }
