--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -78,8 +78,11 @@
 const MAX_TRANSIT_MS = 1;
 /** Share of the calls that the late and reply-losing modes affect. */
 const AFFECTED_CALL_RATE = 0.5;
-/** Maximum delay of an affected call in the late modes. */
-const MAX_DELAY_MS = 3000;
+/**
+ * Maximum delay of an affected call in the late modes. Workers of the platform
+ * carry out late calls within this time.
+ */
+const MAX_DELAY_MS = 12_000;
 /**
  * Longer than the time after which a draining worker may receive no more starts,
  * so that the oracle notices later ones.
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -361,6 +361,36 @@
       to: 'Number.POSITIVE_INFINITY',
     },
   },
+  {
+    name: 'versions of registrations that entries report ignored',
+    file: 'process/owned-row.js',
+    from: 'if (isUnknown) {',
+    to: 'if (false) {',
+  },
+  {
+    name: 'row not written again after a write without a reply',
+    file: 'process/owned-row.js',
+    from: 'stored.version !== this._unansweredVersion',
+    to: 'true',
+  },
+  {
+    name: 'owner row that was created late used unconfirmed',
+    file: 'process/job-recorder.js',
+    from: 'now - startedAtMs < UNFENCED_MS',
+    to: 'true',
+  },
+  {
+    name: 'member row that was created again not noticed',
+    file: 'process/entry-lease.js',
+    from: 'row.version > this._rowVersion',
+    to: 'false',
+  },
+  {
+    name: 'end of a later run than the adopted one not applied',
+    file: 'request/batch-job.js',
+    from: 'run > task.run',
+    to: 'false',
+  },
   {
     name: 'rejected write repeated like one without a reply',
     file: 'process/store-writer.js',
