Send tasks of recorded jobs only to workers whose rows are present

What callers would see: a task of a recorded job runs at two workers at the same time (TWICE), after the kill of its entry.

Cause: an entry goes on using a worker whose registration row has disappeared, as long as its link is open. An entry that restarts and takes over the jobs of its predecessor knows only the workers that have rows. It doesn't wait for the one without, and starts the tasks of its runs again.

Fix: tasks of recorded jobs wait for the row, which is back within 2 s while the process of the worker reaches the store, or go elsewhere. Volatile jobs are not taken over, so their tasks start there as before.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -491,6 +491,8 @@
       (candidate) =>
         candidate.service === job.content.service &&
         (!isConfined || round.bulkhead.has(candidate.name)) &&
+        // A successor finds the runs of a recorded job by the rows of the workers.
+        (job.content.isVolatile || !candidate.view.isRemoved) &&
         satisfiesAntiAffinity(job, task, candidate.name),
     );
     const isSuspect = this._options.crashes.isSuspect(task.name);
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -408,10 +408,7 @@
     }
     this._updateHealth(ownedJob, task, end, view, now);
     if (end.kind === EndKind.DONE && ownedJob.job.hasReplaced(task, end.run)) {
-      const adoptedAt = this._options.fleet.get(task.worker);
-      if (adoptedAt) {
-        this._options.fleet.stop(adoptedAt, task.name, task.run);
-      }
+      this._stopAdopted(task);
     }
     ownedJob.job.applyEnd(task, end, view.name, now);
     if (end.kind !== EndKind.DONE) {
@@ -432,6 +429,14 @@
     }
   }
 
+  /** Stops an adopted run whose task a later run has completed. */
+  private _stopAdopted(task: BatchTask): void {
+    const view = this._options.fleet.get(task.worker);
+    if (view) {
+      this._options.fleet.stop(view, task.name, task.run);
+    }
+  }
+
   private _updateHealth(
     ownedJob: OwnedJob,
     task: BatchTask,
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -133,8 +133,8 @@
   /** Number of the current run; 0 before the first one. */
   run: number;
   /**
-   * Highest number that a run may have. It is above that of an adopted run if
-   * there was an owner in between.
+   * Number below which no further run is numbered. It is above that of an adopted
+   * run if there was an owner in between.
    */
   highestRun: number;
   /** VM of the latest run; empty while the task waits for a run. */
--- a/packages/standins/src/test/fleet-lost-rows.test.ts
+++ b/packages/standins/src/test/fleet-lost-rows.test.ts
@@ -50,3 +50,23 @@
   ];
   expect(brokenRules(steps)).toEqual({});
 });
+
+// Guards against a run of a recorded job at a worker without a row, which the next
+// process on the VM of its entry doesn't find and starts a second time.
+it('a recorded job runs once at a time if its entry is killed while a row is absent', () => {
+  const steps = [
+    step({ kind: 'cut-driver-store', worker: 2 }, 0),
+    step({ kind: 'lose-row', worker: 2 }, 50),
+    step(
+      {
+        kind: 'submit',
+        entry: 1,
+        job: 3,
+        resend: { to: 0, delayMs: 0 },
+      },
+      100,
+    ),
+    step({ kind: 'kill-entry', entry: 1 }, 0),
+  ];
+  expect(brokenRules(steps)).toEqual({});
+});
