Simplify the row of a worker and the stop of an adopted run

The stop of a run at the worker of its task stood twice, in BatchEntry and RunReports; WorkerFleet.stopRunOf serves both. OwnedRow gets the time at its construction in place of setting a limit at its first call, and needs no special case for version 0. JobRecorder takes the confirmed owner rows out of its list in one pass.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -876,10 +876,7 @@
   private _stopRuns(ownedJob: OwnedJob): void {
     for (const task of ownedJob.job.tasks) {
       if (task.phase === TaskPhase.Placed) {
-        const view = this._fleet.get(task.worker);
-        if (view) {
-          this._fleet.stop(view, task.name, task.run);
-        }
+        this._fleet.stopRunOf(task);
         if (ownedJob.job.content.isVolatile) {
           const { name, run, worker } = task;
           this._stoppingRuns.add({ task: name, run }, worker);
--- a/packages/core/src/lib/process/job-recorder.ts
+++ b/packages/core/src/lib/process/job-recorder.ts
@@ -312,10 +312,10 @@
     const confirmed = this._unconfirmedParts.filter(
       ({ createdByMs }) => createdByMs < confirmedAtMs,
     );
+    this._unconfirmedParts = this._unconfirmedParts.filter(
+      ({ createdByMs }) => createdByMs >= confirmedAtMs,
+    );
     for (const owner of confirmed) {
-      this._unconfirmedParts = this._unconfirmedParts.filter(
-        (other) => other !== owner,
-      );
       this._useOwnerRow(owner);
     }
     const due = this._deferred.filter((write) => write.dueMs <= now);
--- a/packages/core/src/lib/process/owned-row.ts
+++ b/packages/core/src/lib/process/owned-row.ts
@@ -72,10 +72,10 @@
   private _stored: StoredState | undefined;
   /** Content that the row is expected to have at the next read. */
   private _expected: string | null | undefined;
-  /** Version that the last write without an answer names; 0 if none does. */
-  private _unansweredVersion = 0;
+  /** Version that the last replacement without an answer names. */
+  private _unansweredVersion: number | undefined;
   /** Time until which a creation may be performed late. */
-  private _lateCreationUntilMs: number | undefined;
+  private _lateCreationUntilMs: number;
   private _inFlight: StoreRequest | undefined;
   /** Consecutive calls that were refused or not answered. */
   private _failures = 0;
@@ -83,10 +83,15 @@
   private _checkAtMs = Number.NEGATIVE_INFINITY;
   private _lastReadAtMs = Number.NEGATIVE_INFINITY;
 
-  /** @param options - Key of the row, and random numbers. */
-  constructor({ key, random }: OwnedRowOptions) {
+  /**
+   * @param options - Key of the row, and random numbers.
+   * @param now - Current time in milliseconds.
+   */
+  constructor({ key, random }: OwnedRowOptions, now: number) {
     this._key = key;
     this._random = random;
+    // An earlier process of the same owner may have left a call without answer.
+    this._lateCreationUntilMs = now + LATE_CALL_LIMIT_MS;
   }
 
   /**
@@ -98,7 +103,7 @@
     return (
       stored !== undefined &&
       stored.value === this._desired &&
-      (stored.version === 0 || stored.version !== this._unansweredVersion)
+      stored.version !== this._unansweredVersion
     );
   }
 
@@ -161,8 +166,6 @@
     if (now < this.nextDueAtMs) {
       return undefined;
     }
-    // An earlier process of the same owner may have left a call without answer.
-    this._lateCreationUntilMs ??= now + LATE_CALL_LIMIT_MS;
     this._inFlight = this._nextRequest(now);
     return this._inFlight;
   }
@@ -249,8 +252,7 @@
     this._failures = 0;
     this._stored = { value, version };
     this._expected = value;
-    const mayBeCreated =
-      version === 0 && now < (this._lateCreationUntilMs ?? 0);
+    const mayBeCreated = version === 0 && now < this._lateCreationUntilMs;
     this._checkAtMs =
       now +
       (mayBeCreated
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -408,7 +408,8 @@
     }
     this._updateHealth(ownedJob, task, end, view, now);
     if (end.kind === EndKind.DONE && ownedJob.job.hasReplaced(task, end.run)) {
-      this._stopAdopted(task);
+      // The adopted run is still active.
+      this._options.fleet.stopRunOf(task);
     }
     ownedJob.job.applyEnd(task, end, view.name, now);
     if (end.kind !== EndKind.DONE) {
@@ -429,14 +430,6 @@
     }
   }
 
-  /** Stops an adopted run whose task a later run has completed. */
-  private _stopAdopted(task: BatchTask): void {
-    const view = this._options.fleet.get(task.worker);
-    if (view) {
-      this._options.fleet.stop(view, task.name, task.run);
-    }
-  }
-
   private _updateHealth(
     ownedJob: OwnedJob,
     task: BatchTask,
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -1,3 +1,4 @@
+import type { BatchTask } from '../request/batch-job.js';
 import type { BatchAction, LogFields } from './batch-events.js';
 import { decodeWorkerRow } from './fleet-rows.js';
 import type { UnacknowledgedEnd } from './owned-job.js';
@@ -329,6 +330,18 @@
     view.isDirty = true;
   }
 
+  /**
+   * Requests the stop of the current run of a task, if its worker is known.
+   *
+   * @param task - A placed task.
+   */
+  stopRunOf({ name, run, worker }: BatchTask): void {
+    const view = this._views.get(worker);
+    if (view) {
+      this.stop(view, name, run);
+    }
+  }
+
   /**
    * Queues acknowledgements for the next orders to the workers.
    *
--- a/packages/core/src/test/owned-row.test.ts
+++ b/packages/core/src/test/owned-row.test.ts
@@ -14,7 +14,7 @@
  * store that can lose or delay a call.
  */
 class Harness {
-  readonly row = new OwnedRow({ key: KEY, random: () => 0.5 });
+  readonly row = new OwnedRow({ key: KEY, random: () => 0.5 }, 0);
   /** Whether an entry has a link to the owner. */
   isLinked = true;
   reads = 0;
@@ -204,7 +204,7 @@
 // Guards against processes that repeat failed calls in step.
 it('failed calls are repeated after delays that differ and grow up to 1 s', () => {
   const delaysOf = (random: number): number[] => {
-    const row = new OwnedRow({ key: KEY, random: () => random });
+    const row = new OwnedRow({ key: KEY, random: () => random }, 0);
     row.set('own');
     let now = 0;
     return Array.from({ length: 6 }, () => {
--- a/packages/daemon/src/lib/process/worker-registration.ts
+++ b/packages/daemon/src/lib/process/worker-registration.ts
@@ -53,7 +53,7 @@
   constructor(options: WorkerRegistrationOptions) {
     this._options = options;
     this._key = fleetKeys.worker(options.name);
-    this._row = new OwnedRow({ key: this._key, random: Math.random });
+    this._row = new OwnedRow({ key: this._key, random: Math.random }, now());
     this._previous = new Promise((resolve) => {
       this._onPreviousRead = resolve;
     });
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -114,10 +114,9 @@
     this._dueTickAtMs = Number.POSITIVE_INFINITY;
     this._incarnation = `${this.name}.${String(this.generation)}`;
     this._lastHeartbeat = undefined;
-    this._row = new OwnedRow({
-      key: fleetKeys.worker(this.name),
-      random: this._options.random,
-    });
+    const { random } = this._options;
+    const key = fleetKeys.worker(this.name);
+    this._row = new OwnedRow({ key, random }, this.nowMs);
     this._driver = new WorkerDriver({
       name: this.name,
       incarnation: this._incarnation,
