Share the pieces that tests of this change repeat

No test or assertion changes. nextOwner and reportOf of the entry harness replace seven copies of the restart of an entry and three of a report's default fields; aroundFreeRoom replaces two copies of one wrapper in batch-host.test.ts; earlier-links.test.ts adds its rows with addWorker; batch-job.test.ts builds the job with an adopted run once.

--- a/packages/core/src/test/batch-entry.test.ts
+++ b/packages/core/src/test/batch-entry.test.ts
@@ -15,6 +15,7 @@
   done,
   withTwoWorkers,
   withWorker,
+  nextOwner,
 } from './entry-harness.js';
 
 it('a volatile job is placed at once and answered at its end', () => {
@@ -354,10 +355,7 @@
   const rows = new FakeRows();
   const first = withWorker(rows);
   first.submit(1, { isVolatile: false });
-  const next = new EntryHarness(rows, 'e1b');
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
+  const next = nextOwner(rows);
   next.report('w1', {
     snapshot: true,
     adopted: ['e1'],
@@ -383,10 +381,7 @@
 it('an end that comes too late for a takeover is acknowledged as superseded', () => {
   const rows = new FakeRows();
   withWorker(rows).submit(1, { isVolatile: false });
-  const next = new EntryHarness(rows, 'e1b');
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
+  const next = nextOwner(rows);
   // Without free capacity the tasks wait.
   const report = { adopted: ['e1'], free: ZERO_ROOM };
   next.report('w1', { ...report, snapshot: true });
@@ -406,10 +401,7 @@
 it('an end is acknowledged as superseded after the end of a later run', () => {
   const rows = new FakeRows();
   withTwoWorkers(rows).submit(1, { isVolatile: false });
-  const next = new EntryHarness(rows, 'e1b');
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
+  const next = nextOwner(rows);
   const report = { snapshot: true, adopted: ['e1'] };
   const stopped = { ...done(`${ID}.0.0.0`, 2), kind: EndKind.STOPPED };
   next.report('w2', { ...report, ends: [stopped] });
@@ -428,10 +420,7 @@
 it('a superseded end that is listed again is acknowledged as superseded', () => {
   const rows = new FakeRows();
   withWorker(rows).submit(1, { isVolatile: false });
-  const next = new EntryHarness(rows, 'e1b');
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
+  const next = nextOwner(rows);
   const stopped = { ...done(`${ID}.0.0.0`, 2, 2), kind: EndKind.STOPPED };
   const ends = [done(`${ID}.0.0.0`, 1), stopped];
   next.report('w1', { snapshot: true, adopted: ['e1'], ends });
--- a/packages/core/src/test/batch-job.test.ts
+++ b/packages/core/src/test/batch-job.test.ts
@@ -7,6 +7,7 @@
   TaskPhase,
   laterEstimateMs,
 } from '../lib/request/batch-job.js';
+import type { BatchTask } from '../lib/request/batch-job.js';
 import { CONTENT, done } from './entry-harness.js';
 
 // Guards against a job that failed early: its new owner counted a failure twice,
@@ -68,15 +69,21 @@
 };
 const FIRST_RUN_OF_SECOND_OWNER = RUNS_PER_EPOCH + 1;
 
-// Guards against a task that runs again after it has ended under an owner in
-// between, since the next owner has adopted an earlier run.
-it('the end of a later run than the adopted one completes the task', () => {
+/** A job whose third owner has adopted a run of the first, with its task. */
+const withAdoptedRun = (): { job: BatchJob; task: BatchTask } => {
   const job = new BatchJob(THIRD_OWNER);
   const [task] = job.tasks;
   if (!task) {
     throw new Error('the job has no task');
   }
   job.adopt(task, 1, 'w1', 0);
+  return { job, task };
+};
+
+// Guards against a task that runs again after it has ended under an owner in
+// between, since the next owner has adopted an earlier run.
+it('the end of a later run than the adopted one completes the task', () => {
+  const { job, task } = withAdoptedRun();
   job.applyEnd(task, done(task.name, FIRST_RUN_OF_SECOND_OWNER), 'w2', 0);
   expect(task.phase).toEqual(TaskPhase.Done);
   expect(task.doneRun).toEqual(FIRST_RUN_OF_SECOND_OWNER);
@@ -84,12 +91,7 @@
 
 // Guards against numbers that a worker rejects, or that two owners use.
 it('a run after an adopted one has a higher number than all earlier owners gave', () => {
-  const job = new BatchJob(THIRD_OWNER);
-  const [task] = job.tasks;
-  if (!task) {
-    throw new Error('the job has no task');
-  }
-  job.adopt(task, 1, 'w1', 0);
+  const { job, task } = withAdoptedRun();
   job.requeue(task, 0);
   expect(job.place(task, 'w2', 0)).toEqual(2 * RUNS_PER_EPOCH + 1);
 });
--- a/packages/core/src/test/crash-loops.test.ts
+++ b/packages/core/src/test/crash-loops.test.ts
@@ -11,6 +11,7 @@
   ID,
   done,
   withTwoWorkers,
+  nextOwner,
 } from './entry-harness.js';
 
 const TASK = `${ID}.0.0.0`;
@@ -266,10 +267,7 @@
 it('no end of a job given up during a takeover is acknowledged before it is saved', () => {
   const rows = new FakeRows();
   withTwoWorkers(rows).submit(1, { isVolatile: false });
-  const next = new EntryHarness(rows, 'e1b');
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
+  const next = nextOwner(rows);
   const crashes = [crash('2', { [TASK]: 12 }), crash('3', { [TASK]: 12 })];
   next.report('w1', { snapshot: true, adopted: ['e1'], crashes });
   next.report('w1', { ends: [done(OTHER)] });
--- a/packages/core/src/test/earlier-links.test.ts
+++ b/packages/core/src/test/earlier-links.test.ts
@@ -194,8 +194,7 @@
 it('an entry opens one link to an address that two rows of workers name', () => {
   const rows = new FakeRows();
   for (const name of ['w1', 'w2']) {
-    const value = JSON.stringify({ address: 'vm:1', dataCentre: 'dc' });
-    rows.rows.set(`|member/worker/${name}`, { value, version: 1 });
+    rows.addWorker(name, 1, 'vm:1');
   }
   const harness = new EntryHarness(rows);
   harness.advance(100);
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -23,6 +23,25 @@
   capacity: CAPACITY,
 });
 
+/** A report of an idle worker, with other values of some fields. */
+export const reportOf = (fields: Partial<WorkerReport>): WorkerReport => ({
+  clockMs: 0,
+  accepting: true,
+  free: CAPACITY,
+  ends: [],
+  refused: [],
+  // Higher than the number of any order, so that `free` covers all starts.
+  sequence: 1000,
+  active: [],
+  snapshot: false,
+  adopted: [],
+  fenced: false,
+  crashes: [],
+  unconfirmed: [],
+  mayActLate: false,
+  ...fields,
+});
+
 /** In-memory store with rows by part and key. */
 export class FakeRows {
   isUnavailable = false;
@@ -167,21 +186,9 @@
       kind: 'report',
       linkId: this.links.get(worker) ?? 0,
       report: {
-        clockMs: this.now,
-        accepting: true,
-        free: CAPACITY,
-        ends: [],
-        refused: [],
-        // Higher than the number of any order, so that `free` covers all starts.
-        sequence: 1000,
-        active: [],
+        ...reportOf({ clockMs: this.now }),
         // The first reports, one per link, are snapshots.
         snapshot: this._reports <= this.links.size,
-        adopted: [],
-        fenced: false,
-        crashes: [],
-        unconfirmed: [],
-        mayActLate: false,
         hello: helloOf(worker),
         ...fields,
       },
@@ -339,3 +346,15 @@
   life: '1',
   number,
 });
+
+/** Starts the next process on the VM of an entry, which takes over its jobs. */
+export const nextOwner = (
+  rows: FakeRows,
+  incarnation = 'e1b',
+): EntryHarness => {
+  const next = new EntryHarness(rows, incarnation);
+  next.advance(300);
+  next.answerChanges();
+  next.advance(300);
+  return next;
+};
--- a/packages/core/src/test/job-content.test.ts
+++ b/packages/core/src/test/job-content.test.ts
@@ -17,6 +17,7 @@
   FakeRows,
   ID,
   helloOf,
+  nextOwner,
 } from './entry-harness.js';
 
 const VAST = {
@@ -182,10 +183,7 @@
     isVolatile: false,
   };
   rows.rows.set(key, { value: JSON.stringify({ ...row, content }), version });
-  const next = new EntryHarness(rows, 'e1b');
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
+  const next = nextOwner(rows);
   next.report('w1', { snapshot: true, adopted: ['e1'] });
   next.advance(1200);
   next.report('w1');
--- a/packages/core/src/test/late-placement.test.ts
+++ b/packages/core/src/test/late-placement.test.ts
@@ -2,7 +2,7 @@
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import type { BatchAction } from '../lib/process/batch-events.js';
 import { RUN_GRANT_MS } from '../lib/process/worker-view.js';
-import { CAPACITY, ID, withWorker } from './entry-harness.js';
+import { CAPACITY, ID, withWorker, reportOf } from './entry-harness.js';
 import type { EntryHarness } from './entry-harness.js';
 
 // The disconnection of a caller that comes between a poll of the sockets and the
@@ -24,21 +24,7 @@
 /** Handles a report of free room, without the flush that follows. */
 const freeRoom = ({ entry, links, now }: EntryHarness): void => {
   const linkId = links.get('w1') ?? 0;
-  const report = {
-    clockMs: now,
-    accepting: true,
-    free: CAPACITY,
-    ends: [],
-    refused: [],
-    sequence: 1000,
-    active: [],
-    snapshot: false,
-    adopted: [],
-    fenced: false,
-    crashes: [],
-    unconfirmed: [],
-    mayActLate: false,
-  };
+  const report = reportOf({ clockMs: now });
   entry.handle({ kind: 'report', linkId, report }, now);
 };
 
--- a/packages/core/src/test/owner-in-between.test.ts
+++ b/packages/core/src/test/owner-in-between.test.ts
@@ -1,25 +1,16 @@
 import { expect } from 'earl';
 import { RUNS_PER_EPOCH } from '../lib/request/batch-job.js';
 import {
-  EntryHarness,
   FakeRows,
   ID,
   done,
   withTwoWorkers,
+  nextOwner,
 } from './entry-harness.js';
 
 const TASK = `${ID}.0.0.0`;
 const OTHER = `${ID}.0.0.1`;
 
-/** Starts the next process on the same VM, which takes the jobs over. */
-const nextOwner = (rows: FakeRows, incarnation: string): EntryHarness => {
-  const next = new EntryHarness(rows, incarnation);
-  next.advance(300);
-  next.answerChanges();
-  next.advance(300);
-  return next;
-};
-
 // Guards against a run that goes on beside the end that completes its task, and
 // against another start of this task.
 it('an adopted run is stopped when a later one has ended', () => {
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -6,6 +6,7 @@
 import { Shortage } from '../lib/process/worker-subset.js';
 import { WorkerView } from '../lib/process/worker-view.js';
 import type { PlacedRun } from '../lib/process/worker-view.js';
+import { reportOf } from './entry-harness.js';
 
 const ROW = { address: 'w0', dataCentre: 'dc0', incarnation: 'p1' };
 const CAPACITY = { cpuMilli: 16_000, memoryMb: 4000, accelerators: 0 };
@@ -24,32 +25,19 @@
   sequence,
 });
 
-const reportOf = (sequence: number, cpuMilli: number): WorkerReport => ({
-  clockMs: 0,
-  accepting: true,
-  free: { ...CAPACITY, cpuMilli },
-  ends: [],
-  refused: [],
-  sequence,
-  active: [],
-  snapshot: false,
-  adopted: [],
-  fenced: false,
-  crashes: [],
-  unconfirmed: [],
-  mayActLate: false,
-});
+const freeReport = (sequence: number, cpuMilli: number): WorkerReport =>
+  reportOf({ sequence, free: { ...CAPACITY, cpuMilli } });
 
 it('free capacity follows runs and reports, whatever their order', () => {
   const view = new WorkerView('w0', ROW);
-  view.applyReport(reportOf(0, 16_000), 0);
+  view.applyReport(freeReport(0, 16_000), 0);
   const free = (): number => view.free.cpuMilli;
   expect(free()).toEqual(16_000);
   view.placed.set('a', runOf(1, 2000));
   view.placed.set('b', runOf(2, 3000));
   expect(free()).toEqual(11_000);
   // The report counts the run of order 1 as used already.
-  view.applyReport(reportOf(1, 14_000), 1);
+  view.applyReport(freeReport(1, 14_000), 1);
   expect(free()).toEqual(11_000);
   view.placed.delete('a');
   expect(free()).toEqual(11_000);
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -314,6 +314,32 @@
   return worker.starts;
 };
 
+/**
+ * Lets a test act when the entry is about to handle the report of free room.
+ *
+ * @param host - Host of the entry.
+ * @param act - Receives the function that handles the report.
+ */
+const aroundFreeRoom = (
+  host: BatchHost,
+  act: (dispatch: () => void) => void,
+): void => {
+  const dispatch = host.dispatch.bind(host);
+  host.dispatch = (event) => {
+    if (
+      event.kind === 'report' &&
+      event.report.free?.cpuMilli === ROOM.cpuMilli
+    ) {
+      host.dispatch = dispatch;
+      act(() => {
+        dispatch(event);
+      });
+    } else {
+      dispatch(event);
+    }
+  };
+};
+
 // Guards against runs for a caller whose reset has been read in the same turn.
 it('a reset that is read together with a report of free room starts nothing', async () => {
   const starts = await startsAfterReset((worker, _harness, reset) => {
@@ -327,20 +353,11 @@
 // between the poll of its sockets and the end of the turn.
 it('a turn that takes long starts nothing for a caller that leaves meanwhile', async () => {
   const starts = await startsAfterReset((worker, { host }, reset) => {
-    const dispatch = host.dispatch.bind(host);
-    host.dispatch = (event) => {
-      if (
-        event.kind === 'report' &&
-        event.report.free?.cpuMilli === ROOM.cpuMilli
-      ) {
-        host.dispatch = dispatch;
-        dispatch(event);
-        reset();
-        standStill(STAND_STILL_MS);
-      } else {
-        dispatch(event);
-      }
-    };
+    aroundFreeRoom(host, (dispatch) => {
+      dispatch();
+      reset();
+      standStill(STAND_STILL_MS);
+    });
     worker.report(ROOM);
   });
   expect(starts).toEqual([]);
@@ -348,18 +365,11 @@
 
 it('a process that stands still before it reads a report starts nothing for a caller that leaves meanwhile', async () => {
   const starts = await startsAfterReset((worker, { host }, reset) => {
-    const dispatch = host.dispatch.bind(host);
-    host.dispatch = (event) => {
-      if (
-        event.kind === 'report' &&
-        event.report.free?.cpuMilli === ROOM.cpuMilli
-      ) {
-        host.dispatch = dispatch;
-        reset();
-        standStill(STAND_STILL_MS);
-      }
-      dispatch(event);
-    };
+    aroundFreeRoom(host, (dispatch) => {
+      reset();
+      standStill(STAND_STILL_MS);
+      dispatch();
+    });
     worker.report(ROOM);
   });
   expect(starts).toEqual([]);
