Count tasks, round needs and check 32-bit numbers in one place each

The limit on whole numbers stood in the wire package and in the core; the core uses that of the wire, which sets it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 export {
   MAX_COUNT,
   MAX_TASKS,
+  countTasks,
   invalidFieldOf,
   isCount,
 } from './lib/request/job-content.js';
@@ -61,7 +62,7 @@
 export type { WorkerDriverOptions } from './lib/process/worker-driver.js';
 export * from './lib/process/worker-events.js';
 export { BatchState } from './lib/request/batch-job.js';
-export { isSameRoom } from './lib/request/room.js';
+export { ceilRoom, isSameRoom } from './lib/request/room.js';
 export { jobIdOf } from './lib/request/run-key.js';
 export type { BatchContent, JobStepContent } from './lib/request/batch-job.js';
 export { RouteTable } from './lib/version/route-table.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -5,7 +5,11 @@
   isFinal,
 } from '../request/batch-job.js';
 import type { BatchProgress, TaskCrash } from '../request/batch-job.js';
-import { invalidFieldOf, withWholeNeeds } from '../request/job-content.js';
+import {
+  countTasks,
+  invalidFieldOf,
+  withWholeNeeds,
+} from '../request/job-content.js';
 import { RouteTable } from '../version/route-table.js';
 import type { OperatorChange } from '../version/route-table.js';
 import type { ServiceLoad } from '../scheduling/overload-control.js';
@@ -617,7 +621,7 @@
             job: id,
             queue: content.queue,
             config: this.routes.version ?? 0,
-            tasks: content.steps.reduce((sum, step) => sum + step.count, 0),
+            tasks: countTasks(content.steps),
             recordMs: Math.round(at - now),
           });
           this._replyAll(replies, { kind: 'accepted' });
--- a/packages/core/src/lib/process/packed-rows.ts
+++ b/packages/core/src/lib/process/packed-rows.ts
@@ -4,6 +4,7 @@
   JobStepContent,
   TaskCrash,
 } from '../request/batch-job.js';
+import { countTasks } from '../request/job-content.js';
 
 /** A step without its count and its dependencies, without trailing `null`s. */
 type PackedShape = readonly [
@@ -181,7 +182,7 @@
  *   in bytes.
  */
 export const maxProgressBytes = (content: BatchContent): number => {
-  const tasks = content.steps.reduce((sum, { count }) => sum + count, 0);
+  const tasks = countTasks(content.steps);
   const digits = String(tasks).length + String(content.attempts).length;
   return PROGRESS_FRAME_BYTES + tasks * (digits + PROGRESS_ENTRY_BYTES);
 };
--- a/packages/core/src/lib/request/job-content.ts
+++ b/packages/core/src/lib/request/job-content.ts
@@ -1,14 +1,19 @@
-import type { Room } from '../messages.js';
+import { MAX_UINT32, isUint32 } from '@sapphiremux/wire';
 import type { BatchContent, JobStepContent } from './batch-job.js';
+import { ceilRoom } from './room.js';
 
-/** Greatest number that a message to a worker carries: 32 bits without a sign. */
-export const MAX_COUNT = 0xffff_ffff;
+/** Greatest number that a message to a worker carries. */
+export const MAX_COUNT = MAX_UINT32;
 /** Greatest number of tasks of one job; an entry holds each of them in memory. */
 export const MAX_TASKS = 10_000;
 
-/** @returns Whether messages carry the number: a whole one of 32 bits. */
-export const isCount = (value: number): boolean =>
-  Number.isInteger(value) && value >= 0 && value <= MAX_COUNT;
+/** @returns Whether messages carry the number. */
+export const isCount = isUint32;
+
+/** @returns Number of tasks of all steps. */
+export const countTasks = (
+  steps: readonly Pick<JobStepContent, 'count'>[],
+): number => steps.reduce((sum, { count }) => sum + count, 0);
 
 /**
  * Checks the numbers of a job. A job that passes can be sent to any worker, and
@@ -37,7 +42,7 @@
       return `steps.${String(index)}.${field}`;
     }
   }
-  const tasks = steps.reduce((sum, { count }) => sum + count, 0);
+  const tasks = countTasks(steps);
   return tasks === 0 || tasks > MAX_TASKS ? 'steps' : undefined;
 };
 
@@ -75,9 +80,3 @@
     needs: ceilRoom(step.needs),
   })),
 });
-
-const ceilRoom = (room: Room): Room => ({
-  cpuMilli: Math.ceil(room.cpuMilli),
-  memoryMb: Math.ceil(room.memoryMb),
-  accelerators: Math.ceil(room.accelerators),
-});
--- a/packages/core/src/lib/request/room.ts
+++ b/packages/core/src/lib/request/room.ts
@@ -17,6 +17,13 @@
   accelerators: Math.max(0, a.accelerators - b.accelerators),
 });
 
+/** @returns The room with each resource rounded up to a whole number. */
+export const ceilRoom = (room: Room): Room => ({
+  cpuMilli: Math.ceil(room.cpuMilli),
+  memoryMb: Math.ceil(room.memoryMb),
+  accelerators: Math.ceil(room.accelerators),
+});
+
 /** @returns Whether both are equal in every resource. */
 export const isSameRoom = (a: Room, b: Room): boolean =>
   a.cpuMilli === b.cpuMilli &&
--- a/packages/wire/src/fleet-json.ts
+++ b/packages/wire/src/fleet-json.ts
@@ -188,7 +188,12 @@
 /** A JSON value that is expected to be a message. */
 type Json = Readonly<Record<string, unknown>>;
 
-const MAX_UINT32 = 0xffffffff;
+/** Greatest value of an unsigned integer field. */
+export const MAX_UINT32 = 0xffffffff;
+
+/** @returns Whether an unsigned integer field can hold the number. */
+export const isUint32 = (value: number): boolean =>
+  Number.isInteger(value) && value >= 0 && value <= MAX_UINT32;
 
 const decode = <T>(text: string, toMessage: (json: Json) => T): Decoded<T> => {
   try {
@@ -247,14 +252,12 @@
   if (value === undefined) {
     return 0;
   }
-  if (!Number.isInteger(value) || !isUint32(value as number)) {
+  if (typeof value !== 'number' || !isUint32(value)) {
     throw invalid(name, 'an unsigned 32-bit integer');
   }
-  return value as number;
+  return value;
 };
 
-const isUint32 = (value: number): boolean => value >= 0 && value <= MAX_UINT32;
-
 /** @param values - The enum, which maps its numbers to their names. */
 const toEnum = <E extends number>(
   json: Json,
