Derive the time limits of runs from the settings in one module

A volatile job may run again elsewhere resend_ms after its caller's connection has broken. The product never read that bound: 1.3 s was implied by constants in four files, and max_hold_ms and stop_ms reached the worker driver but not the entry, which assumed a lease of 1.1 s. A deployment with other bounds would have broken the rule without a warning.

run-limits.ts derives all of these times from resend_ms, stop_ms and max_hold_ms. At 1,300, 50 and 1,000 they are what the constants were.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -58,6 +58,11 @@
 } from './lib/process/store-limits.js';
 export type { StoreLimits } from './lib/process/store-limits.js';
 export { MEMBER_PART } from './lib/process/part-stores.js';
+export {
+  DEFAULT_RUN_BOUNDS,
+  deriveRunLimits,
+} from './lib/process/run-limits.js';
+export type { RunBounds, RunLimits } from './lib/process/run-limits.js';
 export { WorkerDriver } from './lib/process/worker-driver.js';
 export type { WorkerDriverOptions } from './lib/process/worker-driver.js';
 export * from './lib/process/worker-events.js';
--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -36,6 +36,8 @@
 import type { EndedJob, OwnedJob } from './owned-job.js';
 import { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
+import { DEFAULT_RUN_LIMITS } from './run-limits.js';
+import type { RunLimits } from './run-limits.js';
 import { RunReports } from './run-reports.js';
 import { DEFAULT_STORE_LIMITS } from './store-limits.js';
 import type { StoreLimits } from './store-limits.js';
@@ -69,6 +71,8 @@
   readonly remoteDataFactor?: number;
   /** Decisions by priority while capacity is short. */
   readonly overload?: Partial<OverloadOptions>;
+  /** Time limits of runs. */
+  readonly runLimits?: RunLimits;
   /** Limits of the store. */
   readonly storeLimits?: Partial<StoreLimits>;
   /**
@@ -93,13 +97,6 @@
 const MAX_STATUS_AGE_MS = 1000;
 /** Maximum wait of a count for recent statuses. */
 const COUNT_TIMEOUT_MS = 500;
-/**
- * Age of the last poll of the sockets above which they are polled again before
- * tasks are placed, in milliseconds. A caller whose disconnection has not been
- * read submits its job elsewhere after 1,300 ms, and runs may go on for 1,150 ms
- * after the last order of an entry that is cut off.
- */
-const MAX_POLL_AGE_MS = 100;
 /** How long after a count all peers are probed at the shortest interval. */
 const PENDING_INTEREST_MS = 5000;
 
@@ -178,6 +175,7 @@
       overload: {},
       stopGraceMs: DEFAULT_STOP_GRACE_MS,
       storeLimits: {},
+      runLimits: DEFAULT_RUN_LIMITS,
       ...options,
     };
     const limits = { ...DEFAULT_STORE_LIMITS, ...options.storeLimits };
@@ -218,6 +216,7 @@
       name,
       incarnation,
       dataCentre,
+      limits: this._options.runLimits,
       emit: (action) => {
         this._actions.push(action);
       },
@@ -294,6 +293,7 @@
     this._takeovers = new TakeoverCoordinator({
       name,
       incarnation,
+      runExpiryMs: this._options.runLimits.runExpiryMs,
       stores: this._stores,
       recorder: this._recorder,
       peers: this._peers,
@@ -1161,10 +1161,10 @@
 
   /**
    * Returns the time until which the close of a caller's connection would have
-   * been noticed, to within {@link MAX_POLL_AGE_MS}.
+   * been noticed, to within {@link RunLimits.maxPollAgeMs}.
    */
   private _knownUntilMs(pollAgeMs: number, now: number): number {
-    return pollAgeMs > MAX_POLL_AGE_MS
+    return pollAgeMs > this._options.runLimits.maxPollAgeMs
       ? now - pollAgeMs
       : (this._turnBeganAtMs ?? now);
   }
@@ -1177,7 +1177,7 @@
   private _place(pollAgeMs: number, now: number): void {
     this._hasPolledAgain =
       !this._hasPolledAgain &&
-      pollAgeMs > MAX_POLL_AGE_MS &&
+      pollAgeMs > this._options.runLimits.maxPollAgeMs &&
       this._placer.size > 0;
     if (this._hasPolledAgain) {
       this._actions.push({ kind: 'poll-again' });
--- a/packages/core/src/lib/process/entry-takeover.ts
+++ b/packages/core/src/lib/process/entry-takeover.ts
@@ -13,7 +13,6 @@
 import { MEMBER_PART } from './part-stores.js';
 import type { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS } from './peer-monitor.js';
-import { RUN_EXPIRY_MS } from './worker-view.js';
 
 /** A job that has been taken over. */
 export interface AdoptedJob {
@@ -28,6 +27,8 @@
   readonly recorder: JobRecorder;
   /** Incarnation of this entry, the successor. */
   readonly incarnation: string;
+  /** Time limit {@link RunLimits.runExpiryMs} of runs. */
+  readonly runExpiryMs: number;
   /** The incarnation whose jobs are taken over. */
   readonly predecessor: {
     readonly incarnation: string;
@@ -79,7 +80,7 @@
    */
   get allRunsEndedAtMs(): number {
     const leaseMs = this._options.predecessor.isGone ? 0 : ENTRY_LEASE_MS;
-    return this._fencedAtMs + leaseMs + RUN_EXPIRY_MS;
+    return this._fencedAtMs + leaseMs + this._options.runExpiryMs;
   }
 
   /**
--- a/packages/core/src/lib/process/takeover-coordinator.ts
+++ b/packages/core/src/lib/process/takeover-coordinator.ts
@@ -12,6 +12,8 @@
   /** Name and incarnation of this entry. */
   readonly name: string;
   readonly incarnation: string;
+  /** Time limit {@link RunLimits.runExpiryMs} of runs. */
+  readonly runExpiryMs: number;
   readonly stores: PartStores;
   readonly recorder: JobRecorder;
   readonly peers: PeerMonitor;
@@ -130,6 +132,7 @@
       stores,
       recorder,
       incarnation: this._options.incarnation,
+      runExpiryMs: this._options.runExpiryMs,
       predecessor: {
         incarnation,
         row,
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -17,6 +17,8 @@
 import { LogLimit } from './log-limit.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
+import { DEFAULT_RUN_LIMITS, DELAYED_CALL_LIMIT_MS } from './run-limits.js';
+import type { RunLimits } from './run-limits.js';
 import { StartAdmission } from './start-admission.js';
 import { RunPhase, TrackedRuns, trackedRun } from './tracked-runs.js';
 import type { TrackedRun } from './tracked-runs.js';
@@ -44,21 +46,14 @@
    * is raised when the worker has seen a higher one.
    */
   readonly token: number;
-  /** Longest lease that the worker grants, in milliseconds. */
-  readonly maxLeaseMs?: number;
-  /** Longest time that the worker takes to stop a run, in milliseconds. */
-  readonly stopMs?: number;
+  /** Time limits of runs. */
+  readonly limits?: RunLimits;
 }
 
-const DEFAULT_MAX_LEASE_MS = 1000;
-const DEFAULT_STOP_MS = 50;
-/** Longest delay of the worker's reply to a poll; three fit into a lease. */
-const POLL_WAIT_MS = 250;
 /** Delay before the next poll after one that failed. */
 const POLL_RETRY_DELAY_MS = 50;
 /** Added to the wait of a poll to get its timeout. */
 const POLL_REPLY_SLACK_MS = 150;
-const POLL_TIMEOUT_MS = POLL_WAIT_MS + POLL_REPLY_SLACK_MS;
 /**
  * Greatest age of the last clock reading at which a poll renews the lease. An
  * unresponsive worker may still carry out polls; if they kept renewing the
@@ -81,12 +76,6 @@
 const CALL_TIMEOUT_MS = 200;
 /** Delay before a stop call that failed is sent again. */
 const STOP_RETRY_DELAY_MS = 50;
-/**
- * Time after which a stop call is repeated while it is pending. Callers wait
- * only 1.3 s before they submit a job again, and a worker may leave several
- * calls unanswered.
- */
-const STOP_REPEAT_DELAY_MS = 100;
 /**
  * Pending stop calls beyond which none is repeated, so that connections to the
  * worker remain for polls and starts.
@@ -94,15 +83,8 @@
 const MAX_PENDING_STOPS = 8;
 /** Start calls that may time out before the run is stopped instead. */
 const MAX_START_ATTEMPTS = 2;
-/**
- * Time that the expired runs of an owner have to stop before the lease of the
- * worker is no longer renewed, in milliseconds.
- */
-export const EXPIRY_GRACE_MS = 400;
 /** Longest time between two reports to an entry that sends orders. */
 const MAX_REPORT_INTERVAL_MS = 250;
-/** Time that an entry has to open a new link before its runs expire. */
-const RECONNECT_GRACE_MS = 450;
 /**
  * Time that an entry has to claim a run of an earlier driver process. The lease
  * of that process has expired by then.
@@ -117,18 +99,16 @@
  * require its expiry; then it expires even if runs are still active.
  */
 const LEASE_EXPIRY_MAX_DELAY_MS = 3000;
-/** Longest delay with which a worker may carry out a call. */
-export const DELAYED_CALL_LIMIT_MS = 12_000;
 /**
  * How long a worker that answers again after failed polls counts as unreliable,
  * that is, as one that may carry out calls without answering them.
  */
 const UNRELIABLE_PERIOD_MS = 15_000;
 /**
- * Time left of the limit of an entry, of 700 ms, below which a start counts as
- * begun from an old order: it was held back on its way.
+ * Part of the limit of an entry below which a start counts as begun from an old
+ * order: it was held back on its way.
  */
-const OLD_ORDER_LEFT_MS = 350;
+const OLD_ORDER_LEFT_SHARE = 0.5;
 /**
  * Number of ends that a worker lists at a time. If it lists as many, more may
  * follow once these are acknowledged.
@@ -197,7 +177,9 @@
  * can therefore tell from elapsed time alone that its runs have ended.
  */
 export class WorkerDriver {
-  private readonly _options: Required<WorkerDriverOptions>;
+  private readonly _options: WorkerDriverOptions;
+  private readonly _limits: RunLimits;
+  private readonly _pollTimeoutMs: number;
   private readonly _clock = new WorkerClock();
   private readonly _ends = new EndList();
   private readonly _crashes = new CrashHistory();
@@ -297,11 +279,9 @@
 
   /** @param options - Names, fencing token and time limits of the worker. */
   constructor(options: WorkerDriverOptions) {
-    this._options = {
-      maxLeaseMs: DEFAULT_MAX_LEASE_MS,
-      stopMs: DEFAULT_STOP_MS,
-      ...options,
-    };
+    this._options = options;
+    this._limits = options.limits ?? DEFAULT_RUN_LIMITS;
+    this._pollTimeoutMs = this._limits.pollWaitMs + POLL_REPLY_SLACK_MS;
     this._token = options.token;
   }
 
@@ -411,7 +391,7 @@
     for (const owner of this._runs.owners) {
       if (owner !== '') {
         const expiryMs = this._ownerExpiryMs.get(owner) ?? 0;
-        limitMs = Math.min(limitMs, expiryMs + EXPIRY_GRACE_MS);
+        limitMs = Math.min(limitMs, expiryMs + this._limits.expiryGraceMs);
       }
     }
     return limitMs;
@@ -603,7 +583,8 @@
     const expiryMs =
       owner === undefined ? undefined : this._ownerExpiryMs.get(owner);
     if (owner !== undefined && expiryMs !== undefined) {
-      const untilMs = this._clock.lowerBound(now) + RECONNECT_GRACE_MS;
+      const untilMs =
+        this._clock.lowerBound(now) + this._limits.reconnectGraceMs;
       this._ownerExpiryMs.set(owner, Math.min(expiryMs, untilMs));
     }
   }
@@ -828,13 +809,14 @@
   /** Logs the starts of this turn that were held back, in one line. */
   private _logOldStarts(begun: readonly TrackedRun[], now: number): void {
     const clockMs = this._clock.lowerBound(now);
+    const oldBelowMs = OLD_ORDER_LEFT_SHARE * this._limits.grantMs;
     const old: TrackedRun[] = [];
     for (const tracked of begun) {
       const { linkId, owner, orderLimitMs } = tracked;
       const limitLeftMs = Math.round(orderLimitMs - clockMs);
       const isNewestLink = this._links.isNewest(linkId, owner);
       tracked.origin = { linkId, isNewestLink, limitLeftMs };
-      if (!isNewestLink || limitLeftMs < OLD_ORDER_LEFT_MS) {
+      if (!isNewestLink || limitLeftMs < oldBelowMs) {
         old.push(tracked);
       }
     }
@@ -855,7 +837,7 @@
     // A delayed start must not begin after its owner may have abandoned the
     // run.
     const untilMs = Math.min(
-      this._clock.lowerBound(now) + this._options.maxLeaseMs,
+      this._clock.lowerBound(now) + this._limits.maxLeaseMs,
       this._leaseLimitMs,
     );
     tracked.starts += 1;
@@ -911,7 +893,7 @@
     }
     tracked.phase = RunPhase.Stopping;
     tracked.stopSentAtMs ??= this._nowMs;
-    tracked.stopRetryAtMs = this._nowMs + STOP_REPEAT_DELAY_MS;
+    tracked.stopRetryAtMs = this._nowMs + this._limits.stopRepeatDelayMs;
     this._stopRetries.add(tracked);
     this._call({
       kind: 'stop',
@@ -967,7 +949,7 @@
     const untilMs = renews
       ? Math.floor(
           Math.min(
-            this._clock.lowerBound(now) + this._options.maxLeaseMs,
+            this._clock.lowerBound(now) + this._limits.maxLeaseMs,
             limitMs,
           ),
         )
@@ -981,8 +963,8 @@
       token: this._token,
       untilMs,
       ackedThrough: this._ends.ackedThrough,
-      waitMs: clockMs === undefined ? 0 : POLL_WAIT_MS,
-      timeoutMs: POLL_TIMEOUT_MS,
+      waitMs: clockMs === undefined ? 0 : this._limits.pollWaitMs,
+      timeoutMs: this._pollTimeoutMs,
     });
   }
 
@@ -1069,7 +1051,7 @@
     const isFirst = this._clock.lastReadingMs === undefined;
     if (isFirst) {
       // An earlier driver process may have renewed the lease just before.
-      this._leaseEndMs = reply.clockMs + this._options.maxLeaseMs;
+      this._leaseEndMs = reply.clockMs + this._limits.maxLeaseMs;
       this._links.markAllDirty();
     }
     this._clock.observe(reply.clockMs, now);
@@ -1130,7 +1112,7 @@
       return CallFailure.Refused;
     }
     const isTimedOut =
-      now - this._lastPollAtMs >= POLL_TIMEOUT_MS - POLL_TIMEOUT_MARGIN_MS;
+      now - this._lastPollAtMs >= this._pollTimeoutMs - POLL_TIMEOUT_MARGIN_MS;
     return reply.kind === 'no-answer' && !isTimedOut
       ? CallFailure.Closed
       : CallFailure.Unanswered;
@@ -1277,7 +1259,7 @@
         });
         this._sendStop(tracked);
       }
-      isOverdue ||= clockMs > untilMs + EXPIRY_GRACE_MS;
+      isOverdue ||= clockMs > untilMs + this._limits.expiryGraceMs;
     }
     if (isOverdue !== this._leaseSuspended) {
       this._leaseSuspended = isOverdue;
@@ -1499,7 +1481,7 @@
       .filter((call) => call.workerIncarnation === this._workerIncarnation)
       .map((call) => call.leaseEndMs);
     const leaseEndMs = Math.max(this._leaseEndMs, ...pendingEndsMs);
-    return leaseEndMs + this._options.stopMs + delayMs;
+    return leaseEndMs + this._limits.stopMs + delayMs;
   }
 
   /**
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -2,6 +2,7 @@
 import type { BatchAction, LogFields } from './batch-events.js';
 import { decodeWorkerRow } from './fleet-rows.js';
 import type { UnacknowledgedEnd } from './owned-job.js';
+import type { RunLimits } from './run-limits.js';
 import { WorkerSubset } from './worker-subset.js';
 import type { FleetEntry, Shortage } from './worker-subset.js';
 import { WorkerView } from './worker-view.js';
@@ -12,6 +13,8 @@
   readonly name: string;
   readonly incarnation: string;
   readonly dataCentre: string;
+  /** Time limits of runs. */
+  readonly limits?: RunLimits | undefined;
   readonly emit: (action: BatchAction) => void;
 }
 
@@ -153,7 +156,7 @@
       const onOrderDue = (due: WorkerView): void => {
         this._dirty.add(due);
       };
-      const added = new WorkerView(name, row, onOrderDue);
+      const added = new WorkerView(name, row, this._options.limits, onOrderDue);
       this._views.set(name, added);
       this._viewList = undefined;
       this._takeAddress(added, version);
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -7,29 +7,9 @@
 import { ZERO_ROOM, subtractRoom } from '../request/room.js';
 import type { WorkerRow } from './fleet-rows.js';
 import { runKey } from '../request/run-key.js';
-import { WORKER_CLOCK_MIN_RATE, WorkerClock } from './worker-clock.js';
-import { DELAYED_CALL_LIMIT_MS, EXPIRY_GRACE_MS } from './worker-driver.js';
-
-/** How long runs may continue after the last order of their entry. */
-export const RUN_GRANT_MS = 700;
-/**
- * Maximum duration of a worker's lease, see `maxLeaseMs` of the worker driver,
- * plus the time that a stop takes.
- */
-const LEASE_EXPIRY_MS = 1100;
-/** Upper bound of the latency of the worker's replies. */
-const REPLY_MARGIN_MS = 150;
-/**
- * Time without contact from their entry after which its runs at a worker have
- * ended, even if the worker's clock runs slow, unless the worker carries out
- * earlier calls late.
- */
-export const RUN_EXPIRY_MS =
-  (RUN_GRANT_MS + EXPIRY_GRACE_MS + LEASE_EXPIRY_MS) / WORKER_CLOCK_MIN_RATE +
-  REPLY_MARGIN_MS;
-/** The same time if the worker may carry out earlier calls late. */
-const LATE_RUN_EXPIRY_MS =
-  RUN_EXPIRY_MS + DELAYED_CALL_LIMIT_MS / WORKER_CLOCK_MIN_RATE;
+import { DEFAULT_RUN_LIMITS, DELAYED_CALL_LIMIT_MS } from './run-limits.js';
+import type { RunLimits } from './run-limits.js';
+import { WorkerClock } from './worker-clock.js';
 /**
  * Time without a report after which the link to a worker with runs is replaced.
  */
@@ -207,21 +187,25 @@
   private _reportedFree: Room = ZERO_ROOM;
   /** Free capacity; unset when it has to be recomputed. */
   private _free: Room | undefined;
+  private readonly _limits: RunLimits;
   private readonly _onOrderDue: ((view: WorkerView) => void) | undefined;
 
   /**
    * @param name - Name of the VM.
    * @param row - Row of the worker driver process.
+   * @param limits - Time limits of the runs there.
    * @param onOrderDue - Called when an order is to be sent at the next flush, or
    *   when the worker gets its first run and orders are due more often.
    */
   constructor(
     name: string,
     row: WorkerRow,
+    limits = DEFAULT_RUN_LIMITS,
     onOrderDue?: (view: WorkerView) => void,
   ) {
     this.name = name;
     this.row = row;
+    this._limits = limits;
     this._onOrderDue = onOrderDue;
   }
 
@@ -353,7 +337,7 @@
     ) {
       return 0;
     }
-    const untilMs = this._clock.lowerBound(fromMs) + RUN_GRANT_MS;
+    const untilMs = this._clock.lowerBound(fromMs) + this._limits.grantMs;
     this._grantedUntilMs = Math.max(this._grantedUntilMs, untilMs);
     return untilMs;
   }
@@ -371,7 +355,8 @@
     if (now - this._lastContactAtMs <= REPORT_TIMEOUT_MS) {
       return [];
     }
-    const endsMs = this._grantedUntilMs + EXPIRY_GRACE_MS + LEASE_EXPIRY_MS;
+    const { expiryGraceMs, leaseExpiryMs } = this._limits;
+    const endsMs = this._grantedUntilMs + expiryGraceMs + leaseExpiryMs;
     const clockMs = this._clock.lowerBound(now);
     if (clockMs <= endsMs) {
       return [];
@@ -392,7 +377,8 @@
    */
   mayHoldLateStarts(now: number): boolean {
     const silentMs = now - this._lastContactAtMs;
-    return silentMs > REPORT_TIMEOUT_MS && silentMs <= LATE_RUN_EXPIRY_MS;
+    const { lateRunExpiryMs } = this._limits;
+    return silentMs > REPORT_TIMEOUT_MS && silentMs <= lateRunExpiryMs;
   }
 
   /**
--- a/packages/core/src/test/late-placement.test.ts
+++ b/packages/core/src/test/late-placement.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
 import { SubmitRefusal } from '../lib/process/batch-events.js';
 import type { BatchAction } from '../lib/process/batch-events.js';
-import { RUN_GRANT_MS } from '../lib/process/worker-view.js';
+import { DEFAULT_RUN_LIMITS } from '../lib/process/run-limits.js';
 import { CAPACITY, ID, withWorker, reportOf } from './entry-harness.js';
 import type { EntryHarness } from './entry-harness.js';
 
@@ -133,5 +133,7 @@
   harness.now += 300;
   const [action] = flush(harness, 300).filter(({ kind }) => kind === 'order');
   const holdUntilMs = action?.kind === 'order' ? action.order.holdUntilMs : 0;
-  expect(holdUntilMs <= harness.now - 300 + RUN_GRANT_MS).toEqual(true);
+  expect(holdUntilMs <= harness.now - 300 + DEFAULT_RUN_LIMITS.grantMs).toEqual(
+    true,
+  );
 });
