End the stopped runs of a volatile job in time at a worker that ignores stops

What callers see: a worker leaves the stops of a job unanswered and carries them out seconds late. The caller has lost its connection and sends the job to another entry resend_ms later, where its tasks begin beside the first runs.

Cause: the time limit of runs belongs to their entry, not to their job. An entry that goes on with other jobs extends it with each order, so that a run whose stop the worker does not carry out kept its lease for as long as the worker answered polls.

A volatile run that its entry stops now keeps the limit that it had before the stop. The lease of the worker is not renewed beyond it until the worker has confirmed the stop, so the run ends by the same sum as that of an entry that has been killed. One confirmed stop lifts the limit; renewals go on meanwhile.

--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -63,6 +63,11 @@
   readonly stoppedAtPoll: number | undefined;
   /** Local time of the first stop call; absent before it. */
   stopSentAtMs: number | undefined;
+  /**
+   * Time on the worker's clock until which a volatile run may continue that its
+   * entry has stopped; absent for other runs.
+   */
+  stopLimitMs: number | undefined;
   /** Local time at which a stop call that failed is sent again. */
   stopRetryAtMs: number | undefined;
 }
@@ -102,6 +107,7 @@
   origin: undefined,
   stoppedAtPoll: undefined,
   stopSentAtMs: undefined,
+  stopLimitMs: undefined,
   stopRetryAtMs: undefined,
   ...known,
 });
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -387,7 +387,7 @@
    * not confirm their stop.
    */
   private get _leaseLimitMs(): number {
-    let limitMs = Number.POSITIVE_INFINITY;
+    let limitMs = this._stopLimitMs;
     for (const owner of this._runs.owners) {
       if (owner !== '') {
         const expiryMs = this._ownerExpiryMs.get(owner) ?? 0;
@@ -397,6 +397,18 @@
     return limitMs;
   }
 
+  /** The same for the volatile runs whose stop the worker has not confirmed. */
+  private get _stopLimitMs(): number {
+    let limitMs = Number.POSITIVE_INFINITY;
+    for (const run of this._stopRetries) {
+      if (run.stopLimitMs !== undefined && this._runs.get(run) === run) {
+        const endMs = run.stopLimitMs + this._limits.expiryGraceMs;
+        limitMs = Math.min(limitMs, endMs);
+      }
+    }
+    return limitMs;
+  }
+
   private _onLeave(id: string, now: number): void {
     if (this._candidate?.worker.id === id) {
       this._candidate = undefined;
@@ -634,11 +646,11 @@
     this._updateDataCentreState(order);
     const isForThisIncarnation =
       order.life === '' || order.life === this._workerIncarnation;
+    const earlierExpiryMs = this._ownerExpiryMs.get(order.incarnation) ?? 0;
     if (isForThisIncarnation) {
-      const expiryMs = this._ownerExpiryMs.get(order.incarnation) ?? 0;
       this._ownerExpiryMs.set(
         order.incarnation,
-        Math.max(expiryMs, order.holdUntilMs),
+        Math.max(earlierExpiryMs, order.holdUntilMs),
       );
     }
     for (const end of order.recorded) {
@@ -658,8 +670,12 @@
       // have been taken for ended already.
       this._refuseStarts(order, StartRefusal.NOT_READY);
     }
+    // An entry extends its limit for the runs that it keeps. Those that it stops
+    // keep the limit that they had when it lost their callers.
+    const stopLimitMs =
+      earlierExpiryMs > 0 ? earlierExpiryMs : order.holdUntilMs;
     for (const stop of order.stops) {
-      this._stopRun(stop, order.incarnation, now);
+      this._stopRun(stop, { sender: order.incarnation, stopLimitMs }, now);
     }
     link.needsSnapshot ||= isFirst || order.adopt.length > 0;
   }
@@ -855,7 +871,11 @@
   }
 
   /** Stops a run for an entry, which is its owner unless the order names one. */
-  private _stopRun(stop: RunStop, sender: string, now: number): void {
+  private _stopRun(
+    stop: RunStop,
+    { sender, stopLimitMs }: { sender: string; stopLimitMs: number },
+    now: number,
+  ): void {
     const { task, run } = stop;
     if (this._starts.isStale(stop, sender)) {
       return;
@@ -883,6 +903,9 @@
       });
       this._runs.add(tracked);
     }
+    if (tracked.isVolatile) {
+      tracked.stopLimitMs ??= stopLimitMs;
+    }
     this._sendStop(tracked);
   }
 
@@ -1261,6 +1284,7 @@
       }
       isOverdue ||= clockMs > untilMs + this._limits.expiryGraceMs;
     }
+    isOverdue ||= clockMs > this._stopLimitMs;
     if (isOverdue !== this._leaseSuspended) {
       this._leaseSuspended = isOverdue;
       this._log(isOverdue ? 'lease let go' : 'lease renewed again', {
--- a/packages/core/src/test/orphan-bounds.test.ts
+++ b/packages/core/src/test/orphan-bounds.test.ts
@@ -1,6 +1,12 @@
 import { expect } from 'earl';
 import { Loss, RESUBMIT_MS, longestMs } from './orphaned-run.js';
 
+const LOSSES = [
+  [Loss.LinkClosed, 'entry killed'],
+  [Loss.Silence, 'entry cut off'],
+  [Loss.CallerGone, 'caller gone'],
+] as const;
+
 // A worker that leaves stops unanswered keeps a run active until its caller has
 // submitted the job to another entry.
 for (const ignoredStops of [0, 1, 2, 3]) {
@@ -24,8 +30,7 @@
 
 // A lease beyond the limit of an entry keeps its runs active at a worker that
 // ignores stops.
-for (const loss of [Loss.LinkClosed, Loss.Silence]) {
-  const name = loss === Loss.LinkClosed ? 'entry killed' : 'entry cut off';
+for (const [loss, name] of LOSSES) {
   it(`a run that ignores stops ends before it is repeated: ${name}`, () => {
     const ms = longestMs(loss, Number.POSITIVE_INFINITY);
     expect(ms).toBeBetween(0, RESUBMIT_MS);
--- a/packages/core/src/test/orphaned-run.ts
+++ b/packages/core/src/test/orphaned-run.ts
@@ -8,7 +8,11 @@
 const CALL_TIMEOUT_MS = 200;
 const TICK_MS = 100;
 const STEP_MS = 10;
+const ORDER_INTERVAL_MS = 250;
+/** Time after which a run counts as one that does not end. */
+const GIVE_UP_MS = 5000;
 const TASK = 'j.0.0.0';
+const STOP = { task: TASK, run: 1, owner: 'a1' };
 const RUN = { task: TASK, run: 1, checkpoint: '', percent: 100 };
 
 /** How the worker driver process loses the entry of a run. */
@@ -19,6 +23,8 @@
   Silence,
   /** The driver was restarted too, and no entry claims the run. */
   Unclaimed,
+  /** The caller of the run has gone; its entry goes on with other runs. */
+  CallerGone,
 }
 
 /** A worker that runs one task and leaves some stop calls unanswered. */
@@ -28,6 +34,7 @@
   private _ignoredStops: number;
   private _leaseMs = Number.POSITIVE_INFINITY;
   private _isStopped = false;
+  private _sendsOrders = false;
 
   constructor(loss: Loss, ignoredStops: number, phaseMs: number) {
     this._ignoredStops = ignoredStops;
@@ -38,14 +45,20 @@
       return;
     }
     this._harness = ready();
-    const order = () => ({ holdUntilMs: this._harness.clock + 700 });
-    this._harness.order({ ...order(), starts: starts(TASK) });
+    this._harness.order({
+      ...this._orderNow(),
+      starts: starts(TASK),
+    });
     this._harness.answer('start');
     this._harness.active = [RUN];
     for (let passed = 0; passed < phaseMs; passed += STEP_MS) {
       this._step();
     }
-    this._harness.order(order());
+    this._harness.order(this._orderNow());
+    if (loss === Loss.CallerGone) {
+      this._sendsOrders = true;
+      this._harness.order({ ...this._orderNow(), stops: [STOP] });
+    }
     if (loss === Loss.LinkClosed) {
       this._harness.handle({ kind: 'link-closed', linkId: 1 });
     }
@@ -54,17 +67,28 @@
   /** @returns Time from the loss of the entry to the end of the run. */
   timeToEnd(): number {
     const lostAtMs = this._harness.now;
-    while (!this._isStopped && this._harness.clock < this._leaseMs) {
+    while (
+      !this._isStopped &&
+      this._harness.clock < this._leaseMs &&
+      this._harness.now - lostAtMs < GIVE_UP_MS
+    ) {
       this._step();
     }
     const passedMs = this._harness.now - lostAtMs;
     return this._isStopped ? passedMs + STOP_MS : passedMs;
   }
 
+  private _orderNow(): { readonly holdUntilMs: number } {
+    return { holdUntilMs: this._harness.clock + 700 };
+  }
+
   private _step(): void {
     const harness = this._harness;
     harness.now += STEP_MS;
     harness.clock += STEP_MS;
+    if (this._sendsOrders && harness.now % ORDER_INTERVAL_MS === 0) {
+      harness.order(this._orderNow());
+    }
     for (const { callId, call } of [...harness.calls]) {
       if (!this._sentAtMs.has(callId)) {
         this._sentAtMs.set(callId, harness.now);
