Stop the volatile runs of a fenced entry with the time limit that they had

What callers see: their entry is killed and replaced within a second. They send the job to another entry resend_ms later, where its tasks begin beside the first runs if the worker carries out no stops.

The worker driver stops volatile runs at the adoption and keeps their limit. No successor continues them.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -784,10 +784,27 @@
         this._refuse(tracked, StartRefusal.FENCED);
       }
     }
+    this._stopVolatileRuns(owner);
     this._runs.reassign(owner, link.incarnation);
     link.adopted.push(owner);
   }
 
+  /**
+   * Stops the volatile runs of a fenced entry, which no successor continues, and
+   * keeps their time limit: the successor's orders must not extend it.
+   */
+  private _stopVolatileRuns(owner: string): void {
+    const stopLimitMs = this._ownerExpiryMs.get(owner) ?? 0;
+    for (const tracked of this._runs.values()) {
+      if (tracked.owner === owner && tracked.isVolatile) {
+        tracked.stopLimitMs ??= stopLimitMs;
+        if (tracked.phase !== RunPhase.Stopping) {
+          this._sendStop(tracked);
+        }
+      }
+    }
+  }
+
   private _claim(owner: string, group: StartGroup): void {
     for (const { task, run } of group.runs) {
       if (this._runs.get({ task, run })?.owner === '') {
--- a/packages/core/src/test/orphan-bounds.test.ts
+++ b/packages/core/src/test/orphan-bounds.test.ts
@@ -5,6 +5,7 @@
   [Loss.LinkClosed, 'entry killed'],
   [Loss.Silence, 'entry cut off'],
   [Loss.CallerGone, 'caller gone'],
+  [Loss.Adopted, 'entry replaced'],
 ] as const;
 
 // A worker that leaves stops unanswered keeps a run active until its caller has
--- a/packages/core/src/test/orphaned-run.ts
+++ b/packages/core/src/test/orphaned-run.ts
@@ -1,3 +1,4 @@
+import type { WorkerOrder } from '../lib/messages.js';
 import type { WorkerCall } from '../lib/process/worker-events.js';
 import { DriverHarness, ready, starts } from './worker-harness.js';
 
@@ -25,6 +26,8 @@
   Unclaimed,
   /** The caller of the run has gone; its entry goes on with other runs. */
   CallerGone,
+  /** The entry was killed, and another one has adopted its runs. */
+  Adopted,
 }
 
 /** A worker that runs one task and leaves some stop calls unanswered. */
@@ -35,6 +38,9 @@
   private _leaseMs = Number.POSITIVE_INFINITY;
   private _isStopped = false;
   private _sendsOrders = false;
+  /** Entry that sends the orders, and its link. */
+  private _orders: Partial<WorkerOrder> = {};
+  private _linkId = 1;
 
   constructor(loss: Loss, ignoredStops: number, phaseMs: number) {
     this._ignoredStops = ignoredStops;
@@ -59,6 +65,14 @@
       this._sendsOrders = true;
       this._harness.order({ ...this._orderNow(), stops: [STOP] });
     }
+    if (loss === Loss.Adopted) {
+      this._sendsOrders = true;
+      this._orders = { entry: 'entry-b', incarnation: 'b1' };
+      this._linkId = 2;
+      this._harness.handle({ kind: 'link-closed', linkId: 1 });
+      this._harness.openLink(2, 'b1');
+      this._harness.order({ ...this._orderNow(), adopt: ['a1'] }, 2);
+    }
     if (loss === Loss.LinkClosed) {
       this._harness.handle({ kind: 'link-closed', linkId: 1 });
     }
@@ -78,8 +92,8 @@
     return this._isStopped ? passedMs + STOP_MS : passedMs;
   }
 
-  private _orderNow(): { readonly holdUntilMs: number } {
-    return { holdUntilMs: this._harness.clock + 700 };
+  private _orderNow(): Partial<WorkerOrder> {
+    return { ...this._orders, holdUntilMs: this._harness.clock + 700 };
   }
 
   private _step(): void {
@@ -87,7 +101,7 @@
     harness.now += STEP_MS;
     harness.clock += STEP_MS;
     if (this._sendsOrders && harness.now % ORDER_INTERVAL_MS === 0) {
-      harness.order(this._orderNow());
+      harness.order(this._orderNow(), this._linkId);
     }
     for (const { callId, call } of [...harness.calls]) {
       if (!this._sentAtMs.has(callId)) {
