--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -328,11 +328,13 @@
    *   the host has been busy since, because callers may have disconnected.
    * @param now - Current time in milliseconds.
    * @returns New end of that time on the worker's clock; 0 without a clock
-   *   reading or without recent contact.
+   *   reading or recent contact, and before the snapshot on the open link, which
+   *   shows the runs whose stops were lost with the link before.
    */
   extendGrant(fromMs: number, now: number): number {
     if (
       this._clock.lastReadingMs === undefined ||
+      !this.hasSnapshot ||
       now - this._lastContactAtMs > MAX_REPORT_AGE_MS
     ) {
       return 0;
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -99,6 +99,14 @@
     this.fleet.updateLinks({ ...needs, others: [] }, now);
   }
 
+  /** Time limit in the last order that was sent. */
+  get lastLimitMs(): number | undefined {
+    const orders = this.actions.flatMap((action) =>
+      action.kind === 'order' ? [action.order.holdUntilMs] : [],
+    );
+    return orders.at(-1);
+  }
+
   /** Sends what is due and returns the number of orders. */
   send(now: number): number {
     const before = this.actions.length;
@@ -120,6 +128,26 @@
   expect(harness.send(10)).toEqual(1);
 });
 
+// Guards against runs of callers that have gone whose stops were lost with the
+// link before.
+it('orders extend the time of runs only after the snapshot on their link', () => {
+  const harness = new OrderHarness();
+  harness.update(0);
+  harness.view.applyReport(reportOf({ clockMs: 5000, snapshot: true }), 0);
+  harness.fleet.onSnapshot(harness.view, 0);
+  harness.send(0);
+  expect(harness.lastLimitMs).toEqual(5700);
+  harness.fleet.onLinkClosed(1, 'reset', 10);
+  harness.update(500);
+  harness.send(500);
+  expect(harness.lastLimitMs).toEqual(0);
+  harness.view.applyReport(reportOf({ clockMs: 5510, snapshot: true }), 510);
+  harness.fleet.onSnapshot(harness.view, 510);
+  harness.view.isDirty = true;
+  harness.send(510);
+  expect(harness.lastLimitMs).toEqual(6210);
+});
+
 it('orders without content keep their intervals, and runs shorten them at once', () => {
   const harness = new OrderHarness();
   harness.update(0);
