--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -310,6 +310,8 @@
    */
   onSnapshot(view: WorkerView, now: number): void {
     view.hasSnapshot = true;
+    // Only orders after the snapshot extend the time of runs.
+    view.isDirty ||= view.placed.size > 0;
     if (view.failedLinks > 0) {
       this._log('link to worker regained', {
         worker: view.name,
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -135,6 +135,7 @@
   harness.update(0);
   harness.view.applyReport(reportOf({ clockMs: 5000, snapshot: true }), 0);
   harness.fleet.onSnapshot(harness.view, 0);
+  harness.view.placed.set('a', runOf(0, 0));
   harness.send(0);
   expect(harness.lastLimitMs).toEqual(5700);
   harness.fleet.onLinkClosed(1, 'reset', 10);
@@ -143,7 +144,6 @@
   expect(harness.lastLimitMs).toEqual(0);
   harness.view.applyReport(reportOf({ clockMs: 5510, snapshot: true }), 510);
   harness.fleet.onSnapshot(harness.view, 510);
-  harness.view.isDirty = true;
   harness.send(510);
   expect(harness.lastLimitMs).toEqual(6210);
 });
