Leave in time in a planned stop of a slow process

From the end of the wait for jobs, a stop needs up to three more turns of the event loop and 300 ms to close its connections. The margins of 1.2 s and 0.9 s allow for turns of 300 ms. In a process whose turns take longer, as on a slow machine, the stop ended after the grace of 6 s: it is killed with its open calls.

The margins now follow from the time between the ticks of the stop: the second longest of the last five, so that a process that was frozen once waits for its jobs as before. With turns of up to 300 ms nothing changes. The stop still takes at least 2.5 s.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -1091,6 +1091,7 @@
     if (!this._stop || this._isRetired) {
       return;
     }
+    this._stop.observeTick(now);
     if (this._isLeaving) {
       if (now >= this._leaveUntilMs) {
         this._endStop('row not marked', now);
--- a/packages/core/src/test/planned-stop.test.ts
+++ b/packages/core/src/test/planned-stop.test.ts
@@ -9,6 +9,8 @@
 /** Time that callers have to notice a planned stop. */
 const NOTICE_MS = 2500;
 const GRACE_MS = 6000;
+/** Maximum time to send the last replies and to close the connections. */
+const CLOSE_MS = 300;
 const OTHER_ID = '00000000000000b2';
 
 /** Writes into the member row of the entry that another one has fenced it. */
@@ -67,6 +69,43 @@
   expect(count(harness, 'stopped')).toEqual(1);
 });
 
+// Guards against a process that is killed at the end of its grace, since its
+// machine is slow and each step of the stop waits for a long turn.
+it('a planned stop of a slow process ends in its grace', () => {
+  for (const turnMs of [300, 600, 1000]) {
+    for (let firstMs = 50; firstMs <= turnMs; firstMs += 50) {
+      const harness = withWorker();
+      const steps = CONTENT.steps.map((step) => ({ ...step, estimateMs: 100 }));
+      harness.submit(1, { steps });
+      harness.losesStoreReplies = true;
+      const beganAtMs = harness.now;
+      harness.handle({ kind: 'stop' });
+      harness.now += firstMs;
+      while (
+        count(harness, 'stopped') === 0 &&
+        harness.now - beganAtMs < 2 * GRACE_MS
+      ) {
+        harness.handle({ kind: 'tick' });
+        harness.now += turnMs;
+      }
+      // The connections are closed within 300 ms and one more turn.
+      expect(harness.now - beganAtMs + CLOSE_MS <= GRACE_MS).toEqual(true);
+      expect(harness.replies.get(1)?.kind).toEqual('in-doubt');
+    }
+  }
+});
+
+// Guards against jobs that are given up early, since a process was frozen once.
+it('a process that was frozen once waits for its jobs as usual', () => {
+  const harness = withWorker();
+  harness.submit(1);
+  harness.handle({ kind: 'stop' });
+  harness.now += 1900;
+  harness.advance(2800);
+  expect(count(harness, 'stopped')).toEqual(0);
+  expect(harness.replies.has(1)).toEqual(false);
+});
+
 // Guards against runs of answered jobs that go on beside their resubmissions.
 it('an entry that was never registered stops its runs when its stop ends', () => {
   const rows = new FakeRows();
