Count the grace of a planned stop from the signal

A stop that begins during the start is carried out after it, up to 2 s later. Both roles counted their limits from then: an entry that has jobs by then needed up to 2 s + 5.4 s, a worker driver as much, of a grace of 6 s. Found by reading. The role now receives the time of the signal. A worker driver refuses starts for 300 ms from the time at which it learns of the stop, as before, and waits for the write of its registration until 5.4 s after the signal.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -273,6 +273,8 @@
   private _unreliableUntilMs = 0;
   private _unrecordedReportAtMs = 0;
   private _stoppingSinceMs: number | undefined;
+  /** Since when starts are refused because of a planned stop. */
+  private _refusesSinceMs: number | undefined;
   /** Since when no run is left during a planned stop. */
   private _idleSinceMs: number | undefined;
   private _isStopped = false;
@@ -336,7 +338,8 @@
         this._onTick(now);
         break;
       case 'stop':
-        this._stoppingSinceMs ??= now;
+        this._stoppingSinceMs ??= event.sinceMs ?? now;
+        this._refusesSinceMs ??= now;
         this._links.markAllDirty();
         break;
       case 'flush':
@@ -1504,8 +1507,9 @@
       this._areAllEndsListed &&
       !this._ends.hasUnacknowledged &&
       this._sentAckThrough === this._ends.ackedThrough;
+    const refusingMs = this._nowMs - (this._refusesSinceMs ?? this._nowMs);
     return (
-      stoppingMs >= MIN_STOP_MS &&
+      refusingMs >= MIN_STOP_MS &&
       (areEndsAcknowledged ||
         this._nowMs - this._idleSinceMs >= ACKNOWLEDGE_TIMEOUT_MS)
     );
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -139,8 +139,11 @@
     }
   /** Periodic timer, which drives polls and timeouts. */
   | { readonly kind: 'tick' }
-  /** A planned stop was requested. */
-  | { readonly kind: 'stop' }
+  /**
+   * A planned stop was requested. `sinceMs` is a time before which it can't have
+   * been requested; by default it is the time of the event.
+   */
+  | { readonly kind: 'stop'; readonly sinceMs?: number }
   /** Ends a turn of the event loop: sends the collected reports. */
   | { readonly kind: 'flush' };
 
--- a/packages/core/src/test/worker-stop.test.ts
+++ b/packages/core/src/test/worker-stop.test.ts
@@ -48,6 +48,29 @@
   expect(pollUntilStopped(harness) < 500).toEqual(true);
 });
 
+// Guards against a grace that is counted from the time at which a process that
+// was still starting reads the signal.
+it('stop: a stop that was requested earlier ends as much earlier', () => {
+  const harness = ready();
+  harness.order({ holdUntilMs: 30_000, starts: starts('t') });
+  const sinceMs = harness.now - 2000;
+  harness.handle({ kind: 'stop', sinceMs });
+  while (!harness.isStopped && harness.now - sinceMs < 2 * STOP_LIMIT_MS) {
+    harness.advance(100);
+  }
+  expect(harness.now - sinceMs < STOP_LIMIT_MS).toEqual(true);
+});
+
+it('stop: a stop that was requested earlier still refuses starts on their way', () => {
+  const harness = ready();
+  harness.handle({ kind: 'stop', sinceMs: harness.now - 2000 });
+  harness.advance(1);
+  expect(harness.isStopped).toEqual(false);
+  harness.order({ starts: starts('t') });
+  expect(refusals(harness)).toEqual([StartRefusal.NOT_READY]);
+  expect(pollUntilStopped(harness) < 500).toEqual(true);
+});
+
 // Guards against ends that are acknowledged only by the next process, after the
 // lease of the worker has expired.
 it('stop: the end of the last run is acknowledged before the process ends', () => {
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -264,11 +264,16 @@
     }
   }
 
-  /** Begins the planned stop of the process. */
-  stop(): void {
+  /**
+   * Begins the planned stop of the process.
+   *
+   * @param signalledAtMs - Time at which the process read the signal; earlier
+   *   than now if it was still starting.
+   */
+  stop(signalledAtMs = now()): void {
     // A process that was busy or frozen reads the signal late, possibly after its
     // first tick since.
-    const sinceMs = this._earlierTickAtMs ?? now();
+    const sinceMs = Math.min(signalledAtMs, this._earlierTickAtMs ?? Infinity);
     this._plannedStop ??= { sinceMs, calls: 0, lastCallAtMs: sinceMs };
     this.dispatch({ kind: 'stop', sinceMs: this._plannedStop.sinceMs });
   }
--- a/packages/daemon/src/lib/process/planned-stop.ts
+++ b/packages/daemon/src/lib/process/planned-stop.ts
@@ -1,3 +1,4 @@
+import { now } from './clock.js';
 import type { Log } from './logger.js';
 
 /** Options of {@link PlannedStop}. */
@@ -19,8 +20,9 @@
  */
 export class PlannedStop {
   private readonly _options: PlannedStopOptions;
-  private _hasBegun = false;
-  private _stopRole: (() => void) | undefined;
+  /** Time of the first signal. */
+  private _sinceMs: number | undefined;
+  private _stopRole: ((sinceMs: number) => void) | undefined;
   private _timer: NodeJS.Timeout | undefined;
 
   /** @param options - Log and callback. */
@@ -31,14 +33,14 @@
   /** Begins the stop, unless it has begun. */
   begin(): void {
     const { log, onStartTimeout } = this._options;
-    if (this._hasBegun) {
+    if (this._sinceMs !== undefined) {
       log.info('planned stop in progress, signal ignored');
       return;
     }
-    this._hasBegun = true;
+    this._sinceMs = now();
     log.info('planned stop');
     if (this._stopRole) {
-      this._stopRole();
+      this._stopRole(this._sinceMs);
     } else {
       this._timer = setTimeout(() => {
         log.warn('stopped before the start was complete');
@@ -47,12 +49,15 @@
     }
   }
 
-  /** @param stopRole - Begins the planned stop of the role, which has started. */
-  onStarted(stopRole: () => void): void {
+  /**
+   * @param stopRole - Begins the planned stop of the role, which has started.
+   *   Receives the time of the first signal, from which the grace is counted.
+   */
+  onStarted(stopRole: (sinceMs: number) => void): void {
     this._stopRole = stopRole;
     clearTimeout(this._timer);
-    if (this._hasBegun) {
-      stopRole();
+    if (this._sinceMs !== undefined) {
+      stopRole(this._sinceMs);
     }
   }
 }
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -234,6 +234,16 @@
   expect(await harness.kindOf(reply)).toEqual('refused');
 });
 
+// Guards against a grace that is counted from the end of the start, since the
+// signal came during it.
+it('a planned stop counts from the signal', async () => {
+  const harness = new HostHarness();
+  harness.host.stop(now() - STOP_MS);
+  await harness.tick();
+  await harness.tick();
+  expect(harness.hasStopped).toEqual(true);
+});
+
 // Guards against a connection that is closed without an answer.
 it('a call that arrives after the end of a planned stop is refused', async () => {
   const harness = new HostHarness();
