Tell other entries of volatile jobs whose runs may begin late

A worker driver is killed before the worker has answered a start, and the worker carries the start out up to 12 s late. The caller, whose connection has broken, sends the volatile job to another entry 1,300 ms later.

The entry that gives such a job up tells the others once, half of the time before the job may be sent again, if the end of a run is not confirmed by then and the worker may still begin it. An entry that has been told answers the job in doubt, unless a driver process has reached the worker since. The note is withdrawn when the run has ended or can't begin, and ends by itself when no start can be carried out any more. No limit of runs relies on it.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -33,6 +33,7 @@
 import { JobPlacer } from './job-placer.js';
 import { JobRecorder } from './job-recorder.js';
 import type { RecordedJob } from './job-recorder.js';
+import { LateStartNotes } from './late-start-notes.js';
 import type { EndedJob, OwnedJob } from './owned-job.js';
 import { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
@@ -48,6 +49,7 @@
   DEFAULT_RETRY_AFTER_MS,
   REPLY_MARGIN_MS,
   VolatileAdmission,
+  abandonedReply,
 } from './volatile-admission.js';
 import { WorkerFleet } from './worker-fleet.js';
 import { WorkerHealth } from './worker-health.js';
@@ -139,6 +141,7 @@
   private readonly _lookups: JobLookups;
   private readonly _reports: RunReports;
   private readonly _volatile: VolatileAdmission;
+  private readonly _lateStarts: LateStartNotes;
   private readonly _takeovers: TakeoverCoordinator;
   private readonly _jobs = new Map<string, OwnedJob>();
   private readonly _ended = new Map<string, EndedJob>();
@@ -266,6 +269,15 @@
       },
       log,
     });
+    this._lateStarts = new LateStartNotes({
+      limits: this._options.runLimits,
+      workerOf: (worker) => this._fleet.get(worker),
+      peers: (at) => this._peers.unsuspectedRows(at),
+      emit: (action) => {
+        this._actions.push(action);
+      },
+      log,
+    });
     this._volatile = new VolatileAdmission({
       routes: this.routes,
       placer: this._placer,
@@ -275,6 +287,7 @@
         drainsUntilMs: this._stop?.drainsUntilMs,
         refusesAll: this._refusesWork,
       }),
+      lateWorkersOf: (id, at) => this._lateStarts.workersOf(id, at),
       add: (job, record, deadlineMs) => this._addJob(job, record, deadlineMs),
       onAccepted: (ownedJob, at) => {
         this._reports.giveUpCrashing(ownedJob, at);
@@ -473,6 +486,9 @@
       case 'forward-reply':
         this._lookups.onForwarded(event.callId, event.handled, now);
         return;
+      case 'late-starts':
+        this._lateStarts.onNotes(event.notes, now);
+        return;
       case 'paused':
         this._log('pause suspected', { jumpMs: Math.round(event.jumpMs) });
         this._lease.invalidate();
@@ -542,8 +558,11 @@
       if (ownedJob.job.content.isVolatile) {
         this._replyAll(ownedJob.endReplies, abandonedReply(ownedJob, detail));
         ownedJob.endReplies = [];
+        const { id, job } = ownedJob;
+        this._lateStarts.onAbandoned(id, job.placedTasks, this._nowMs);
       }
     }
+    this._lateStarts.pump(this._nowMs, true);
     this._replyAll(this._openReplies(), { kind: 'in-doubt', detail });
   }
 
@@ -700,7 +719,7 @@
    */
   private _abandon(ownedJob: OwnedJob, reason: string, now: number): void {
     const { job } = ownedJob;
-    const placed = job.tasks.filter((task) => task.phase === TaskPhase.Placed);
+    const placed = job.placedTasks;
     this._log('job abandoned', {
       job: ownedJob.id,
       reason,
@@ -716,6 +735,7 @@
           }),
     });
     this._stopRuns(ownedJob);
+    this._lateStarts.onAbandoned(ownedJob.id, placed, now);
     this._removeAndAcknowledge(ownedJob, now);
     this._replyAll(ownedJob.endReplies, abandonedReply(ownedJob, reason));
   }
@@ -878,13 +898,11 @@
   }
 
   private _stopRuns(ownedJob: OwnedJob): void {
-    for (const task of ownedJob.job.tasks) {
-      if (task.phase === TaskPhase.Placed) {
-        this._fleet.stopRunOf(task);
-        if (ownedJob.job.content.isVolatile) {
-          const { name, run, worker } = task;
-          this._stoppingRuns.add({ task: name, run }, worker);
-        }
+    for (const task of ownedJob.job.placedTasks) {
+      this._fleet.stopRunOf(task);
+      if (ownedJob.job.content.isVolatile) {
+        const { name, run, worker } = task;
+        this._stoppingRuns.add({ task: name, run }, worker);
       }
     }
   }
@@ -990,20 +1008,7 @@
     const ownedJob = this._addJob(job, record);
     ownedJob.unsettledPredecessor = predecessor;
     this._reports.giveUpCrashing(ownedJob, now);
-    this._giveUpInvalid(ownedJob, now);
-  }
-
-  /** Fails a stored job whose tasks cannot be sent to a worker. */
-  private _giveUpInvalid(ownedJob: OwnedJob, now: number): void {
-    const { job } = ownedJob;
-    const field = invalidFieldOf(job.content);
-    if (field !== undefined && !isFinal(job.state)) {
-      this._log('job given up, a field is invalid', { job: job.id, field });
-      for (const task of job.tasks) {
-        job.giveUp(task);
-      }
-      this._finish(ownedJob, now);
-    }
+    this._reports.giveUpInvalid(ownedJob, now);
   }
 
   private _onTakeoverSettled(predecessor: string, now: number): void {
@@ -1035,6 +1040,7 @@
     this._monitorPeers(now);
     this._reports.pump(now);
     this._stoppingRuns.prune();
+    this._lateStarts.pump(now);
     this._volatile.refuse(this._placer.tooLate(now), now);
     this._saveProgress(now);
     this._deleteExpired(now);
@@ -1191,16 +1197,3 @@
     this._actions.push({ kind: 'log', message, fields });
   }
 }
-
-/**
- * Reply to the callers of a volatile job that this entry gives up. A job that
- * has not begun never will, so its callers may submit it again.
- */
-const abandonedReply = (ownedJob: OwnedJob, detail: string): BatchReply =>
-  ownedJob.job.mayHaveBegun
-    ? { kind: 'in-doubt', detail }
-    : {
-        kind: 'refused',
-        reason: SubmitRefusal.Abandoned,
-        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-      };
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -65,6 +65,19 @@
   readonly pending: Readonly<Record<string, number>>;
 }
 
+/**
+ * Tells other entries that workers may still begin or execute runs of a volatile
+ * job that its entry has given up.
+ */
+export interface LateStartNote {
+  /** Id of the job. */
+  readonly job: string;
+  /** VMs of these workers. */
+  readonly workers: readonly string[];
+  /** For how long at most, in milliseconds; 0 withdraws an earlier note. */
+  readonly forMs: number;
+}
+
 /** An event that a batch entry handles. */
 export type BatchEvent =
   | {
@@ -120,6 +133,8 @@
       readonly callId: number;
       readonly handled: boolean;
     }
+  /** Notes of another entry. */
+  | { readonly kind: 'late-starts'; readonly notes: readonly LateStartNote[] }
   /** The process may have been paused, so leases may have expired unnoticed. */
   | { readonly kind: 'paused'; readonly jumpMs: number }
   /** Occurs periodically and drives all intervals and timeouts. */
@@ -179,6 +194,12 @@
       readonly address: string;
       readonly id: string;
     }
+  /** Sends notes to another entry; the outcome does not matter. */
+  | {
+      readonly kind: 'note-late-starts';
+      readonly address: string;
+      readonly notes: readonly LateStartNote[];
+    }
   | {
       readonly kind: 'log';
       readonly message: string;
--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -2,6 +2,7 @@
 import type { RunEnd, WorkerCrash, WorkerReport } from '../messages.js';
 import { TaskPhase, isFinal, isPlacedAs } from '../request/batch-job.js';
 import type { BatchTask } from '../request/batch-job.js';
+import { invalidFieldOf } from '../request/job-content.js';
 import { jobIdOf, runKey } from '../request/run-key.js';
 import {
   OverdueReason,
@@ -345,6 +346,25 @@
     }
   }
 
+  /**
+   * Fails a stored job whose tasks cannot be sent to a worker.
+   *
+   * @param ownedJob - A job of the entry.
+   * @param now - Current time in milliseconds.
+   */
+  giveUpInvalid(ownedJob: OwnedJob, now: number): void {
+    const { job } = ownedJob;
+    const field = invalidFieldOf(job.content);
+    if (field !== undefined && !isFinal(job.state)) {
+      const { log, onFinal } = this._options;
+      log('job given up, a field is invalid', { job: job.id, field });
+      for (const task of job.tasks) {
+        job.giveUp(task);
+      }
+      onFinal(ownedJob, now);
+    }
+  }
+
   private _logCrash(
     view: WorkerView,
     crash: WorkerCrash,
--- a/packages/core/src/lib/process/volatile-admission.ts
+++ b/packages/core/src/lib/process/volatile-admission.ts
@@ -38,6 +38,8 @@
   /** Jobs that have ended, by id. */
   readonly ended: ReadonlyMap<string, EndedJob>;
   readonly stopState: () => StopState;
+  /** Returns the workers at which runs of other entries may begin late. */
+  readonly lateWorkersOf: (id: string, now: number) => readonly string[];
   readonly add: (
     job: BatchJob,
     record: RecordedJob,
@@ -85,6 +87,16 @@
       reply(replyId, { kind: 'ended', state: endedJob.state });
       return;
     }
+    const lateWorkers = this._options.lateWorkersOf(id, now);
+    if (lateWorkers.length > 0) {
+      log('job not started, another run of it may begin late', {
+        job: id,
+        workers: lateWorkers.join(' '),
+      });
+      const detail = 'an earlier run of the job may still begin';
+      reply(replyId, { kind: 'in-doubt', detail });
+      return;
+    }
     if (this._isStopping(content, now)) {
       const reason = SubmitRefusal.Stopping;
       const retryAfterMs = DEFAULT_RETRY_AFTER_MS;
@@ -168,3 +180,23 @@
     return endsMs > drainsUntilMs;
   }
 }
+
+/**
+ * Reply to the callers of a volatile job that this entry gives up. A job that
+ * has not begun never will, so its callers may submit it again.
+ *
+ * @param ownedJob - The job.
+ * @param detail - Why it is given up.
+ * @returns The reply.
+ */
+export const abandonedReply = (
+  ownedJob: OwnedJob,
+  detail: string,
+): BatchReply =>
+  ownedJob.job.mayHaveBegun
+    ? { kind: 'in-doubt', detail }
+    : {
+        kind: 'refused',
+        reason: SubmitRefusal.Abandoned,
+        retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      };
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -383,6 +383,30 @@
     return silentMs > REPORT_TIMEOUT_MS && silentMs <= lateRunExpiryMs;
   }
 
+  /**
+   * @param key - Key of a run that has been sent here and is being stopped.
+   * @param now - Current time in milliseconds.
+   * @returns Whether the worker may begin or continue it later than the time
+   *   limits of runs allow.
+   */
+  mayBeginLate(key: string, now: number): boolean {
+    const isSilent = now - this._lastContactAtMs > MAX_REPORT_AGE_MS;
+    return (
+      this._unconfirmed.has(key) ||
+      (this._mayActLate && isSilent && this.placed.has(key))
+    );
+  }
+
+  /**
+   * @param sinceMs - Time at which a driver process was suspected to be gone.
+   * @returns Whether that driver, or the next one, whose calls carry a higher
+   *   fencing token, has reached the worker since, which carries out all calls
+   *   in time.
+   */
+  provesNoLateStarts(sinceMs: number): boolean {
+    return this._lastContactAtMs > sinceMs && !this._mayActLate;
+  }
+
   /**
    * Updates the state from a report.
    *
--- a/packages/core/src/lib/request/batch-job.ts
+++ b/packages/core/src/lib/request/batch-job.ts
@@ -277,6 +277,11 @@
     return this.tasks.filter((task) => task.phase === TaskPhase.Ready);
   }
 
+  /** Tasks with a run at a worker, as far as this entry has placed or seen it. */
+  get placedTasks(): BatchTask[] {
+    return this.tasks.filter((task) => task.phase === TaskPhase.Placed);
+  }
+
   /** Progress to record in the progress row. */
   get progress(): BatchProgress {
     const failures: Record<string, number> = {};
--- a/packages/core/src/test/entry-harness.ts
+++ b/packages/core/src/test/entry-harness.ts
@@ -276,6 +276,7 @@
         return undefined;
       case 'log':
       case 'probe':
+      case 'note-late-starts':
       case 'forward-cancel':
       case 'poll-again':
       case 'retire':
--- a/packages/daemon/src/lib/process/batch-host.ts
+++ b/packages/daemon/src/lib/process/batch-host.ts
@@ -14,6 +14,7 @@
 import {
   CancelJobReplySchema,
   EntryPeerService,
+  NoteLateStartsReplySchema,
   ProbeReplySchema,
   decodeWorkerReport,
   encodeWorkerOrder,
@@ -82,6 +83,8 @@
 const LAST_POLLS = 20;
 const PROBE_TIMEOUT_MS = 400;
 const FORWARD_TIMEOUT_MS = 600;
+/** Notes that arrive later are of no use: the job has been sent again. */
+const NOTE_TIMEOUT_MS = 600;
 /**
  * Maximum wait at the owner for a forwarded cancellation. Shorter than
  * {@link FORWARD_TIMEOUT_MS}, so that the reply arrives in time.
@@ -375,6 +378,10 @@
         const handled = reply.kind === 'cancelled';
         return create(CancelJobReplySchema, { handled });
       },
+      noteLateStarts: ({ notes }) => {
+        this.dispatch({ kind: 'late-starts', notes });
+        return create(NoteLateStartsReplySchema);
+      },
     });
   }
 
@@ -404,6 +411,9 @@
       case 'forward-cancel':
         void this._forwardCancel(action);
         return;
+      case 'note-late-starts':
+        void this._noteLateStarts(action);
+        return;
       case 'log':
         this.metrics.onDecision(action.message, action.fields);
         this._options.log.info(action.message, action.fields);
@@ -520,6 +530,32 @@
     }));
   }
 
+  private async _noteLateStarts({
+    address,
+    notes,
+  }: Action<'note-late-starts'>): Promise<void> {
+    const reply = await this._peers.call(
+      address,
+      NOTE_TIMEOUT_MS,
+      (client, options) =>
+        client.noteLateStarts(
+          {
+            notes: notes.map(({ job, workers, forMs }) => ({
+              job,
+              workers: [...workers],
+              forMs,
+            })),
+          },
+          options,
+        ),
+    );
+    if (!reply) {
+      const message = 'note of late starts not confirmed';
+      this.metrics.decisions.inc(message);
+      this._options.log.info(message, { address, notes: notes.length });
+    }
+  }
+
   private _forwardCancel(action: Action<'forward-cancel'>): Promise<void> {
     const { callId, address, id } = action;
     const work = this._peers.call(
--- a/packages/daemon/src/test/batch-host.test.ts
+++ b/packages/daemon/src/test/batch-host.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Server } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'earl';
+import { DEFAULT_RUN_BOUNDS } from '@sapphiremux/core';
 import type {
   BatchContent,
   FollowReply,
@@ -56,7 +57,11 @@
   private _incarnations = 0;
   private _followers: ((reply: FollowReply) => void)[] = [];
 
-  constructor() {
+  /**
+   * @param name - First part of the names of its incarnations.
+   * @param port - Port for calls of other entries, once it is started.
+   */
+  constructor(name = 'i', port = 1) {
     this.host = new BatchHost({
       entry: {
         name: 'e',
@@ -65,8 +70,8 @@
         operatorTable: 'op',
         decodeOperatorRow: ({ key }) => ({ kind: 'other', key, detail: '' }),
       },
-      newIncarnation: () => `i${String(++this._incarnations)}`,
-      listen: { host: '127.0.0.1', port: 1 },
+      newIncarnation: () => `${name}${String(++this._incarnations)}`,
+      listen: { host: '127.0.0.1', port },
       openStore: () => ({
         call: () =>
           Promise.resolve({ kind: 'committed', version: ++this._version }),
@@ -124,10 +129,21 @@
   /**
    * Answers the open calls for changes with the row of a worker, and waits until
    * the entry has received its first report.
+   *
+   * @param address - Address of the worker driver.
+   * @param entryAddress - Address of another entry, if there is one.
    */
-  async addWorker(address: string): Promise<void> {
-    const value = JSON.stringify({ address, dataCentre: 'a' });
-    const rows = [{ key: 'worker/w', value, version: ++this._version }];
+  async addWorker(address: string, entryAddress?: string): Promise<void> {
+    const worker = { address, dataCentre: 'a' };
+    const entry = { name: 'f', address: entryAddress, dataCentre: 'a' };
+    const members = entryAddress
+      ? { 'worker/w': worker, 'entry/f1': entry }
+      : { 'worker/w': worker };
+    const rows = Object.entries(members).map(([key, row]) => ({
+      key,
+      value: JSON.stringify(row),
+      version: ++this._version,
+    }));
     for (const reply of this._followers.splice(0)) {
       reply({ kind: 'table', rows, version: this._version });
     }
@@ -433,3 +449,45 @@
   desk.close();
   expect(worker.starts).toEqual([]);
 });
+
+/** @returns A port of the local host that nothing listens on. */
+const freePort = async (): Promise<number> => {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+};
+
+// Guards against a second run of a job whose first one a worker begins late,
+// because the process that has sent its start is gone.
+it('a job whose run may begin late is answered in doubt by another entry', async () => {
+  const port = await freePort();
+  const other = new HostHarness('f', port);
+  await other.host.start();
+  const worker = new WorkerPeer();
+  const harness = new HostHarness();
+  let leave = (): void => undefined;
+  const onGone = (listener: () => void): void => {
+    leave = listener;
+  };
+  await harness.tick();
+  const entryAddress = `127.0.0.1:${String(port)}`;
+  await harness.addWorker(await worker.listen(), entryAddress);
+  void harness.submit(JOB, { isGone: false, onGone });
+  worker.report(ROOM);
+  await delay(50);
+  await harness.tick();
+  expect(worker.starts.length).toEqual(1);
+  worker.close();
+  leave();
+  const resendAtMs = now() + DEFAULT_RUN_BOUNDS.resendMs;
+  while (now() < resendAtMs) {
+    await harness.tick();
+  }
+  expect(await other.kindOf(other.submit(JOB))).toEqual('in-doubt');
+  await harness.host.close();
+  await other.host.close();
+});
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -482,6 +482,14 @@
           },
         );
       },
+      onLateStarts: (address, notes) => {
+        const peer = this.entries.find((other) => other.name === address);
+        this.network.sendDatagram(name, address, () => {
+          peer?.post(() => {
+            peer.dispatch({ kind: 'late-starts', notes });
+          });
+        });
+      },
       onLog: (message, fields) => {
         onLog?.(queue.nowMs, name, `${message} ${JSON.stringify(fields)}`);
       },
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -3,6 +3,7 @@
   BatchAction,
   BatchEvent,
   BatchReply,
+  LateStartNote,
   OperatorChange,
   PeerStatus,
   RouteConfig,
@@ -51,6 +52,10 @@
     id: string,
     onReply: (isHandled: boolean) => void,
   ) => void;
+  readonly onLateStarts: (
+    address: string,
+    notes: readonly LateStartNote[],
+  ) => void;
   readonly onLog: (message: string, fields: object) => void;
 }
 
@@ -464,6 +469,9 @@
         });
         return;
       }
+      case 'note-late-starts':
+        this._options.onLateStarts(action.address, action.notes);
+        return;
       case 'log':
         this._options.onLog(action.message, action.fields);
         return;
--- /dev/null
+++ b/packages/standins/src/test/fleet-late-starts.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'earl';
+import { LONG_VOLATILE_JOB } from '../lib/fleet-sim/fleet-commands.js';
+import type { FleetStep } from '../lib/fleet-sim/fleet-commands.js';
+import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
+import { WorkerMode } from '../lib/fleet-sim/sim-worker.js';
+import { RESENT_MS, forWorkers, resetCallers } from './resend-steps.js';
+import { step } from './sample.js';
+
+/** Seeds of the simulation; they decide which worker gets the runs. */
+const SEEDS = Array.from({ length: 100 }, (_, seed) => seed);
+
+/** Submits a job that its caller sends to another entry after a reset. */
+const SUBMIT: FleetStep = step(
+  {
+    kind: 'submit',
+    entry: 0,
+    job: LONG_VOLATILE_JOB,
+    resend: { to: 1, delayMs: 0 },
+  },
+  3,
+);
+
+/** A driver that is killed before its worker has answered a start. */
+const KILLED_DRIVER = [
+  step({ kind: 'worker', worker: 0, mode: WorkerMode.LateGrants }, 102),
+  SUBMIT,
+  step({ kind: 'kill-driver', worker: 0 }, 0),
+  resetCallers(14_000 + RESENT_MS),
+];
+
+/** @returns The seeds with which the steps break a rule. */
+const brokenSeeds = (steps: readonly FleetStep[], seeds = SEEDS): number[] =>
+  seeds.filter((seed) => runFleetScenario({ seed, steps }).length > 0);
+
+// Guards against a start of a killed driver that is carried out beside a run of
+// the same job at the entry to which its caller has sent it again.
+it('a late start of a killed driver runs beside no later run of a resent volatile job', () => {
+  expect(brokenSeeds(KILLED_DRIVER)).toEqual([]);
+});
+
+/** Seeds of the scenarios in which no rule is near to be broken. */
+const FEW_SEEDS = SEEDS.slice(0, 20);
+
+/** Number of log lines of entries with this text. */
+const countLines = (steps: readonly FleetStep[], text: string): number => {
+  let count = 0;
+  for (const seed of FEW_SEEDS) {
+    const onLog = (_atMs: number, _entry: string, line: string): void => {
+      count += Number(line.startsWith(text));
+    };
+    runFleetScenario({ seed, steps }, { onLog });
+  }
+  return count;
+};
+
+it('a job is answered in doubt while a start of it may be carried out late', () => {
+  const text = 'job not started, another run of it may begin late';
+  expect(countLines(KILLED_DRIVER, text) > 0).toEqual(true);
+});
+
+it('no notes are sent when workers confirm their stops', () => {
+  const steps = [SUBMIT, resetCallers(14_000)];
+  expect(countLines(steps, 'late starts noted')).toEqual(0);
+  expect(countLines(steps, 'job accepted') > 0).toEqual(true);
+});
+
+// A driver that is only cut off from the entry stops the runs in time, and tells
+// the entry to which the job is sent again that it is there.
+it('a cut between an entry and a driver holds no resent job back', () => {
+  const steps = [
+    SUBMIT,
+    ...forWorkers([0, 1, 2], (worker) => ({ kind: 'cut', entry: 0, worker })),
+    resetCallers(14_000),
+  ];
+  const text = 'job not started, another run of it may begin late';
+  expect(countLines(steps, 'late starts noted {') > 0).toEqual(true);
+  expect(countLines(steps, text)).toEqual(0);
+  expect(brokenSeeds(steps, FEW_SEEDS)).toEqual([]);
+});
