--- a/packages/core/src/lib/process/run-limits.ts
+++ b/packages/core/src/lib/process/run-limits.ts
@@ -23,9 +23,9 @@
 };
 
 /**
- * Time limits of runs. Entries do not tell each other about volatile jobs, so a
- * run of one must have ended before its caller may send the job to another
- * entry: the sum of the limits, {@link longestOrphanMs}, is below
+ * Time limits of runs. They do not rely on what entries tell each other about
+ * volatile jobs, so a run of one must have ended before its caller may send the
+ * job to another entry: the sum of the limits, {@link longestOrphanMs}, is below
  * {@link RunBounds.resendMs}. All times are in milliseconds.
  */
 export interface RunLimits extends RunBounds {
