--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -398,10 +398,11 @@
   }
 
   /**
-   * @param sinceMs - Time at which a driver process was suspected to be gone.
-   * @returns Whether that driver, or the next one, whose calls carry a higher
-   *   fencing token, has reached the worker since, which carries out all calls
-   *   in time.
+   * @param sinceMs - Time at which another entry had no contact with the worker.
+   * @returns Whether this entry has heard since that the worker answers its
+   *   driver process. That is the driver that has sent the starts, which stops
+   *   them in time, or a later one, whose higher fencing token makes the worker
+   *   reject them.
    */
   provesNoLateStarts(sinceMs: number): boolean {
     return this._lastContactAtMs > sinceMs && !this._mayActLate;
--- a/packages/core/src/test/late-start-notes.test.ts
+++ b/packages/core/src/test/late-start-notes.test.ts
@@ -143,7 +143,7 @@
 });
 
 // The driver is alive or a later one has fenced it off, so its starts are stopped.
-it('a worker that was reached after the note holds no job back', () => {
+it('a worker that was reached after the note is not named', () => {
   const { worker, notes } = createNotes();
   notes.onNotes([NOTE], 1000);
   worker.lastContactAtMs = 1000;
--- a/packages/standins/src/test/fleet-late-starts.test.ts
+++ b/packages/standins/src/test/fleet-late-starts.test.ts
@@ -66,7 +66,7 @@
 
 // A driver that is only cut off from the entry stops the runs in time, and tells
 // the entry to which the job is sent again that it is there.
-it('a cut between an entry and a driver holds no resent job back', () => {
+it('a resent job is started after a cut between its first entry and the drivers', () => {
   const steps = [
     SUBMIT,
     ...forWorkers([0, 1, 2], (worker) => ({ kind: 'cut', entry: 0, worker })),
