--- a/packages/core/src/test/orphaned-run.ts
+++ b/packages/core/src/test/orphaned-run.ts
@@ -1,11 +1,8 @@
 import type { WorkerOrder } from '../lib/messages.js';
+import type { RunLimits } from '../lib/process/run-limits.js';
 import type { WorkerCall } from '../lib/process/worker-events.js';
 import { DriverHarness, ready, starts } from './worker-harness.js';
 
-/** Time after which the caller of a volatile job submits it again. */
-export const RESUBMIT_MS = 1300;
-const STOP_MS = 50;
-const POLL_WAIT_MS = 250;
 const CALL_TIMEOUT_MS = 200;
 const TICK_MS = 100;
 const STEP_MS = 10;
@@ -22,17 +19,32 @@
   LinkClosed,
   /** The entry was cut off: no order arrives any more. */
   Silence,
-  /** The driver was restarted too, and no entry claims the run. */
+  /**
+   * The driver was restarted too, and no entry claims the run. The worker has no
+   * lease that ends.
+   */
   Unclaimed,
+  /** The same, with a lease that the earlier driver has just renewed. */
+  UnclaimedWithLease,
   /** The caller of the run has gone; its entry goes on with other runs. */
   CallerGone,
   /** The entry was killed, and another one has adopted its runs. */
   Adopted,
 }
 
+/** A run of a volatile job whose caller may send it again. */
+export interface Orphaning {
+  readonly loss: Loss;
+  /** Stop calls that the worker does not carry out. */
+  readonly ignoredStops: number;
+  /** Time limits of runs. */
+  readonly limits: RunLimits;
+}
+
 /** A worker that runs one task and leaves some stop calls unanswered. */
 class OrphanedRun {
   private readonly _harness: DriverHarness;
+  private readonly _limits: RunLimits;
   private readonly _sentAtMs = new Map<number, number>();
   private _ignoredStops: number;
   private _leaseMs = Number.POSITIVE_INFINITY;
@@ -42,15 +54,20 @@
   private _orders: Partial<WorkerOrder> = {};
   private _linkId = 1;
 
-  constructor(loss: Loss, ignoredStops: number, phaseMs: number) {
+  constructor({ loss, ignoredStops, limits }: Orphaning, phaseMs: number) {
     this._ignoredStops = ignoredStops;
-    if (loss === Loss.Unclaimed) {
-      this._harness = new DriverHarness();
+    this._limits = limits;
+    if (loss === Loss.Unclaimed || loss === Loss.UnclaimedWithLease) {
+      this._harness = new DriverHarness(limits);
+      if (loss === Loss.UnclaimedWithLease) {
+        const { grantMs, expiryGraceMs } = limits;
+        this._leaseMs = this._harness.clock + grantMs + expiryGraceMs;
+      }
       this._harness.active = [RUN];
       this._harness.announce();
       return;
     }
-    this._harness = ready();
+    this._harness = ready(limits);
     this._harness.order({
       ...this._orderNow(),
       starts: starts(TASK),
@@ -89,11 +106,12 @@
       this._step();
     }
     const passedMs = this._harness.now - lostAtMs;
-    return this._isStopped ? passedMs + STOP_MS : passedMs;
+    return this._isStopped ? passedMs + this._limits.stopMs : passedMs;
   }
 
   private _orderNow(): Partial<WorkerOrder> {
-    return { ...this._orders, holdUntilMs: this._harness.clock + 700 };
+    const holdUntilMs = this._harness.clock + this._limits.grantMs;
+    return { ...this._orders, holdUntilMs };
   }
 
   private _step(): void {
@@ -109,7 +127,7 @@
         this._onSent(call);
       }
       const ageMs = harness.now - (this._sentAtMs.get(callId) ?? 0);
-      if (call.kind === 'hold' && ageMs >= POLL_WAIT_MS) {
+      if (call.kind === 'hold' && ageMs >= this._limits.pollWaitMs) {
         harness.answerPoll();
       } else if (call.kind === 'stop' && ageMs >= CALL_TIMEOUT_MS) {
         harness.answer('stop', { kind: 'no-answer', detail: 'timed out' });
@@ -134,16 +152,13 @@
 }
 
 /**
- * @param loss - How the driver loses the entry.
- * @param ignoredStops - Stop calls that the worker does not carry out.
+ * @param orphaning - How the driver loses the entry, and the worker.
  * @returns Longest time to the end of a run over all phases of the polls, in
  *   milliseconds.
  */
-export const longestMs = (loss: Loss, ignoredStops: number): number => {
+export const longestMs = (orphaning: Orphaning): number => {
   const phases = Array.from({ length: 30 }, (_, index) => index * STEP_MS);
   return Math.max(
-    ...phases.map((phaseMs) =>
-      new OrphanedRun(loss, ignoredStops, phaseMs).timeToEnd(),
-    ),
+    ...phases.map((phaseMs) => new OrphanedRun(orphaning, phaseMs).timeToEnd()),
   );
 };
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -1,5 +1,7 @@
 import { EndKind, StartRefusal } from '../lib/messages.js';
 import type { WorkerOrder, WorkerReport } from '../lib/messages.js';
+import { DEFAULT_RUN_LIMITS } from '../lib/process/run-limits.js';
+import type { RunLimits } from '../lib/process/run-limits.js';
 import { WorkerDriver } from '../lib/process/worker-driver.js';
 import type {
   ListedEnd,
@@ -61,11 +63,17 @@
   /** Ids of the heartbeats that the driver has confirmed. */
   readonly confirmed: string[] = [];
   readonly calls: { callId: number; call: WorkerCall }[] = [];
-  readonly driver = new WorkerDriver({
-    name: 'vm',
-    incarnation: 'w1',
-    token: 7,
-  });
+  readonly driver: WorkerDriver;
+
+  /** @param limits - Time limits of runs. */
+  constructor(readonly limits = DEFAULT_RUN_LIMITS) {
+    this.driver = new WorkerDriver({
+      name: 'vm',
+      incarnation: 'w1',
+      token: 7,
+      limits,
+    });
+  }
 
   announce(accepting = true): void {
     this.heartbeat({ accepting });
@@ -92,7 +100,8 @@
 
   openLink(linkId = 1, incarnation = 'a1'): void {
     this.handle({ kind: 'link-open', linkId });
-    this.order({ incarnation, holdUntilMs: this.clock + 700 }, linkId);
+    const holdUntilMs = this.clock + this.limits.grantMs;
+    this.order({ incarnation, holdUntilMs }, linkId);
   }
 
   order(fields: Partial<WorkerOrder>, linkId = 1): void {
@@ -190,8 +199,8 @@
 }
 
 /** Returns a driver with an announced worker and a link to one entry. */
-export const ready = (): DriverHarness => {
-  const harness = new DriverHarness();
+export const ready = (limits?: RunLimits): DriverHarness => {
+  const harness = new DriverHarness(limits);
   harness.announce();
   harness.openLink();
   harness.advance(10);
