Give the fleet simulation the time after which callers send a job again

Scenarios have a resend time, from 900 to 3,000 ms in generated ones and 1,300 ms otherwise; entries and worker drivers get the limits that follow. A new mode of workers carries out all calls but stops.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -136,6 +136,8 @@
 /** A complete scenario: the seed of the simulation and its commands. */
 export interface FleetScenario {
   readonly seed: number;
+  /** See {@link FleetWorldOptions.resendMs}. */
+  readonly resendMs?: number;
   readonly steps: readonly FleetStep[];
 }
 
@@ -161,6 +163,9 @@
 const MAX_SLOW_TURNS = 3;
 const MAX_RESEND_DELAY_MS = 1000;
 const MAX_START_DELAY_MS = 1000;
+// Times until a volatile job is sent again. No safe limits follow below 861 ms.
+const MIN_RESEND_MS = 900;
+const MAX_RESEND_MS = 3000;
 
 /**
  * Generates scenarios for the fleet simulation with fast-check.
@@ -178,6 +183,7 @@
       }),
       { maxLength: MAX_STEPS, size: 'max' },
     ),
+    resendMs: fc.integer({ min: MIN_RESEND_MS, max: MAX_RESEND_MS }),
   });
 
 const entryIndex = (): fc.Arbitrary<number> => fc.nat(ENTRY_COUNT - 1);
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -40,14 +40,15 @@
  */
 export const runFleetScenario = (
   scenario: FleetScenario,
-  options: Omit<FleetWorldOptions, 'seed' | 'size'> = {},
+  options: Omit<FleetWorldOptions, 'seed' | 'size' | 'resendMs'> = {},
 ): readonly Violation[] => {
-  const world = new FleetWorld({ ...options, seed: scenario.seed });
+  const { seed, resendMs } = scenario;
+  const world = new FleetWorld({ ...options, seed, resendMs });
   const { queue } = world;
   world.configure('levy');
   queue.runUntil(STARTUP_MS);
   for (const { command, thenMs } of scenario.steps) {
-    applyCommand(world, command, scenario.seed);
+    applyCommand(world, command, seed);
     queue.runUntil(queue.nowMs + thenMs);
   }
   // The faults last until the planned stops that have begun have ended.
@@ -64,7 +65,7 @@
   recoverProcesses(world, 'restart');
   queue.runUntil(queue.nowMs + SETTLE_MS);
   checkAcceptedJobsEnded(world);
-  replaceWorker(world, scenario.seed);
+  replaceWorker(world, seed);
   submitToEachWorker(world);
   checkAcceptedJobsEnded(world);
   return world.oracle.violations;
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -1,8 +1,10 @@
+import { DEFAULT_RUN_BOUNDS, deriveRunLimits } from '@sapphiremux/core';
 import type {
   BatchContent,
   BatchReply,
   PeerStatus,
   RouteConfig,
+  RunLimits,
   WorkerOrder,
   WorkerReport,
 } from '@sapphiremux/core';
@@ -29,6 +31,13 @@
   readonly seed: number;
   /** Number of entries and workers; the fleet of the fuzzer if absent. */
   readonly size?: { readonly entries: number; readonly workers: number };
+  /**
+   * Time that callers of volatile jobs wait before they submit again; the default
+   * of the product if absent.
+   */
+  readonly resendMs?: number | undefined;
+  /** Time limits of runs other than those that follow from `resendMs`. */
+  readonly limits?: Partial<RunLimits> | undefined;
   /** A fault of all entries; none if absent. */
   readonly hostFault?: HostFault | undefined;
   /** Receives the number of actions of each kind that a process carries out. */
@@ -54,7 +63,7 @@
 /** Where and when a caller sends a job again. */
 export interface Resend {
   readonly to: SimBatchEntry;
-  /** Time beyond {@link RESEND_DELAY_MS}. */
+  /** Time beyond {@link FleetWorldOptions.resendMs}. */
   readonly delayMs: number;
 }
 
@@ -83,8 +92,6 @@
 const CALL_DEADLINE_MS = 4000;
 /** Longest interval between two retransmissions of a connection after a cut. */
 const MAX_RETRANSMISSION_MS = 3000;
-/** Callers of volatile jobs wait this long before they submit again. */
-export const RESEND_DELAY_MS = 1300;
 
 /**
  * A simulated fleet in virtual time: entries, worker drivers, workers, the
@@ -99,6 +106,8 @@
   readonly entries: readonly SimBatchEntry[];
   readonly drivers: readonly SimDriver[];
   readonly workers: readonly SimWorker[];
+  private readonly _resendMs: number;
+  private readonly _limits: RunLimits;
   private readonly _links = new Map<string, Link>();
   private _nextLinkId = 1;
   private readonly _stopCallers = new StopCallers(this);
@@ -118,6 +127,10 @@
     const generator = xoroshiro128plus(options.seed);
     const random = (): number => uniformFloat64(generator);
     const { queue } = this;
+    this._resendMs = options.resendMs ?? DEFAULT_RUN_BOUNDS.resendMs;
+    const bounds = { ...DEFAULT_RUN_BOUNDS, resendMs: this._resendMs };
+    const limits = deriveRunLimits(bounds).unwrap();
+    this._limits = { ...limits, ...options.limits };
     this.network = new Network({
       queue,
       random,
@@ -140,6 +153,7 @@
         store: this.store,
         isDisconnectedFromStore: () => this._disconnectedFromStore.has(name),
         worker: () => workers[index] ?? fail(name),
+        limits: this._limits,
         random,
         onReport: (linkId, report) => {
           this._sendReport(name, linkId, report);
@@ -248,10 +262,10 @@
       isOpen = false;
       this._callerResets.get(entry)?.delete(reset);
       oracle.onSubmitReply(id, reply);
-      this._resendAtMs.set(id, isVolatile ? queue.nowMs + RESEND_DELAY_MS : 0);
+      this._resendAtMs.set(id, isVolatile ? queue.nowMs + this._resendMs : 0);
       const mayHaveRun = reply === undefined || reply.kind === 'in-doubt';
       if (isVolatile && resend && mayHaveRun) {
-        queue.after(RESEND_DELAY_MS + resend.delayMs, () => {
+        queue.after(this._resendMs + resend.delayMs, () => {
           this.submit(resend.to, id, content);
         });
       }
@@ -436,6 +450,7 @@
       store: this.store,
       skewMs: (random() - 0.5) * 2 * MAX_CLOCK_SKEW_MS,
       random,
+      limits: this._limits,
       hostFault,
       isDisconnectedFromStore: () => this._disconnectedFromStore.has(name),
       onAction: (kind) => onAction?.('entry', kind),
--- a/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-batch-entry.ts
@@ -7,6 +7,7 @@
   OperatorChange,
   PeerStatus,
   RouteConfig,
+  RunLimits,
   WorkerOrder,
 } from '@sapphiremux/core';
 import type { EventQueue } from '../sim/event-queue.js';
@@ -34,6 +35,8 @@
   readonly store: SimTable;
   /** Offset of the entry's clock against virtual time. */
   readonly skewMs: number;
+  /** Time limits of runs. */
+  readonly limits: RunLimits;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
   readonly hostFault?: HostFault | undefined;
@@ -317,7 +320,7 @@
   }
 
   private _beginIncarnation(): void {
-    const { name, dataCentre, random } = this._options;
+    const { name, dataCentre, limits, random } = this._options;
     this._incarnationNumber += 1;
     this._incarnation = `${name}.${String(this._incarnationNumber)}`;
     this._core = new BatchEntry(
@@ -330,6 +333,7 @@
         operatorTable: OPERATOR_TABLE,
         decodeOperatorRow: ({ key, value }) => decodeOperatorRow(key, value),
         stoppingSinceMs: this._stop?.sinceMs,
+        runLimits: limits,
       },
       this.nowMs,
     );
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -5,6 +5,7 @@
   fleetKeys,
 } from '@sapphiremux/core';
 import type {
+  RunLimits,
   WorkerAction,
   WorkerEvent,
   WorkerHeartbeat,
@@ -24,6 +25,8 @@
   readonly store: SimTable;
   readonly isDisconnectedFromStore: () => boolean;
   readonly worker: () => SimWorker;
+  /** Time limits of runs. */
+  readonly limits: RunLimits;
   /** Uniform random numbers from 0 to 1. */
   readonly random: () => number;
   /** Receives the kind of each action that the process carries out. */
@@ -122,6 +125,7 @@
       incarnation: this._incarnation,
       // Initial fencing token; higher than those of earlier processes.
       token: Math.floor(this.queue.nowMs) + 1,
+      limits: this._options.limits,
     });
     this.schedule(0, () => {
       this._tick();
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -26,6 +26,8 @@
   Failing = 'failing',
   /** Runs stall and do not end on their own. */
   Hanging = 'hanging',
+  /** Neither executes stops nor replies to them. */
+  IgnoringStops = 'ignoring-stops',
   /** Neither replies to calls nor executes them. */
   Unresponsive = 'silent',
 }
@@ -237,7 +239,9 @@
     queue.after(call.timeoutMs, () => {
       reply({ kind: 'no-answer', detail: 'timed out' });
     });
-    if (this.mode === WorkerMode.Unresponsive) {
+    const isIgnored =
+      this.mode === WorkerMode.IgnoringStops && call.kind === 'stop';
+    if (this.mode === WorkerMode.Unresponsive || isIgnored) {
       return;
     }
     const isAffected = random() < AFFECTED_CALL_RATE;
