--- a/packages/standins/src/bin/fuzz.ts
+++ b/packages/standins/src/bin/fuzz.ts
@@ -42,6 +42,8 @@
 
 interface ReplayableScenario {
   readonly seed: number;
+  /** Only in scenarios of `fleet`. */
+  readonly resendMs?: number;
   readonly steps: readonly object[];
 }
 
@@ -112,6 +114,9 @@
 
 if (failure) {
   console.log(`simulation seed: ${String(failure.scenario?.seed)}`);
+  if (failure.scenario?.resendMs !== undefined) {
+    console.log(`resend time: ${String(failure.scenario.resendMs)} ms`);
+  }
   for (const step of failure.scenario?.steps ?? []) {
     console.log(JSON.stringify(step));
   }
