Plant three faults at the present code again

The script stopped at them, because their code has moved: an evacuated data centre that is still used, runs of a cancelled job that go on, and tasks that are placed after an old poll of the sockets.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -171,8 +171,8 @@
   {
     name: 'data centre out of service still used',
     file: 'process/worker-driver.js',
-    from: 'this._isAccepting && !this._dataCentreState.isOutOfService',
-    to: 'this._isAccepting',
+    from: '!this._dataCentreState.isOutOfService &&',
+    to: '',
     and: {
       file: 'process/job-placer.js',
       from: '&& !routes.isOutOfService(hello.dataCentre)',
@@ -242,7 +242,7 @@
   {
     name: 'runs of a cancelled job not stopped',
     file: 'process/batch-entry.js',
-    from: 'this._fleet.stop(view, task.name, task.run);',
+    from: 'this._fleet.stopRunOf(task);',
     to: '',
   },
   {
@@ -348,8 +348,8 @@
   {
     name: 'tasks placed after an old poll of the sockets',
     file: 'process/batch-entry.js',
-    from: 'pollAgeMs > MAX_POLL_AGE_MS',
-    to: 'false',
+    from: 'pollAgeMs > this._options.runLimits.maxPollAgeMs &&',
+    to: 'false &&',
   },
   {
     name: 'registration written without its version and never checked',
