Check in the fleet simulation that no accepted row is over the limits

A job whose size was not checked before it was accepted looked the same to callers, because its entry refuses the write itself. The alert that follows shows it. It would also show rows that outgrow the limit with their ends.

--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -84,6 +84,8 @@
 const CONFIG_BOUND_MS = 2000;
 /** From the acceptance of a job until every entry knows it. */
 const VISIBILITY_BOUND_MS = 3000;
+/** Message of the alert that the limits of the store reject a row. */
+const REJECTED_WRITE_MESSAGE = 'store write rejected';
 /** Name under which faults of the store are recorded. */
 export const STORE_NAME = 'store';
 
@@ -199,6 +201,20 @@
     if (!this._jobs.has(id)) {
       this._jobs.set(id, {
         content,
+  /**
+   * Checks a log line of an entry. Rows that can't be stored are refused before
+   * a job is accepted, so an alert that the store's limits reject a row means
+   * that this check is missing or leaves too little room for the row to grow.
+   */
+  onLog(entry: string, message: string, fields: object): void {
+    if (message === REJECTED_WRITE_MESSAGE) {
+      this._report(
+        'no accepted row is over the limits',
+        `${entry}: ${JSON.stringify(fields)}`,
+      );
+    }
+  }
+
         services: new Set(),
         mayHaveBeenAccepted: false,
         acceptedAtMs: undefined,
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -556,6 +556,7 @@
       driverGeneration: driver.generation,
       driverLinkId: this._nextLinkId++,
       name: `${name}/${address}/${String(this._nextLinkId)}`,
+        this.oracle.onLog(name, message, fields);
       isOpen: true,
     };
     this._links.set(link.name, link);
