Check in the fleet simulation that a worker in touch keeps its lease

If a driver process doesn't stop the runs of an entry that has gone silent, the lease of its worker expires and the runs of all entries end with it. The oracle took such ends for those of a faulty worker.

--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -143,6 +143,11 @@
     this._faultEndedAtMs.set(name, hasEnded ? now() : Number.POSITIVE_INFINITY);
   }
 
+  /** Records the beginning or the end of a fault of a worker. */
+  onWorkerFault(vm: string, hasEnded: boolean): void {
+    this.onFault(workerName(vm), hasEnded);
+  }
+
   /**
    * Records that an operator has written a configuration.
    *
@@ -349,6 +354,15 @@
     }
     record.kind = kind;
     record.endedAtMs = this._options.now();
+    if (
+      kind === EndKind.LAPSED &&
+      this._isFaultFree(vm, workerName(vm), STORE_NAME)
+    ) {
+      this._report(
+        'a worker in touch keeps its lease',
+        `${task} #${String(run)} at ${vm}`,
+      );
+    }
     const job = this._jobs.get(jobIdOf(task));
     const cancelledAtMs = Math.max(job?.cancelledAtMs ?? Infinity, record.atMs);
     const isOverdue =
@@ -643,3 +657,6 @@
     }
   }
 }
+
+/** Name under which faults of a worker, not of its driver process, are recorded. */
+const workerName = (vm: string): string => `worker of ${vm}`;
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -72,7 +72,7 @@
   queue.runUntil(Math.max(queue.nowMs, world.stopsEndMs));
   world.recover();
   for (const worker of world.workers) {
-    worker.mode = WorkerMode.Healthy;
+    world.setWorkerMode(worker, WorkerMode.Healthy);
     worker.resize(1);
   }
   world.configure('levy');
@@ -166,7 +166,7 @@
       });
       return;
     case 'worker':
-      workerOf(world, command.worker).mode = command.mode;
+      world.setWorkerMode(workerOf(world, command.worker), command.mode);
       return;
     case 'resize-worker':
       workerOf(world, command.worker).resize(command.share);
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -23,7 +23,12 @@
 import type { HostFault } from './sim-batch-entry.js';
 import { SimDriver } from './sim-driver.js';
 import { SimTable } from './sim-table.js';
-import { HEARTBEAT_MS, SimWorker, WORKER_CAPACITY } from './sim-worker.js';
+import {
+  HEARTBEAT_MS,
+  SimWorker,
+  WORKER_CAPACITY,
+  WorkerMode,
+} from './sim-worker.js';
 import { StopCallers } from './stop-callers.js';
 
 /** Options of {@link FleetWorld}. */
@@ -439,6 +444,14 @@
   private _createEntry(
     name: string,
     index: number,
+  /** Sets how a worker behaves. */
+  setWorkerMode(worker: SimWorker, mode: WorkerMode): void {
+    if (worker.mode !== mode) {
+      worker.mode = mode;
+      this.oracle.onWorkerFault(worker.vm, mode === WorkerMode.Healthy);
+    }
+  }
+
     random: () => number,
     { onLog, onAction, hostFault }: FleetWorldOptions,
   ): SimBatchEntry {
