Let faults begin at moments of runs in the fleet simulation

Windows of a few milliseconds around the start and the end of a run were rarely met by chance: an entry killed between the record of an end and its acknowledgement, a driver process killed right after a start was sent, links that hold back orders while the worker restarts. A strike begins such faults at a moment of the next run, at the owner of its job, its driver process, its worker, their link or the store.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -2,7 +2,24 @@
 import type { NetworkFault } from '../sim/network.js';
 import { StoreMode } from '../sim/faulty-store.js';
 import { GRACE_MS } from './sim-batch-entry.js';
-import { WorkerMode } from './sim-worker.js';
+import { RunMoment, WorkerMode } from './sim-worker.js';
+
+/** What a fault that begins at a moment of a run affects. */
+export enum StrikeTarget {
+  /** The entry that owns the job is killed and starts again. */
+  KillOwner = 'kill-owner',
+  PauseOwner = 'pause-owner',
+  /** The driver process of the run's worker is killed and starts again. */
+  KillDriver = 'kill-driver',
+  /** The worker crashes and starts again. */
+  CrashWorker = 'crash-worker',
+  /** The owner and the driver process can't reach each other. */
+  CutLink = 'cut-link',
+  /** The links between them hold back what they carry, also past a restart. */
+  StallLink = 'stall-link',
+  /** The store loses replies to writes and carries some of them out late. */
+  LateStore = 'late-store',
+}
 
 /**
  * One action of a caller or an operator, or one fault, in a generated scenario.
@@ -116,6 +133,16 @@
       readonly spared: number;
     }
   | { readonly kind: 'store'; readonly mode: StoreMode }
+  /** Faults that begin at a moment of the next run of a job with an owner. */
+  | {
+      readonly kind: 'strike';
+      readonly moment: RunMoment;
+      /** Time from that moment until the faults begin. */
+      readonly delayMs: number;
+      readonly targets: readonly StrikeTarget[];
+      /** Duration of the faults. */
+      readonly forMs: number;
+    }
   /**
    * `compact` drops the change history of the store, `heal` ends cuts and stalls
    * of the network, `resume` ends pauses and `restart` starts the processes and
@@ -171,6 +198,10 @@
 // Times until a volatile job is sent again. No safe limits follow below 861 ms.
 const MIN_RESEND_MS = 900;
 const MAX_RESEND_MS = 3000;
+/** Longest time from a moment of a run until the faults of a strike begin. */
+const MAX_STRIKE_DELAY_MS = 60;
+const MAX_STRIKE_MS = 6000;
+const MAX_STRIKE_TARGETS = 3;
 
 /**
  * Generates scenarios for the fleet simulation with fast-check.
@@ -215,6 +246,7 @@
       }),
     },
     { weight: 4, arbitrary: workerFaultCommands() },
+    { weight: 6, arbitrary: strikes() },
     {
       weight: 3,
       arbitrary: fc.record({
@@ -333,6 +365,19 @@
     }),
   );
 
+/** Windows of a few milliseconds around a run are rarely met by chance. */
+const strikes = (): fc.Arbitrary<FleetCommand> =>
+  fc.record({
+    kind: oneOfKinds('strike'),
+    moment: fc.constantFrom(...Object.values(RunMoment)),
+    delayMs: fc.oneof(fc.nat(MAX_STRIKE_DELAY_MS), fc.nat(MAX_GAP_MS)),
+    targets: fc.uniqueArray(fc.constantFrom(...Object.values(StrikeTarget)), {
+      minLength: 1,
+      maxLength: MAX_STRIKE_TARGETS,
+    }),
+    forMs: fc.oneof(fc.nat(MAX_GAP_MS), fc.nat(MAX_STRIKE_MS)),
+  });
+
 const workerFaultCommands = (): fc.Arbitrary<FleetCommand> =>
   fc.oneof(
     fc.record({
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -201,11 +201,6 @@
     }
   }
 
-  /** Records that a caller submits a job. */
-  onSubmit(id: string, content: BatchContent): void {
-    if (!this._jobs.has(id)) {
-      this._jobs.set(id, {
-        content,
   /**
    * Checks a log line of an entry. Rows that can't be stored are refused before
    * a job is accepted, so an alert that the store's limits reject a row means
@@ -220,6 +215,11 @@
     }
   }
 
+  /** Records that a caller submits a job. */
+  onSubmit(id: string, content: BatchContent): void {
+    if (!this._jobs.has(id)) {
+      this._jobs.set(id, {
+        content,
         services: new Set(),
         mayHaveBeenAccepted: false,
         acceptedAtMs: undefined,
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -7,6 +7,7 @@
   JOB_COUNT,
   LONGEST_VOLATILE_JOB,
   LONG_VOLATILE_JOB,
+  StrikeTarget,
 } from './fleet-commands.js';
 import type { FleetCommand, FleetScenario } from './fleet-commands.js';
 import { FleetWorld } from './fleet-world.js';
@@ -149,6 +150,9 @@
     case 'store':
       world.setStore(command.mode);
       return;
+    case 'strike':
+      strike(world, command);
+      return;
     case 'compact':
       world.store.compact();
       return;
@@ -210,6 +214,67 @@
   }
 };
 
+const strike = (
+  world: FleetWorld,
+  command: Extract<FleetCommand, { kind: 'strike' }>,
+): void => {
+  const { moment, delayMs, targets, forMs } = command;
+  world.atNextRun(moment, (owner, worker) => {
+    world.beforeRecovery(delayMs, () => {
+      for (const target of targets) {
+        const recover = beginStrike(world, target, owner, worker);
+        world.beforeRecovery(forMs, recover);
+      }
+    });
+  });
+};
+
+/** Begins a fault of a strike, and returns a function that ends it. */
+const beginStrike = (
+  world: FleetWorld,
+  target: StrikeTarget,
+  owner: SimBatchEntry,
+  worker: number,
+): (() => void) => {
+  const driver = driverOf(world, worker);
+  switch (target) {
+    case StrikeTarget.KillOwner:
+      injectEntryFault(world, 'kill-entry', owner);
+      return () => {
+        owner.restart();
+      };
+    case StrikeTarget.PauseOwner:
+      injectEntryFault(world, 'pause-entry', owner);
+      return () => {
+        owner.resume();
+      };
+    case StrikeTarget.KillDriver:
+      injectDriverFault(world, 'kill-driver', driver);
+      return () => {
+        driver.restart();
+      };
+    case StrikeTarget.CrashWorker:
+      workerOf(world, worker).crash();
+      return () => {
+        workerOf(world, worker).boot();
+      };
+    case StrikeTarget.CutLink:
+    case StrikeTarget.StallLink: {
+      const kind = target === StrikeTarget.CutLink ? 'cut' : 'stall';
+      const entry = world.entries.indexOf(owner);
+      injectNetworkFault(world, { kind, entry, worker });
+      return () => {
+        world.network.healBetween(owner.name, driver.name);
+      };
+    }
+    case StrikeTarget.LateStore:
+      world.setStore(StoreMode.LosingReplies);
+      return () => {
+        world.setStore(StoreMode.Up);
+      };
+  }
+};
+
 const stopEntry = (
   world: FleetWorld,
   command: Extract<FleetCommand, { kind: 'stop-entry' }>,
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -1,4 +1,8 @@
-import { DEFAULT_RUN_BOUNDS, deriveRunLimits } from '@sapphiremux/core';
+import {
+  DEFAULT_RUN_BOUNDS,
+  deriveRunLimits,
+  jobIdOf,
+} from '@sapphiremux/core';
 import type {
   BatchContent,
   BatchReply,
@@ -25,6 +29,7 @@
 import { SimTable } from './sim-table.js';
 import {
   HEARTBEAT_MS,
+  RunMoment,
   SimWorker,
   WORKER_CAPACITY,
   WorkerMode,
@@ -65,6 +70,9 @@
   isOpen: boolean;
 }
 
+/** Receives the owner of a run and the index of its worker. */
+export type RunHandler = (owner: SimBatchEntry, worker: number) => void;
+
 /** Where and when a caller sends a job again. */
 export interface Resend {
   readonly to: SimBatchEntry;
@@ -124,6 +132,11 @@
    * volatile job is open, because its caller waits for the reply.
    */
   private readonly _resendAtMs = new Map<string, number>();
+  private _hasRecovered = false;
+  private _awaitedRuns: {
+    readonly moment: RunMoment;
+    readonly then: RunHandler;
+  }[] = [];
   /** Functions that reset the connections of callers, by entry. */
   private readonly _callerResets = new Map<SimBatchEntry, Set<() => void>>();
 
@@ -152,6 +165,9 @@
     this.drivers = placements.map(([name, dataCentre], index) => {
       return new SimDriver({
         onAction: (kind) => options.onAction?.('driver', kind),
+        onStartSent: (task) => {
+          this._onRun(RunMoment.Sent, index, task);
+        },
         name,
         dataCentre,
         queue,
@@ -182,6 +198,9 @@
           oracle: this.oracle,
           random,
           clockRate: MIN_CLOCK_RATE + (1 - MIN_CLOCK_RATE) * random(),
+          onRun: (moment, task) => {
+            this._onRun(moment, index, task);
+          },
           onHeartbeat: (worker) => driver.heartbeat(worker),
           onLeave: (id) => {
             driver.leave(id);
@@ -389,6 +408,25 @@
     return this._stopsEndMs;
   }
 
+  /**
+   * Waits for a moment of the next run whose job has an owner.
+   *
+   * @param moment - The moment.
+   * @param then - Called once, in an event of its own.
+   */
+  atNextRun(moment: RunMoment, then: RunHandler): void {
+    this._awaitedRuns.push({ moment, then });
+  }
+
+  /** Runs a callback later, unless {@link recover} is called before. */
+  beforeRecovery(delayMs: number, run: () => void): void {
+    this.queue.after(delayMs, () => {
+      if (!this._hasRecovered) {
+        run();
+      }
+    });
+  }
+
   /** Kills an entry and resets its links. */
   killEntry(entry: SimBatchEntry): void {
     this.oracle.onFault(entry.name, false);
@@ -409,6 +447,14 @@
     this._disconnectedFromStore.add(name);
   }
 
+  /** Sets how a worker behaves. */
+  setWorkerMode(worker: SimWorker, mode: WorkerMode): void {
+    if (worker.mode !== mode) {
+      worker.mode = mode;
+      this.oracle.onWorkerFault(worker.vm, mode === WorkerMode.Healthy);
+    }
+  }
+
   /** Sets how the store behaves. */
   setStore(mode: StoreMode): void {
     this.store.mode = mode;
@@ -421,6 +467,8 @@
    */
   recover(): void {
     this._disconnectedFromStore = new Set();
+    this._awaitedRuns = [];
+    this._hasRecovered = true;
     this.network.heal();
     this.setStore(StoreMode.Up);
     for (const process of [...this.entries, ...this.drivers]) {
@@ -444,14 +492,6 @@
   private _createEntry(
     name: string,
     index: number,
-  /** Sets how a worker behaves. */
-  setWorkerMode(worker: SimWorker, mode: WorkerMode): void {
-    if (worker.mode !== mode) {
-      worker.mode = mode;
-      this.oracle.onWorkerFault(worker.vm, mode === WorkerMode.Healthy);
-    }
-  }
-
     random: () => number,
     { onLog, onAction, hostFault }: FleetWorldOptions,
   ): SimBatchEntry {
@@ -519,12 +559,30 @@
         });
       },
       onLog: (message, fields) => {
+        this.oracle.onLog(name, message, fields);
         onLog?.(queue.nowMs, name, `${message} ${JSON.stringify(fields)}`);
       },
     });
     return entry;
   }
 
+  private _onRun(moment: RunMoment, worker: number, task: string): void {
+    const awaited = this._awaitedRuns.find((run) => run.moment === moment);
+    if (!awaited) {
+      return;
+    }
+    const id = jobIdOf(task);
+    const owner = this.entries.find(
+      (entry) => entry.isAlive && entry.core.owns(id),
+    );
+    if (owner) {
+      this._awaitedRuns = this._awaitedRuns.filter((run) => run !== awaited);
+      this.queue.after(0, () => {
+        awaited.then(owner, worker);
+      });
+    }
+  }
+
   private _sendPeerRequest<T>(
     from: string,
     to: string,
@@ -569,7 +627,6 @@
       driverGeneration: driver.generation,
       driverLinkId: this._nextLinkId++,
       name: `${name}/${address}/${String(this._nextLinkId)}`,
-        this.oracle.onLog(name, message, fields);
       isOpen: true,
     };
     this._links.set(link.name, link);
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -31,6 +31,8 @@
   readonly random: () => number;
   /** Receives the kind of each action that the process carries out. */
   readonly onAction: (kind: string) => void;
+  /** Receives the task of each start that the process sends to the worker. */
+  readonly onStartSent: (task: string) => void;
   readonly onReport: (linkId: number, report: WorkerReport) => void;
   readonly onCloseLink: (linkId: number) => void;
 }
@@ -200,6 +202,9 @@
       case 'call': {
         const { callId, call } = action;
         const { generation } = this;
+        if (call.kind === 'start') {
+          this._options.onStartSent(call.task);
+        }
         this._options.worker().call(call, (reply) => {
           if (this.generation === generation) {
             this.post(() => {
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -32,6 +32,15 @@
   Unresponsive = 'silent',
 }
 
+/** A moment of a run at which a fault can begin. */
+export enum RunMoment {
+  /** The driver process sends the start to the worker. */
+  Sent = 'sent',
+  Started = 'started',
+  /** It has ended by itself or was stopped. */
+  Ended = 'ended',
+}
+
 /** Options of {@link SimWorker}. */
 export interface SimWorkerOptions {
   readonly vm: string;
@@ -46,6 +55,11 @@
   readonly clockRate: number;
   /** Receives heartbeats; returns whether they were acknowledged. */
   readonly onHeartbeat: (worker: WorkerHeartbeat) => boolean;
+  /** Receives the task of each run that starts or ends. */
+  readonly onRun: (
+    moment: RunMoment.Started | RunMoment.Ended,
+    task: string,
+  ) => void;
   /** Receives the id of a worker that has drained and leaves. */
   readonly onLeave: (id: string) => void;
 }
@@ -345,6 +359,7 @@
     const { dataCentre, service, labels } = this._options;
     const placement = { vm: this._vm, dataCentre, service, labels };
     oracle.onStart({ placement, task, run, spec, isDelayed });
+    this._options.onRun(RunMoment.Started, task);
     const whileActive = (ms: number, then: () => void): void => {
       queue.after(ms, () => {
         if (this._activeRuns.get(task)?.startToken === active.startToken) {
@@ -464,6 +479,7 @@
     this._nextEndNumber += 1;
     this._listedEnds.push({ number, task, run, kind, checkpoint: '' });
     this._options.oracle.onEnd(this._vm, task, run, kind);
+    this._options.onRun(RunMoment.Ended, task);
     for (const pendingHold of [...this._pendingHolds]) {
       pendingHold.answer();
     }
--- a/packages/standins/src/lib/sim/network.ts
+++ b/packages/standins/src/lib/sim/network.ts
@@ -111,6 +111,27 @@
     this._stalled.clear();
     const held = this._heldMessages;
     this._heldMessages = [];
+    this._release(held);
+  }
+
+  /**
+   * Removes the cuts between two processes, and the stalls of their connections,
+   * and sends the messages that these held back.
+   */
+  healBetween(one: string, other: string): void {
+    this._cuts.delete(directionKey(one, other));
+    this._cuts.delete(directionKey(other, one));
+    const isBetween = ({ from, to }: HeldMessage): boolean =>
+      (from === one && to === other) || (from === other && to === one);
+    const held = this._heldMessages.filter(isBetween);
+    this._heldMessages = this._heldMessages.filter((msg) => !isBetween(msg));
+    for (const { connection } of held) {
+      this._stalled.delete(connection ?? '');
+    }
+    this._release(held);
+  }
+
+  private _release(held: readonly HeldMessage[]): void {
     this._delayRetransmissions(held);
     for (const { sinceMs, connection, from, to, deliver } of held) {
       if (connection === undefined) {
