Kill processes soon after each start in the fleet simulation

A process that ends again and again, also while the store performs writes late, was rarely met: entries whose first rows are performed after the next process has started, and driver processes that forget what they have seen.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -133,6 +133,18 @@
       readonly spared: number;
     }
   | { readonly kind: 'store'; readonly mode: StoreMode }
+  /** An entry or a worker driver process that is killed soon after each start. */
+  | {
+      readonly kind: 'crash-loop';
+      readonly process:
+        { readonly entry: number } | { readonly worker: number };
+      /** Time from each start to the next kill; the first kill comes at once. */
+      readonly upMs: readonly number[];
+      /** Time from each kill to the next start. */
+      readonly downMs: number;
+      /** Whether the store loses replies to writes and performs some late. */
+      readonly isStoreLate: boolean;
+    }
   /** Faults that begin at a moment of the next run of a job with an owner. */
   | {
       readonly kind: 'strike';
@@ -202,6 +214,9 @@
 const MAX_STRIKE_DELAY_MS = 60;
 const MAX_STRIKE_MS = 6000;
 const MAX_STRIKE_TARGETS = 3;
+const MAX_LOOPS = 3;
+/** Longest time from a start to the next kill of a crash loop. */
+const MAX_UP_MS = 4000;
 
 /**
  * Generates scenarios for the fleet simulation with fast-check.
@@ -247,6 +262,7 @@
     },
     { weight: 4, arbitrary: workerFaultCommands() },
     { weight: 6, arbitrary: strikes() },
+    { weight: 2, arbitrary: crashLoops() },
     {
       weight: 3,
       arbitrary: fc.record({
@@ -365,6 +381,22 @@
     }),
   );
 
+/** A process may be killed again before its first writes are performed. */
+const crashLoops = (): fc.Arbitrary<FleetCommand> =>
+  fc.record({
+    kind: oneOfKinds('crash-loop'),
+    process: fc.oneof(
+      fc.record({ entry: entryIndex() }),
+      fc.record({ worker: workerIndex() }),
+    ),
+    upMs: fc.array(fc.oneof(fc.nat(200), fc.nat(MAX_UP_MS)), {
+      minLength: 1,
+      maxLength: MAX_LOOPS,
+    }),
+    downMs: fc.nat(MAX_START_DELAY_MS),
+    isStoreLate: fc.boolean(),
+  });
+
 /** Windows of a few milliseconds around a run are rarely met by chance. */
 const strikes = (): fc.Arbitrary<FleetCommand> =>
   fc.record({
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -150,6 +150,9 @@
     case 'store':
       world.setStore(command.mode);
       return;
+    case 'crash-loop':
+      crashRepeatedly(world, command);
+      return;
     case 'strike':
       strike(world, command);
       return;
@@ -214,6 +217,43 @@
   }
 };
 
+const crashRepeatedly = (
+  world: FleetWorld,
+  command: Extract<FleetCommand, { kind: 'crash-loop' }>,
+): void => {
+  const { process, upMs, downMs, isStoreLate } = command;
+  const isEntry = 'entry' in process;
+  const kill = (): void => {
+    if (isEntry) {
+      world.killEntry(entryOf(world, process.entry));
+    } else {
+      world.killDriver(driverOf(world, process.worker));
+    }
+  };
+  const start = (): void => {
+    (isEntry
+      ? entryOf(world, process.entry)
+      : driverOf(world, process.worker)
+    ).restart();
+  };
+  if (isStoreLate) {
+    world.setStore(StoreMode.LosingReplies);
+  }
+  let atMs = 0;
+  kill();
+  for (const ms of upMs) {
+    world.beforeRecovery(atMs + downMs, start);
+    atMs += downMs + ms;
+    world.beforeRecovery(atMs, kill);
+  }
+  world.beforeRecovery(atMs + downMs, () => {
+    start();
+    if (isStoreLate) {
+      world.setStore(StoreMode.Up);
+    }
+  });
+};
+
 const strike = (
   world: FleetWorld,
   command: Extract<FleetCommand, { kind: 'strike' }>,
