Combine faults of their own times and of runs in strikes

A failure that is recorded and not acknowledged, a late start or an old time limit only shows if several faults follow each other within a second: each fault of a strike has its own delay and duration now, and a strike may let the run fail or hang, or let its worker carry out calls late.

--- a/packages/standins/src/lib/fleet-sim/fleet-commands.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-commands.ts
@@ -19,6 +19,20 @@
   StallLink = 'stall-link',
   /** The store loses replies to writes and carries some of them out late. */
   LateStore = 'late-store',
+  /** The worker carries out calls late. */
+  LateWorker = 'late-worker',
+  /** The run fails, or goes on until it is stopped. */
+  FailRun = 'fail-run',
+  HangRun = 'hang-run',
+}
+
+/** One fault of a strike. */
+export interface StrikeFault {
+  readonly target: StrikeTarget;
+  /** Time from the moment of the strike until the fault begins. */
+  readonly delayMs: number;
+  /** Duration of the fault. */
+  readonly forMs: number;
 }
 
 /**
@@ -149,11 +163,7 @@
   | {
       readonly kind: 'strike';
       readonly moment: RunMoment;
-      /** Time from that moment until the faults begin. */
-      readonly delayMs: number;
-      readonly targets: readonly StrikeTarget[];
-      /** Duration of the faults. */
-      readonly forMs: number;
+      readonly faults: readonly StrikeFault[];
     }
   /**
    * `compact` drops the change history of the store, `heal` ends cuts and stalls
@@ -213,7 +223,8 @@
 /** Longest time from a moment of a run until the faults of a strike begin. */
 const MAX_STRIKE_DELAY_MS = 60;
 const MAX_STRIKE_MS = 6000;
-const MAX_STRIKE_TARGETS = 3;
+const MAX_SHORT_STRIKE_MS = 400;
+const MAX_STRIKE_FAULTS = 5;
 const MAX_LOOPS = 3;
 /** Longest time from a start to the next kill of a crash loop. */
 const MAX_UP_MS = 4000;
@@ -402,12 +413,23 @@
   fc.record({
     kind: oneOfKinds('strike'),
     moment: fc.constantFrom(...Object.values(RunMoment)),
-    delayMs: fc.oneof(fc.nat(MAX_STRIKE_DELAY_MS), fc.nat(MAX_GAP_MS)),
-    targets: fc.uniqueArray(fc.constantFrom(...Object.values(StrikeTarget)), {
-      minLength: 1,
-      maxLength: MAX_STRIKE_TARGETS,
-    }),
-    forMs: fc.oneof(fc.nat(MAX_GAP_MS), fc.nat(MAX_STRIKE_MS)),
+    faults: fc.uniqueArray(
+      fc.record({
+        target: fc.constantFrom(...Object.values(StrikeTarget)),
+        delayMs: fc.oneof(fc.nat(MAX_STRIKE_DELAY_MS), fc.nat(MAX_GAP_MS)),
+        forMs: fc.oneof(
+          fc.nat(MAX_SHORT_STRIKE_MS),
+          fc.nat(MAX_GAP_MS),
+          fc.nat(MAX_STRIKE_MS),
+        ),
+      }),
+      {
+        minLength: 1,
+        maxLength: MAX_STRIKE_FAULTS,
+        size: 'max',
+        selector: ({ target }) => target,
+      },
+    ),
   });
 
 const workerFaultCommands = (): fc.Arbitrary<FleetCommand> =>
--- a/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-scenario.ts
@@ -11,7 +11,7 @@
 } from './fleet-commands.js';
 import type { FleetCommand, FleetScenario } from './fleet-commands.js';
 import { FleetWorld } from './fleet-world.js';
-import type { FleetWorldOptions } from './fleet-world.js';
+import type { FleetWorldOptions, StruckRun } from './fleet-world.js';
 import type { SimBatchEntry } from './sim-batch-entry.js';
 import type { SimDriver } from './sim-driver.js';
 import { encodeSpec, padSpec } from './sim-spec.js';
@@ -256,16 +256,15 @@
 
 const strike = (
   world: FleetWorld,
-  command: Extract<FleetCommand, { kind: 'strike' }>,
+  { moment, faults }: Extract<FleetCommand, { kind: 'strike' }>,
 ): void => {
-  const { moment, delayMs, targets, forMs } = command;
-  world.atNextRun(moment, (owner, worker) => {
-    world.beforeRecovery(delayMs, () => {
-      for (const target of targets) {
-        const recover = beginStrike(world, target, owner, worker);
+  world.atNextRun(moment, (struck) => {
+    for (const { target, delayMs, forMs } of faults) {
+      world.beforeRecovery(delayMs, () => {
+        const recover = beginStrike(world, target, struck);
         world.beforeRecovery(forMs, recover);
-      }
-    });
+      });
+    }
   });
 };
 
@@ -273,8 +272,7 @@
 const beginStrike = (
   world: FleetWorld,
   target: StrikeTarget,
-  owner: SimBatchEntry,
-  worker: number,
+  { owner, worker, task }: StruckRun,
 ): (() => void) => {
   const driver = driverOf(world, worker);
   switch (target) {
@@ -312,6 +310,17 @@
       return () => {
         world.setStore(StoreMode.Up);
       };
+    case StrikeTarget.LateWorker:
+      world.setWorkerMode(workerOf(world, worker), WorkerMode.Late);
+      return () => {
+        world.setWorkerMode(workerOf(world, worker), WorkerMode.Healthy);
+      };
+    case StrikeTarget.FailRun:
+      workerOf(world, worker).fail(task);
+      return () => undefined;
+    case StrikeTarget.HangRun:
+      workerOf(world, worker).hang(task);
+      return () => undefined;
   }
 };
 
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -70,8 +70,14 @@
   isOpen: boolean;
 }
 
-/** Receives the owner of a run and the index of its worker. */
-export type RunHandler = (owner: SimBatchEntry, worker: number) => void;
+/** A run at one of its moments. */
+export interface StruckRun {
+  /** Entry that owns the job. */
+  readonly owner: SimBatchEntry;
+  /** Index of the worker. */
+  readonly worker: number;
+  readonly task: string;
+}
 
 /** Where and when a caller sends a job again. */
 export interface Resend {
@@ -135,7 +141,7 @@
   private _hasRecovered = false;
   private _awaitedRuns: {
     readonly moment: RunMoment;
-    readonly then: RunHandler;
+    readonly then: (run: StruckRun) => void;
   }[] = [];
   /** Functions that reset the connections of callers, by entry. */
   private readonly _callerResets = new Map<SimBatchEntry, Set<() => void>>();
@@ -414,7 +420,7 @@
    * @param moment - The moment.
    * @param then - Called once, in an event of its own.
    */
-  atNextRun(moment: RunMoment, then: RunHandler): void {
+  atNextRun(moment: RunMoment, then: (run: StruckRun) => void): void {
     this._awaitedRuns.push({ moment, then });
   }
 
@@ -578,7 +584,7 @@
     if (owner) {
       this._awaitedRuns = this._awaitedRuns.filter((run) => run !== awaited);
       this.queue.after(0, () => {
-        awaited.then(owner, worker);
+        awaited.then({ owner, worker, task });
       });
     }
   }
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -70,6 +70,8 @@
   readonly run: number;
   /** Unique for each start, so that timers of an earlier start have no effect. */
   readonly startToken: object;
+  /** Whether the run doesn't end on its own. */
+  isHanging: boolean;
 }
 
 /** A `hold` call, which is a poll of the driver process, that waits for an end. */
@@ -213,6 +215,22 @@
     this._options.oracle.onCapacity(this._vm, cpuMilli);
   }
 
+  /** Lets the active run of a task fail, if there is one. */
+  fail(task: string): void {
+    const active = this._activeRuns.get(task);
+    if (active) {
+      this._endRun(active, EndKind.FAILED);
+    }
+  }
+
+  /** Lets the active run of a task, if there is one, go on until it is stopped. */
+  hang(task: string): void {
+    const active = this._activeRuns.get(task);
+    if (active) {
+      active.isHanging = true;
+    }
+  }
+
   /** Begins a planned leave: drains, then reports the leave and ends. */
   drain(): void {
     if (!this._isUp || this._isDraining) {
@@ -354,7 +372,12 @@
       return;
     }
     this._extendLease(untilMs);
-    const active: ActiveSimRun = { task, run, startToken: {} };
+    const active: ActiveSimRun = {
+      task,
+      run,
+      startToken: {},
+      isHanging: false,
+    };
     this._activeRuns.set(task, active);
     const { dataCentre, service, labels } = this._options;
     const placement = { vm: this._vm, dataCentre, service, labels };
@@ -374,7 +397,9 @@
       });
     } else if (this.mode !== WorkerMode.Hanging) {
       whileActive(isFailing ? 1 : runMsOf(spec), () => {
-        this._endRun(active, isFailing ? EndKind.FAILED : EndKind.DONE);
+        if (!active.isHanging) {
+          this._endRun(active, isFailing ? EndKind.FAILED : EndKind.DONE);
+        }
       });
     }
     reply({ kind: 'done', clockMs: this._clockMs });
