Bound the lease of a worker by the limits of its runs

What callers see: with a resend_ms of 906, an entry and a worker driver are killed just after a start. The run goes on for 1,020 ms under the lease that the worker has, beside the run of the entry to which its caller has turned.

Cause: a lease never shortens, and the driver renews that of a worker without runs to max_hold_ms. A run that begins then lasts as long, whatever its limit. max_hold_ms was not among the terms of the sum; at 1,300 ms it is no longer than they are, so nothing showed there.

The driver requests at most the grant and the grace less the age that an order may have, 1,000 ms at 1,300 ms as before. Polls follow four times in a lease.

With the lease of max_hold_ms, the scenarios of fleet-budget.test.ts break 'one run at a time' at 900 ms.

Open: a start that is read more than maxPollAgeMs late begins under a longer lease (fleet-old-starts.red.ts).

--- a/packages/core/src/lib/process/run-limits.ts
+++ b/packages/core/src/lib/process/run-limits.ts
@@ -55,6 +55,13 @@
    * worker may leave several calls unanswered. On the driver's clock.
    */
   readonly stopRepeatDelayMs: number;
+  /**
+   * Longest lease that the driver requests. A run that begins under a lease that
+   * was renewed before its start was read may last as long; it ends with its grant
+   * and grace if its order is at most {@link maxPollAgeMs} old. On the worker's
+   * clock.
+   */
+  readonly leaseMs: number;
   /** Longest delay of the worker's reply to a poll; three fit into a lease. */
   readonly pollWaitMs: number;
   /**
@@ -159,19 +166,22 @@
     return new Err({ bound: 'resendMs', leastMs });
   }
   const expiryGraceMs = scaled(LONGEST.expiryGraceMs);
+  const maxPollAgeMs = scaled(LONGEST.maxPollAgeMs);
+  const leaseMs = Math.min(maxLeaseMs, grantMs + expiryGraceMs - maxPollAgeMs);
   const leaseExpiryMs = maxLeaseMs + stopMs + LEASE_TIMER_MARGIN_MS;
   const runExpiryMs =
     realTimeMs(grantMs + expiryGraceMs + leaseExpiryMs) + REPLY_MARGIN_MS;
   return new Ok({
     ...bounds,
-    maxPollAgeMs: scaled(LONGEST.maxPollAgeMs),
+    maxPollAgeMs,
     grantMs,
     expiryGraceMs,
     reconnectGraceMs: scaled(LONGEST.reconnectGraceMs),
     stopRepeatDelayMs: scaled(MAX_STOP_REPEAT_DELAY_MS),
+    leaseMs,
     pollWaitMs: Math.min(
       MAX_POLL_WAIT_MS,
-      Math.floor(maxLeaseMs / POLLS_PER_LEASE),
+      Math.floor(leaseMs / POLLS_PER_LEASE),
     ),
     leaseExpiryMs,
     runExpiryMs,
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -873,7 +873,7 @@
     // A delayed start must not begin after its owner may have abandoned the
     // run.
     const untilMs = Math.min(
-      this._clock.lowerBound(now) + this._limits.maxLeaseMs,
+      this._clock.lowerBound(now) + this._limits.leaseMs,
       this._leaseLimitMs,
     );
     tracked.starts += 1;
@@ -991,10 +991,7 @@
       !this._awaitLeaseExpiry(now);
     const untilMs = renews
       ? Math.floor(
-          Math.min(
-            this._clock.lowerBound(now) + this._limits.maxLeaseMs,
-            limitMs,
-          ),
+          Math.min(this._clock.lowerBound(now) + this._limits.leaseMs, limitMs),
         )
       : undefined;
     this._pollCount += 1;
--- a/packages/core/src/test/run-limits.test.ts
+++ b/packages/core/src/test/run-limits.test.ts
@@ -15,6 +15,7 @@
   expiryGraceMs: 400,
   reconnectGraceMs: 450,
   stopRepeatDelayMs: 100,
+  leaseMs: 1000,
   pollWaitMs: 250,
 };
 
--- a/packages/standins/src/test/budget-scenarios.ts
+++ b/packages/standins/src/test/budget-scenarios.ts
@@ -103,6 +103,7 @@
   'driver slow': (ms) => [...slowDrivers(100, ms - 150), LOSS],
   'driver killed': () => [...KILL_DRIVERS, LOSS],
   'driver replaced': () => [...KILL_DRIVERS, LOSS, ...RESTART],
+  'entry and driver killed': () => [entry('kill-entry'), ...KILL_DRIVERS, LOSS],
 };
 
 /** A scenario and what happens in it. */
--- a/packages/standins/src/test/fleet-budget.test.ts
+++ b/packages/standins/src/test/fleet-budget.test.ts
@@ -45,6 +45,15 @@
   }
 }
 
+// At 1,300 ms the worker's own maximum is no longer than this limit.
+it('the fleet simulation finds a limit that is too long: leaseMs, 900 ms', () => {
+  const limits = { leaseMs: DEFAULT_RUN_BOUNDS.maxLeaseMs };
+  const isFound = budgetScenarios(900).some((scenario) =>
+    runsTwice(scenario, { limits }),
+  );
+  expect(isFound).toEqual(true);
+});
+
 /** Members of the worker driver that keep the limit of stopped runs. */
 const KEPT_LIMITS = {
   _stopLimitMs: { get: () => Number.POSITIVE_INFINITY },
