--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -390,7 +390,7 @@
    * not confirm their stop.
    */
   private get _leaseLimitMs(): number {
-    let limitMs = this._stopLimitMs;
+    let limitMs = this._stoppedLeaseLimitMs;
     for (const owner of this._runs.owners) {
       if (owner !== '') {
         const expiryMs = this._ownerExpiryMs.get(owner) ?? 0;
@@ -400,8 +400,11 @@
     return limitMs;
   }
 
-  /** The same for the volatile runs whose stop the worker has not confirmed. */
-  private get _stopLimitMs(): number {
+  /**
+   * Latest end of the lease, on the worker's clock, at which volatile runs end in
+   * time whose stop the worker has not confirmed.
+   */
+  private get _stoppedLeaseLimitMs(): number {
     let limitMs = Number.POSITIVE_INFINITY;
     for (const run of this._stopRetries) {
       if (run.stopLimitMs !== undefined && this._runs.get(run) === run) {
@@ -674,7 +677,8 @@
       this._refuseStarts(order, StartRefusal.NOT_READY);
     }
     // An entry extends its limit for the runs that it keeps. Those that it stops
-    // keep the limit that they had when it lost their callers.
+    // keep the limit that they had when it lost their callers. A driver that was
+    // restarted knows none before the first order.
     const stopLimitMs =
       earlierExpiryMs > 0 ? earlierExpiryMs : order.holdUntilMs;
     for (const stop of order.stops) {
@@ -1301,7 +1305,7 @@
       }
       isOverdue ||= clockMs > untilMs + this._limits.expiryGraceMs;
     }
-    isOverdue ||= clockMs > this._stopLimitMs;
+    isOverdue ||= clockMs > this._stoppedLeaseLimitMs;
     if (isOverdue !== this._leaseSuspended) {
       this._leaseSuspended = isOverdue;
       this._log(isOverdue ? 'lease let go' : 'lease renewed again', {
--- a/packages/standins/src/test/fleet-budget.test.ts
+++ b/packages/standins/src/test/fleet-budget.test.ts
@@ -56,7 +56,7 @@
 
 /** Members of the worker driver that keep the limit of stopped runs. */
 const KEPT_LIMITS = {
-  _stopLimitMs: { get: () => Number.POSITIVE_INFINITY },
+  _stoppedLeaseLimitMs: { get: () => Number.POSITIVE_INFINITY },
   _stopVolatileRuns: { value: () => undefined },
 };
 
