--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -398,7 +398,7 @@
   }
 
   /**
-   * @param sinceMs - Time at which another entry had no contact with the worker.
+   * @param sinceMs - Time of a note, after which the contact has to be.
    * @returns Whether this entry has heard since that the worker answers its
    *   driver process. That is the driver that has sent the starts, which stops
    *   them in time, or a later one, whose higher fencing token makes the worker
