--- a/packages/core/src/lib/process/run-limits.ts
+++ b/packages/core/src/lib/process/run-limits.ts
@@ -134,7 +134,8 @@
  * @returns Longest time from the loss of a caller, of the entry or of the path
  *   between entry and worker driver until the runs of a volatile job have ended,
  *   in milliseconds of real time. The worker may ignore all stops meanwhile, but
- *   not carry out calls late.
+ *   not carry out calls late, and the driver reads starts whose orders are at most
+ *   `maxPollAgeMs` old.
  */
 export const longestOrphanMs = (limits: RunLimits): number =>
   orphanMs(limits) + limits.stopMs;
