Share what the notes of late starts and their tests repeat

The notes declare no run type of their own beside that of StoppingRuns, and look for late runs only in jobs that are due and not noted yet, not in each tick. The interval of stops stands with the other limits that are scaled. Tests of late and old starts use the submission of resend-steps.ts, and the bounds of orphaned runs derive their limits in one place.

--- a/packages/core/src/lib/process/late-start-notes.ts
+++ b/packages/core/src/lib/process/late-start-notes.ts
@@ -3,6 +3,7 @@
 import type { BatchAction, LateStartNote, LogFields } from './batch-events.js';
 import type { EntryRow } from './fleet-rows.js';
 import type { RunLimits } from './run-limits.js';
+import type { StoppingRun } from './stopping-runs.js';
 import type { WorkerView } from './worker-view.js';
 
 /** Jobs of which notes are kept; the oldest note makes room for another. */
@@ -18,17 +19,9 @@
 /** Notes that fit into one call, so that a call stays below 64 KiB. */
 const MAX_NOTES_PER_CALL = 500;
 
-/** A run of a volatile job that is being stopped. */
-interface StoppedRun {
-  /** Run key. */
-  readonly key: string;
-  /** VM of its worker. */
-  readonly worker: string;
-}
-
 /** A volatile job that this entry has given up. */
 interface AbandonedJob {
-  readonly runs: readonly StoppedRun[];
+  readonly runs: readonly StoppingRun[];
   readonly sinceMs: number;
   /** Whether the other entries have been told. */
   isNoted: boolean;
@@ -198,10 +191,13 @@
     }
     // Half of the time leaves a call and its delays until the job is sent again.
     const isDue = isLast || now - sinceMs >= limits.resendMs / 2;
+    if (isNoted || !isDue) {
+      return undefined;
+    }
     const late = open.filter(({ key, worker }) =>
       workerOf(worker)?.mayBeginLate(key, now),
     );
-    if (isNoted || !isDue || late.length === 0) {
+    if (late.length === 0) {
       return undefined;
     }
     job.isNoted = true;
@@ -252,6 +248,6 @@
 }
 
 /** VMs of the workers of these runs. */
-const namesOf = (runs: readonly StoppedRun[]): string[] => [
+const namesOf = (runs: readonly StoppingRun[]): string[] => [
   ...new Set(runs.map(({ worker }) => worker)),
 ];
--- a/packages/core/src/lib/process/run-limits.ts
+++ b/packages/core/src/lib/process/run-limits.ts
@@ -90,19 +90,22 @@
 /** Longest delay with which a worker may carry out a call. */
 export const DELAYED_CALL_LIMIT_MS = 12_000;
 
-/** Limits in use if callers wait long enough. Their sum is 1,223 ms. */
+/**
+ * Limits in use if callers wait long enough. The first three are the terms of
+ * the sum, 1,223 ms.
+ */
 const LONGEST = {
   maxPollAgeMs: 100,
   grantMs: 700,
   expiryGraceMs: 400,
   reconnectGraceMs: 450,
+  stopRepeatDelayMs: 100,
 };
 /**
  * Least grant: the interval between two orders, 250 ms, a tick of the entry of
  * 100 ms, and 100 ms until a busy driver has read the order.
  */
 const MIN_GRANT_MS = 450;
-const MAX_STOP_REPEAT_DELAY_MS = 100;
 const MAX_POLL_WAIT_MS = 250;
 /** Polls that follow one another within a lease. */
 const POLLS_PER_LEASE = 4;
@@ -178,7 +181,7 @@
     grantMs,
     expiryGraceMs,
     reconnectGraceMs: scaled(LONGEST.reconnectGraceMs),
-    stopRepeatDelayMs: scaled(MAX_STOP_REPEAT_DELAY_MS),
+    stopRepeatDelayMs: scaled(LONGEST.stopRepeatDelayMs),
     leaseMs,
     pollWaitMs: Math.min(
       MAX_POLL_WAIT_MS,
--- a/packages/core/src/lib/process/stopping-runs.ts
+++ b/packages/core/src/lib/process/stopping-runs.ts
@@ -2,9 +2,11 @@
 import { runKey } from '../request/run-key.js';
 import type { WorkerFleet } from './worker-fleet.js';
 
-/** A run that is being stopped, with the VM of its worker. */
-interface StoppingRun {
+/** A run that is being stopped. */
+export interface StoppingRun {
+  /** Run key. */
   readonly key: string;
+  /** VM of its worker. */
   readonly worker: string;
 }
 
--- a/packages/core/src/test/orphan-bounds.test.ts
+++ b/packages/core/src/test/orphan-bounds.test.ts
@@ -3,8 +3,13 @@
   DEFAULT_RUN_BOUNDS,
   deriveRunLimits,
 } from '../lib/process/run-limits.js';
+import type { RunLimits } from '../lib/process/run-limits.js';
 import { Loss, longestMs } from './orphaned-run.js';
 
+/** @returns The limits that follow from a time until jobs are sent again. */
+const limitsOf = (resendMs: number): RunLimits =>
+  deriveRunLimits({ ...DEFAULT_RUN_BOUNDS, resendMs }).unwrap();
+
 const LOSSES = [
   [Loss.LinkClosed, 'entry killed'],
   [Loss.Silence, 'entry cut off'],
@@ -13,7 +18,7 @@
 ] as const;
 
 for (const resendMs of [900, 1300, 3000]) {
-  const limits = deriveRunLimits({ ...DEFAULT_RUN_BOUNDS, resendMs }).unwrap();
+  const limits = limitsOf(resendMs);
   const within = `within ${String(resendMs)} ms`;
 
   // A worker that leaves stops unanswered keeps a run active until its caller
@@ -55,10 +60,7 @@
 // the end of the lease alone.
 for (const resendMs of [1300, 3000]) {
   it(`a run that nobody claims is stopped within ${String(resendMs)} ms`, () => {
-    const limits = deriveRunLimits({
-      ...DEFAULT_RUN_BOUNDS,
-      resendMs,
-    }).unwrap();
+    const limits = limitsOf(resendMs);
     const ms = longestMs({ loss: Loss.Unclaimed, ignoredStops: 0, limits });
     expect(ms).toBeBetween(0, resendMs);
   });
--- a/packages/standins/src/test/fleet-late-starts.test.ts
+++ b/packages/standins/src/test/fleet-late-starts.test.ts
@@ -1,29 +1,20 @@
 import { expect } from 'earl';
-import { LONG_VOLATILE_JOB } from '../lib/fleet-sim/fleet-commands.js';
 import type { FleetStep } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
 import { WorkerMode } from '../lib/fleet-sim/sim-worker.js';
-import { RESENT_MS, forWorkers, resetCallers } from './resend-steps.js';
+import { RESENT_MS, SUBMIT, forWorkers, resetCallers } from './resend-steps.js';
 import { step } from './sample.js';
 
 /** Seeds of the simulation; they decide which worker gets the runs. */
 const SEEDS = Array.from({ length: 100 }, (_, seed) => seed);
 
-/** Submits a job that its caller sends to another entry after a reset. */
-const SUBMIT: FleetStep = step(
-  {
-    kind: 'submit',
-    entry: 0,
-    job: LONG_VOLATILE_JOB,
-    resend: { to: 1, delayMs: 0 },
-  },
-  3,
-);
+/** A submission that is disrupted while its starts are on their way. */
+const SUBMIT_JUST_BEFORE: FleetStep = { ...SUBMIT, thenMs: 3 };
 
 /** A driver that is killed before its worker has answered a start. */
 const KILLED_DRIVER = [
   step({ kind: 'worker', worker: 0, mode: WorkerMode.LateGrants }, 102),
-  SUBMIT,
+  SUBMIT_JUST_BEFORE,
   step({ kind: 'kill-driver', worker: 0 }, 0),
   resetCallers(14_000 + RESENT_MS),
 ];
@@ -59,7 +50,7 @@
 });
 
 it('no notes are sent when workers confirm their stops', () => {
-  const steps = [SUBMIT, resetCallers(14_000)];
+  const steps = [SUBMIT_JUST_BEFORE, resetCallers(14_000)];
   expect(countLines(steps, 'late starts noted')).toEqual(0);
   expect(countLines(steps, 'job accepted') > 0).toEqual(true);
 });
@@ -68,7 +59,7 @@
 // the entry to which the job is sent again that it is there.
 it('a resent job is started after a cut between its first entry and the drivers', () => {
   const steps = [
-    SUBMIT,
+    SUBMIT_JUST_BEFORE,
     ...forWorkers([0, 1, 2], (worker) => ({ kind: 'cut', entry: 0, worker })),
     resetCallers(14_000),
   ];
--- a/packages/standins/src/test/fleet-old-starts.red.ts
+++ b/packages/standins/src/test/fleet-old-starts.red.ts
@@ -1,9 +1,8 @@
 import { expect } from 'earl';
-import { LONG_VOLATILE_JOB } from '../lib/fleet-sim/fleet-commands.js';
 import type { FleetCommand } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
 import { WorkerMode } from '../lib/fleet-sim/sim-worker.js';
-import { WORKERS, forWorkers, resetCallers } from './resend-steps.js';
+import { SUBMIT, WORKERS, forWorkers, resetCallers } from './resend-steps.js';
 import { step } from './sample.js';
 
 /** Scenario seed whose worker has been polled just before the start. */
@@ -17,15 +16,7 @@
   const steps = [
     step({ kind: 'compact' }, 3000),
     ...forWorkers(WORKERS, (worker) => ({ kind: 'stall', entry: 0, worker })),
-    step(
-      {
-        kind: 'submit',
-        entry: 0,
-        job: LONG_VOLATILE_JOB,
-        resend: { to: 1, delayMs: 0 },
-      },
-      10,
-    ),
+    { ...SUBMIT, thenMs: 10 },
     step({ kind: 'pause-entry', entry: 0 }, 0),
     resetCallers(600),
     step({ kind: 'heal' }, 8),
