--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -11,6 +11,7 @@
   writeFileSync,
 } from 'node:fs';
 import http from 'node:http';
+import net from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import process from 'node:process';
@@ -24,6 +25,8 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const HOST = 'desk.example';
 const ZONES = ['dkr-a', 'dkr-b', 'dkr-c', 'dkr-d'];
+/** The port of the metrics in the deploy file. */
+const METRICS_PORT = 9464;
 const PORTS = { front: 0, ready: 1, control: 2, app: 3, peer: 10 };
 
 /** The bounds of the small deployments. */
@@ -64,6 +67,13 @@
   return /run = "([^"]+)"/.exec(section)[1].split(' ');
 };
 
+const isFree = (host, port) =>
+  new Promise((resolve) => {
+    const server = net.createServer();
+    server.on('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+
 export class Deployment {
   constructor({
     folder,
@@ -81,8 +91,6 @@
     this.processes = new Map();
     this.runners = [];
     this.directory = mkdtempSync(join(tmpdir(), 'sapphiremux-review-'));
-    this.prefix = `127.${20 + (process.pid % 200)}`;
-    this.port = 20_000 + 20 * (process.pid % 1500);
     this.recordFile = join(folder, 'record.txt');
     this.beganAt = Date.now();
     writeFileSync(this.recordFile, '');
@@ -104,8 +112,31 @@
     this.pendingLines = [];
   }
 
+  /** Takes loopback addresses and ports that no other deployment uses. */
+  async takeAddresses() {
+    for (;;) {
+      this.net = 20 + Math.floor(200 * Math.random());
+      this.subnet = 16 * Math.floor(15 * Math.random());
+      this.port = 20_000 + 20 * Math.floor(600 * Math.random());
+      const host = this.hostOf('entry', 0);
+      const ports = [METRICS_PORT, ...Object.values(PORTS)];
+      const areFree = await Promise.all(
+        ports.map((port) =>
+          isFree(host, port === METRICS_PORT ? port : this.port + port),
+        ),
+      );
+      if (areFree.every(Boolean)) {
+        return;
+      }
+    }
+  }
+
+  host(subnet, index) {
+    return `127.${this.net}.${this.subnet + subnet}.${index}`;
+  }
+
   hostOf(role, index) {
-    return `${this.prefix}.${role === 'entry' ? 1 : 2}.${index + 1}`;
+    return this.host(role === 'entry' ? 1 : 2, index + 1);
   }
 
   configure(version, queues = { work: {} }) {
@@ -131,7 +162,8 @@
   }
 
   async start() {
-    await this.store.start(`${this.prefix}.0.1`);
+    await this.takeAddresses();
+    await this.store.start(this.host(0, 1));
     this.configure(1);
     for (let i = 0; i < this.entries; i += 1) {
       const relays = new Map();
@@ -144,12 +176,12 @@
         relays.set(worker, await relay.start());
       }
       this.relays.set(i, relays);
-      const front = new StoreFront(this, `${this.prefix}.0.${10 + i}`, i);
+      const front = new StoreFront(this, this.host(0, 10 + i), i);
       this.fronts.set(`entry-${i}`, await front.start());
       this.launch('entry', i, front.address);
     }
     for (let i = 0; i < this.workers; i += 1) {
-      const front = new StoreFront(this, `${this.prefix}.0.${100 + i}`);
+      const front = new StoreFront(this, this.host(0, 100 + i));
       this.fronts.set(`worker-${i}`, await front.start());
       this.launch('worker', i, front.address);
       const host = this.hostOf('worker', i);
@@ -173,7 +205,7 @@
   }
 
   relayHost(entry, worker) {
-    return `${this.prefix}.${10 + entry}.${worker + 1}`;
+    return this.host(3 + entry, worker + 1);
   }
 
   /** Cuts or heals the links between a worker machine and the entries. */
@@ -189,6 +221,14 @@
     }
   }
 
+  /** Sets how the store treats the calls of all machines; see {@link StoreFront}. */
+  setStores(mode) {
+    this.log('store', { mode });
+    for (const front of this.fronts.values()) {
+      front.mode = mode;
+    }
+  }
+
   launch(role, index, store) {
     const name = `${role}-${index}`;
     const host = this.hostOf(role, index);
