--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -400,11 +400,26 @@
     Math.floor(Math.random() * 16).toString(16),
   ).join('');
 
+/** Longest time that a case takes, in milliseconds. */
+const MAX_CASE_MS = 115_000;
+
 /**
  * Runs a case, and ends the process with 1 if the rule was broken, 0 if it held
  * and 2 if the case could not run.
  */
 export const runCase = async (deployment, play) => {
+  const end = (status) => {
+    deployment.log('result', { status });
+    deployment.close();
+    setTimeout(() => process.exit(status), 500);
+  };
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.on(signal, () => end(2));
+  }
+  setTimeout(() => {
+    deployment.log('could not run', { error: 'the case takes too long' });
+    end(2);
+  }, MAX_CASE_MS).unref();
   let status = 2;
   try {
     const broken = await play(deployment);
@@ -414,10 +429,8 @@
     }
     status = broken.length > 0 ? 1 : 0;
   } catch (err) {
-    deployment.log('could not run', { error: err.stack });
+    deployment.log('could not run', { error: err.message });
     console.error(err);
   }
-  deployment.log('result', { status });
-  deployment.close();
-  setTimeout(() => process.exit(status), 500);
+  end(status);
 };
