--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,8 +1,9 @@
-// One entry is killed while its queue is counted; see claim.txt.
-import { dirname } from 'node:path';
-import { fileURLToPath } from 'node:url';
+// The store is silent for a while; callers without an answer cancel their jobs;
+// see claim.txt.
 import console from 'node:console';
+import { dirname } from 'node:path';
 import process from 'node:process';
+import { fileURLToPath } from 'node:url';
 import {
   BOUNDS,
   Deployment,
@@ -13,86 +14,111 @@
 import { Runner } from '../lib-2/runner.mjs';
 
 const ENTRIES = 4;
-const WORKERS = 6;
-const JOBS = 100;
-const KILLS = 4;
-const DOWN_MS = 3500;
-const COUNT_INTERVAL_MS = 100;
+const DEADLINE_MS = 1500;
+const OUTAGES = 4;
+const OUTAGE_MS = 4200;
 const isTroubled = process.env.TROUBLE !== '0';
 
 const deployment = new Deployment({
   folder: dirname(fileURLToPath(import.meta.url)),
   entries: ENTRIES,
-  workers: WORKERS,
+  workers: 6,
   attempts: 3,
 });
 
-await runCase(deployment, async () => {
-  await deployment.start();
-  const submit = async (entry, cpu, spec, count = 1) => {
-    const id = newId();
-    const steps = [{ count, cpu, mem_mb: 64, estimate_ms: 100_000 }];
-    const { status } = await deployment.call('POST', entry, 'work', id, {
-      spec,
-      steps,
-    });
-    return status === 200 ? id : undefined;
-  };
-  // Keeps all workers busy for the whole script.
-  await submit(ENTRIES - 1, 16_000, 'ms=200000', WORKERS);
-  await delay(1000);
-  const accepted = [];
-  for (let count = 0; count < JOBS; count += 1) {
-    const id = await submit(0, 1600, 'ms=1000');
-    if (id !== undefined) {
-      accepted.push(id);
+/** Jobs by id, with the time at which their cancelling was acknowledged. */
+const jobs = new Map();
+
+const cancel = async (job, entry) => {
+  for (let tries = 0; tries < 40; tries += 1) {
+    const at = (entry + tries) % ENTRIES;
+    const { status } = await deployment.call(
+      'DELETE',
+      at,
+      'work',
+      job.id,
+      undefined,
+      DEADLINE_MS,
+    );
+    if (status === 410 || (status >= 200 && status < 300)) {
+      job.cancelledAt = Date.now();
+      job.cancelStatus = status;
+      return;
     }
+    await delay(300);
   }
-  await delay(BOUNDS.visible_ms + 2000);
-  const begun = () =>
-    accepted.filter((id) =>
-      Runner.starts.some(({ task }) => task.startsWith(`${id}.`)),
-    ).length;
-  const disturbed = new Map();
-  const broken = [];
-  let counts = 0;
-  let isCounting = true;
-  const count = async (entry) => {
-    while (isCounting) {
-      const at = Date.now();
-      const { status, body } = await deployment.call('GET', entry, 'work');
-      // A machine is in touch if its processes ran all the while.
-      const isInTouch = at - (disturbed.get(entry) ?? 0) > BOUNDS.contact_ms;
-      if (status === 200 && isInTouch) {
-        counts += 1;
-        const waiting = accepted.length - begun();
-        if (body.pending < waiting / 2) {
-          broken.push(
-            `MIXED: entry-${entry} gave ${body.pending} as pending at ${((at - deployment.beganAt) / 1000).toFixed(3)} s, when ${waiting} jobs waited`,
-          );
-        }
-      }
-      await delay(COUNT_INTERVAL_MS);
+};
+
+const submit = async (count) => {
+  const entry = count % ENTRIES;
+  const job = { id: newId(), cancelledAt: Infinity, cancelStatus: 0 };
+  jobs.set(job.id, job);
+  const steps = [0, 1, 2].map((step) => ({
+    count: 1,
+    cpu: 800,
+    mem_mb: 64,
+    estimate_ms: 1500,
+    ...(step > 0 ? { after: [step - 1] } : {}),
+  }));
+  const body = { spec: 'ms=1500', steps };
+  const { status } = await deployment.call(
+    'POST',
+    entry,
+    'work',
+    job.id,
+    body,
+    DEADLINE_MS,
+  );
+  job.status = status;
+  if (status === 504 || status === 502 || status === 0) {
+    // The caller gives up and cancels what may have been accepted.
+    await cancel(job, entry + 1);
+  } else if (status === 200 && count % 10 === 0) {
+    await delay(500);
+    await cancel(job, entry + 1);
+  }
+};
+
+const inSeconds = (at) => ((at - deployment.beganAt) / 1000).toFixed(3);
+
+await runCase(deployment, async () => {
+  await deployment.start();
+  let isSubmitting = true;
+  const submitting = (async () => {
+    const open = [];
+    for (let count = 0; isSubmitting; count += 1) {
+      open.push(submit(count));
+      await delay(100);
     }
-  };
-  const counting = Array.from({ length: ENTRIES }, (_, entry) => count(entry));
-  await delay(1000);
-  for (let kill = 0; kill < KILLS; kill += 1) {
-    // The entry that has taken the jobs over is the one to kill next.
-    const entry = kill % (ENTRIES - 1);
+    await Promise.all(open);
+  })();
+  await delay(2000);
+  for (let outage = 0; outage < OUTAGES; outage += 1) {
     if (isTroubled) {
-      disturbed.set(entry, Infinity);
-      deployment.signal(`entry-${entry}`, 'SIGKILL');
+      deployment.setStores('silent');
     }
-    await delay(DOWN_MS);
+    await delay(OUTAGE_MS);
     if (isTroubled) {
-      deployment.spawn(`entry-${entry}`);
-      disturbed.set(entry, Date.now() + 500);
+      deployment.setStores('pass');
+    }
+    await delay(9000);
+  }
+  isSubmitting = false;
+  await submitting;
+  await delay(8000);
+  const broken = [];
+  for (const { task, startedAt } of Runner.starts) {
+    const job = jobs.get(task.split('.')[0]);
+    if (startedAt > job.cancelledAt + BOUNDS.cancel_ms) {
+      broken.push(
+        `UNASKED: ${task} started at ${inSeconds(startedAt)} s, its cancelling was acknowledged with ${job.cancelStatus} at ${inSeconds(job.cancelledAt)} s (submission: ${job.status})`,
+      );
     }
-    await delay(6000);
   }
-  isCounting = false;
-  await Promise.all(counting);
-  console.log(`${counts} counts, ${accepted.length} jobs`);
+  const all = [...jobs.values()];
+  const unanswered = all.filter(({ status }) => [0, 502, 504].includes(status));
+  console.log(
+    `${all.length} jobs, ${unanswered.length} submissions without an answer, ${all.filter(({ cancelledAt }) => cancelledAt < Infinity).length} cancelled`,
+  );
   return broken;
 });
