--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -54,8 +54,8 @@
     this.nextEnd = 1;
     this.waiting = new Set();
     this.labels = labels;
-    /** Share of the calls that are not answered and carried out late. */
-    this.lateShare = 0;
+    /** How late a start is carried out, without an answer; mostly not at all. */
+    this.lateMsOf = () => undefined;
     this.state = 'ready';
   }
 
@@ -70,12 +70,10 @@
       req.on('end', () => {
         const text = Buffer.concat(chunks).toString('utf8');
         const call = text === '' ? {} : JSON.parse(text);
-        if (req.url !== '/hold' && Math.random() < this.lateShare) {
-          this.log('late call', { worker: this.id, url: req.url, ...call });
-          setTimeout(
-            () => void this.handle(req, call),
-            2000 + 10_000 * Math.random(),
-          );
+        const lateMs =
+          req.url === '/run-start' ? this.lateMsOf(call) : undefined;
+        if (lateMs !== undefined) {
+          this.carryOutLate(req, call, lateMs);
           return;
         }
         void this.handle(req, call).then(({ status, body }) => {
@@ -98,6 +96,19 @@
     this.heartbeat();
   }
 
+  /** Carries a call out late; the time that it grants counts from then. */
+  carryOutLate(req, call, lateMs) {
+    const { task, run } = call;
+    const leftMs = call.until_ms - this.clock;
+    this.log('call held', { worker: this.id, task, run, lateMs });
+    setTimeout(() => {
+      const late = { ...call, until_ms: this.clock + leftMs };
+      void this.handle(req, late).then(({ status, body }) => {
+        this.log('call carried out late', { task, run, status, ...body });
+      });
+    }, lateMs);
+  }
+
   heartbeat() {
     this.seq += 1;
     const body = JSON.stringify({
