Tell a review case that is not built from one that fails

The scripts ended with 1, as for a broken rule, if the stand-ins or the programs were not built; now with 2.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -416,6 +416,11 @@
   for (const signal of ['SIGINT', 'SIGTERM']) {
     process.on(signal, () => end(2));
   }
+  process.on('uncaughtException', (err) => {
+    deployment.log('could not run', { error: err.message });
+    console.error(err);
+    end(2);
+  });
   setTimeout(() => {
     deployment.log('could not run', { error: 'the case takes too long' });
     end(2);
