Answer jobs in doubt that may come from an entry lost with a driver

Cause: only the driver can stop a run at its worker, and only the entry that ordered the run could warn the others. Both are lost together, so the next entry starts the job at once when its caller sends it again.

Change: callers return resend_ms after the loss of their entry, which the probes bound. In that window an entry answers submissions in doubt while a driver is silent that may have sent starts, and tells the others. Related: a run whose driver has lost its link is noted at once, not after 650 ms, as the entry may be killed meanwhile.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -37,6 +37,7 @@
 import type { EndedJob, OwnedJob } from './owned-job.js';
 import { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
+import { ResendWindows } from './resend-windows.js';
 import { DEFAULT_RUN_LIMITS } from './run-limits.js';
 import type { RunLimits } from './run-limits.js';
 import { RunReports } from './run-reports.js';
@@ -101,6 +102,11 @@
 const COUNT_TIMEOUT_MS = 500;
 /** How long after a count all peers are probed at the shortest interval. */
 const PENDING_INTEREST_MS = 5000;
+/**
+ * How long after the loss of a worker driver all peers are probed at the shortest
+ * interval. One that was lost with it has to be known before its callers return.
+ */
+const LOST_DRIVER_INTEREST_MS = 1500;
 
 /** A call for the number of pending jobs of a queue. */
 interface CountCall {
@@ -142,6 +148,7 @@
   private readonly _reports: RunReports;
   private readonly _volatile: VolatileAdmission;
   private readonly _lateStarts: LateStartNotes;
+  private readonly _resends: ResendWindows;
   private readonly _takeovers: TakeoverCoordinator;
   private readonly _jobs = new Map<string, OwnedJob>();
   private readonly _ended = new Map<string, EndedJob>();
@@ -269,9 +276,15 @@
       },
       log,
     });
+    this._resends = new ResendWindows(this._options.runLimits);
     this._lateStarts = new LateStartNotes({
       limits: this._options.runLimits,
       workerOf: (worker) => this._fleet.get(worker),
+      silentWorkers: (at) =>
+        this._fleet.views
+          .filter((view) => view.mayHoldUnknownStarts(at))
+          .map((view) => view.name),
+      resends: this._resends,
       peers: (at) => this._peers.unsuspectedRows(at),
       emit: (action) => {
         this._actions.push(action);
@@ -287,7 +300,7 @@
         drainsUntilMs: this._stop?.drainsUntilMs,
         refusesAll: this._refusesWork,
       }),
-      lateWorkersOf: (id, at) => this._lateStarts.workersOf(id, at),
+      lateWorkersOf: (id, at) => this._lateStarts.onSubmitted(id, at),
       add: (job, record, deadlineMs) => this._addJob(job, record, deadlineMs),
       onAccepted: (ownedJob, at) => {
         this._reports.giveUpCrashing(ownedJob, at);
@@ -513,8 +526,14 @@
   ): void {
     const change = this._peers.onProbed(incarnation, status, now);
     if (change) {
-      const name = this._peers.get(incarnation)?.row.name ?? '';
-      this._log(`entry ${change}`, { entry: incarnation, name });
+      const peer = this._peers.get(incarnation);
+      this._log(`entry ${change}`, {
+        entry: incarnation,
+        name: peer?.row.name ?? '',
+      });
+      if (peer && change !== 'regained') {
+        this._resends.onEntryLost(peer.aliveAtMs, now);
+      }
     }
     this._answerCounts(now);
   }
@@ -967,7 +986,8 @@
   private _monitorPeers(now: number): void {
     const needsAllPeers =
       this._lease.isStoreInDoubt(now) ||
-      now - this._pendingAskedAtMs < PENDING_INTEREST_MS;
+      now - this._pendingAskedAtMs < PENDING_INTEREST_MS ||
+      now - this._fleet.linkLostAtMs < LOST_DRIVER_INTEREST_MS;
     const scope = needsAllPeers ? ProbeScope.All : ProbeScope.Neighbours;
     for (const peer of this._peers.due(scope, now)) {
       this._actions.push({
--- a/packages/core/src/lib/process/late-start-notes.ts
+++ b/packages/core/src/lib/process/late-start-notes.ts
@@ -2,6 +2,7 @@
 import { runKey } from '../request/run-key.js';
 import type { BatchAction, LateStartNote, LogFields } from './batch-events.js';
 import type { EntryRow } from './fleet-rows.js';
+import type { ResendWindows } from './resend-windows.js';
 import type { RunLimits } from './run-limits.js';
 import type { StoppingRun } from './stopping-runs.js';
 import type { WorkerView } from './worker-view.js';
@@ -23,8 +24,8 @@
 interface AbandonedJob {
   readonly runs: readonly StoppingRun[];
   readonly sinceMs: number;
-  /** Whether the other entries have been told. */
-  isNoted: boolean;
+  /** Workers of which the other entries have been told. */
+  readonly notedWorkers: Set<string>;
 }
 
 /** What another entry has told about a job at one worker. */
@@ -34,7 +35,10 @@
 }
 
 /** What the entry knows of a worker. */
-type NotedWorker = Pick<WorkerView, 'mayBeginLate' | 'provesNoLateStarts'> & {
+type NotedWorker = Pick<
+  WorkerView,
+  'linkId' | 'mayBeginLate' | 'provesNoLateStarts'
+> & {
   readonly placed: Pick<ReadonlySet<string>, 'has'>;
 };
 
@@ -43,6 +47,13 @@
   readonly limits: Pick<RunLimits, 'resendMs' | 'lateRunExpiryMs'>;
   /** @returns What is known of a worker, by the name of its VM. */
   readonly workerOf: (name: string) => NotedWorker | undefined;
+  /**
+   * @returns VMs of the workers that may hold starts of an entry that is lost,
+   *   see {@link WorkerView.mayHoldUnknownStarts}.
+   */
+  readonly silentWorkers: (now: number) => readonly string[];
+  /** When callers of lost entries may send their jobs again. */
+  readonly resends: Pick<ResendWindows, 'isOpen'>;
   /** @returns Rows of the entries that are told. */
   readonly peers: (now: number) => readonly EntryRow[];
   readonly emit: (action: BatchAction) => void;
@@ -57,6 +68,10 @@
  * entry that gave the job up tells the others in time, unless the end of the run
  * is confirmed first, as it is within milliseconds while drivers answer. Notes
  * are sent once and may be lost; the time limits of runs don't rely on them.
+ *
+ * If that entry is killed as well, nobody knows its jobs. The others then take
+ * each job that is submitted when its callers may return for one of them, as long
+ * as the driver of a worker is silent, and tell each other.
  */
 export class LateStartNotes {
   private readonly _options: LateStartNotesOptions;
@@ -64,6 +79,8 @@
   private readonly _abandoned = new Map<string, AbandonedJob>();
   /** Notes of other entries by the id of the job, then by worker. */
   private readonly _received = new Map<string, Map<string, ReceivedNote>>();
+  /** Notes about jobs of lost entries that have not been sent yet. */
+  private _unsent: LateStartNote[] = [];
   private _nextSendAtMs = Number.NEGATIVE_INFINITY;
   private _nextCleanupAtMs = Number.NEGATIVE_INFINITY;
 
@@ -93,7 +110,7 @@
     this._abandoned.set(job, {
       runs: [...known, ...runs],
       sinceMs: now,
-      isNoted: false,
+      notedWorkers: new Set(),
     });
   }
 
@@ -108,9 +125,9 @@
     if (now < this._nextSendAtMs && !isLast) {
       return;
     }
-    const notes: LateStartNote[] = [];
+    const notes = this._unsent.splice(0, MAX_NOTES_PER_CALL);
     for (const [id, job] of this._abandoned) {
-      if (notes.length === MAX_NOTES_PER_CALL) {
+      if (notes.length >= MAX_NOTES_PER_CALL) {
         break;
       }
       const note = this._noteOf(id, job, now, isLast);
@@ -129,30 +146,36 @@
    * @param now - Current time in milliseconds.
    */
   onNotes(notes: readonly LateStartNote[], now: number): void {
-    const { limits, log } = this._options;
-    for (const { job, workers, forMs } of notes) {
+    const { log } = this._options;
+    for (const note of notes) {
+      const { job, workers, forMs } = note;
       log('late starts noted by another entry', {
         job,
         workers: workers.join(' '),
         forMs,
       });
-      const known = this._received.get(job) ?? new Map<string, ReceivedNote>();
-      this._received.delete(job);
-      const untilMs = now + Math.min(forMs, limits.lateRunExpiryMs);
-      for (const worker of workers) {
-        if (forMs > 0) {
-          known.set(worker, { atMs: now, untilMs });
-        } else {
-          known.delete(worker);
-        }
-      }
-      if (known.size > 0) {
-        this._received.set(job, known);
-      }
+      this._receive(note, now);
     }
     this._evictOldest();
   }
 
+  private _receive({ job, workers, forMs }: LateStartNote, now: number): void {
+    const { limits } = this._options;
+    const known = this._received.get(job) ?? new Map<string, ReceivedNote>();
+    this._received.delete(job);
+    const untilMs = now + Math.min(forMs, limits.lateRunExpiryMs);
+    for (const worker of workers) {
+      if (forMs > 0) {
+        known.set(worker, { atMs: now, untilMs });
+      } else {
+        known.delete(worker);
+      }
+    }
+    if (known.size > 0) {
+      this._received.set(job, known);
+    }
+  }
+
   /**
    * @param job - Id of a job that is not known here.
    * @param now - Current time in milliseconds.
@@ -170,6 +193,31 @@
       .map(([worker]) => worker);
   }
 
+  /**
+   * @param job - Id of a submitted job that is not known here.
+   * @param now - Current time in milliseconds.
+   * @returns The workers at which earlier runs of the job may still begin or be
+   *   active, at another entry or one that is lost.
+   */
+  onSubmitted(job: string, now: number): readonly string[] {
+    const { limits, log, resends, silentWorkers } = this._options;
+    if (!this._received.has(job) && resends.isOpen(now)) {
+      const workers = silentWorkers(now);
+      if (workers.length > 0) {
+        log('job may be that of a lost entry', {
+          job,
+          workers: workers.join(' '),
+        });
+        const forMs = Math.ceil(limits.lateRunExpiryMs);
+        const note: LateStartNote = { job, workers, forMs };
+        this._unsent.push(note);
+        this._receive(note, now);
+        this._evictOldest();
+      }
+    }
+    return this.workersOf(job, now);
+  }
+
   private _noteOf(
     id: string,
     job: AbandonedJob,
@@ -177,30 +225,34 @@
     isLast: boolean,
   ): LateStartNote | undefined {
     const { limits, workerOf } = this._options;
-    const { runs, sinceMs, isNoted } = job;
+    const { runs, sinceMs, notedWorkers } = job;
     const remainingMs = limits.lateRunExpiryMs - (now - sinceMs);
     const open = runs.filter(({ key, worker }) =>
       workerOf(worker)?.placed.has(key),
     );
     if (open.length === 0 || remainingMs <= 0) {
       this._abandoned.delete(id);
-      const isWithdrawn = isNoted && remainingMs > 0;
+      const isWithdrawn = notedWorkers.size > 0 && remainingMs > 0;
       return isWithdrawn
         ? { job: id, workers: namesOf(runs), forMs: 0 }
         : undefined;
     }
-    // Half of the time leaves a call and its delays until the job is sent again.
-    const isDue = isLast || now - sinceMs >= limits.resendMs / 2;
-    if (isNoted || !isDue) {
-      return undefined;
-    }
-    const late = open.filter(({ key, worker }) =>
-      workerOf(worker)?.mayBeginLate(key, now),
+    const late = open.filter(
+      ({ key, worker }) =>
+        !notedWorkers.has(worker) && workerOf(worker)?.mayBeginLate(key, now),
     );
-    if (late.length === 0) {
+    // While drivers answer, half of the time leaves a call and its delays until
+    // the job is sent again. A lost driver confirms nothing.
+    const isDue =
+      isLast ||
+      now - sinceMs >= limits.resendMs / 2 ||
+      late.some(({ worker }) => workerOf(worker)?.linkId === undefined);
+    if (late.length === 0 || !isDue) {
       return undefined;
     }
-    job.isNoted = true;
+    for (const { worker } of late) {
+      notedWorkers.add(worker);
+    }
     const forMs = Math.ceil(remainingMs);
     return { job: id, workers: namesOf(late), forMs };
   }
--- a/packages/core/src/lib/process/peer-monitor.ts
+++ b/packages/core/src/lib/process/peer-monitor.ts
@@ -13,6 +13,8 @@
   storeReachableSinceMs: number | undefined;
   /** Time of the last probe reply. */
   lastContactMs: number;
+  /** Time at which the last probe was sent that the peer has answered. */
+  aliveAtMs: number;
   /** Time since which probes of the peer have timed out. */
   unresponsiveSinceMs: number | undefined;
   isProbing: boolean;
@@ -119,6 +121,7 @@
       status: undefined,
       storeReachableSinceMs: undefined,
       lastContactMs: Number.NEGATIVE_INFINITY,
+      aliveAtMs: now,
       unresponsiveSinceMs: undefined,
       isProbing: false,
       lastProbeAtMs: Number.NEGATIVE_INFINITY,
@@ -228,22 +231,25 @@
    * @param incarnation - The peer that was probed.
    * @param status - Its reply; `undefined` when the probe timed out.
    * @param now - Current time in milliseconds.
-   * @returns The change of the peer's state, if any.
+   * @returns The change of the peer's state, if any: another process may answer in
+   *   place of one that was responsive before.
    */
   onProbed(
     incarnation: string,
     status: PeerStatus | undefined,
     now: number,
-  ): 'lost' | 'regained' | undefined {
+  ): 'lost' | 'replaced' | 'regained' | undefined {
     const peer = this._peers.get(incarnation);
     if (!peer) {
       return undefined;
     }
     const wasUnresponsive = peer.unresponsiveSinceMs !== undefined;
+    const wasGone = peer.goneSinceMs !== undefined;
     this._applyProbe(peer, status, now);
     const isUnresponsive = peer.unresponsiveSinceMs !== undefined;
     if (wasUnresponsive === isUnresponsive) {
-      return undefined;
+      const isReplaced = !wasGone && peer.goneSinceMs !== undefined;
+      return isReplaced && !isUnresponsive ? 'replaced' : undefined;
     }
     return isUnresponsive ? 'lost' : 'regained';
   }
@@ -260,6 +266,7 @@
       peer.storeReachableSinceMs = storeReachableSince(peer, status, now);
       peer.status = status;
       peer.lastContactMs = now;
+      peer.aliveAtMs = peer.lastProbeAtMs;
       peer.unresponsiveSinceMs = undefined;
     } else {
       // Another process answers at the peer's address.
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -100,6 +100,7 @@
     readonly chosen: ReadonlySet<string>;
   } = { ordered: [], growth: 1, atMs: -Infinity, chosen: new Set() };
   private _nextLinkId = 1;
+  private _linkLostAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - Names of the entry and receiver of actions. */
   constructor(options: WorkerFleetOptions) {
@@ -120,6 +121,11 @@
     return this._linkedList;
   }
 
+  /** Time at which the last established link to a worker was lost. */
+  get linkLostAtMs(): number {
+    return this._linkLostAtMs;
+  }
+
   /** @returns The worker on a VM. */
   get(name: string): WorkerView | undefined {
     return this._views.get(name);
@@ -265,7 +271,9 @@
    */
   onLinkClosed(linkId: number, detail: string, now: number): void {
     const view = this._links.get(linkId);
-    if (view && !view.hasSnapshot) {
+    if (view?.hasSnapshot === true) {
+      this._linkLostAtMs = now;
+    } else if (view) {
       view.failedLinks += 1;
     }
     if (view && view.failedLinks <= 1) {
@@ -544,6 +552,9 @@
       return;
     }
     const lastContactAtMs = Math.max(view.lastReportAtMs, view.linkedAtMs);
+    if (view.hasSnapshot) {
+      this._linkLostAtMs = now;
+    }
     this._log('worker silent, link replaced', {
       worker: view.name,
       silentMs: Math.round(now - lastContactAtMs),
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -383,6 +383,17 @@
     return silentMs > REPORT_TIMEOUT_MS && silentMs <= lateRunExpiryMs;
   }
 
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Whether the worker driver process is silent and may, before that,
+   *   have sent starts for any entry that the worker may still carry out.
+   */
+  mayHoldUnknownStarts(now: number): boolean {
+    const silentMs = now - this._lastContactAtMs;
+    const isSilent = !this.hasSnapshot || silentMs > MAX_REPORT_AGE_MS;
+    return isSilent && silentMs <= this._limits.lateRunExpiryMs;
+  }
+
   /**
    * @param key - Key of a run that has been sent here and is being stopped.
    * @param now - Current time in milliseconds.
--- a/packages/core/src/test/late-start-notes.test.ts
+++ b/packages/core/src/test/late-start-notes.test.ts
@@ -4,6 +4,7 @@
   LateStartNote,
 } from '../lib/process/batch-events.js';
 import { LateStartNotes } from '../lib/process/late-start-notes.js';
+import { ResendWindows } from '../lib/process/resend-windows.js';
 import { DEFAULT_RUN_LIMITS } from '../lib/process/run-limits.js';
 import { runKey } from '../lib/request/run-key.js';
 
@@ -20,6 +21,7 @@
 /** What an entry knows of the worker. */
 class FakeWorker {
   readonly placed = new Set([KEY]);
+  linkId: number | undefined = 1;
   isUnconfirmed = true;
   lastContactAtMs = 0;
 
@@ -37,9 +39,13 @@
   const worker = new FakeWorker();
   const sent: Extract<BatchAction, { kind: 'note-late-starts' }>[] = [];
   const lines: string[] = [];
+  const silent: string[] = [];
+  const resends = new ResendWindows(DEFAULT_RUN_LIMITS);
   const notes = new LateStartNotes({
     limits: DEFAULT_RUN_LIMITS,
     workerOf: (name) => (name === TASK.worker ? worker : undefined),
+    silentWorkers: () => silent,
+    resends,
     peers: () =>
       ENTRIES.map((name) => ({ name, address: name, dataCentre: 'dc' })),
     emit: (action) => {
@@ -49,7 +55,7 @@
     },
     log: (message) => lines.push(message),
   });
-  return { worker, sent, lines, notes };
+  return { worker, sent, lines, silent, resends, notes };
 };
 
 it('all entries are told once of a run that may begin late, before its job is resent', () => {
@@ -163,3 +169,47 @@
   expect(notes.workersOf('1', 1)).toEqual(['w1']);
   expect(lines.includes('note of late starts evicted')).toEqual(true);
 });
+
+// Guards against a note that is lost with the entry, if that is killed soon after.
+it('a run at a worker whose driver is lost is noted at once', () => {
+  const { worker, sent, notes } = createNotes();
+  worker.linkId = undefined;
+  notes.onAbandoned(JOB, [TASK], 0);
+  notes.pump(0);
+  notes.pump(resendMs / 2);
+  expect(sent.length).toEqual(ENTRIES.length);
+});
+
+it('a job is held for that of a lost entry only when its callers may return', () => {
+  const { silent, resends, notes } = createNotes();
+  silent.push('w1');
+  resends.onEntryLost(1000, 1400);
+  expect(notes.onSubmitted('early', 1000 + resendMs - 1)).toEqual([]);
+  expect(notes.onSubmitted('first', 1000 + resendMs)).toEqual(['w1']);
+  expect(notes.onSubmitted('last', 1400 + resendMs + 250)).toEqual(['w1']);
+  expect(notes.onSubmitted('late', 1400 + resendMs + 251)).toEqual([]);
+  expect(notes.onSubmitted('first', 1400 + resendMs + 251)).toEqual(['w1']);
+});
+
+it('no job is held for that of a lost entry while all drivers answer', () => {
+  const { resends, notes } = createNotes();
+  resends.onEntryLost(0, 100);
+  expect(notes.onSubmitted(JOB, resendMs)).toEqual([]);
+});
+
+it('the other entries are told of a job that may be that of a lost entry', () => {
+  const { sent, silent, resends, notes } = createNotes();
+  silent.push('w1');
+  resends.onEntryLost(0, 100);
+  notes.onSubmitted(JOB, resendMs);
+  notes.pump(resendMs);
+  notes.pump(2 * resendMs);
+  const forMs = Math.ceil(lateRunExpiryMs);
+  expect(sent).toEqual(
+    ENTRIES.map((address) => ({
+      kind: 'note-late-starts' as const,
+      address,
+      notes: [{ job: JOB, workers: ['w1'], forMs }],
+    })),
+  );
+});
--- a/packages/standins/src/test/fleet-late-starts.test.ts
+++ b/packages/standins/src/test/fleet-late-starts.test.ts
@@ -29,6 +29,43 @@
   expect(brokenSeeds(KILLED_DRIVER)).toEqual([]);
 });
 
+/** The worker carries out starts late, with their time counted from then. */
+const LATE_WORKER = step(
+  { kind: 'worker', worker: 0, mode: WorkerMode.LateGrants },
+  102,
+);
+
+/** Losses of the driver and the entry that have sent a start, by what happens. */
+const LOST_WITH_DRIVER: Readonly<Record<string, readonly FleetStep[]>> = {
+  'both at once': [
+    step({ kind: 'kill-driver', worker: 0 }, 0),
+    step({ kind: 'kill-entry', entry: 0 }, 0),
+  ],
+  'the entry later': [
+    step({ kind: 'kill-driver', worker: 0 }, 500),
+    step({ kind: 'kill-entry', entry: 0 }, 0),
+  ],
+  'the driver later': [
+    step({ kind: 'kill-entry', entry: 0 }, 100),
+    step({ kind: 'kill-driver', worker: 0 }, 0),
+  ],
+  'the entry after its callers': [
+    step({ kind: 'kill-driver', worker: 0 }, 0),
+    resetCallers(300),
+    step({ kind: 'kill-entry', entry: 0 }, 0),
+  ],
+};
+
+// Guards against a late start that nobody knows of, because the entry that has
+// ordered it is killed with the driver that has sent it.
+for (const [order, losses] of Object.entries(LOST_WITH_DRIVER)) {
+  it(`a late start of a killed entry and driver runs beside no resent job: ${order}`, () => {
+    const settle = step({ kind: 'heal' }, 14_000 + RESENT_MS);
+    const steps = [LATE_WORKER, SUBMIT_JUST_BEFORE, ...losses, settle];
+    expect(brokenSeeds(steps, SEEDS.slice(0, 40))).toEqual([]);
+  });
+}
+
 /** Seeds of the scenarios in which no rule is near to be broken. */
 const FEW_SEEDS = SEEDS.slice(0, 20);
 
