Record that an unknown job is cancelled before saying so

Cause: an entry that finds no row of a job answers "no such job". The insert of a submission that was answered 504 may still be open, in the store or at the entry that goes on trying, and is performed after that.

Change: the entry writes a row of kind "withdrawn" first, under the condition that the job has no row, so an open insert conflicts with it. If the insert came first, the cancel goes to the owner. A submission that finds a row reads it, and is refused if the job was withdrawn. The row is deleted after the retention period.

Ruled out: 503 in place of 410 while an insert may be open, because no entry knows the inserts of the others.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -115,6 +115,13 @@
   readonly untilMs: number;
 }
 
+/** A job that was cancelled before it was recorded. */
+interface WithdrawnJob {
+  /** Version of the row that prevents its insert. */
+  readonly version: number;
+  readonly atMs: number;
+}
+
 /** A submitted job that is being recorded in the store. */
 interface Submission {
   /** Reply ids of the submit calls for this job. */
@@ -152,6 +159,8 @@
   private readonly _takeovers: TakeoverCoordinator;
   private readonly _jobs = new Map<string, OwnedJob>();
   private readonly _ended = new Map<string, EndedJob>();
+  /** Jobs without a row that were cancelled here, by id. */
+  private readonly _withdrawn = new Map<string, WithdrawnJob>();
   private readonly _submissions = new Map<string, Submission>();
   private _actions: BatchAction[] = [];
   private _nowMs: number;
@@ -253,6 +262,16 @@
         this._reply(replyId, reply);
       },
       forward: (callId, owner, id) => this._forwardCancel(callId, owner, id),
+      withdraw: (id, abandonAtMs, onDone) => {
+        this._recorder.withdraw(id, abandonAtMs, (outcome, at) => {
+          if (outcome.kind === 'committed') {
+            this._withdrawn.set(id, { version: outcome.version, atMs: at });
+            this._log('job withdrawn before it was recorded', { job: id });
+          }
+          onDone(outcome, at);
+        });
+      },
+      retentionMs: this._options.stateRetentionMs,
     });
     this._reports = new RunReports({
       incarnation,
@@ -665,12 +684,12 @@
           this._replyAll(replies, { kind: 'accepted' });
           return;
         case 'conflict':
-          this._replyAll(
-            replies,
-            outcome.keys.includes(fleetKeys.job(id))
-              ? { kind: 'accepted' }
-              : { kind: 'in-doubt', detail: 'this entry was replaced' },
-          );
+          if (outcome.keys.includes(fleetKeys.job(id))) {
+            this._lookUpSubmitted(id, replies, event.deadlineMs, at);
+          } else {
+            const detail = 'this entry was replaced';
+            this._replyAll(replies, { kind: 'in-doubt', detail });
+          }
           return;
         case 'rejected':
           this._refuseTooLarge(replies, id, outcome.valueBytes);
@@ -686,6 +705,22 @@
     });
   }
 
+  /**
+   * Answers submissions of a job that has a row already, because another entry
+   * has accepted it, or because it was cancelled.
+   */
+  private _lookUpSubmitted(
+    id: string,
+    replyIds: readonly number[],
+    deadlineMs: number,
+    now: number,
+  ): void {
+    this._log('job has a row already', { job: id, callers: replyIds.length });
+    for (const replyId of replyIds) {
+      this._lookups.begin({ kind: 'submit', replyId, id, deadlineMs }, now);
+    }
+  }
+
   /** Answers submissions of a job that the store can't hold. */
   private _refuseTooLarge(
     replies: readonly number[],
@@ -823,7 +858,9 @@
     if (state === undefined) {
       return false;
     }
-    if (lookup.kind === 'status') {
+    if (lookup.kind === 'submit') {
+      this._reply(lookup.replyId, { kind: 'accepted' });
+    } else if (lookup.kind === 'status') {
       // A final state holds once it is recorded; until then another owner may
       // start tasks again.
       const isUnrecorded = ownedJob !== undefined && isFinal(state);
@@ -1088,6 +1125,13 @@
       this._ended.delete(id);
       this._recorder.deleteEnded(id, ended.version, now);
     }
+    for (const [id, { version, atMs }] of this._withdrawn) {
+      if (now - atMs < this._options.stateRetentionMs) {
+        break;
+      }
+      this._withdrawn.delete(id);
+      this._recorder.deleteEnded(id, version, now);
+    }
   }
 
   private _checkDeadlines(now: number): void {
--- a/packages/core/src/lib/process/batch-events.ts
+++ b/packages/core/src/lib/process/batch-events.ts
@@ -26,6 +26,8 @@
   Abandoned = 'abandoned',
   /** A number of the job, or of its queue, is out of range. */
   Invalid = 'invalid',
+  /** The job was cancelled before it was recorded. */
+  Withdrawn = 'withdrawn',
 }
 
 /** Reply to a call from a desk. */
--- a/packages/core/src/lib/process/fleet-rows.ts
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -72,6 +72,16 @@
   readonly state: BatchState;
 }
 
+/**
+ * Row of a job that was cancelled before it was recorded. It makes an insert fail
+ * that the store has yet to perform, or that an entry still repeats.
+ */
+export interface WithdrawnJobRow {
+  readonly kind: 'withdrawn';
+  /** Incarnation of the entry that has written the row. */
+  readonly by: string;
+}
+
 /** Member row of an entry. */
 export interface EntryRow {
   readonly name: string;
@@ -126,14 +136,16 @@
 /** @returns The row of a job, or `undefined` when it is malformed. */
 export const decodeJobRow = (
   value: string,
-): OpenJobRow | EndedJobRow | undefined => {
+): OpenJobRow | EndedJobRow | WithdrawnJobRow | undefined => {
   const data = parseObject(value);
   if (data?.kind === 'open-packed') {
     const row = data as unknown as PackedJobRow;
     return { ...row, kind: 'open', content: unpackContent(row.content) };
   }
-  return data?.kind === 'open' || data?.kind === 'ended'
-    ? (data as unknown as OpenJobRow | EndedJobRow)
+  return data?.kind === 'open' ||
+    data?.kind === 'ended' ||
+    data?.kind === 'withdrawn'
+    ? (data as unknown as OpenJobRow | EndedJobRow | WithdrawnJobRow)
     : undefined;
 };
 
--- a/packages/core/src/lib/process/job-lookups.ts
+++ b/packages/core/src/lib/process/job-lookups.ts
@@ -1,13 +1,18 @@
 import { BatchState } from '../request/batch-job.js';
 import type { BatchReply } from './batch-events.js';
+import { SubmitRefusal } from './batch-events.js';
 import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
-import type { EndedJobRow, OpenJobRow } from './fleet-rows.js';
+import type { EndedJobRow, OpenJobRow, WithdrawnJobRow } from './fleet-rows.js';
 import type { PartStores } from './part-stores.js';
+import type { WriteOutcome } from './store-writer.js';
 
-/** A status or cancel call for a job that another entry may own. */
+/**
+ * A call for a job that another entry may own: for its status, to cancel it, or a
+ * submission that has found a row of the job.
+ */
 export interface JobLookup {
   readonly replyId: number;
-  readonly kind: 'status' | 'cancel';
+  readonly kind: 'status' | 'cancel' | 'submit';
   readonly id: string;
   readonly deadlineMs: number;
 }
@@ -29,6 +34,14 @@
   readonly reply: (replyId: number, reply: BatchReply) => void;
   /** Forwards a cancel to the owner; returns whether the owner is known. */
   readonly forward: (callId: number, owner: string, id: string) => boolean;
+  /** Records that a job without a row was cancelled. */
+  readonly withdraw: (
+    id: string,
+    abandonAtMs: number,
+    onDone: (outcome: WriteOutcome, now: number) => void,
+  ) => void;
+  /** Time for which the row of a withdrawn job is kept, in milliseconds. */
+  readonly retentionMs: number;
 }
 
 /** Delay between two attempts of a lookup. */
@@ -39,9 +52,12 @@
 const RETRY_AFTER_MS = 1000;
 
 /**
- * Answers status and cancel calls for jobs that this entry may not own: reads
- * the job's row from the store, and forwards a cancel to the job's owner. Failed
- * attempts are retried until the caller's deadline.
+ * Answers calls for jobs that this entry may not own: reads the job's row from the
+ * store, and forwards a cancel to the job's owner. Failed attempts are retried
+ * until the caller's deadline.
+ *
+ * The insert of a job whose caller has had no answer may still be performed. A
+ * cancel therefore says that there is no such job only once a row prevents that.
  */
 export class JobLookups {
   private readonly _options: JobLookupsOptions;
@@ -87,10 +103,7 @@
   pump(now: number): void {
     for (const lookup of [...this._open.values()]) {
       if (now > lookup.deadlineMs - REPLY_MARGIN_MS) {
-        this._answer(lookup, {
-          kind: 'unavailable',
-          retryAfterMs: RETRY_AFTER_MS,
-        });
+        this._answer(lookup, timeoutReply(lookup));
       } else if (!lookup.isWaiting && now >= lookup.nextTryAtMs) {
         if (this._options.answerLocally(lookup)) {
           this._open.delete(lookup.replyId);
@@ -140,6 +153,34 @@
       if (data) {
         this._answerFromRow(lookup, data);
       } else if (!this._options.isSubmitting(lookup.id)) {
+        this._onNoRow(lookup);
+      }
+    });
+  }
+
+  private _onNoRow(lookup: OpenLookup): void {
+    switch (lookup.kind) {
+      case 'status':
+        this._answer(lookup, { kind: 'unknown-job' });
+        return;
+      case 'cancel':
+        this._withdraw(lookup);
+        return;
+      case 'submit':
+        this._answer(lookup, {
+          kind: 'in-doubt',
+          detail: 'the row of the job has been deleted',
+        });
+    }
+  }
+
+  private _withdraw(lookup: OpenLookup): void {
+    lookup.isWaiting = true;
+    const abandonAtMs = lookup.deadlineMs - REPLY_MARGIN_MS;
+    this._options.withdraw(lookup.id, abandonAtMs, (outcome, at) => {
+      lookup.isWaiting = false;
+      lookup.nextTryAtMs = at + RETRY_DELAY_MS;
+      if (outcome.kind === 'committed' && this._open.has(lookup.replyId)) {
         this._answer(lookup, { kind: 'unknown-job' });
       }
     });
@@ -147,27 +188,40 @@
 
   private _answerFromRow(
     lookup: OpenLookup,
-    row: OpenJobRow | EndedJobRow,
+    row: OpenJobRow | EndedJobRow | WithdrawnJobRow,
   ): void {
-    const isStatus = lookup.kind === 'status';
-    switch (row.kind) {
-      case 'ended':
-        this._answer(
-          lookup,
-          isStatus
-            ? { kind: 'state', state: row.state }
-            : { kind: 'cancelled' },
-        );
+    if (row.kind === 'withdrawn') {
+      this._answer(lookup, this._withdrawnReply(lookup));
+      return;
+    }
+    switch (lookup.kind) {
+      case 'status': {
+        const state = row.kind === 'ended' ? row.state : BatchState.Running;
+        this._answer(lookup, { kind: 'state', state });
         return;
-      case 'open':
-        if (isStatus) {
-          this._answer(lookup, { kind: 'state', state: BatchState.Running });
+      }
+      case 'cancel':
+        if (row.kind === 'ended') {
+          this._answer(lookup, { kind: 'cancelled' });
         } else {
           this._forward(lookup, row.owner);
         }
+        return;
+      case 'submit':
+        this._answer(lookup, { kind: 'accepted' });
     }
   }
 
+  private _withdrawnReply({ kind }: JobLookup): BatchReply {
+    return kind === 'submit'
+      ? {
+          kind: 'refused',
+          reason: SubmitRefusal.Withdrawn,
+          retryAfterMs: this._options.retentionMs,
+        }
+      : { kind: 'unknown-job' };
+  }
+
   private _forward(lookup: OpenLookup, owner: string): void {
     const callId = this._nextCallId++;
     if (this._options.forward(callId, owner, lookup.id)) {
@@ -181,3 +235,9 @@
     this._options.reply(lookup.replyId, reply);
   }
 }
+
+/** A submission may have been accepted, so it must not count as refused. */
+const timeoutReply = ({ kind }: JobLookup): BatchReply =>
+  kind === 'submit'
+    ? { kind: 'in-doubt', detail: 'the store has not shown the job yet' }
+    : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
--- a/packages/core/src/lib/process/job-recorder.ts
+++ b/packages/core/src/lib/process/job-recorder.ts
@@ -9,7 +9,7 @@
   partName,
   partOf,
 } from './fleet-rows.js';
-import type { EndedJobRow, OpenJobRow } from './fleet-rows.js';
+import type { EndedJobRow, OpenJobRow, WithdrawnJobRow } from './fleet-rows.js';
 import { maxProgressBytes } from './packed-rows.js';
 import type { PartStores } from './part-stores.js';
 import { SUSPECT_AFTER_MS } from './peer-monitor.js';
@@ -176,6 +176,34 @@
     });
   }
 
+  /**
+   * Records that a job without a row was cancelled, so that an insert of it that
+   * another entry or the store has yet to perform has no effect.
+   *
+   * @param id - Id of the job.
+   * @param abandonAtMs - When to stop retrying, unless an attempt may still take
+   *   effect.
+   * @param onDone - Receives the outcome: a conflict if the job has a row.
+   */
+  withdraw(
+    id: string,
+    abandonAtMs: number,
+    onDone: (outcome: WriteOutcome, now: number) => void,
+  ): void {
+    const key = fleetKeys.job(id);
+    const row: WithdrawnJobRow = {
+      kind: 'withdrawn',
+      by: this._options.incarnation,
+    };
+    this._submitNow(partOf(id), {
+      conditions: [{ key, version: 0 }],
+      writes: [{ key, value: JSON.stringify(row) }],
+      readBackKey: key,
+      abandonAtMs,
+      onDone,
+    });
+  }
+
   /**
    * Makes this entry the owner of a job of a fenced incarnation.
    *
@@ -281,7 +309,7 @@
   }
 
   /**
-   * Deletes the row of an ended job after its retention period.
+   * Deletes the row of an ended or withdrawn job after its retention period.
    *
    * @param id - Id of the job.
    * @param version - Version of the job's row.
--- a/packages/core/src/test/late-creations.test.ts
+++ b/packages/core/src/test/late-creations.test.ts
@@ -1,37 +1,10 @@
 import { expect } from 'earl';
-import type { StoreReply, StoreRequest } from '../lib/store.js';
 import { EntryHarness, FakeRows, ID } from './entry-harness.js';
+import { LateRows } from './late-rows.js';
 
 /** Time after which the jobs of an unresponsive entry have been taken over. */
 const TAKEOVER_MS = 6000;
 
-/** A store that performs the creations of some rows late, without an answer. */
-class LateRows extends FakeRows {
-  /** Prefix of the keys whose creations are late; absent if none is. */
-  latePrefix: string | undefined;
-  private readonly _late: { part: string; req: StoreRequest }[] = [];
-
-  override answer(part: string, req: StoreRequest): StoreReply {
-    const { latePrefix } = this;
-    const isLate =
-      req.kind === 'transact' &&
-      latePrefix !== undefined &&
-      req.writes.some(({ key }) => key.startsWith(latePrefix));
-    if (isLate) {
-      this._late.push({ part, req });
-      return { kind: 'unknown' };
-    }
-    return super.answer(part, req);
-  }
-
-  performLate(): void {
-    this.latePrefix = undefined;
-    for (const { part, req } of this._late.splice(0)) {
-      super.answer(part, req);
-    }
-  }
-}
-
 /** Has another entry take over the jobs of an incarnation that stands still. */
 const takeOver = (rows: FakeRows, incarnation: string): void => {
   const successor = new EntryHarness(rows, 'e2', 'entry-2');
--- a/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-oracle.ts
@@ -270,7 +270,12 @@
    */
   onCancelReply(id: string, reply: BatchReply | undefined): void {
     const job = this._jobs.get(id);
-    if (job && reply?.kind === 'cancelled') {
+    // That no such job exists is an answer to a cancel as well: a recorded job
+    // must not begin after it. Nobody looks for a volatile one at other entries.
+    const isAnswered =
+      reply?.kind === 'cancelled' ||
+      (reply?.kind === 'unknown-job' && job?.content.isVolatile === false);
+    if (job && isAnswered) {
       job.cancelledAtMs ??= this._options.now();
     }
   }
