Place the other steps of a job when one finds no worker

Cause: the placement of a job ended at its first ready task that found no worker, so tasks of other steps behind it were not tried.

Change: such a task ends the round for its own step, whose tasks have the same needs, and not for the job.

--- a/packages/core/src/lib/process/job-placer.ts
+++ b/packages/core/src/lib/process/job-placer.ts
@@ -356,13 +356,16 @@
       dueInMs: latestStartMs + this.expectedMs(job.content) - now,
       wait: startWaitOf(waiting, now),
     };
+    // Tasks of a step have the same needs; those of other steps may still fit.
+    const unplaceableSteps = new Set<number>();
     for (const task of ready) {
-      if (stoppingRuns.has(task.name)) {
+      if (unplaceableSteps.has(task.step) || stoppingRuns.has(task.name)) {
         continue;
       }
       const placedRun = this._placeTask(ownedJob, task, round, limits, now);
       if (placedRun === undefined) {
-        break;
+        unplaceableSteps.add(task.step);
+        continue;
       }
       if (isPrioritised) {
         this._countStart(job, task, round.started);
