Stop starts that the next incarnation of a worker may execute

Cause: when another incarnation of a worker was seen, its driver reported all runs as lost, also those whose start calls the next incarnation had executed or could still receive: the header names the id, which is the same, and the fencing token was the same as well. Unknown runs there were taken for inherited ones.

Change: runs whose starts were not provably answered by the earlier incarnation are stopped in the next one before they are reported as lost. The fencing token is raised, so that the next incarnation rejects earlier calls. A refused connection proves the end of answered starts only. Entries take such runs for unconfirmed again. A crash names them once it is known that they are not in the next incarnation.

One line of foreign-heartbeats.test.ts is new: the clock of a worker that restarts begins anew, which the test had left out; its expectations are unchanged.

Ruled out: a wait for all runs (those that have begun are lost at once), a new link to the entries, the numbers of ends.

--- a/packages/core/src/lib/process/tracked-runs.ts
+++ b/packages/core/src/lib/process/tracked-runs.ts
@@ -1,4 +1,4 @@
-import type { ActiveRun, Room, RunRef } from '../messages.js';
+import type { ActiveRun, Room, RunRef, WorkerCrash } from '../messages.js';
 import { ZERO_ROOM, addRoom, subtractRoom } from '../request/room.js';
 import { runKey } from '../request/run-key.js';
 
@@ -21,6 +21,17 @@
   readonly limitLeftMs: number;
 }
 
+/**
+ * What is known of a run that was started for an earlier incarnation of the
+ * worker, and that the present one may begin.
+ */
+export interface FormerRun {
+  /** Local time at which it has ended even if the present incarnation begins it. */
+  readonly untilMs: number;
+  /** The crash of the earlier incarnation, unless that has left as planned. */
+  readonly crash: WorkerCrash | undefined;
+}
+
 /** A run that may be active at the worker. */
 export interface TrackedRun {
   readonly task: string;
@@ -42,6 +53,14 @@
   starts: number;
   /** Start calls that provably did not reach the worker. */
   undeliveredStarts: number;
+  /** Start calls that the worker has answered. */
+  answeredStarts: number;
+  /** Number of the latest poll when a start call was last sent or answered. */
+  lastStartPoll: number;
+  /** Worker's clock in the last answer to a start call, in milliseconds. */
+  lastStartClockMs: number;
+  /** Set while it may have ended with an earlier incarnation of the worker. */
+  readonly former: FormerRun | undefined;
   /** Whether the worker has confirmed that the run has begun. */
   readonly hasBegun: boolean;
   /** Share of its full pace at which the run works. */
@@ -99,6 +118,10 @@
   isInherited: false,
   starts: 0,
   undeliveredStarts: 0,
+  answeredStarts: 0,
+  lastStartPoll: 0,
+  lastStartClockMs: 0,
+  former: undefined,
   hasBegun: false,
   percent: 0,
   latestCheckpoint: '',
@@ -126,6 +149,8 @@
   private readonly _unconfirmed = new Set<TrackedRun>();
   /** Runs whose stop the worker has confirmed. */
   private readonly _stopped = new Set<TrackedRun>();
+  /** Runs that were started for an earlier incarnation of the worker. */
+  private readonly _former = new Set<TrackedRun>();
   private _needs = ZERO_ROOM;
 
   /** Number of runs. */
@@ -156,6 +181,14 @@
     return this._stopped;
   }
 
+  /**
+   * Runs that were started for an earlier incarnation of the worker, and that the
+   * present one may begin.
+   */
+  get former(): ReadonlySet<TrackedRun> {
+    return this._former;
+  }
+
   /** @returns The tracked run with this task and number. */
   get(ref: RunRef): TrackedRun | undefined {
     return this._runs.get(runKey(ref));
@@ -219,6 +252,7 @@
     }
     this._unconfirmed.delete(run);
     this._stopped.delete(run);
+    this._former.delete(run);
     this._countOwner(run.owner, -1);
     this._needs =
       this._runs.size === 0 ? ZERO_ROOM : subtractRoom(this._needs, run.needs);
@@ -265,6 +299,33 @@
     }
   }
 
+  /**
+   * Keeps a run of a worker that has started anew. Its start may have reached the
+   * present incarnation, or may still reach it; no confirmation holds there.
+   *
+   * @param ref - A tracked run.
+   * @param former - What is known of it; kept from the first incarnation on.
+   */
+  keepAsFormer(ref: RunRef, former: FormerRun): void {
+    const run = this._runs.get(runKey(ref));
+    if (run) {
+      run.hasBegun = false;
+      this._unconfirmed.add(run);
+      run.stoppedAtPoll = undefined;
+      this._stopped.delete(run);
+      run.former = { ...former, crash: run.former?.crash ?? former.crash };
+      this._former.add(run);
+    }
+  }
+
+  /** @param ref - A kept run that the present incarnation lists as active. */
+  confirmPresent(ref: RunRef): void {
+    const run = this._runs.get(runKey(ref));
+    if (run && this._former.delete(run)) {
+      run.former = undefined;
+    }
+  }
+
   /**
    * @param owner - Incarnation of an entry.
    * @returns Its runs whose begin the worker has not confirmed.
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -22,7 +22,7 @@
 import { StartAdmission } from './start-admission.js';
 import { RunPhase, TrackedRuns, trackedRun } from './tracked-runs.js';
 import type { TrackedRun } from './tracked-runs.js';
-import { WorkerClock } from './worker-clock.js';
+import { WORKER_CLOCK_MIN_RATE, WorkerClock } from './worker-clock.js';
 import { WorkerRejection, isOutdatedHeartbeat } from './worker-events.js';
 import type {
   ListedEnd,
@@ -236,6 +236,10 @@
   private _pollCallId: number | undefined;
   private _nextPollAtMs = 0;
   private _pollCount = 0;
+  /** Number of the latest poll that the present incarnation has answered. */
+  private _answeredPoll = 0;
+  /** Whether this process has reached any incarnation of the worker. */
+  private _hasReachedWorker = false;
   private _lastPollAtMs = 0;
   /** Whether the last list of ends was complete. */
   private _areAllEndsListed = false;
@@ -422,7 +426,7 @@
     if (this._worker?.id === id) {
       this._actions.push({ kind: 'confirmed', worker: this._worker });
       this._leftBornMs = this._worker.bornMs;
-      this._discardIncarnation(GoneReason.Left, now);
+      this._discardIncarnation(GoneReason.Left, hasOpenStart, now);
       this._worker = undefined;
     }
   }
@@ -500,7 +504,12 @@
   private _replaceSilentWorker(now: number): void {
     const worker = this._candidate?.worker;
     if (worker && worker.service === this._worker?.service) {
-      this._discardIncarnation(GoneReason.Replaced, now);
+      const keepsId = worker.id === this._worker.id;
+      const mayBeginLate = (run: TrackedRun): boolean =>
+        keepsId &&
+        // A start may have been answered by the new incarnation.
+        (hasOpenStart(run) || this._answeredPoll <= run.lastStartPoll);
+      this._discardIncarnation(GoneReason.Replaced, mayBeginLate, now);
       this._useWorker(worker);
     }
   }
@@ -528,8 +537,18 @@
     }
   }
 
-  /** Reports all runs of the worker's incarnation as lost and discards it. */
-  private _discardIncarnation(why: GoneReason, now: number): void {
+  /**
+   * Discards the worker's incarnation and reports its runs as lost. A start that
+   * it has not provably received or left may be executed by the next incarnation,
+   * if that has the same id. Such a run is stopped there first. The fencing token
+   * is raised, so that the next incarnation rejects earlier calls once it has
+   * received a later one.
+   */
+  private _discardIncarnation(
+    why: GoneReason,
+    mayBeginLate: (run: TrackedRun) => boolean,
+    now: number,
+  ): void {
     const isPlanned =
       why === GoneReason.Left || this._worker?.accepting === false;
     this._log('worker incarnation gone', {
@@ -537,15 +556,28 @@
       life: this._workerIncarnation,
       runs: this._runs.size,
     });
+    const kept = new Set(this._runs.values().filter(mayBeginLate));
     if (!isPlanned) {
-      this._recordCrash([...this._lostRuns, ...this._runs.values()], why, now);
+      const gone = this._runs.values().filter((run) => !kept.has(run));
+      this._recordCrash([...this._lostRuns, ...gone], why, now);
     }
     this._lostRuns = [];
     this._starts.removeAll(StartRefusal.NOT_READY);
+    for (const run of this._unsentStarts) {
+      this._refuse(run, StartRefusal.NOT_READY);
+    }
     this._unsentStarts.clear();
+    this._stopRetries.clear();
     for (const run of this._runs.values()) {
-      this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
+      if (kept.has(run)) {
+        this._keepFormerRun(run, isPlanned, now);
+      } else if (run.former) {
+        this._loseFormerRun(run, now);
+      } else {
+        this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
+      }
     }
+    this._token += 1;
     this._ends.reset();
     this._areAllEndsListed = false;
     this._haveAllEndsBeenListed = false;
@@ -565,13 +597,42 @@
     this._links.markAllDirty();
   }
 
+  private _keepFormerRun(
+    run: TrackedRun,
+    isPlanned: boolean,
+    now: number,
+  ): void {
+    const { maxLeaseMs, stopMs } = this._limits;
+    const lateMs = DELAYED_CALL_LIMIT_MS + maxLeaseMs + stopMs;
+    const untilMs = now + lateMs / WORKER_CLOCK_MIN_RATE;
+    const crashed = toCrashedRun(run, this._crashTime.bounds(now));
+    const mayHaveCrashed = !isPlanned && run.starts > run.undeliveredStarts;
+    const crash = mayHaveCrashed
+      ? { life: this._workerIncarnation, runs: [crashed] }
+      : undefined;
+    this._runs.keepAsFormer(run, { untilMs, crash });
+    run.phase = RunPhase.Stopping;
+    run.stopSentAtMs ??= now;
+    run.stopRetryAtMs = now;
+    this._stopRetries.add(run);
+    this._log('run of an earlier incarnation kept, it may begin late', {
+      task: run.task,
+      run: run.run,
+      owner: run.owner,
+      starts: run.starts,
+      answered: run.answeredStarts,
+    });
+  }
+
   /** Reports the runs that may have been active when the worker crashed. */
   private _recordCrash(
     runs: readonly TrackedRun[],
     why: string,
     now: number,
   ): void {
-    const begun = runs.filter((run) => run.starts > run.undeliveredStarts);
+    const begun = runs.filter(
+      (run) => !run.former && run.starts > run.undeliveredStarts,
+    );
     if (begun.length === 0) {
       return;
     }
@@ -881,6 +942,7 @@
       this._leaseLimitMs,
     );
     tracked.starts += 1;
+    tracked.lastStartPoll = this._pollCount;
     this._call({
       kind: 'start',
       id: this._worker?.id,
@@ -1007,7 +1069,10 @@
       token: this._token,
       untilMs,
       ackedThrough: this._ends.ackedThrough,
-      waitMs: clockMs === undefined ? 0 : this._limits.pollWaitMs,
+      waitMs:
+        clockMs === undefined || this._runs.former.size > 0
+          ? 0
+          : this._limits.pollWaitMs,
       timeoutMs: this._pollTimeoutMs,
     });
   }
@@ -1055,7 +1120,9 @@
     if (reply.kind !== 'unreachable') {
       this._leaseEndMs = Math.max(this._leaseEndMs, pending.leaseEndMs);
     }
-    if (reply.kind === 'rejected' && reply.reason === WorkerRejection.Fenced) {
+    const isFenced =
+      reply.kind === 'rejected' && reply.reason === WorkerRejection.Fenced;
+    if (isFenced && pending.call.token === this._token) {
       this._token += TOKEN_STEP;
       this._log('fencing token raised', { token: this._token });
     }
@@ -1081,7 +1148,8 @@
       this._onPollFailed(reply, now);
       return;
     }
-    this._onAnsweredBy(reply.bornMs, pending.pollNumber, now);
+    this._onAnsweredBy(reply, pending.pollNumber, now);
+    this._answeredPoll = pending.pollNumber;
     if (this._unansweredSinceMs !== undefined) {
       this._log('worker answers again', {
         afterMs: Math.round(now - this._unansweredSinceMs),
@@ -1104,22 +1172,36 @@
     }
     this._crashTime.onAnswer(now);
     this._handleListedEnds(reply.ends, now);
-    this._addUnknownRuns(reply.active, isFirst, now);
-    this._handleActiveRuns(reply.active, pending.pollNumber);
+    this._addUnknownRuns(reply.active, !this._hasReachedWorker, now);
+    this._hasReachedWorker = true;
+    this._handleActiveRuns(reply.active, pending.pollNumber, now);
     this._stopExpiredRuns(reply.clockMs, now);
   }
 
   /**
-   * @param bornMs - Start of the incarnation that has answered a poll.
+   * @param reply - Reply to a poll, which tells the incarnation that has answered.
    * @param pollNumber - Number of the poll.
    */
-  private _onAnsweredBy(bornMs: number, pollNumber: number, now: number): void {
+  private _onAnsweredBy(
+    reply: Extract<WorkerReply, { kind: 'held' }>,
+    pollNumber: number,
+    now: number,
+  ): void {
+    const { bornMs } = reply;
     if (this._workerBornMs === bornMs) {
       this._rejectCandidate(pollNumber, now);
       return;
     }
     if (this._workerBornMs !== undefined) {
-      this._discardIncarnation(GoneReason.Restarted, now);
+      const listed = new Set([...reply.active, ...reply.ends].map(runKey));
+      const mayBeginLate = (run: TrackedRun): boolean =>
+        hasOpenStart(run) ||
+        listed.has(runKey(run)) ||
+        // The new incarnation, whose clock has begun anew, may have answered its
+        // start after it had made this list.
+        (pollNumber <= run.lastStartPoll &&
+          run.lastStartClockMs <= reply.clockMs + this._pollTimeoutMs);
+      this._discardIncarnation(GoneReason.Restarted, mayBeginLate, now);
     }
     this._worker = undefined;
     const candidate = this._candidate?.worker;
@@ -1143,7 +1225,8 @@
       reply.kind === 'rejected' &&
       reply.reason === WorkerRejection.OtherIncarnation
     ) {
-      this._discardIncarnation(GoneReason.OtherAnswers, now);
+      // It rejects all calls that name the earlier one.
+      this._discardIncarnation(GoneReason.OtherAnswers, () => false, now);
       this._worker = undefined;
     } else {
       this._replaceSilentWorker(now);
@@ -1236,6 +1319,7 @@
         owner: '',
         phase: RunPhase.Active,
         starts: 1,
+        answeredStarts: 1,
         hasBegun: true,
         isInherited,
         sinceMs: now,
@@ -1251,6 +1335,7 @@
   private _handleActiveRuns(
     active: readonly ListedRun[],
     pollNumber: number,
+    now: number,
   ): void {
     const seen = new Set<string>();
     for (const listed of active) {
@@ -1258,6 +1343,7 @@
       const tracked = this._runs.get(listed);
       if (tracked) {
         this._runs.confirmBegin(tracked);
+        this._runs.confirmPresent(tracked);
         tracked.percent = listed.percent;
         tracked.latestCheckpoint = listed.checkpoint;
       }
@@ -1272,8 +1358,12 @@
         stoppedAtPoll !== undefined && pollNumber > stoppedAtPoll;
       if (wasPolledSince && !seen.has(runKey(tracked))) {
         // The run was stopped before it began: the worker lists it neither as
-        // active nor among the ends.
-        this._refuse(tracked, StartRefusal.NO_ANSWER);
+        // active nor among the ends. It may have begun in another incarnation.
+        if (tracked.former) {
+          this._loseFormerRun(tracked, now);
+        } else {
+          this._refuse(tracked, StartRefusal.NO_ANSWER);
+        }
       }
     }
   }
@@ -1331,6 +1421,9 @@
     now: number,
   ): void {
     const tracked = this._runs.get(call);
+    if (tracked) {
+      this._countStartReply(tracked, reply);
+    }
     if (tracked && reply.kind === 'done') {
       this._runs.confirmBegin(tracked);
     }
@@ -1349,8 +1442,6 @@
       case 'unreachable':
         if (reply.kind === 'no-answer') {
           this._unreliableUntilMs = now + UNRELIABLE_PERIOD_MS;
-        } else {
-          tracked.undeliveredStarts += 1;
         }
         this._log('start without an answer', {
           task: tracked.task,
@@ -1369,6 +1460,22 @@
     }
   }
 
+  private _countStartReply(tracked: TrackedRun, reply: WorkerReply): void {
+    switch (reply.kind) {
+      case 'done':
+      case 'held':
+      case 'rejected':
+        tracked.answeredStarts += 1;
+        tracked.lastStartPoll = this._pollCount;
+        tracked.lastStartClockMs = reply.clockMs ?? 0;
+        return;
+      case 'unreachable':
+        tracked.undeliveredStarts += 1;
+        return;
+      case 'no-answer':
+    }
+  }
+
   private _onStartRejected(
     tracked: TrackedRun,
     reason: WorkerRejection,
@@ -1531,32 +1638,61 @@
   }
 
   /**
-   * Reports all runs of an unresponsive worker as lost once they expired. Only a
-   * worker whose process has ended carries out no calls later.
+   * Reports the runs of an unresponsive worker as lost once they have expired. A
+   * worker that is silent may carry out calls late. If its process has ended, the
+   * next one may do so for calls that the worker has not provably received.
    */
   private _declareRunsLost(now: number): void {
+    for (const run of this._runs.former) {
+      if (now > (run.former?.untilMs ?? Infinity)) {
+        this._loseFormerRun(run, now);
+      }
+    }
     if (this._unansweredSinceMs === undefined || this._runs.size === 0) {
       return;
     }
-    const canBeDelayed = !this._isUnreachable;
-    if (this._clock.lowerBound(now) > this._runsExpiredAtMs(canBeDelayed)) {
+    const clockMs = this._clock.lowerBound(now);
+    const areAllLost = clockMs > this._runsExpiredAtMs(true);
+    const lost = this._runs
+      .values()
+      .filter(
+        (run) =>
+          areAllLost ||
+          (this._isUnreachable &&
+            !hasOpenStart(run) &&
+            clockMs > this._runsExpiredAtMs(false)),
+      );
+    if (lost.length > 0) {
       this._log('runs lapsed at a silent worker', {
-        runs: this._runs.size,
+        runs: lost.length,
         unreachable: this._isUnreachable,
         silentMs: Math.round(now - this._unansweredSinceMs),
       });
-      const lost = this._runs.values();
       if (this._isUnreachable) {
         this._recordCrash(lost, 'connection refused', now);
       } else {
         this._lostRuns.push(...lost);
       }
       for (const tracked of lost) {
-        this._endRun(tracked, EndKind.LOST, tracked.latestCheckpoint, 0);
+        if (tracked.former) {
+          this._loseFormerRun(tracked, now);
+        } else {
+          this._endRun(tracked, EndKind.LOST, tracked.latestCheckpoint, 0);
+        }
       }
     }
   }
 
+  /** Reports a run that has ended with an earlier incarnation, or never began. */
+  private _loseFormerRun(run: TrackedRun, now: number): void {
+    const crash = run.former?.crash;
+    if (crash) {
+      const { life, runs } = crash;
+      this._links.addCrash(this._crashes.add(life, runs, now));
+    }
+    this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
+  }
+
   private _flush(now: number): void {
     this._sendStarts(now);
     if (!this._links.isFlushDue(now)) {
@@ -1609,6 +1745,13 @@
   }
 }
 
+/** Whether a start call of the run may still reach some incarnation of the worker. */
+const hasOpenStart = (run: TrackedRun): boolean => {
+  const { starts, answeredStarts, undeliveredStarts } = run;
+  // Another driver process has started a run without starts of this one.
+  return starts === 0 || starts > answeredStarts + undeliveredStarts;
+};
+
 /** Returns a run that may have been active when its worker crashed. */
 const toCrashedRun = (
   { task, run, queue, isVolatile, hasBegun, sinceMs }: TrackedRun,
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -445,6 +445,13 @@
       this._lastContactAtMs = now;
       this._mayActLate = report.mayActLate;
       this._reportedUnconfirmed = new Set(report.unconfirmed.map(runKey));
+      // A worker that has restarted may begin a run that was confirmed before.
+      for (const key of this._reportedUnconfirmed) {
+        const run = this.placed.get(key);
+        if (run) {
+          this._unconfirmed.set(key, run);
+        }
+      }
       for (const [key, run] of this._unconfirmed) {
         if (!this._isUnconfirmed(run)) {
           this._unconfirmed.delete(key);
--- a/packages/core/src/test/foreign-heartbeats.test.ts
+++ b/packages/core/src/test/foreign-heartbeats.test.ts
@@ -103,6 +103,7 @@
 it('a worker that restarts under its id is replaced by its own answer', () => {
   const harness = atWork();
   harness.bornMs = BORN_MS + 500;
+  harness.clock = 1;
   harness.active = [];
   harness.heartbeat();
   harness.answerPoll();
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -6,6 +6,7 @@
 import { Shortage } from '../lib/process/worker-subset.js';
 import { WorkerView } from '../lib/process/worker-view.js';
 import type { PlacedRun } from '../lib/process/worker-view.js';
+import { runKey } from '../lib/request/run-key.js';
 import { reportOf } from './entry-harness.js';
 
 const ROW = { address: 'w0', dataCentre: 'dc0', incarnation: 'p1' };
@@ -71,6 +72,19 @@
   expect(view.hasSuspect).toEqual(true);
 });
 
+// Guards against a run that is given up, and starts elsewhere, while the next
+// incarnation of its worker may still begin it.
+it('a run that was confirmed may begin late again after a restart of its worker', () => {
+  const view = new WorkerView('w0', ROW);
+  view.hasSnapshot = true;
+  view.placed.set(runKey({ task: 't', run: 1 }), runOf(1, 0));
+  view.applyReport(reportOf({ sequence: 1 }), 0);
+  expect(view.mayBeginLate(runKey({ task: 't', run: 1 }), 0)).toEqual(false);
+  const unconfirmed = [{ task: 't', run: 1 }];
+  view.applyReport(reportOf({ sequence: 1, unconfirmed }), 1);
+  expect(view.mayBeginLate(runKey({ task: 't', run: 1 }), 1)).toEqual(true);
+});
+
 class OrderHarness {
   readonly actions: BatchAction[] = [];
   readonly fleet = new WorkerFleet({
--- a/packages/standins/src/lib/fleet-sim/fleet-world.ts
+++ b/packages/standins/src/lib/fleet-sim/fleet-world.ts
@@ -46,6 +46,11 @@
    * of the product if absent.
    */
   readonly resendMs?: number | undefined;
+  /**
+   * Whether workers start again under the id that they had; by default in every
+   * second seed.
+   */
+  readonly keepsWorkerIds?: boolean | undefined;
   /** Time limits of runs other than those that follow from `resendMs`. */
   readonly limits?: Partial<RunLimits> | undefined;
   /** A fault of all entries; none if absent. */
@@ -167,6 +172,7 @@
       now: () => queue.nowMs,
     });
     const workers: SimWorker[] = [];
+    const { keepsWorkerIds = options.seed % 2 === 0 } = options;
     const placements = placementsOf(options);
     this.drivers = placements.map(([name, dataCentre], index) => {
       return new SimDriver({
@@ -204,6 +210,7 @@
           oracle: this.oracle,
           random,
           clockRate: MIN_CLOCK_RATE + (1 - MIN_CLOCK_RATE) * random(),
+          keepsId: keepsWorkerIds,
           onRun: (moment, task) => {
             this._onRun(moment, index, task);
           },
--- a/packages/standins/src/lib/fleet-sim/sim-worker.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-worker.ts
@@ -53,6 +53,11 @@
   readonly random: () => number;
   /** Rate of the worker's clock relative to virtual time; at most 2% slow. */
   readonly clockRate: number;
+  /**
+   * Whether each incarnation has the id of the one before, so that it executes
+   * calls that were sent to that one.
+   */
+  readonly keepsId: boolean;
   /** Receives heartbeats; returns whether they were acknowledged. */
   readonly onHeartbeat: (worker: WorkerHeartbeat) => boolean;
   /** Receives the task of each run that starts or ends. */
@@ -92,6 +97,11 @@
 const MAX_LISTED_ENDS = 500;
 /** Time that a run takes to stop. */
 const STOP_DURATION_MS = 30;
+/**
+ * Maximum time from the start of an incarnation until a call is executed that has
+ * arrived while the worker was down.
+ */
+const MAX_HELD_MS = 2000;
 /** Maximum latency of a call, and of its reply, when no fault affects it. */
 const MAX_TRANSIT_MS = 1;
 /** Share of the calls that the late and reply-losing modes affect. */
@@ -126,6 +136,8 @@
   /** Highest run number of each task that has ended or was stopped. */
   private readonly _highestClosedRun = new Map<string, number>();
   private readonly _pendingHolds = new Set<PendingHold>();
+  /** Calls that have arrived while the worker was down. */
+  private _heldCalls: (() => void)[] = [];
   private _incarnation = 0;
   private _bootedAtMs = 0;
   private _isUp = false;
@@ -173,8 +185,12 @@
     this._fencingToken = 0;
     this._leaseUntilMs = 0;
     this._highestClosedRun.clear();
+    const { queue, random } = this._options;
+    for (const execute of this._heldCalls.splice(0)) {
+      queue.after(random() * MAX_HELD_MS, execute);
+    }
     const incarnation = this._incarnation;
-    this._options.queue.after(0, () => {
+    queue.after(0, () => {
       this._sendHeartbeats(incarnation);
     });
   }
@@ -284,10 +300,10 @@
     const delayMs = isDelayed
       ? random() * MAX_DELAY_MS
       : MAX_TRANSIT_MS * random();
-    const incarnation = this._incarnation;
     const sentAtMs = this._clockMs;
-    queue.after(delayMs, () => {
-      if (this._incarnation !== incarnation || !this._isUp) {
+    const execute = (): void => {
+      if (!this._isUp) {
+        this._heldCalls.push(execute);
         return;
       }
       const shiftMs = shiftsGrants ? this._clockMs - sentAtMs : 0;
@@ -298,11 +314,13 @@
           });
         }
       });
-    });
+    };
+    queue.after(delayMs, execute);
   }
 
   private get _id(): string {
-    return `${this._options.vm}-${String(this._incarnation)}`;
+    const { vm, keepsId } = this._options;
+    return keepsId ? vm : `${vm}-${String(this._incarnation)}`;
   }
 
   private get _vm(): string {
--- a/packages/standins/src/lib/platform/fleet-cluster.ts
+++ b/packages/standins/src/lib/platform/fleet-cluster.ts
@@ -47,6 +47,9 @@
   new URL('../../../../../target/sapphiremux.cjs', import.meta.url),
 );
 
+/** Id of the first worker at this index. */
+const workerId = (index: number): string => `i-${String(index)}`;
+
 /**
  * Runs the bundled program as entry and worker driver processes on loopback
  * addresses, against fakes of the platform's workers and table service.
@@ -81,7 +84,7 @@
     }
     for (let i = 0; i < this._options.workers; i += 1) {
       const { host } = this._launch('worker', i);
-      const worker = this._createWorker(i, host, `i-${String(i)}`);
+      const worker = this._createWorker(i, host, workerId(i));
       this.workers.push(worker);
       await worker.start();
     }
@@ -172,13 +175,16 @@
    * Starts a new worker in place of one that has crashed.
    *
    * @param index - Index of the worker.
-   * @param id - Id of the new worker, which none has had before.
+   * @param id - Id of the new worker; by default the one that the first worker
+   *   there had.
+   * @returns The new worker.
    */
-  async replaceWorker(index: number, id: string): Promise<void> {
+  async replaceWorker(index: number, id?: string): Promise<FleetWorker> {
     const { host } = this.processOf('worker', index);
-    const worker = this._createWorker(index, host, id);
+    const worker = this._createWorker(index, host, id ?? workerId(index));
     this.workers[index] = worker;
     await worker.start();
+    return worker;
   }
 
   /** Ends all processes and fakes that were started. */
--- a/packages/standins/src/lib/platform/fleet-worker.ts
+++ b/packages/standins/src/lib/platform/fleet-worker.ts
@@ -61,6 +61,13 @@
   failsAllRuns = false;
   /** Whether starts are executed and their replies are lost. */
   losesStartReplies = false;
+  /**
+   * Whether starts are kept without an answer. If the worker starts again under
+   * its id, the next incarnation executes them.
+   */
+  holdsStarts = false;
+  /** Starts that were kept. */
+  readonly heldStarts: JsonRequest[] = [];
   private readonly _options: FleetWorkerOptions;
   private readonly _activeRuns = new Map<string, ActiveRun>();
   /** Highest run number of each task that has ended or was stopped. */
@@ -74,6 +81,7 @@
   private _startedAtMs = Date.now();
   private _sequence = 0;
   private _pendingHolds = new Set<() => void>();
+  private _isClosed = false;
   private _server: JsonServer | undefined;
   private _heartbeatTimer: NodeJS.Timeout | undefined;
   private _leaseTimer: NodeJS.Timeout | undefined;
@@ -99,6 +107,7 @@
 
   /** Simulates a crash: stops the server and ends all runs without a report. */
   async close(): Promise<void> {
+    this._isClosed = true;
     clearInterval(this._heartbeatTimer);
     clearTimeout(this._leaseTimer);
     for (const run of [...this._activeRuns.values()]) {
@@ -143,7 +152,18 @@
     return Date.now() - this._startedAtMs + 1;
   }
 
+  /** Executes a call that an earlier incarnation has kept. */
+  async executeHeld(req: JsonRequest): Promise<void> {
+    if (!this._isClosed) {
+      await this._handle(req);
+    }
+  }
+
   private async _handle(req: JsonRequest): Promise<JsonResponse | undefined> {
+    if (this.holdsStarts && req.path === '/run-start') {
+      this.heldStarts.push(req);
+      return undefined;
+    }
     const expected = req.headers['x-sapphiremux-expect-instance'];
     if (expected !== undefined && expected !== this._options.id) {
       return { status: 421 };
@@ -171,7 +191,7 @@
   private _createResponse(status: number, body: object): JsonResponse {
     return {
       status,
-      body: { clock_ms: this._clockMs(), born: this._startedAtMs, ...body },
+      body: { clock_ms: this._clockMs(), ...body },
     };
   }
 
@@ -252,6 +272,7 @@
       });
     }
     return this._createResponse(200, {
+      born: this._startedAtMs,
       running: [...this._activeRuns.values()].map(({ task, run }) => [
         task,
         run,
--- a/packages/standins/src/lib/soak/fault-injector.ts
+++ b/packages/standins/src/lib/soak/fault-injector.ts
@@ -14,6 +14,12 @@
 /** Time after which a stopped process certainly reads nothing. */
 const STOP_SIGNAL_MS = 50;
 
+/**
+ * Time before a crash from which starts reach the next incarnation of the worker,
+ * and time after its start until they do.
+ */
+const HELD_STARTS_MS = 200;
+
 /** Injects faults into a cluster, and undoes them after their durations. */
 export class FaultInjector {
   /** Starts on workers that have crashed. */
@@ -210,13 +216,21 @@
       return;
     }
     this._crashedWorkers.add(index);
+    const keepsId = index % 2 === 0;
+    worker.holdsStarts = keepsId;
+    await delay(HELD_STARTS_MS);
     await worker.close();
     this.startsOfCrashed.push(...worker.starts);
     await delay(downMs);
     this._incarnation += 1;
     const id = `i-${String(index)}-${String(this._incarnation)}`;
-    await this._cluster.replaceWorker(index, id);
+    const next = await this._cluster.replaceWorker(
+      index,
+      keepsId ? undefined : id,
+    );
     this._crashedWorkers.delete(index);
+    await delay(HELD_STARTS_MS);
+    await Promise.all(worker.heldStarts.map((req) => next.executeHeld(req)));
   }
 
   private async _abandonUnread(
--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -185,3 +185,30 @@
     expect(starts.length >= 12).toEqual(true);
     expect(countOverlaps(cluster)).toEqual(0);
   }));
+
+// Guards against a start that is executed after a restart, while its task runs
+// elsewhere.
+it('fleet: a start that a worker executes after a restart runs beside no other one', () =>
+  withCluster(async (cluster) => {
+    const [worker] = cluster.workers;
+    if (!worker) {
+      throw new Error('the cluster has no worker');
+    }
+    worker.holdsStarts = true;
+    const id = newId();
+    expect(await submit(cluster, 0, job(900, 12, false), id)).toEqual(HTTP_OK);
+    for (let polls = 0; polls < 50 && worker.heldStarts.length === 0;) {
+      await delay(20);
+      polls += 1;
+    }
+    expect(worker.heldStarts.length > 0).toEqual(true);
+    await worker.close();
+    await delay(300);
+    const next = await cluster.replaceWorker(0);
+    await delay(600);
+    await Promise.all(worker.heldStarts.map((req) => next.executeHeld(req)));
+    expect(await waitForState(cluster, 0, id, 'completed')).toEqual(
+      'completed',
+    );
+    expect(countOverlaps(cluster)).toEqual(0);
+  }));
