Keep no volatile run of an earlier incarnation active by a poll

The limit of a run that is kept was on the clock of the earlier incarnation. Until its stop is confirmed, polls do not renew the lease for it.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -571,10 +571,8 @@
     for (const run of this._runs.values()) {
       if (kept.has(run)) {
         this._keepFormerRun(run, isPlanned, now);
-      } else if (run.former) {
-        this._loseFormerRun(run, now);
       } else {
-        this._endRun(run, EndKind.LOST, run.latestCheckpoint, 0);
+        this._loseRun(run, now);
       }
     }
     this._token += 1;
@@ -614,6 +612,9 @@
     run.phase = RunPhase.Stopping;
     run.stopSentAtMs ??= now;
     run.stopRetryAtMs = now;
+    // Limits on the clock of the earlier incarnation mean nothing now. Until the
+    // stop is confirmed, no poll keeps a volatile run active.
+    run.stopLimitMs = run.isVolatile ? 0 : undefined;
     this._stopRetries.add(run);
     this._log('run of an earlier incarnation kept, it may begin late', {
       task: run.task,
@@ -1360,7 +1361,7 @@
         // The run was stopped before it began: the worker lists it neither as
         // active nor among the ends. It may have begun in another incarnation.
         if (tracked.former) {
-          this._loseFormerRun(tracked, now);
+          this._loseRun(tracked, now);
         } else {
           this._refuse(tracked, StartRefusal.NO_ANSWER);
         }
@@ -1645,7 +1646,7 @@
   private _declareRunsLost(now: number): void {
     for (const run of this._runs.former) {
       if (now > (run.former?.untilMs ?? Infinity)) {
-        this._loseFormerRun(run, now);
+        this._loseRun(run, now);
       }
     }
     if (this._unansweredSinceMs === undefined || this._runs.size === 0) {
@@ -1653,15 +1654,11 @@
     }
     const clockMs = this._clock.lowerBound(now);
     const areAllLost = clockMs > this._runsExpiredAtMs(true);
+    const areArrivedLost =
+      this._isUnreachable && clockMs > this._runsExpiredAtMs(false);
     const lost = this._runs
       .values()
-      .filter(
-        (run) =>
-          areAllLost ||
-          (this._isUnreachable &&
-            !hasOpenStart(run) &&
-            clockMs > this._runsExpiredAtMs(false)),
-      );
+      .filter((run) => areAllLost || (areArrivedLost && !hasOpenStart(run)));
     if (lost.length > 0) {
       this._log('runs lapsed at a silent worker', {
         runs: lost.length,
@@ -1674,17 +1671,13 @@
         this._lostRuns.push(...lost);
       }
       for (const tracked of lost) {
-        if (tracked.former) {
-          this._loseFormerRun(tracked, now);
-        } else {
-          this._endRun(tracked, EndKind.LOST, tracked.latestCheckpoint, 0);
-        }
+        this._loseRun(tracked, now);
       }
     }
   }
 
-  /** Reports a run that has ended with an earlier incarnation, or never began. */
-  private _loseFormerRun(run: TrackedRun, now: number): void {
+  /** Reports a run that has ended with its worker, or has never begun. */
+  private _loseRun(run: TrackedRun, now: number): void {
     const crash = run.former?.crash;
     if (crash) {
       const { life, runs } = crash;
