Tell ends of workers apart that started in the same millisecond

Callers could see: a task starts again after an end of it was acknowledged.

Cause: an end of an open job was taken for one that is queued already if its number and the life of its worker are the same; the worker was not compared. Two workers that start in the same millisecond have the same life. The end was listed again later, and acknowledged without regard to the run that had begun in between.

--- a/packages/core/src/lib/process/run-reports.ts
+++ b/packages/core/src/lib/process/run-reports.ts
@@ -483,9 +483,12 @@
     pendingEnd: UnacknowledgedEnd,
     now: number,
   ): void {
+    // Two workers may have started in the same millisecond.
     const isKnown = ownedJob.unacknowledged.some(
       (other) =>
-        other.number === pendingEnd.number && other.life === pendingEnd.life,
+        other.worker === pendingEnd.worker &&
+        other.number === pendingEnd.number &&
+        other.life === pendingEnd.life,
     );
     if (isKnown) {
       return;
