Fence earlier calls as soon as a worker announces its restart

The next incarnation of a worker executes earlier calls until it has received one with a higher fencing token. The driver waited for the reply to its pending poll first, for up to 400 ms if the worker was silent at its crash. A heartbeat with the same id and a later birth now leads to a poll with a higher token at once; the reply to the poll before counts only if it is from another incarnation.

--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -453,12 +453,29 @@
       return;
     }
     // Another writer may have sent it; its worker has to answer first.
+    const isNews = this._candidate?.worker.bornMs !== worker.bornMs;
     this._candidate = { worker, pollNumber: this._pollCount };
+    if (isNews && this._mayHaveRestarted) {
+      this._token += 1;
+      this._pollCallId = undefined;
+      this._nextPollAtMs = now;
+    }
     if (this._unansweredSinceMs !== undefined) {
       this._replaceSilentWorker(now);
     }
   }
 
+  /**
+   * Whether another incarnation with the same id has been announced. Until it has
+   * received a call with a higher fencing token, it executes earlier calls.
+   */
+  private get _mayHaveRestarted(): boolean {
+    return (
+      this._candidate !== undefined &&
+      this._candidate.worker.id === this._worker?.id
+    );
+  }
+
   /** Uses a heartbeat of the present incarnation, or the first of one. */
   private _useWorker(worker: WorkerHeartbeat): void {
     const known = this._worker;
@@ -1053,6 +1070,7 @@
       clockMs !== undefined &&
       now - this._clock.lastReadingAtMs < RENEWAL_MAX_READING_AGE_MS &&
       !this._leaseSuspended &&
+      !this._mayHaveRestarted &&
       !this._runs.hasUnclaimed &&
       this._clock.lowerBound(now) < limitMs &&
       !this._awaitLeaseExpiry(now);
@@ -1071,7 +1089,9 @@
       untilMs,
       ackedThrough: this._ends.ackedThrough,
       waitMs:
-        clockMs === undefined || this._runs.former.size > 0
+        clockMs === undefined ||
+        this._mayHaveRestarted ||
+        this._runs.former.size > 0
           ? 0
           : this._limits.pollWaitMs,
       timeoutMs: this._pollTimeoutMs,
@@ -1108,7 +1128,8 @@
     if (!pending) {
       return;
     }
-    if (callId === this._pollCallId) {
+    const isLatestPoll = callId === this._pollCallId;
+    if (isLatestPoll) {
       this._pollCallId = undefined;
       this._nextPollAtMs = now;
     }
@@ -1129,6 +1150,10 @@
     }
     switch (pending.call.kind) {
       case 'hold':
+        if (!isLatestPoll && !this._isFromOther(reply)) {
+          // A later poll was sent without waiting for this one.
+          return;
+        }
         this._onPollReply(pending, reply, now);
         this._scheduleNextPoll(reply, now);
         return;
@@ -1140,6 +1165,11 @@
     }
   }
 
+  /** Whether another incarnation than the present one has answered a poll. */
+  private _isFromOther(reply: WorkerReply): boolean {
+    return reply.kind === 'held' && reply.bornMs !== this._workerBornMs;
+  }
+
   private _onPollReply(
     pending: PendingCall,
     reply: WorkerReply,
--- a/packages/core/src/test/worker-restarts.test.ts
+++ b/packages/core/src/test/worker-restarts.test.ts
@@ -178,3 +178,24 @@
   answerPoll(harness);
   expect(crashedRuns(harness)).toEqual([]);
 });
+
+// Guards against an earlier call that the next incarnation executes while the
+// driver waits for the reply to a poll that was sent to the one before.
+it('the heartbeat of the next incarnation leads to a call with a higher token at once', () => {
+  const harness = ready();
+  const earlier = harness.takeCall('hold');
+  harness.heartbeat({ bornMs: BORN_MS + 1000 });
+  const { call } = harness.takeCall('hold');
+  expect(call.token > earlier.call.token).toEqual(true);
+  expect(call).toLooseEqual({ ...call, waitMs: 0, untilMs: undefined });
+  // The reply to the earlier poll says nothing any more.
+  harness.handle({
+    kind: 'reply',
+    callId: earlier.callId,
+    reply: NO_ANSWER,
+  });
+  harness.handle({ kind: 'flush' });
+  expect(harness.logs.map(({ message }) => message)).not.toInclude(
+    'worker does not answer',
+  );
+});
