Say once what the restarts, withdrawn jobs and lost entries repeated

No behaviour changes. Raising the fencing token and polling at once is one method. The longest time of a late run stands beside the other limits and uses their conversion to real time. Rows of ended and withdrawn jobs are deleted by one loop; the three kinds of a job's row have one type. Retried lookups are rescheduled in one place. Windows of lost entries are discarded when another entry is lost, not at each submission. Runs that are kept and those that are lost are told apart without a set of their own. Two questions about the starts of a silent driver share their bound and say how they differ.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -34,7 +34,7 @@
 import { JobRecorder } from './job-recorder.js';
 import type { RecordedJob } from './job-recorder.js';
 import { LateStartNotes } from './late-start-notes.js';
-import type { EndedJob, OwnedJob } from './owned-job.js';
+import type { EndedJob, OwnedJob, RetainedRow } from './owned-job.js';
 import { PartStores } from './part-stores.js';
 import { ENTRY_LEASE_MS, PeerMonitor, ProbeScope } from './peer-monitor.js';
 import { ResendWindows } from './resend-windows.js';
@@ -115,13 +115,6 @@
   readonly untilMs: number;
 }
 
-/** A job that was cancelled before it was recorded. */
-interface WithdrawnJob {
-  /** Version of the row that prevents its insert. */
-  readonly version: number;
-  readonly atMs: number;
-}
-
 /** A submitted job that is being recorded in the store. */
 interface Submission {
   /** Reply ids of the submit calls for this job. */
@@ -159,8 +152,8 @@
   private readonly _takeovers: TakeoverCoordinator;
   private readonly _jobs = new Map<string, OwnedJob>();
   private readonly _ended = new Map<string, EndedJob>();
-  /** Jobs without a row that were cancelled here, by id. */
-  private readonly _withdrawn = new Map<string, WithdrawnJob>();
+  /** Jobs that were cancelled here before they were recorded, by id. */
+  private readonly _withdrawn = new Map<string, RetainedRow>();
   private readonly _submissions = new Map<string, Submission>();
   private _actions: BatchAction[] = [];
   private _nowMs: number;
@@ -265,7 +258,8 @@
       withdraw: (id, abandonAtMs, onDone) => {
         this._recorder.withdraw(id, abandonAtMs, (outcome, at) => {
           if (outcome.kind === 'committed') {
-            this._withdrawn.set(id, { version: outcome.version, atMs: at });
+            const { version } = outcome;
+            this._withdrawn.set(id, { version, endedAtMs: at });
             this._log('job withdrawn before it was recorded', { job: id });
           }
           onDone(outcome, at);
@@ -1118,19 +1112,14 @@
   }
 
   private _deleteExpired(now: number): void {
-    for (const [id, ended] of this._ended) {
-      if (now - ended.endedAtMs < this._options.stateRetentionMs) {
-        break;
-      }
-      this._ended.delete(id);
-      this._recorder.deleteEnded(id, ended.version, now);
-    }
-    for (const [id, { version, atMs }] of this._withdrawn) {
-      if (now - atMs < this._options.stateRetentionMs) {
-        break;
+    for (const retained of [this._ended, this._withdrawn]) {
+      for (const [id, { version, endedAtMs }] of retained) {
+        if (now - endedAtMs < this._options.stateRetentionMs) {
+          break;
+        }
+        retained.delete(id);
+        this._recorder.deleteEnded(id, version, now);
       }
-      this._withdrawn.delete(id);
-      this._recorder.deleteEnded(id, version, now);
     }
   }
 
--- a/packages/core/src/lib/process/fleet-rows.ts
+++ b/packages/core/src/lib/process/fleet-rows.ts
@@ -82,6 +82,9 @@
   readonly by: string;
 }
 
+/** Row of a job. */
+export type JobRow = OpenJobRow | EndedJobRow | WithdrawnJobRow;
+
 /** Member row of an entry. */
 export interface EntryRow {
   readonly name: string;
@@ -134,9 +137,7 @@
 };
 
 /** @returns The row of a job, or `undefined` when it is malformed. */
-export const decodeJobRow = (
-  value: string,
-): OpenJobRow | EndedJobRow | WithdrawnJobRow | undefined => {
+export const decodeJobRow = (value: string): JobRow | undefined => {
   const data = parseObject(value);
   if (data?.kind === 'open-packed') {
     const row = data as unknown as PackedJobRow;
@@ -145,7 +146,7 @@
   return data?.kind === 'open' ||
     data?.kind === 'ended' ||
     data?.kind === 'withdrawn'
-    ? (data as unknown as OpenJobRow | EndedJobRow | WithdrawnJobRow)
+    ? (data as unknown as JobRow)
     : undefined;
 };
 
--- a/packages/core/src/lib/process/job-lookups.ts
+++ b/packages/core/src/lib/process/job-lookups.ts
@@ -2,7 +2,7 @@
 import type { BatchReply } from './batch-events.js';
 import { SubmitRefusal } from './batch-events.js';
 import { decodeJobRow, fleetKeys, partName, partOf } from './fleet-rows.js';
-import type { EndedJobRow, OpenJobRow, WithdrawnJobRow } from './fleet-rows.js';
+import type { JobRow } from './fleet-rows.js';
 import type { PartStores } from './part-stores.js';
 import type { WriteOutcome } from './store-writer.js';
 
@@ -127,8 +127,7 @@
     if (!lookup) {
       return;
     }
-    lookup.isWaiting = false;
-    lookup.nextTryAtMs = now + RETRY_DELAY_MS;
+    retryLater(lookup, now);
     if (handled && this._open.has(lookup.replyId)) {
       this._answer(lookup, { kind: 'cancelled' });
     }
@@ -139,8 +138,7 @@
     const keys = [fleetKeys.job(lookup.id)];
     const caller = this._options.stores.caller(partName(partOf(lookup.id)));
     caller.call({ kind: 'read', keys }, (reply, at) => {
-      lookup.isWaiting = false;
-      lookup.nextTryAtMs = at + RETRY_DELAY_MS;
+      retryLater(lookup, at);
       if (!this._open.has(lookup.replyId) || reply.kind !== 'rows') {
         return;
       }
@@ -178,18 +176,14 @@
     lookup.isWaiting = true;
     const abandonAtMs = lookup.deadlineMs - REPLY_MARGIN_MS;
     this._options.withdraw(lookup.id, abandonAtMs, (outcome, at) => {
-      lookup.isWaiting = false;
-      lookup.nextTryAtMs = at + RETRY_DELAY_MS;
+      retryLater(lookup, at);
       if (outcome.kind === 'committed' && this._open.has(lookup.replyId)) {
         this._answer(lookup, { kind: 'unknown-job' });
       }
     });
   }
 
-  private _answerFromRow(
-    lookup: OpenLookup,
-    row: OpenJobRow | EndedJobRow | WithdrawnJobRow,
-  ): void {
+  private _answerFromRow(lookup: OpenLookup, row: JobRow): void {
     if (row.kind === 'withdrawn') {
       this._answer(lookup, this._withdrawnReply(lookup));
       return;
@@ -236,6 +230,12 @@
   }
 }
 
+/** Lets a lookup whose attempt has ended be tried again after a delay. */
+const retryLater = (lookup: OpenLookup, now: number): void => {
+  lookup.isWaiting = false;
+  lookup.nextTryAtMs = now + RETRY_DELAY_MS;
+};
+
 /** A submission may have been accepted, so it must not count as refused. */
 const timeoutReply = ({ kind }: JobLookup): BatchReply =>
   kind === 'submit'
--- a/packages/core/src/lib/process/owned-job.ts
+++ b/packages/core/src/lib/process/owned-job.ts
@@ -47,9 +47,13 @@
   unsettledPredecessor: string | undefined;
 }
 
-/** A job that has ended and whose final state is retained. */
-export interface EndedJob {
-  readonly state: BatchState;
+/** The row of a job that does not go on; deleted after the retention period. */
+export interface RetainedRow {
   readonly version: number;
   readonly endedAtMs: number;
 }
+
+/** A job that has ended and whose final state is retained. */
+export interface EndedJob extends RetainedRow {
+  readonly state: BatchState;
+}
--- a/packages/core/src/lib/process/resend-windows.ts
+++ b/packages/core/src/lib/process/resend-windows.ts
@@ -31,6 +31,7 @@
    * @param lostAtMs - Time at which it was found to be lost.
    */
   onEntryLost(aliveAtMs: number, lostAtMs: number): void {
+    this._windows = this._windows.filter(({ untilMs }) => lostAtMs <= untilMs);
     this._windows.push({
       fromMs: aliveAtMs + this._resendMs,
       untilMs: lostAtMs + this._resendMs + ARRIVAL_SLACK_MS,
@@ -42,9 +43,8 @@
    * @returns Whether a submission may come from a caller of a lost entry.
    */
   isOpen(now: number): boolean {
-    if (this._windows.length > 0) {
-      this._windows = this._windows.filter(({ untilMs }) => now <= untilMs);
-    }
-    return this._windows.some(({ fromMs }) => now >= fromMs);
+    return this._windows.some(
+      ({ fromMs, untilMs }) => now >= fromMs && now <= untilMs,
+    );
   }
 }
--- a/packages/core/src/lib/process/run-limits.ts
+++ b/packages/core/src/lib/process/run-limits.ts
@@ -143,6 +143,18 @@
 export const longestOrphanMs = (limits: RunLimits): number =>
   orphanMs(limits) + limits.stopMs;
 
+/**
+ * @param limits - Limits of the runs.
+ * @returns Longest time from the sending of a start until its run has ended, if the
+ *   worker executes the start late and no call renews the lease, in milliseconds of
+ *   real time.
+ */
+export const longestLateRunMs = ({
+  maxLeaseMs,
+  stopMs,
+}: Pick<RunLimits, 'maxLeaseMs' | 'stopMs'>): number =>
+  realTimeMs(DELAYED_CALL_LIMIT_MS + maxLeaseMs + stopMs);
+
 /**
  * Derives the limits of runs. They are the longest ones in use if callers wait
  * long enough, and shorter in the same proportion otherwise.
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -5,6 +5,7 @@
   RunEnd,
   RunStop,
   StartGroup,
+  WorkerCrash,
   WorkerHello,
   WorkerOrder,
 } from '../messages.js';
@@ -17,12 +18,16 @@
 import { LogLimit } from './log-limit.js';
 import { ReportLinks } from './report-links.js';
 import type { ReportLink, WorkerState } from './report-links.js';
-import { DEFAULT_RUN_LIMITS, DELAYED_CALL_LIMIT_MS } from './run-limits.js';
+import {
+  DEFAULT_RUN_LIMITS,
+  DELAYED_CALL_LIMIT_MS,
+  longestLateRunMs,
+} from './run-limits.js';
 import type { RunLimits } from './run-limits.js';
 import { StartAdmission } from './start-admission.js';
 import { RunPhase, TrackedRuns, trackedRun } from './tracked-runs.js';
 import type { TrackedRun } from './tracked-runs.js';
-import { WORKER_CLOCK_MIN_RATE, WorkerClock } from './worker-clock.js';
+import { WorkerClock } from './worker-clock.js';
 import { WorkerRejection, isOutdatedHeartbeat } from './worker-events.js';
 import type {
   ListedEnd,
@@ -456,9 +461,7 @@
     const isNews = this._candidate?.worker.bornMs !== worker.bornMs;
     this._candidate = { worker, pollNumber: this._pollCount };
     if (isNews && this._mayHaveRestarted) {
-      this._token += 1;
-      this._pollCallId = undefined;
-      this._nextPollAtMs = now;
+      this._fenceEarlierCalls(now);
     }
     if (this._unansweredSinceMs !== undefined) {
       this._replaceSilentWorker(now);
@@ -476,6 +479,16 @@
     );
   }
 
+  /**
+   * Raises the fencing token and lets the next poll carry it at once, so that an
+   * incarnation that receives it rejects all earlier calls.
+   */
+  private _fenceEarlierCalls(now: number): void {
+    this._token += 1;
+    this._pollCallId = undefined;
+    this._nextPollAtMs = now;
+  }
+
   /** Uses a heartbeat of the present incarnation, or the first of one. */
   private _useWorker(worker: WorkerHeartbeat): void {
     const known = this._worker;
@@ -556,10 +569,10 @@
 
   /**
    * Discards the worker's incarnation and reports its runs as lost. A start that
-   * it has not provably received or left may be executed by the next incarnation,
-   * if that has the same id. Such a run is stopped there first. The fencing token
-   * is raised, so that the next incarnation rejects earlier calls once it has
-   * received a later one.
+   * it has not provably received may be executed by the next incarnation, if that
+   * has the same id. Such a run is stopped there first.
+   *
+   * @param mayBeginLate - Whether the next incarnation may begin a run.
    */
   private _discardIncarnation(
     why: GoneReason,
@@ -573,26 +586,25 @@
       life: this._workerIncarnation,
       runs: this._runs.size,
     });
-    const kept = new Set(this._runs.values().filter(mayBeginLate));
-    if (!isPlanned) {
-      const gone = this._runs.values().filter((run) => !kept.has(run));
-      this._recordCrash([...this._lostRuns, ...gone], why, now);
-    }
-    this._lostRuns = [];
     this._starts.removeAll(StartRefusal.NOT_READY);
     for (const run of this._unsentStarts) {
       this._refuse(run, StartRefusal.NOT_READY);
     }
     this._unsentStarts.clear();
     this._stopRetries.clear();
-    for (const run of this._runs.values()) {
-      if (kept.has(run)) {
+    const runs = this._runs.values();
+    if (!isPlanned) {
+      const gone = runs.filter((run) => !mayBeginLate(run));
+      this._recordCrash([...this._lostRuns, ...gone], why, now);
+    }
+    this._lostRuns = [];
+    for (const run of runs) {
+      if (mayBeginLate(run)) {
         this._keepFormerRun(run, isPlanned, now);
       } else {
         this._loseRun(run, now);
       }
     }
-    this._token += 1;
     this._ends.reset();
     this._areAllEndsListed = false;
     this._haveAllEndsBeenListed = false;
@@ -607,8 +619,7 @@
     this._unreliableUntilMs = 0;
     this._unansweredSinceMs = undefined;
     this._isUnreachable = false;
-    this._pollCallId = undefined;
-    this._nextPollAtMs = now;
+    this._fenceEarlierCalls(now);
     this._links.markAllDirty();
   }
 
@@ -617,14 +628,14 @@
     isPlanned: boolean,
     now: number,
   ): void {
-    const { maxLeaseMs, stopMs } = this._limits;
-    const lateMs = DELAYED_CALL_LIMIT_MS + maxLeaseMs + stopMs;
-    const untilMs = now + lateMs / WORKER_CLOCK_MIN_RATE;
-    const crashed = toCrashedRun(run, this._crashTime.bounds(now));
-    const mayHaveCrashed = !isPlanned && run.starts > run.undeliveredStarts;
-    const crash = mayHaveCrashed
-      ? { life: this._workerIncarnation, runs: [crashed] }
-      : undefined;
+    const untilMs = now + longestLateRunMs(this._limits);
+    const crash: WorkerCrash | undefined =
+      !isPlanned && mayHaveBegun(run)
+        ? {
+            life: this._workerIncarnation,
+            runs: [toCrashedRun(run, this._crashTime.bounds(now))],
+          }
+        : undefined;
     this._runs.keepAsFormer(run, { untilMs, crash });
     run.phase = RunPhase.Stopping;
     run.stopSentAtMs ??= now;
@@ -648,9 +659,7 @@
     why: string,
     now: number,
   ): void {
-    const begun = runs.filter(
-      (run) => !run.former && run.starts > run.undeliveredStarts,
-    );
+    const begun = runs.filter((run) => !run.former && mayHaveBegun(run));
     if (begun.length === 0) {
       return;
     }
@@ -1768,6 +1777,10 @@
   }
 }
 
+/** Whether the run may have begun: not all start calls provably missed the worker. */
+const mayHaveBegun = ({ starts, undeliveredStarts }: TrackedRun): boolean =>
+  starts > undeliveredStarts;
+
 /** Whether a start call of the run may still reach some incarnation of the worker. */
 const hasOpenStart = (run: TrackedRun): boolean => {
   const { starts, answeredStarts, undeliveredStarts } = run;
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -379,19 +379,25 @@
    */
   mayHoldLateStarts(now: number): boolean {
     const silentMs = now - this._lastContactAtMs;
-    const { lateRunExpiryMs } = this._limits;
-    return silentMs > REPORT_TIMEOUT_MS && silentMs <= lateRunExpiryMs;
+    return silentMs > REPORT_TIMEOUT_MS && this._mayBeginLate(now);
   }
 
   /**
+   * Like {@link mayHoldLateStarts}, but true as soon as the link is lost: a caller
+   * may return for its job before a driver counts as silent.
+   *
    * @param now - Current time in milliseconds.
-   * @returns Whether the worker driver process is silent and may, before that,
-   *   have sent starts for any entry that the worker may still carry out.
+   * @returns Whether the worker may carry out starts of a driver that is gone.
    */
   mayHoldUnknownStarts(now: number): boolean {
     const silentMs = now - this._lastContactAtMs;
     const isSilent = !this.hasSnapshot || silentMs > MAX_REPORT_AGE_MS;
-    return isSilent && silentMs <= this._limits.lateRunExpiryMs;
+    return isSilent && this._mayBeginLate(now);
+  }
+
+  /** Whether starts that were sent before the last contact may begin. */
+  private _mayBeginLate(now: number): boolean {
+    return now - this._lastContactAtMs <= this._limits.lateRunExpiryMs;
   }
 
   /**
