Use the shared steps in the tests of restarts and late starts

brokenRules takes the options of a scenario, so that the tests of restarts need no copy of it. The driver's tests share the restart and the end in the next incarnation; the test with real programs waits with waitUntil. All assertions stay; those on broken rules compare with an empty record in place of an empty list.

--- a/packages/core/src/test/worker-restarts.test.ts
+++ b/packages/core/src/test/worker-restarts.test.ts
@@ -39,6 +39,26 @@
   harness.advance(10);
 };
 
+/**
+ * @param active - Runs that the next incarnation lists.
+ * @returns A driver that has learnt from a poll that its worker has restarted, after
+ *   a start without an answer.
+ */
+const restarted = (active: readonly (typeof RUN)[] = []): DriverHarness => {
+  const harness = withStart();
+  restart(harness);
+  harness.active = [...active];
+  answerPoll(harness);
+  return harness;
+};
+
+/** Lists the end of the run in the next incarnation. */
+const listEnd = (harness: DriverHarness): void => {
+  harness.active = [];
+  harness.ends = [{ ...RUN, number: 1, kind: EndKind.STOPPED }];
+  answerPoll(harness);
+};
+
 /** Answers the stop, the poll that was sent before, and the one after it. */
 const answerStop = (harness: DriverHarness): void => {
   harness.answer('stop');
@@ -49,9 +69,7 @@
 // Guards against a task that is started elsewhere, or there, before the next
 // incarnation executes the start of its earlier run.
 it('a start without an answer is stopped in the next incarnation before it is lost', () => {
-  const harness = withStart();
-  restart(harness);
-  answerPoll(harness);
+  const harness = restarted();
   expect(endKinds(harness)).toEqual([]);
   answerStop(harness);
   expect(endKinds(harness)).toEqual([EndKind.LOST]);
@@ -68,16 +86,11 @@
 });
 
 it('a run that the next incarnation has begun ends there', () => {
-  const harness = withStart();
-  restart(harness);
-  harness.active = [RUN];
-  answerPoll(harness);
+  const harness = restarted([RUN]);
   harness.answer('stop');
   answerPoll(harness);
   expect(endKinds(harness)).toEqual([]);
-  harness.active = [];
-  harness.ends = [{ ...RUN, number: 1, kind: EndKind.STOPPED }];
-  answerPoll(harness);
+  listEnd(harness);
   expect(endKinds(harness)).toEqual([EndKind.STOPPED]);
 });
 
@@ -93,9 +106,7 @@
 });
 
 it('a run stays stopped over two restarts in a row', () => {
-  const harness = withStart();
-  restart(harness);
-  answerPoll(harness);
+  const harness = restarted();
   harness.answer('stop');
   restart(harness);
   answerPoll(harness);
@@ -159,23 +170,16 @@
 });
 
 it('a crash names a run only once it is known not to be in the next incarnation', () => {
-  const harness = withStart();
-  restart(harness);
-  answerPoll(harness);
+  const harness = restarted();
   expect(crashedRuns(harness)).toEqual([]);
   answerStop(harness);
   expect(crashedRuns(harness)).toEqual([`${TASK}#1 in ${String(BORN_MS)}`]);
 });
 
 it('a crash names no run that the next incarnation has begun', () => {
-  const harness = withStart();
-  restart(harness);
-  harness.active = [RUN];
-  answerPoll(harness);
+  const harness = restarted([RUN]);
   harness.answer('stop');
-  harness.active = [];
-  harness.ends = [{ ...RUN, number: 1, kind: EndKind.STOPPED }];
-  answerPoll(harness);
+  listEnd(harness);
   expect(crashedRuns(harness)).toEqual([]);
 });
 
--- a/packages/standins/src/test/fleet-late-starts.test.ts
+++ b/packages/standins/src/test/fleet-late-starts.test.ts
@@ -11,9 +11,15 @@
 /** A submission that is disrupted while its starts are on their way. */
 const SUBMIT_JUST_BEFORE: FleetStep = { ...SUBMIT, thenMs: 3 };
 
+/** The worker carries out starts late, with their time counted from then. */
+const LATE_WORKER = step(
+  { kind: 'worker', worker: 0, mode: WorkerMode.LateGrants },
+  102,
+);
+
 /** A driver that is killed before its worker has answered a start. */
 const KILLED_DRIVER = [
-  step({ kind: 'worker', worker: 0, mode: WorkerMode.LateGrants }, 102),
+  LATE_WORKER,
   SUBMIT_JUST_BEFORE,
   step({ kind: 'kill-driver', worker: 0 }, 0),
   resetCallers(14_000 + RESENT_MS),
@@ -29,12 +35,6 @@
   expect(brokenSeeds(KILLED_DRIVER)).toEqual([]);
 });
 
-/** The worker carries out starts late, with their time counted from then. */
-const LATE_WORKER = step(
-  { kind: 'worker', worker: 0, mode: WorkerMode.LateGrants },
-  102,
-);
-
 /** Losses of the driver and the entry that have sent a start, by what happens. */
 const LOST_WITH_DRIVER: Readonly<Record<string, readonly FleetStep[]>> = {
   'both at once': [
--- a/packages/standins/src/test/fleet-resend.test.ts
+++ b/packages/standins/src/test/fleet-resend.test.ts
@@ -37,7 +37,9 @@
 
 it('the fleet simulation shows runs that begin before the close of their caller is read', () => {
   expect(
-    Object.keys(brokenRules(LATE_READ, HostFault.ImmediateSubmissions)),
+    Object.keys(
+      brokenRules(LATE_READ, { hostFault: HostFault.ImmediateSubmissions }),
+    ),
   ).toEqual(['one run at a time']);
 });
 
@@ -92,7 +94,8 @@
 });
 
 it('the fleet simulation shows runs that begin before a reset in the same turn is handled', () => {
-  const rules = brokenRules(READ_TOGETHER, HostFault.LateCloses);
+  const { LateCloses } = HostFault;
+  const rules = brokenRules(READ_TOGETHER, { hostFault: LateCloses });
   expect(Object.keys(rules)).toEqual(['one run at a time']);
 });
 
--- a/packages/standins/src/test/fleet-restarts.test.ts
+++ b/packages/standins/src/test/fleet-restarts.test.ts
@@ -4,9 +4,8 @@
   FleetStep,
   StrikeFault,
 } from '../lib/fleet-sim/fleet-commands.js';
-import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
 import { RunMoment, WorkerMode } from '../lib/fleet-sim/sim-worker.js';
-import { SEEDS, WORKERS, forWorkers } from './resend-steps.js';
+import { WORKERS, brokenRules, forWorkers } from './resend-steps.js';
 import { step } from './sample.js';
 
 // Workers that start again under their ids execute calls that were sent to the
@@ -32,21 +31,15 @@
     thenMs,
   );
 
-/** Rules that are broken for any of the seeds. */
-const brokenRules = (steps: readonly FleetStep[]): string[] => {
-  const rules = SEEDS.flatMap((seed) =>
-    runFleetScenario({ seed, steps }, { keepsWorkerIds: true }).map(
-      ({ guarantee }) => guarantee,
-    ),
-  );
-  return [...new Set(rules)];
-};
+const KEPT_IDS = { keepsWorkerIds: true };
 
 // Guards against a start that is executed after a restart, while its task runs
 // elsewhere or for a second time there.
 for (const job of JOBS) {
   it(`a start that its worker executes after a restart runs beside no other one: job ${String(job)}`, () => {
-    expect(brokenRules([strike([crash(0, 300)]), submit(job)])).toEqual([]);
+    expect(
+      brokenRules([strike([crash(0, 300)]), submit(job)], KEPT_IDS),
+    ).toEqual({});
   });
 }
 
@@ -58,7 +51,7 @@
   }));
   for (const delayMs of [0, 30, 300]) {
     const steps = [...late, strike([crash(delayMs, 200)]), submit(2)];
-    expect(brokenRules(steps)).toEqual([]);
+    expect(brokenRules(steps, KEPT_IDS)).toEqual({});
   }
 });
 
@@ -66,13 +59,15 @@
   for (const delayMs of [0, 200]) {
     const kill = { target: StrikeTarget.KillDriver, delayMs, forMs: 900 };
     const steps = [strike([crash(0, 100), kill]), submit(3)];
-    expect(brokenRules(steps)).toEqual([]);
+    expect(brokenRules(steps, KEPT_IDS)).toEqual({});
   }
 });
 
 it('a worker that is cut off after its restart runs nothing twice', () => {
   const cut = { target: StrikeTarget.CutLink, delayMs: 200, forMs: 3000 };
-  expect(brokenRules([strike([crash(0, 300), cut]), submit(3)])).toEqual([]);
+  expect(
+    brokenRules([strike([crash(0, 300), cut]), submit(3)], KEPT_IDS),
+  ).toEqual({});
 });
 
 // Guards against a volatile job that fails for two crashes of which its task has
@@ -85,11 +80,11 @@
     step({ kind: 'heal' }, 200),
     step({ kind: 'restart' }, SETTLE_MS),
   ];
-  expect(brokenRules(steps)).toEqual([]);
+  expect(brokenRules(steps, KEPT_IDS)).toEqual({});
 });
 
 // A task that crashes its worker, which starts again 3 s later.
 it('a task that crashes a worker that keeps its id runs nothing twice', () => {
   const steps = [submit(8, 6), submit(7, 5)];
-  expect(brokenRules(steps)).toEqual([]);
+  expect(brokenRules(steps, KEPT_IDS)).toEqual({});
 });
--- a/packages/standins/src/test/fleet.test.ts
+++ b/packages/standins/src/test/fleet.test.ts
@@ -1,5 +1,6 @@
 import { request } from 'node:http';
 import { expect } from 'earl';
+import { waitUntil } from '../lib/local-cluster.js';
 import { CONNECTION_FAILED } from '../lib/platform/desk-client.js';
 import type { FleetCluster } from '../lib/platform/fleet-cluster.js';
 import { FLEET_HOST } from '../lib/platform/fleet-settings.js';
@@ -197,10 +198,7 @@
     worker.holdsStarts = true;
     const id = newId();
     expect(await submit(cluster, 0, job(900, 12, false), id)).toEqual(HTTP_OK);
-    for (let polls = 0; polls < 50 && worker.heldStarts.length === 0;) {
-      await delay(20);
-      polls += 1;
-    }
+    await waitUntil(() => Promise.resolve(worker.heldStarts.length > 0));
     expect(worker.heldStarts.length > 0).toEqual(true);
     await worker.close();
     await delay(300);
--- a/packages/standins/src/test/resend-steps.ts
+++ b/packages/standins/src/test/resend-steps.ts
@@ -4,7 +4,7 @@
 } from '../lib/fleet-sim/fleet-commands.js';
 import { LONG_VOLATILE_JOB } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
-import type { HostFault } from '../lib/fleet-sim/sim-batch-entry.js';
+import type { FleetScenarioOptions } from '../lib/fleet-sim/fleet-scenario.js';
 import { step } from './sample.js';
 
 // Callers of volatile jobs send a job again 1,300 ms after their connection has
@@ -19,16 +19,16 @@
 
 /**
  * @param steps - Steps of a scenario.
- * @param hostFault - A fault that is planted in the entries.
+ * @param options - Further options of the simulated fleet.
  * @returns The rules that were broken, with the number of seeds for each.
  */
 export const brokenRules = (
   steps: readonly FleetStep[],
-  hostFault?: HostFault,
+  options: FleetScenarioOptions = {},
 ): Record<string, number> => {
   const counts: Record<string, number> = {};
   for (const seed of SEEDS) {
-    const violations = runFleetScenario({ seed, steps }, { hostFault });
+    const violations = runFleetScenario({ seed, steps }, options);
     for (const rule of new Set(violations.map((v) => v.guarantee))) {
       counts[rule] = (counts[rule] ?? 0) + 1;
     }
