review: show recorded tasks that are done twice after a restart

Cause: a poll carries the acknowledgement of the life that the driver knows, also after failed polls and once another life is announced. A runner that is back under its id forgets the ends of its new life with these numbers, unread.

--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -86,8 +86,8 @@
    * @param options.labels - Labels by index of the runner.
    * @param options.attempts - Attempts of a task.
    */
-  constructor({ record, entryZones, runnerZones, labels, attempts, cpu }) {
-    this._options = { entryZones, runnerZones, labels, attempts, cpu };
+  constructor({ record, ...options }) {
+    this._options = options;
     this._record = createWriteStream(record);
   }
 
@@ -109,7 +109,8 @@
 
   async start() {
     const prefix = await findPrefix();
-    const { entryZones, runnerZones, labels, cpu } = this._options;
+    const { entryZones, runnerZones, labels, cpu, runnerOptions } =
+      this._options;
     this._zones = [...new Set([...entryZones, ...runnerZones])];
     this.store.put('op', 'config', this._config(1));
     for (const [index, zone] of entryZones.entries()) {
@@ -142,6 +143,7 @@
         zone,
         labels: labels?.[index] ?? ['a'],
         cpu: cpu ?? 16_000,
+        ...runnerOptions,
         onEvent: (event) => this._onRun(event),
       });
       this.runners.push(runner);
--- a/review/lib-3/runner-handle.mjs
+++ b/review/lib-3/runner-handle.mjs
@@ -36,6 +36,11 @@
     return this._call('goDark');
   }
 
+  /** Comes back under the same id after it has been dark. */
+  comeBack() {
+    return this._call('comeBack');
+  }
+
   /** Ends the thread. */
   close() {
     return this._thread.terminate();
--- a/review/lib-3/runner.mjs
+++ b/review/lib-3/runner.mjs
@@ -29,8 +29,10 @@
   log;
   _options;
   _isUp = false;
+  /** Starts that came while the runner was dark, the first one of each run. */
+  _held = [];
 
-  /** @param options - `id`, `host`, `port`, `controlPort`, `service`, `zone`, `labels`, `cpu`, `log`. */
+  /** @param options - `id`, `host`, `port`, `controlPort`, `service`, `zone`, `labels`, `cpu`, `log`; `keepsStarts`, `firstHeartbeatMs`. */
   constructor(options) {
     this._options = options;
     this.log = options.log;
@@ -56,10 +58,30 @@
     this._agent = new Agent({ keepAlive: true });
     this._server = await serveJson(host, port, (req) => this._answer(req));
     this._isUp = true;
-    this._heartbeat();
+    for (const body of this._held.splice(0)) {
+      this.log({
+        what: 'carried-out-late',
+        task: body.task,
+        run: body.run,
+        on: this._options.id,
+      });
+      this._start(body);
+    }
+    const { firstHeartbeatMs = 0 } = this._options;
+    this._firstTimer = setTimeout(() => this._heartbeat(), firstHeartbeatMs);
     this._timer = setInterval(() => this._heartbeat(), HEARTBEAT_MS);
   }
 
+  /**
+   * Comes back after a loss of power under the same id. Starts that came in the
+   * meantime and have no answer are carried out now.
+   */
+  async comeBack() {
+    this._agent.destroy();
+    await closeServer(this._server);
+    await this.start();
+  }
+
   /** Crashes: all that runs is gone, and nothing is reported. */
   async crash() {
     this._isUp = false;
@@ -70,6 +92,7 @@
 
   _stopAll() {
     clearInterval(this._timer);
+    clearTimeout(this._firstTimer);
     clearTimeout(this._leaseTimer);
     for (const run of this._active.values()) {
       clearTimeout(run.timer);
@@ -123,6 +146,7 @@
 
   _answer({ path, headers, body }) {
     if (!this._isUp) {
+      this._keep(path, body);
       return SILENCE;
     }
     const expected = headers['x-sapphiremux-expect-instance'];
@@ -146,6 +170,15 @@
     }
   }
 
+  _keep(path, body) {
+    const isKept = this._held.some(
+      ({ task, run }) => task === body.task && run === body.run,
+    );
+    if (path === '/run-start' && this._options.keepsStarts && !isKept) {
+      this._held.push(body);
+    }
+  }
+
   _reply(status, body) {
     return { status, body: { clock_ms: this._clockMs, ...body } };
   }
@@ -226,6 +259,7 @@
     this._leaseUntilMs = until;
     clearTimeout(this._leaseTimer);
     this._leaseTimer = setTimeout(() => {
+      this.log({ what: 'lapse', task: '', run: 0, on: this._options.id });
       for (const active of [...this._active.values()]) {
         this._end(active, 'lapsed');
       }
