review: show two runs of a recorded task at the same time

Cause: a successor waits for starts that a silent worker may carry out late only if it has had contact with that worker. An entry that has been restarted has had none, and takes over the jobs of its earlier life at once.

--- a/review/lib-3/runner-handle.mjs
+++ b/review/lib-3/runner-handle.mjs
@@ -41,6 +41,16 @@
     return this._call('comeBack');
   }
 
+  /** Leaves the next start without an answer, and carries it out late. */
+  delayNextStart() {
+    return this._call('delayNextStart');
+  }
+
+  /** Answers all starts again. */
+  delayNoStart() {
+    return this._call('delayNoStart');
+  }
+
   /** Ends the thread. */
   close() {
     return this._thread.terminate();
--- a/review/lib-3/runner.mjs
+++ b/review/lib-3/runner.mjs
@@ -32,7 +32,7 @@
   /** Starts that came while the runner was dark, the first one of each run. */
   _held = [];
 
-  /** @param options - `id`, `host`, `port`, `controlPort`, `service`, `zone`, `labels`, `cpu`, `log`; `keepsStarts`, `firstHeartbeatMs`. */
+  /** @param options - `id`, `host`, `port`, `controlPort`, `service`, `zone`, `labels`, `cpu`, `log`; `keepsStarts`, `firstHeartbeatMs`, `lateMs`. */
   constructor(options) {
     this._options = options;
     this.log = options.log;
@@ -160,6 +160,9 @@
     this._token = token;
     switch (path) {
       case '/run-start':
+        if (this._delaysNext) {
+          return this._startLate(body);
+        }
         return this._start(body);
       case '/run-stop':
         return this._stop(body);
@@ -179,6 +182,29 @@
     }
   }
 
+  /** Leaves the next start without an answer, and carries it out late. */
+  delayNextStart() {
+    this._delaysNext = true;
+  }
+
+  /** Answers all starts again. */
+  delayNoStart() {
+    this._delaysNext = false;
+  }
+
+  _startLate(body) {
+    const { task, run } = body;
+    const on = this._options.id;
+    this._delaysNext = false;
+    this.log({ what: 'no-answer', task, run, on });
+    setTimeout(() => {
+      this.log({ what: 'carried-out-late', task, run, on });
+      // Its time counts from now.
+      this._start({ ...body, until_ms: this._clockMs + MAX_HOLD_MS });
+    }, this._options.lateMs);
+    return SILENCE;
+  }
+
   _reply(status, body) {
     return { status, body: { clock_ms: this._clockMs, ...body } };
   }
