--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -5,23 +5,31 @@
 import { newId, runCase } from '../lib-3/deployment.mjs';
 import { Access } from '../lib-3/store.mjs';
 
-const ZONES = ['recife', 'fortaleza', 'salvador', 'natal'];
-const RUNNERS = 20;
+const ZONES = ['dkr-a', 'dkr-b', 'dkr-c', 'dkr-d'];
+/** Index of the zone that is evacuated, and of its entry. */
+const EMPTIED = 3;
+const RUNNERS = 24;
+/** The runners with the label that the jobs require: the other one is in dkr-a. */
+const LABELLED = [0, 15];
 const TASK_MS = 286;
 /** Interval between two jobs of the zone's clients. */
-const INTERVAL_MS = 50;
+const INTERVAL_MS = 200;
 /** `platform_down`, `nodes busy`: how long the entry is turned away. */
 const REFUSED_MS = 9000;
 /** Time from then until the operator evacuates the zone. */
-const EVACUATE_AFTER_MS = 500;
+const EVACUATE_AFTER_MS = 1500;
 /** From the sheet of the platform's bounds. */
 const EVACUATE_MS = 5000;
-const TRAFFIC_MS = 14_000;
+const TRAFFIC_MS = 18_000;
+/** Time in which the entries settle which workers they are linked with. */
+const SETTLE_MS = 6000;
 
 const body = {
   best_effort: true,
   spec: JSON.stringify({ ms: [TASK_MS] }),
-  steps: [{ count: 2, cpu: 1600, mem_mb: 64, estimate_ms: TASK_MS }],
+  steps: [
+    { count: 1, cpu: 1600, mem_mb: 64, estimate_ms: TASK_MS, requires: 'b' },
+  ],
 };
 
 const submitAll = async (deployment, entry) => {
@@ -35,10 +43,10 @@
 };
 
 const play = async (deployment, isDisturbed) => {
-  const [zone] = ZONES;
-  const [entry] = deployment.entries;
+  const zone = ZONES[EMPTIED];
+  const entry = deployment.entries[EMPTIED];
   const traffic = submitAll(deployment, entry);
-  await delay(2000);
+  await delay(SETTLE_MS);
   if (isDisturbed) {
     deployment.note({ what: 'turned-away', process: entry.name });
     deployment.store.access.set(entry.name, Access.Busy);
@@ -76,6 +84,9 @@
     record: fileURLToPath(new URL('record.txt', import.meta.url)),
     entryZones: ZONES,
     runnerZones: Array.from({ length: RUNNERS }, (_, i) => zoneOf(i)),
+    labels: Array.from({ length: RUNNERS }, (_, i) => [
+      LABELLED.includes(i) ? 'b' : 'a',
+    ]),
   },
   play,
 );
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -168,9 +168,9 @@
       version,
       routes: [
         {
-          name: 'work',
+          name: 'jobs',
           host: HOST,
-          path_prefix: '/work/',
+          path_prefix: '/jobs/',
           service: SERVICE,
           timeout_ms: CLIENT_DEADLINE_MS,
           priority: 0,
@@ -304,7 +304,7 @@
       host: entry.host,
       port: FRONT_PORT,
       method,
-      path: `/work/${id}`,
+      path: `/jobs/${id}`,
       headers: {
         host: HOST,
         'x-sapphiremux-deadline-ms': String(deadlineMs),
