Wait for late starts at workers that the entry has never heard

Cause: a new process began with a last contact at minus infinity, so the comparison with the longest time of a late start said that nothing may begin late where nothing is known. Ruled out: the wait itself, which holds once the worker has reported before the kill. The same field misled an entry that had given its link back.

What an entry knows of a driver is now one of unknown, tried and heard. A takeover waits for silent drivers until no start of the predecessor can be late, or until they report. A restarted entry answers volatile jobs in doubt that arrive when the callers of its predecessor return.

"a takeover does not wait that long for a worker that was silent before" asked this of a process that had just started, that is, of the fault. It now asks it of one for which the worker has been silent for 15 s.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -357,6 +357,9 @@
       onFenced: (reason) => {
         this._retire(reason);
       },
+      onPredecessorLost: () => {
+        this._resends.onPredecessorLost(now);
+      },
       log,
     });
     if (!this._continuesStop) {
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -31,6 +31,8 @@
   readonly decodeOperatorRow: (row: ChangedRow) => OperatorChange;
   /** Called when another entry has replaced this incarnation. */
   readonly onFenced: (reason: string) => void;
+  /** Called when the process before this one has ended without a planned stop. */
+  readonly onPredecessorLost: () => void;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
@@ -254,7 +256,7 @@
   }
 
   private _onEntry(incarnation: string, row: ChangedRow, now: number): void {
-    const { peers, onFenced } = this._options;
+    const { peers, onFenced, onPredecessorLost } = this._options;
     const data = row.value === null ? undefined : decodeEntryRow(row.value);
     if (incarnation === this._options.incarnation) {
       // A later row without a mark was created by an earlier attempt, after a
@@ -277,6 +279,9 @@
     // an earlier incarnation whose process has ended.
     if (data.name === this._options.row.name) {
       peer.goneSinceMs ??= now;
+      if (data.hasLeft !== true) {
+        onPredecessorLost();
+      }
     }
   }
 }
--- a/packages/core/src/lib/process/entry-takeover.ts
+++ b/packages/core/src/lib/process/entry-takeover.ts
@@ -74,13 +74,18 @@
     this._rowVersion = options.predecessor.version;
   }
 
+  /** Time after which the predecessor has sent no order. */
+  get sentUntilMs(): number {
+    const leaseMs = this._options.predecessor.isGone ? 0 : ENTRY_LEASE_MS;
+    return this._fencedAtMs + leaseMs;
+  }
+
   /**
    * Time after which no run of the predecessor can be active, even at a worker
-   * that has not reported since.
+   * that has not reported since, unless its start is carried out late.
    */
   get allRunsEndedAtMs(): number {
-    const leaseMs = this._options.predecessor.isGone ? 0 : ENTRY_LEASE_MS;
-    return this._fencedAtMs + leaseMs + this._options.runExpiryMs;
+    return this.sentUntilMs + this._options.runExpiryMs;
   }
 
   /**
--- a/packages/core/src/lib/process/resend-windows.ts
+++ b/packages/core/src/lib/process/resend-windows.ts
@@ -38,6 +38,15 @@
     });
   }
 
+  /**
+   * Notes that the process that this one replaces was lost, at any time before.
+   *
+   * @param startedAtMs - Time at which this entry started.
+   */
+  onPredecessorLost(startedAtMs: number): void {
+    this.onEntryLost(startedAtMs - this._resendMs, startedAtMs);
+  }
+
   /**
    * @param now - Current time in milliseconds.
    * @returns Whether a submission may come from a caller of a lost entry.
--- a/packages/core/src/lib/process/takeover-coordinator.ts
+++ b/packages/core/src/lib/process/takeover-coordinator.ts
@@ -6,6 +6,7 @@
 import { ENTRY_LEASE_MS } from './peer-monitor.js';
 import type { Peer, PeerMonitor } from './peer-monitor.js';
 import type { WorkerFleet } from './worker-fleet.js';
+import type { WorkerView } from './worker-view.js';
 
 /** Options of {@link TakeoverCoordinator}. */
 export interface TakeoverCoordinatorOptions {
@@ -41,6 +42,8 @@
   isLoaded: boolean;
   /** Whether the remaining runs of the predecessor are known. */
   isSettled: boolean;
+  /** Whether the log tells which workers it waits for. */
+  hasLoggedWait: boolean;
 }
 
 /**
@@ -156,6 +159,7 @@
       startedAtMs: now,
       isLoaded: false,
       isSettled: false,
+      hasLoggedWait: false,
     });
     takeover.start(now);
   }
@@ -184,15 +188,35 @@
     );
     // The predecessor may have sent starts that are carried out late, and their
     // number is not known.
-    const haveRunsEnded =
-      now > tracked.takeover.allRunsEndedAtMs &&
-      !missing.some((view) => view.mayHoldLateStarts(now));
-    if (missing.length > 0 && !haveRunsEnded) {
+    const { allRunsEndedAtMs, sentUntilMs } = tracked.takeover;
+    const awaited =
+      now > allRunsEndedAtMs
+        ? missing.filter((view) => view.mayHoldLateStarts(sentUntilMs, now))
+        : missing;
+    if (awaited.length > 0) {
+      this._logAwaited(tracked, awaited, now);
       return;
     }
     this._settleNow(tracked, missing.length, now);
   }
 
+  /** Logs once which workers a takeover waits for beyond the limits of runs. */
+  private _logAwaited(
+    tracked: TrackedTakeover,
+    awaited: readonly WorkerView[],
+    now: number,
+  ): void {
+    if (now <= tracked.takeover.allRunsEndedAtMs || tracked.hasLoggedWait) {
+      return;
+    }
+    tracked.hasLoggedWait = true;
+    this._options.log('takeover waits, starts may be carried out late', {
+      predecessor: tracked.predecessor,
+      workers: awaited.map(({ name }) => name).join(' '),
+      afterMs: Math.round(now - tracked.startedAtMs),
+    });
+  }
+
   private _settleNow(
     tracked: TrackedTakeover,
     unresponsiveWorkers: number,
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -231,7 +231,7 @@
       this._closeSupersededLink(view, now);
     }
     const { others, all } = linkNeeds;
-    const ordered = this._orderByPreference(others);
+    const ordered = this._orderByPreference(others, now);
     const { chosen, isNew } = this._chooseLinks(
       ordered,
       others.length + 1,
@@ -458,6 +458,7 @@
    */
   private _orderByPreference(
     others: readonly FleetEntry[],
+    now: number,
   ): readonly WorkerView[] {
     if (this._preferenceOrder && others === this._others) {
       return this._preferenceOrder;
@@ -468,9 +469,15 @@
       return this._preferenceOrder;
     }
     this._entryNames = entryNames;
-    const ordered = this._subset.order(
-      this.views.filter((view) => !this._isSuperseded(view, view.row.address)),
-    );
+    const reachable: WorkerView[] = [];
+    for (const view of this.views) {
+      if (this._isSuperseded(view, view.row.address)) {
+        view.noteTried(now);
+      } else {
+        reachable.push(view);
+      }
+    }
+    const ordered = this._subset.order(reachable);
     const preferred = this._subset.preferred(ordered, others);
     for (const view of ordered) {
       view.isPreferred = preferred.has(view.name);
@@ -575,6 +582,7 @@
       this._log('link to worker given back', { worker: view.name });
       this._options.emit({ kind: 'close-link', linkId, isReset: false });
       this._close(linkId, now);
+      view.forgetContact();
     }
   }
 
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -96,6 +96,14 @@
   }
 }
 
+/** How long ago a worker driver process that has reached its worker was heard. */
+type Contact =
+  /** No link has been opened, so that nothing is known of the worker. */
+  | { readonly kind: 'unknown' }
+  /** Links have been opened since then, and none has delivered a report. */
+  | { readonly kind: 'tried'; readonly sinceMs: number }
+  | { readonly kind: 'heard'; readonly atMs: number };
+
 type MutableOrder = { -readonly [K in keyof WorkerOrder]: WorkerOrder[K] };
 
 const emptyOrder = (): MutableOrder => ({
@@ -151,10 +159,10 @@
   hasSnapshot = false;
   lastReportAtMs = Number.NEGATIVE_INFINITY;
   /**
-   * Time of the last report of a driver process that has reached the worker.
-   * Others can't keep runs active.
+   * Last report of a driver process that has reached the worker. Others can't keep
+   * runs active.
    */
-  private _lastContactAtMs = Number.NEGATIVE_INFINITY;
+  private _contact: Contact = { kind: 'unknown' };
   /** Latest time, on the worker's clock, until which runs may continue. */
   private _grantedUntilMs = 0;
   private readonly _clock = new WorkerClock();
@@ -335,7 +343,7 @@
     if (
       this._clock.lastReadingMs === undefined ||
       !this.hasSnapshot ||
-      now - this._lastContactAtMs > MAX_REPORT_AGE_MS
+      this._isSilentFor(MAX_REPORT_AGE_MS, now)
     ) {
       return 0;
     }
@@ -354,7 +362,7 @@
    * @returns The keys of these runs.
    */
   endedRuns(now: number): string[] {
-    if (now - this._lastContactAtMs <= REPORT_TIMEOUT_MS) {
+    if (!this._isSilentFor(REPORT_TIMEOUT_MS, now)) {
       return [];
     }
     const { expiryGraceMs, leaseExpiryMs } = this._limits;
@@ -373,31 +381,56 @@
   }
 
   /**
+   * @param sentUntilMs - Time after which the entry whose starts are meant has sent
+   *   none.
    * @param now - Current time in milliseconds.
-   * @returns Whether the worker driver process has gone silent so recently that
-   *   the worker may still carry out starts that it has sent for any entry.
+   * @returns Whether the worker may still carry out such starts, because its driver
+   *   process is silent or has never been heard.
    */
-  mayHoldLateStarts(now: number): boolean {
-    const silentMs = now - this._lastContactAtMs;
-    return silentMs > REPORT_TIMEOUT_MS && this._mayBeginLate(now);
+  mayHoldLateStarts(sentUntilMs: number, now: number): boolean {
+    const lastSentMs = Math.min(sentUntilMs, this._unheardSinceMs ?? Infinity);
+    return (
+      this._isSilentFor(REPORT_TIMEOUT_MS, now) &&
+      now - lastSentMs <= this._limits.lateRunExpiryMs
+    );
   }
 
   /**
    * Like {@link mayHoldLateStarts}, but true as soon as the link is lost: a caller
-   * may return for its job before a driver counts as silent.
+   * may return for its job before a driver counts as silent. A worker to which this
+   * entry keeps no link does not count: in large fleets there are always some.
    *
    * @param now - Current time in milliseconds.
    * @returns Whether the worker may carry out starts of a driver that is gone.
    */
   mayHoldUnknownStarts(now: number): boolean {
-    const silentMs = now - this._lastContactAtMs;
-    const isSilent = !this.hasSnapshot || silentMs > MAX_REPORT_AGE_MS;
-    return isSilent && this._mayBeginLate(now);
+    const sinceMs = this._unheardSinceMs;
+    const isSilent =
+      !this.hasSnapshot || this._isSilentFor(MAX_REPORT_AGE_MS, now);
+    return (
+      isSilent &&
+      sinceMs !== undefined &&
+      now - sinceMs <= this._limits.lateRunExpiryMs
+    );
   }
 
-  /** Whether starts that were sent before the last contact may begin. */
-  private _mayBeginLate(now: number): boolean {
-    return now - this._lastContactAtMs <= this._limits.lateRunExpiryMs;
+  /**
+   * Time since which no driver process has been heard although a link was wanted;
+   * absent while nothing is known.
+   */
+  private get _unheardSinceMs(): number | undefined {
+    switch (this._contact.kind) {
+      case 'unknown':
+        return undefined;
+      case 'tried':
+        return this._contact.sinceMs;
+      case 'heard':
+        return this._contact.atMs;
+    }
+  }
+
+  private _isSilentFor(ms: number, now: number): boolean {
+    return this._contact.kind !== 'heard' || now - this._contact.atMs > ms;
   }
 
   /**
@@ -407,7 +440,7 @@
    *   limits of runs allow.
    */
   mayBeginLate(key: string, now: number): boolean {
-    const isSilent = now - this._lastContactAtMs > MAX_REPORT_AGE_MS;
+    const isSilent = this._isSilentFor(MAX_REPORT_AGE_MS, now);
     return (
       this._unconfirmed.has(key) ||
       (this._mayActLate && isSilent && this.placed.has(key))
@@ -422,7 +455,11 @@
    *   reject them.
    */
   provesNoLateStarts(sinceMs: number): boolean {
-    return this._lastContactAtMs > sinceMs && !this._mayActLate;
+    return (
+      this._contact.kind === 'heard' &&
+      this._contact.atMs > sinceMs &&
+      !this._mayActLate
+    );
   }
 
   /**
@@ -448,7 +485,7 @@
     if (this.hasSnapshot || report.snapshot) {
       // Before it has reached the worker, a new driver process does not know
       // which calls of the earlier one are outstanding.
-      this._lastContactAtMs = now;
+      this._contact = { kind: 'heard', atMs: now };
       this._mayActLate = report.mayActLate;
       this._reportedUnconfirmed = new Set(report.unconfirmed.map(runKey));
       // A worker that has restarted may begin a run that was confirmed before.
@@ -477,6 +514,7 @@
    */
   resetForLink(linkId: number, now: number): void {
     this.linkId = linkId;
+    this.noteTried(now);
     this.linkedAtMs = now;
     this.hasSnapshot = false;
     this.isDirty = true;
@@ -488,6 +526,22 @@
     this._free = undefined;
   }
 
+  /**
+   * Notes that the worker can't be reached, or that a link is being opened.
+   *
+   * @param now - Current time in milliseconds.
+   */
+  noteTried(now: number): void {
+    if (this._contact.kind === 'unknown') {
+      this._contact = { kind: 'tried', sinceMs: now };
+    }
+  }
+
+  /** Notes that no link is wanted any more, so that silence proves nothing. */
+  forgetContact(): void {
+    this._contact = { kind: 'unknown' };
+  }
+
   /** @returns The gathered order; an empty one takes its place. */
   takeOrder(): MutableOrder {
     const { order } = this;
--- a/packages/core/src/test/late-starts.test.ts
+++ b/packages/core/src/test/late-starts.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'earl';
 import type { WorkerReport } from '../lib/messages.js';
+import type { JobStepContent } from '../lib/request/batch-job.js';
 import {
+  CONTENT,
   EntryHarness,
   FakeRows,
   ID,
@@ -14,6 +16,7 @@
 // may be killed meanwhile. Nobody else can stop the run.
 
 const TASK = `${ID}.0.0.0`;
+const [STEP] = CONTENT.steps as [JobStepContent];
 const OTHER_TASK = `${ID}.0.0.1`;
 const REF = { task: TASK, run: 1 };
 const OTHER_REF = { task: OTHER_TASK, run: 1 };
@@ -123,17 +126,35 @@
   expect(repeated(harness)).toEqual([`${TASK}#2`, `${OTHER_TASK}#2`]);
 });
 
-/**
- * Has an entry take over a job while one of the two workers is silent.
- *
- * @param hasContact - Whether that worker has reported to the entry before.
- */
-const takeOver = (hasContact: boolean): EntryHarness => {
+/** What the successor knows of the silent worker before a takeover. */
+enum Knowledge {
+  /** It has reported. */
+  Heard = 'heard',
+  /** Nothing: the successor has just started. */
+  None = 'none',
+  /** It has been silent for 15 s. */
+  LongSilent = 'long-silent',
+}
+
+/** Has an entry take over a job while one of the two workers is silent. */
+const takeOver = (knowledge: Knowledge): EntryHarness => {
   const rows = new FakeRows();
-  withTwoWorkers(rows).submit(1, { isVolatile: false });
+  const predecessor = withTwoWorkers(rows);
+  predecessor.submit(1, { isVolatile: false });
+  if (knowledge === Knowledge.LongSilent) {
+    // A planned stop, which another entry that has run for long takes over.
+    const other = new EntryHarness(rows, 'e2', 'entry-2');
+    other.advance(15_000);
+    predecessor.handle({ kind: 'stop' });
+    predecessor.advance(7000);
+    other.answerChanges();
+    other.advance(300);
+    other.report('w2', { snapshot: true, adopted: ['e1'] });
+    return other;
+  }
   const next = new EntryHarness(rows, 'e1b');
   next.advance(300);
-  if (hasContact) {
+  if (knowledge === Knowledge.Heard) {
     next.report('w1', { snapshot: true });
   }
   next.answerChanges();
@@ -142,26 +163,86 @@
   return next;
 };
 
+const RESTARTED = [`${TASK}#10001`, `${OTHER_TASK}#10001`];
+
 // The successor does not know which starts its predecessor had sent there.
-it('a takeover waits until no late start can begin at a worker that went silent', () => {
-  const next = takeOver(true);
-  pass(next, 14_000);
+for (const knowledge of [Knowledge.Heard, Knowledge.None]) {
+  it(`a takeover waits until no late start can begin at a silent worker: ${knowledge}`, () => {
+    const next = takeOver(knowledge);
+    pass(next, 14_000);
+    expect(next.started).toEqual([]);
+    pass(next, 700);
+    expect(next.started).toEqual(RESTARTED);
+  });
+}
+
+it('a takeover goes on once a driver process that had never been heard reports', () => {
+  const next = takeOver(Knowledge.None);
+  pass(next, 6000);
   expect(next.started).toEqual([]);
-  pass(next, 500);
-  expect(next.started).toEqual([`${TASK}#10001`, `${OTHER_TASK}#10001`]);
+  next.report('w1', { snapshot: true, adopted: ['e1'] });
+  next.advance(50);
+  expect(next.started).toEqual(RESTARTED);
 });
 
 // The rows of machines that are gone for good may remain.
 it('a takeover does not wait that long for a worker that was silent before', () => {
-  const next = takeOver(false);
+  const next = takeOver(Knowledge.LongSilent);
   pass(next, 4500);
-  expect(next.started).toEqual([`${TASK}#10001`, `${OTHER_TASK}#10001`]);
+  expect(next.started).toEqual(RESTARTED);
+});
+
+/** Submits a volatile job to an entry whose predecessor was killed. */
+const resubmit = (harness: EntryHarness, replyId: number, id: string): void => {
+  harness.submit(replyId, { steps: [{ ...STEP, count: 1 }] }, id);
+  harness.advance(50);
+};
+
+const OTHER_ID = '00000000000000a2';
+
+// Guards against a volatile job that its caller sends again to the entry that was
+// killed with the driver of its first run.
+it('a restarted entry does not start jobs that a silent worker may begin late', () => {
+  const rows = new FakeRows();
+  withTwoWorkers(rows);
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(300);
+  next.report('w2', { snapshot: true, adopted: ['e1'] });
+  resubmit(next, 1, ID);
+  expect(next.replies.get(1)?.kind).toEqual('in-doubt');
+  // Callers of the lost process have returned by then.
+  pass(next, 1600);
+  resubmit(next, 2, OTHER_ID);
+  expect(next.started).toEqual([`${OTHER_ID}.0.0.0#1`]);
+  resubmit(next, 3, ID);
+  expect(next.replies.get(3)?.kind).toEqual('in-doubt');
+  next.report('w1', { snapshot: true });
+  resubmit(next, 4, ID);
+  expect(next.started).toEqual([`${OTHER_ID}.0.0.0#1`, `${TASK}#1`]);
+});
+
+it('a restarted entry starts jobs at once when all workers have reported', () => {
+  const rows = new FakeRows();
+  withTwoWorkers(rows);
+  const next = new EntryHarness(rows, 'e1b');
+  next.advance(100);
+  next.report('w1', { snapshot: true });
+  next.report('w2', { snapshot: true });
+  resubmit(next, 1, ID);
+  expect(next.started).toEqual([`${TASK}#1`]);
+});
+
+it('an entry without a predecessor starts jobs beside a silent worker', () => {
+  const next = withTwoWorkers();
+  next.report('w2', { snapshot: true });
+  resubmit(next, 1, ID);
+  expect(next.started).toEqual([`${TASK}#1`]);
 });
 
 // A driver process whose worker has crashed has no snapshot and confirms nothing,
 // but it carries out no start either.
 it('a takeover does not wait for a driver process that reports', () => {
-  const next = takeOver(true);
+  const next = takeOver(Knowledge.Heard);
   for (let passed = 0; passed < 4500; passed += 100) {
     pass(next, 100);
     next.report('w1', { snapshot: false, accepting: false, clockMs: 0 });
--- a/packages/standins/src/test/fleet-late-starts.test.ts
+++ b/packages/standins/src/test/fleet-late-starts.test.ts
@@ -1,7 +1,11 @@
 import { expect } from 'earl';
+import {
+  LONG_VOLATILE_JOB,
+  StrikeTarget,
+} from '../lib/fleet-sim/fleet-commands.js';
 import type { FleetStep } from '../lib/fleet-sim/fleet-commands.js';
 import { runFleetScenario } from '../lib/fleet-sim/fleet-scenario.js';
-import { WorkerMode } from '../lib/fleet-sim/sim-worker.js';
+import { RunMoment, WorkerMode } from '../lib/fleet-sim/sim-worker.js';
 import { RESENT_MS, SUBMIT, forWorkers, resetCallers } from './resend-steps.js';
 import { step } from './sample.js';
 
@@ -69,6 +73,61 @@
 /** Seeds of the scenarios in which no rule is near to be broken. */
 const FEW_SEEDS = SEEDS.slice(0, 20);
 
+/** Kills the owner of the next run and its driver as the start is sent. */
+const killBoth = (driverMs: number): FleetStep =>
+  step(
+    {
+      kind: 'strike',
+      moment: RunMoment.Sent,
+      faults: [
+        { target: StrikeTarget.KillOwner, delayMs: 3, forMs: 300 },
+        { target: StrikeTarget.KillDriver, delayMs: 3, forMs: driverMs },
+      ],
+    },
+    5,
+  );
+
+const setWorkers = (mode: WorkerMode): FleetStep[] =>
+  forWorkers([0, 1, 2, 3], (worker) => ({ kind: 'worker', worker, mode }));
+
+// Guards against a restarted entry that takes a worker of which it has heard
+// nothing for one that holds no starts.
+for (const driverMs of [3500, 8600]) {
+  for (const job of [3, 6]) {
+    it(`a late start of a killed driver runs beside no run of a restarted entry: job ${String(job)}, ${String(driverMs)} ms`, () => {
+      const steps = [
+        ...setWorkers(WorkerMode.LateGrants),
+        killBoth(driverMs),
+        step({ kind: 'submit', entry: 0, job }, 20),
+        ...setWorkers(WorkerMode.Healthy),
+        step({ kind: 'heal' }, 20_000),
+      ];
+      expect(brokenSeeds(steps, FEW_SEEDS)).toEqual([]);
+    });
+  }
+}
+
+// Guards against a volatile job that its caller sends again to the restarted entry.
+it('a restarted entry starts no resent job beside a late start of a killed driver', () => {
+  const steps = [
+    LATE_WORKER,
+    step(
+      {
+        kind: 'submit',
+        entry: 0,
+        job: LONG_VOLATILE_JOB,
+        resend: { to: 0, delayMs: 0 },
+      },
+      3,
+    ),
+    step({ kind: 'kill-driver', worker: 0 }, 0),
+    step({ kind: 'kill-entry', entry: 0 }, 300),
+    step({ kind: 'restart' }, 0),
+    step({ kind: 'kill-driver', worker: 0 }, 14_000 + RESENT_MS),
+  ];
+  expect(brokenSeeds(steps, SEEDS.slice(0, 40))).toEqual([]);
+});
+
 /** Number of log lines of entries with this text. */
 const countLines = (steps: readonly FleetStep[], text: string): number => {
   let count = 0;
