Let a driver read evacuations itself if its entries are behind

Cause: a driver learnt of evacuations from orders only, and took the newest version that it was told for the present one. Ruled out as the cause: the subset that leaves a worker with one entry, as all entries of a worker may be turned away.

Orders now say how long ago their entry has read the operators' table. A driver that has just started begins nothing on old knowledge before its first read has ended. Runs go on if no read succeeds. While one linked entry reaches the store there are no reads.

--- a/packages/core/src/lib/process/batch-entry.ts
+++ b/packages/core/src/lib/process/batch-entry.ts
@@ -1216,6 +1216,7 @@
           ? this._knownUntilMs(pollAgeMs, now)
           : undefined,
         operatorVersion: this._lease.operatorVersion,
+        operatorAgeMs: this._lease.operatorAgeMs(now),
         isOutOfService: (dataCentre) => this.routes.isOutOfService(dataCentre),
       },
       now,
--- a/packages/core/src/lib/process/entry-lease.ts
+++ b/packages/core/src/lib/process/entry-lease.ts
@@ -110,6 +110,17 @@
     return this._operators.version;
   }
 
+  /**
+   * @param now - Current time in milliseconds.
+   * @returns Time since the operators' table was read, in milliseconds; absent
+   *   before the first read.
+   */
+  operatorAgeMs(now: number): number | undefined {
+    return this._operators.isLoaded
+      ? now - this._operators.confirmedAtMs
+      : undefined;
+  }
+
   /** Whether several calls to the store in a row have failed. */
   get isStoreUnavailable(): boolean {
     return this._isStoreUnavailable;
--- a/packages/core/src/lib/process/report-links.ts
+++ b/packages/core/src/lib/process/report-links.ts
@@ -166,6 +166,11 @@
     return other;
   }
 
+  /** Whether any entry has identified itself on an open link. */
+  get hasOwners(): boolean {
+    return this._byOwner.size > 0;
+  }
+
   /** @returns Whether the entry of this incarnation has an open link. */
   has(owner: string): boolean {
     return this._byOwner.has(owner);
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -14,6 +14,8 @@
 import { CrashHistory } from './crash-history.js';
 import { CallFailure, CrashTime } from './crash-time.js';
 import type { CrashBounds } from './crash-time.js';
+import { DataCentreState } from './data-centre-state.js';
+import type { DataCentreRead } from './data-centre-state.js';
 import { EndList } from './end-list.js';
 import { LogLimit } from './log-limit.js';
 import { OpenStarts, hasOpenStart } from './open-starts.js';
@@ -292,8 +294,7 @@
   private _unansweredSinceMs: number | undefined;
   /** Whether the address of the worker refused the last poll. */
   private _isUnreachable = false;
-  /** State of this data centre, from the order with the newest version. */
-  private _dataCentreState = { version: 0, isOutOfService: false };
+  private readonly _dataCentreState = new DataCentreState();
   /** Local time until which the worker counts as unreliable. */
   private _unreliableUntilMs = 0;
   private _unrecordedReportAtMs = 0;
@@ -359,6 +360,9 @@
       case 'reply':
         this._onReply(event.callId, event.reply, now);
         break;
+      case 'data-centre-read':
+        this._onDataCentreRead(event.read, now);
+        break;
       case 'tick':
         this._onTick(now);
         break;
@@ -373,6 +377,7 @@
     if (event.kind !== 'flush') {
       this._starts.update(now);
       this._pollIfDue(now);
+      this._readDataCentreIfStale(now);
     }
     const actions = this._actions;
     this._actions = [];
@@ -399,6 +404,7 @@
   private get _mayBegin(): boolean {
     return (
       this._isAccepting &&
+      this._dataCentreState.isSettled &&
       !this._dataCentreState.isOutOfService &&
       !this._runs.hasUnclaimed
     );
@@ -753,7 +759,7 @@
       this._refuseStarts(order, StartRefusal.FENCED);
       return;
     }
-    this._updateDataCentreState(order);
+    this._updateDataCentreState(order, now);
     const isForThisIncarnation =
       order.life === '' || order.life === this._workerIncarnation;
     const earlierExpiryMs = this._ownerExpiryMs.get(order.incarnation) ?? 0;
@@ -839,21 +845,49 @@
    * cut off from the store can't start runs in a data centre that operators
    * have taken out of service.
    */
-  private _updateDataCentreState({
-    incarnation,
-    operatorVersion,
-    out,
-  }: WorkerOrder): void {
-    if (operatorVersion <= this._dataCentreState.version) {
+  private _updateDataCentreState(order: WorkerOrder, now: number): void {
+    const { operatorAgeMs: ageMs, operatorVersion: version, out } = order;
+    const news = { ageMs, version, isOutOfService: out };
+    if (this._dataCentreState.onOrder(news, now)) {
+      this._logDataCentre(order.incarnation);
+    }
+  }
+
+  /** Has the state of the data centre read if no linked entry knows it. */
+  private _readDataCentreIfStale(now: number): void {
+    const dataCentre = this._worker?.dataCentre;
+    if (
+      dataCentre === undefined ||
+      !this._links.hasOwners ||
+      this._stoppingSinceMs !== undefined
+    ) {
       return;
     }
-    if (out !== this._dataCentreState.isOutOfService) {
-      this._log(out ? 'data centre out of service' : 'data centre in service', {
-        entry: incarnation,
-        operatorVersion,
+    const ageMs = this._dataCentreState.ageMs(now);
+    if (this._dataCentreState.beginRead(now)) {
+      this._log('data centre read, entries are behind', {
+        dataCentre,
+        ageMs: Math.round(ageMs ?? -1),
       });
+      this._actions.push({ kind: 'read-data-centre', dataCentre });
+    }
+  }
+
+  private _onDataCentreRead(
+    read: DataCentreRead | undefined,
+    now: number,
+  ): void {
+    if (this._dataCentreState.onRead(read, now)) {
+      this._logDataCentre('');
     }
-    this._dataCentreState = { version: operatorVersion, isOutOfService: out };
+  }
+
+  private _logDataCentre(entry: string): void {
+    const { isOutOfService, version } = this._dataCentreState;
+    this._log(
+      isOutOfService ? 'data centre out of service' : 'data centre in service',
+      { entry, operatorVersion: version },
+    );
   }
 
   private _onRecorded(end: RecordedEnd, now: number): void {
--- a/packages/core/src/lib/process/worker-events.ts
+++ b/packages/core/src/lib/process/worker-events.ts
@@ -1,3 +1,4 @@
+import type { DataCentreRead } from './data-centre-state.js';
 import type { EndKind, Room, WorkerOrder, WorkerReport } from '../messages.js';
 
 /** Announcement of a worker: its identity, capacity and state. */
@@ -137,6 +138,11 @@
       readonly callId: number;
       readonly reply: WorkerReply;
     }
+  /** Result of a `read-data-centre` action; absent if it has failed. */
+  | {
+      readonly kind: 'data-centre-read';
+      readonly read: DataCentreRead | undefined;
+    }
   /** Periodic timer, which drives polls and timeouts. */
   | { readonly kind: 'tick' }
   /**
@@ -171,5 +177,7 @@
    * has left.
    */
   | { readonly kind: 'confirmed'; readonly worker: WorkerHeartbeat }
+  /** Reads from the operators' table whether a data centre is out of service. */
+  | { readonly kind: 'read-data-centre'; readonly dataCentre: string }
   /** A planned stop is complete. */
   | { readonly kind: 'stopped' };
--- a/packages/core/src/lib/process/worker-fleet.ts
+++ b/packages/core/src/lib/process/worker-fleet.ts
@@ -27,6 +27,8 @@
   readonly grantsFromMs: number | undefined;
   /** Version of the operators' table. */
   readonly operatorVersion: number;
+  /** Age of that version in milliseconds; absent before the first read. */
+  readonly operatorAgeMs: number | undefined;
   /** Whether that table has a data centre out of service. */
   readonly isOutOfService: (dataCentre: string) => boolean;
 }
@@ -438,6 +440,7 @@
     order.holdUntilMs =
       grantsFromMs === undefined ? 0 : view.extendGrant(grantsFromMs, now);
     order.operatorVersion = common.operatorVersion;
+    order.operatorAgeMs = common.operatorAgeMs;
     if (view.reportedRowVersion !== view.rowVersion) {
       order.registrationVersion = view.rowVersion;
       view.reportedRowVersion = view.rowVersion;
--- a/packages/core/src/lib/process/worker-view.ts
+++ b/packages/core/src/lib/process/worker-view.ts
@@ -121,6 +121,7 @@
   life: '',
   linkNumber: 0,
   registrationVersion: undefined,
+  operatorAgeMs: undefined,
 });
 
 /**
--- a/packages/core/src/lib/store.ts
+++ b/packages/core/src/lib/store.ts
@@ -89,8 +89,15 @@
 
 /** A call to follow the changes of a table. */
 export type FollowRequest =
-  /** Reads a consistent snapshot of all rows of a table. */
-  | { readonly kind: 'table'; readonly table: string }
+  /**
+   * Reads a consistent snapshot of the rows of a table, or of those whose keys
+   * begin with the prefix.
+   */
+  | {
+      readonly kind: 'table';
+      readonly table: string;
+      readonly prefix?: string;
+    }
   /** Waits for rows that change after a version. */
   | {
       readonly kind: 'changes';
--- a/packages/core/src/test/worker-harness.ts
+++ b/packages/core/src/test/worker-harness.ts
@@ -30,6 +30,7 @@
   out: false,
   life: '',
   linkNumber: 0,
+  operatorAgeMs: 0,
   ...fields,
 });
 
@@ -56,6 +57,8 @@
   /** Reports by the link on which they were sent. */
   readonly reportsByLink = new Map<number, WorkerReport[]>();
   readonly polls: Extract<WorkerCall, { kind: 'hold' }>[] = [];
+  /** Data centres whose state the driver has had read. */
+  readonly reads: string[] = [];
   /** Links that the driver has closed. */
   readonly closedLinks: number[] = [];
   isStopped = false;
@@ -192,6 +195,9 @@
       case 'log':
         this.logs.push(action);
         return;
+      case 'read-data-centre':
+        this.reads.push(action.dataCentre);
+        return;
       case 'stopped':
         this.isStopped = true;
     }
--- a/packages/core/src/test/worker-view.test.ts
+++ b/packages/core/src/test/worker-view.test.ts
@@ -125,7 +125,12 @@
   send(now: number): number {
     const before = this.actions.length;
     this.fleet.sendOrders(
-      { grantsFromMs: now, operatorVersion: 1, isOutOfService: () => false },
+      {
+        grantsFromMs: now,
+        operatorVersion: 1,
+        operatorAgeMs: 0,
+        isOutOfService: () => false,
+      },
       now,
     );
     return this.actions
--- a/packages/daemon/src/lib/process/worker-host.ts
+++ b/packages/daemon/src/lib/process/worker-host.ts
@@ -1,5 +1,6 @@
 import { WorkerDriver } from '@sapphiremux/core';
 import type {
+  DataCentreRead,
   WorkerAction,
   WorkerDriverOptions,
   WorkerEvent,
@@ -28,6 +29,14 @@
   /** Address for links from the entries. */
   readonly listen: { readonly host: string; readonly port: number };
   readonly log: Log;
+  /**
+   * Reads whether a data centre is out of service.
+   *
+   * @returns The state, or `undefined` if the store does not answer; never rejects.
+   */
+  readonly readDataCentre: (
+    dataCentre: string,
+  ) => Promise<DataCentreRead | undefined>;
   /** Called with each heartbeat of the worker that answers at its address. */
   readonly onConfirmed: (worker: WorkerHeartbeat) => void;
   /**
@@ -167,11 +176,19 @@
       case 'confirmed':
         this._options.onConfirmed(action.worker);
         return;
+      case 'read-data-centre':
+        void this._readDataCentre(action.dataCentre);
+        return;
       case 'stopped':
         this._options.onStopped();
     }
   }
 
+  private async _readDataCentre(dataCentre: string): Promise<void> {
+    const read = await this._options.readDataCentre(dataCentre);
+    this.dispatch({ kind: 'data-centre-read', read });
+  }
+
   private async _call({
     callId,
     call,
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -14,6 +14,7 @@
 } from '@sapphiremux/core';
 import type { EventQueue } from '../sim/event-queue.js';
 import { SimProcess } from '../sim/sim-process.js';
+import { EVACUATION_PREFIX, OPERATOR_TABLE } from './sim-batch-entry.js';
 import type { SimTable } from './sim-table.js';
 import type { SimWorker } from './sim-worker.js';
 
@@ -194,6 +195,30 @@
     });
   }
 
+  private _readDataCentre(dataCentre: string): void {
+    const { store, isDisconnectedFromStore } = this._options;
+    const { generation } = this;
+    const req = { kind: 'table', table: OPERATOR_TABLE } as const;
+    store.follow(req, isDisconnectedFromStore(), (reply) => {
+      if (this.generation !== generation) {
+        return;
+      }
+      const read =
+        reply.kind === 'table'
+          ? {
+              version: reply.version,
+              isOutOfService: reply.rows.some(
+                ({ key }) =>
+                  `${OPERATOR_TABLE}/${key}` === EVACUATION_PREFIX + dataCentre,
+              ),
+            }
+          : undefined;
+      this.post(() => {
+        this.dispatch({ kind: 'data-centre-read', read });
+      });
+    });
+  }
+
   private _execute(action: WorkerAction): void {
     this._options.onAction(
       action.kind === 'call' ? `call ${action.call.kind}` : action.kind,
@@ -223,6 +248,9 @@
       case 'confirmed':
         this._onConfirmed(action.worker);
         return;
+      case 'read-data-centre':
+        this._readDataCentre(action.dataCentre);
+        return;
       case 'stopped':
         this.kill();
         return;
--- a/packages/wire/src/fleet-json.ts
+++ b/packages/wire/src/fleet-json.ts
@@ -47,6 +47,7 @@
     life: order.life || undefined,
     linkNumber: order.linkNumber || undefined,
     registrationVersion: order.registrationVersion,
+    operatorAgeMs: order.operatorAgeMs,
   });
 
 /**
@@ -306,6 +307,9 @@
   return value === undefined ? undefined : toMessage(toObject(value, name));
 };
 
+const toOptionalDouble = (json: Json, name: string): number | undefined =>
+  json[name] === undefined ? undefined : toDouble(json, name);
+
 const toOrder = (json: Json): PlainMessage<WorkerOrder> => ({
   entry: toText(json, 'entry'),
   incarnation: toText(json, 'incarnation'),
@@ -320,10 +324,8 @@
   out: toFlag(json, 'out'),
   life: toText(json, 'life'),
   linkNumber: toUint(json, 'linkNumber'),
-  registrationVersion:
-    json.registrationVersion === undefined
-      ? undefined
-      : toDouble(json, 'registrationVersion'),
+  registrationVersion: toOptionalDouble(json, 'registrationVersion'),
+  operatorAgeMs: toOptionalDouble(json, 'operatorAgeMs'),
 });
 
 const toReport = (json: Json): PlainMessage<WorkerReport> => ({
--- a/packages/wire/src/test/fleet-json.test.ts
+++ b/packages/wire/src/test/fleet-json.test.ts
@@ -51,6 +51,7 @@
   life: text,
   linkNumber: uint,
   registrationVersion: maybe(double),
+  operatorAgeMs: maybe(double),
 });
 const anyReport = record({
   hello: maybe(
