Poll on without delay while a start is on its way

An acknowledgement that waited for a start which had just been sent made the next poll wait for 30 ms in place of 8, so that ends were listed later; only a start that is open for longer does so now. Starts that a worker rejects were kept until an end was acknowledged; they are forgotten with the next start.

A test for each; the first failed before.

--- a/packages/core/src/lib/process/open-starts.ts
+++ b/packages/core/src/lib/process/open-starts.ts
@@ -34,24 +34,32 @@
    * @param now - Current time in milliseconds.
    */
   add(run: TrackedRun, now: number): void {
+    this._deleteClosed(now);
     this._sentAtMs.set(run, now);
   }
 
   /**
    * @param now - Current time in milliseconds.
-   * @returns Whether any start may still be executed by another incarnation.
+   * @returns Age of a start that may still be executed by another incarnation, in
+   *   milliseconds; absent if there is none.
    */
-  hasAny(now: number): boolean {
+  openMs(now: number): number | undefined {
+    this._deleteClosed(now);
+    const [sentAtMs] = this._sentAtMs.values();
+    return sentAtMs === undefined ? undefined : now - sentAtMs;
+  }
+
+  /** Deletes the runs that come before the first one with an open start. */
+  private _deleteClosed(now: number): void {
     for (const [run, sentAtMs] of this._sentAtMs) {
       if (
         this._isTracked(run) &&
         hasOpenStart(run) &&
         now - sentAtMs <= DELAYED_CALL_LIMIT_MS
       ) {
-        return true;
+        return;
       }
       this._sentAtMs.delete(run);
     }
-    return false;
   }
 }
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -867,7 +867,7 @@
     if (this._dataCentreState.beginRead(now)) {
       this._log('data centre read, entries are behind', {
         dataCentre,
-        ageMs: Math.round(ageMs ?? -1),
+        ...(ageMs === undefined ? {} : { ageMs: Math.round(ageMs) }),
       });
       this._actions.push({ kind: 'read-data-centre', dataCentre });
     }
@@ -1181,7 +1181,8 @@
       forgettable > 0 &&
       isProven &&
       !this._mayHaveRestarted &&
-      (!this._openStarts.hasAny(now) || forgettable >= MAX_WITHHELD_ENDS)
+      (this._openStarts.openMs(now) === undefined ||
+        forgettable >= MAX_WITHHELD_ENDS)
     );
   }
 
@@ -1380,12 +1381,14 @@
       this._nextPollAtMs = now + POLL_RETRY_DELAY_MS;
       return;
     }
-    const listsSameEnds =
-      this._ends.hasUnacknowledged ||
-      (this._ends.forgettable > 0 && !this._isAcknowledgementDue(now));
-    const intervalMs = listsSameEnds
-      ? UNACKNOWLEDGED_POLL_INTERVAL_MS
-      : MIN_POLL_INTERVAL_MS;
+    // A start is usually answered before the next poll is due.
+    const isWithheld =
+      this._ends.forgettable > 0 &&
+      (this._openStarts.openMs(now) ?? 0) > UNACKNOWLEDGED_POLL_INTERVAL_MS;
+    const intervalMs =
+      this._ends.hasUnacknowledged || isWithheld
+        ? UNACKNOWLEDGED_POLL_INTERVAL_MS
+        : MIN_POLL_INTERVAL_MS;
     this._nextPollAtMs = this._lastPollAtMs + intervalMs;
   }
 
--- a/packages/core/src/test/acknowledgements.test.ts
+++ b/packages/core/src/test/acknowledgements.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'earl';
 import { EndKind } from '../lib/messages.js';
+import { OpenStarts } from '../lib/process/open-starts.js';
+import { RunPhase, trackedRun } from '../lib/process/tracked-runs.js';
 import { WorkerRejection } from '../lib/process/worker-events.js';
 import type { WorkerReply } from '../lib/process/worker-events.js';
 import { BORN_MS, ready, starts } from './worker-harness.js';
@@ -155,3 +157,39 @@
     'ends of a new incarnation were forgotten unread',
   );
 });
+
+// Guards against ends that are listed late, because an acknowledgement waits for a
+// start that is on its way.
+it('a start on its way does not delay the next poll', () => {
+  const harness = withRecordedEnds();
+  harness.advance(20);
+  harness.order({ holdUntilMs: 9000, starts: starts('k.0.0.0') });
+  harness.advance(10);
+  expect(harness.polls.at(-1)?.ackedThrough).toEqual(0);
+  harness.answerPoll();
+  harness.answer('start');
+  const polls = harness.polls.length;
+  harness.advance(10);
+  expect(harness.polls.length).toEqual(polls + 1);
+  expect(harness.polls.at(-1)?.ackedThrough).toEqual(1);
+});
+
+it('starts that were answered are forgotten', () => {
+  const runs = Array.from({ length: 3 }, (_, run) =>
+    trackedRun(
+      { task: 'k', run },
+      { owner: 'a', phase: RunPhase.Starting, sinceMs: 0 },
+    ),
+  );
+  const open = new OpenStarts(() => true);
+  for (const run of runs) {
+    run.starts = 1;
+    open.add(run, 0);
+  }
+  expect(open.openMs(5)).toEqual(5);
+  for (const run of runs.slice(0, 2)) {
+    run.answeredStarts = 1;
+  }
+  expect(open.openMs(10)).toEqual(10);
+  expect(open.openMs(12_001)).toEqual(undefined);
+});
