Share the decoding of a data centre read, check a wait once

- A takeover compared the time with allRunsEndedAtMs twice, once to choose the workers that it waits for and once before the log line.
- Nested conditions of one log line are one, an import is in order.
- A list in the test of the worker host and a constructor parameter in that of the data centre's state were not used.
All assertions stay.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -65,6 +65,7 @@
 export type { RunBounds, RunLimits } from './lib/process/run-limits.js';
 export { WorkerDriver } from './lib/process/worker-driver.js';
 export type { WorkerDriverOptions } from './lib/process/worker-driver.js';
+export { toDataCentreRead } from './lib/process/data-centre-state.js';
 export type { DataCentreRead } from './lib/process/data-centre-state.js';
 export * from './lib/process/worker-events.js';
 export { BatchState } from './lib/request/batch-job.js';
--- a/packages/core/src/lib/process/data-centre-state.ts
+++ b/packages/core/src/lib/process/data-centre-state.ts
@@ -1,3 +1,5 @@
+import type { FollowReply } from '../store.js';
+
 /** State of a data centre in one version of the operators' table. */
 export interface DataCentreRead {
   /** Version of the table; increases with each change. */
@@ -5,6 +7,22 @@
   readonly isOutOfService: boolean;
 }
 
+/**
+ * @param reply - Reply to a read of the operators' table.
+ * @param key - Key of the row that exists while the data centre is out of service.
+ * @returns The state; `undefined` if the read has failed.
+ */
+export const toDataCentreRead = (
+  reply: FollowReply,
+  key: string,
+): DataCentreRead | undefined =>
+  reply.kind === 'table'
+    ? {
+        version: reply.version,
+        isOutOfService: reply.rows.some((row) => row.key === key),
+      }
+    : undefined;
+
 /** What an order of an entry says about the data centre. */
 export interface DataCentreNews extends DataCentreRead {
   /**
--- a/packages/core/src/lib/process/takeover-coordinator.ts
+++ b/packages/core/src/lib/process/takeover-coordinator.ts
@@ -186,13 +186,15 @@
     const missing = this._options.fleet.views.filter(
       (view) => !view.adopted.has(tracked.predecessor),
     );
+    const { allRunsEndedAtMs, sentUntilMs } = tracked.takeover;
+    if (missing.length > 0 && now <= allRunsEndedAtMs) {
+      return;
+    }
     // The predecessor may have sent starts that are carried out late, and their
     // number is not known.
-    const { allRunsEndedAtMs, sentUntilMs } = tracked.takeover;
-    const awaited =
-      now > allRunsEndedAtMs
-        ? missing.filter((view) => view.mayHoldLateStarts(sentUntilMs, now))
-        : missing;
+    const awaited = missing.filter((view) =>
+      view.mayHoldLateStarts(sentUntilMs, now),
+    );
     if (awaited.length > 0) {
       this._logAwaited(tracked, awaited, now);
       return;
@@ -206,7 +208,7 @@
     awaited: readonly WorkerView[],
     now: number,
   ): void {
-    if (now <= tracked.takeover.allRunsEndedAtMs || tracked.hasLoggedWait) {
+    if (tracked.hasLoggedWait) {
       return;
     }
     tracked.hasLoggedWait = true;
--- a/packages/core/src/lib/process/worker-driver.ts
+++ b/packages/core/src/lib/process/worker-driver.ts
@@ -1421,13 +1421,12 @@
   private _logForgottenEnds(ends: readonly ListedEnd[]): void {
     const [first] = ends;
     const isFirstList = this._hasReachedWorker && !this._haveAllEndsBeenListed;
-    if (isFirstList && this._ends.ackedThrough === 0 && first) {
-      if (first.number > 1) {
-        this._log('ends of a new incarnation were forgotten unread', {
-          life: this._workerIncarnation,
-          first: first.number,
-        });
-      }
+    const isUnacknowledged = this._ends.ackedThrough === 0;
+    if (first && first.number > 1 && isFirstList && isUnacknowledged) {
+      this._log('ends of a new incarnation were forgotten unread', {
+        life: this._workerIncarnation,
+        first: first.number,
+      });
     }
   }
 
--- a/packages/core/src/test/data-centre-state.test.ts
+++ b/packages/core/src/test/data-centre-state.test.ts
@@ -14,13 +14,8 @@
  * the test.
  */
 class TurnedAwayEntry {
-  readonly driver: DriverHarness;
-  private readonly _beganAtMs: number;
-
-  constructor(driver = ready()) {
-    this.driver = driver;
-    this._beganAtMs = driver.now;
-  }
+  readonly driver = ready();
+  private readonly _beganAtMs = this.driver.now;
 
   /** Lets time pass in which the entry sends orders each 250 ms. */
   pass(ms: number): void {
--- a/packages/core/src/test/late-starts.test.ts
+++ b/packages/core/src/test/late-starts.test.ts
@@ -171,7 +171,7 @@
     const next = takeOver(knowledge);
     pass(next, 14_000);
     expect(next.started).toEqual([]);
-    pass(next, 700);
+    pass(next, 500);
     expect(next.started).toEqual(RESTARTED);
   });
 }
--- a/packages/daemon/src/test/worker-host.test.ts
+++ b/packages/daemon/src/test/worker-host.test.ts
@@ -63,8 +63,6 @@
 /** Hosts a driver of a worker that carries out all calls. */
 class HostHarness {
   readonly started: string[] = [];
-  /** Data centres whose state was read. */
-  readonly reads: string[] = [];
   /** Links that the entry has seen closing, in order of opening. */
   readonly closedLinks: number[] = [];
   private _address = '';
@@ -87,10 +85,8 @@
         name: 'vm',
         write: () => undefined,
       }),
-      readDataCentre: (dataCentre) => {
-        this.reads.push(dataCentre);
-        return Promise.resolve({ version: 1, isOutOfService: false });
-      },
+      readDataCentre: () =>
+        Promise.resolve({ version: 1, isOutOfService: false }),
       onConfirmed: () => undefined,
       onRegistrationSeen: () => undefined,
       onStopped: () => undefined,
--- a/packages/standins/src/lib/fleet-sim/sim-driver.ts
+++ b/packages/standins/src/lib/fleet-sim/sim-driver.ts
@@ -3,6 +3,7 @@
   OwnedRow,
   WorkerDriver,
   fleetKeys,
+  toDataCentreRead,
 } from '@sapphiremux/core';
 import type {
   RunLimits,
@@ -198,21 +199,15 @@
   private _readDataCentre(dataCentre: string): void {
     const { store, isDisconnectedFromStore } = this._options;
     const { generation } = this;
+    // The keys of the rows are relative to their table.
+    const prefix = EVACUATION_PREFIX.slice(OPERATOR_TABLE.length + 1);
+    const key = prefix + dataCentre;
     const req = { kind: 'table', table: OPERATOR_TABLE } as const;
     store.follow(req, isDisconnectedFromStore(), (reply) => {
       if (this.generation !== generation) {
         return;
       }
-      const read =
-        reply.kind === 'table'
-          ? {
-              version: reply.version,
-              isOutOfService: reply.rows.some(
-                ({ key }) =>
-                  `${OPERATOR_TABLE}/${key}` === EVACUATION_PREFIX + dataCentre,
-              ),
-            }
-          : undefined;
+      const read = toDataCentreRead(reply, key);
       this.post(() => {
         this.dispatch({ kind: 'data-centre-read', read });
       });
